--- /dev/null
+++ b/bin/hallhold.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+'use strict';
+
+require('../build/src/cli/main.js');
--- /dev/null
+++ b/src/agent/backend-monitor.ts
@@ -0,0 +1,110 @@
+/**
+ * What the back end says of itself: its load, and whether it drains.
+ *
+ * The report lags and may lie, so load only nudges placement. A back end that has
+ * not answered for a while gets no new work until it answers again.
+ */
+import { CoapCode, CoapOption, type CoapMessage } from '../coap/coap-message';
+import type { AgentContext } from './agent-context';
+import type { BackendRequests } from './backend-requests';
+
+const REPORT_DEADLINE = 1_000;
+const SILENT_REPORTS_UNTIL_UNREADY = 3;
+const GET_CODE = '0.01';
+
+/** A back end's load report: a JSON object. */
+interface LoadReport {
+  /** 0 to 1. */
+  readonly load?: unknown;
+  readonly draining?: unknown;
+}
+
+/** Polls one back end. */
+export class BackendMonitor {
+  /** Last reported load, 0 to 1. */
+  load = 0;
+  /** True when the back end itself asked for no new work. */
+  draining = false;
+  /** Time since when the back end serves without a break. */
+  servingSince: number;
+  private silentReports = 0;
+  private polling = false;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly requests: BackendRequests,
+    private readonly changed: () => void,
+  ) {
+    this.servingSince = context.environment.now();
+  }
+
+  /** False when several reports in a row went unanswered. */
+  get ready(): boolean {
+    return this.silentReports < SILENT_REPORTS_UNTIL_UNREADY;
+  }
+
+  /** Asks for a report, unless one is still awaited or the service has none. */
+  poll(): void {
+    const { protocol, loadPath } = this.context.settings;
+    if (protocol !== 'coap' || loadPath === '' || this.polling) {
+      return;
+    }
+    this.polling = true;
+    this.requests.sendUncounted(loadRequest(loadPath), REPORT_DEADLINE, (answer) => {
+      this.polling = false;
+      this.take(answer.outcome === 'answered' ? answer.message : undefined);
+    });
+  }
+
+  private take(message: CoapMessage | undefined): void {
+    const wasReady = this.ready;
+    const wasDraining = this.draining;
+    if (message?.code === CoapCode.content) {
+      this.silentReports = 0;
+      this.read(message.payload);
+    } else {
+      this.silentReports++;
+    }
+    if (!wasReady && this.ready) {
+      this.servingSince = this.context.environment.now();
+    }
+    if (wasReady !== this.ready || wasDraining !== this.draining) {
+      this.changed();
+    }
+  }
+
+  private read(payload: Buffer): void {
+    const report = parseReport(payload);
+    const { load, draining } = report;
+    if (typeof load === 'number' && load >= 0 && load <= 1) {
+      this.load = load;
+    }
+    this.draining = draining === true;
+  }
+}
+
+function parseReport(payload: Buffer): LoadReport {
+  try {
+    const value: unknown = JSON.parse(payload.toString());
+    return typeof value === 'object' && value !== null ? value : {};
+  } catch {
+    return {};
+  }
+}
+
+function loadRequest(path: string): CoapMessage {
+  const options = path
+    .split('/')
+    .filter((segment) => segment !== '')
+    .map((segment) => ({ name: CoapOption.uriPath, value: Buffer.from(segment) }));
+  return {
+    code: GET_CODE,
+    confirmable: true,
+    ack: false,
+    reset: false,
+    messageId: 0,
+    token: Buffer.alloc(0),
+    options,
+    payload: Buffer.alloc(0),
+  };
+}
--- /dev/null
+++ b/src/agent/balancer-contacts.ts
@@ -0,0 +1,66 @@
+/**
+ * The balancers this agent has lately heard, and through which a reply goes.
+ *
+ * A reply goes through the balancer that last carried the flow while that one is
+ * still heard; else through the one heard last. No message of its own is needed.
+ */
+import { BALANCER_FRESH_WITHIN } from '../core/timing';
+import type { Endpoint } from '../environment';
+import type { AgentContext } from './agent-context';
+
+const CONTACTS_KEPT = 2_048;
+
+/** Times at which balancers were last heard. */
+export class BalancerContacts {
+  private readonly lastHeard = new Map<Endpoint, number>();
+  private latest: Endpoint | undefined;
+  private known: readonly Endpoint[];
+
+  constructor(private readonly context: AgentContext) {
+    this.known = context.settings.balancers;
+  }
+
+  /** Notes a datagram that arrived from a balancer. */
+  heard(balancer: Endpoint): void {
+    if (this.lastHeard.size >= CONTACTS_KEPT && !this.lastHeard.has(balancer)) {
+      this.forgetOldest();
+    }
+    this.lastHeard.set(balancer, this.context.environment.now());
+    this.latest = balancer;
+  }
+
+  /** Replaces the balancers to turn to, as a balancer's answer names them. */
+  learn(balancers: readonly Endpoint[]): void {
+    if (balancers.length > 0) {
+      this.known = balancers;
+    }
+  }
+
+  /** The balancer to send a flow's reply through. */
+  forReply(lastCarrier: Endpoint): Endpoint {
+    if (this.isFresh(lastCarrier) || this.latest === undefined) {
+      return lastCarrier;
+    }
+    return this.latest;
+  }
+
+  /** One of the known balancers, at random, or one from settings at times, so that none is lost for good. */
+  forHello(): Endpoint | undefined {
+    const { environment, settings } = this.context;
+    const useSettings = environment.random() < 0.25;
+    const choices = useSettings && settings.balancers.length > 0 ? settings.balancers : this.known;
+    return choices[Math.floor(environment.random() * choices.length)];
+  }
+
+  private isFresh(balancer: Endpoint): boolean {
+    const heard = this.lastHeard.get(balancer);
+    return heard !== undefined && this.context.environment.now() - heard <= BALANCER_FRESH_WITHIN;
+  }
+
+  private forgetOldest(): void {
+    const oldest = this.lastHeard.keys().next();
+    if (!oldest.done) {
+      this.lastHeard.delete(oldest.value);
+    }
+  }
+}
--- /dev/null
+++ b/src/agent/bucket-directory.ts
@@ -0,0 +1,367 @@
+/**
+ * The part of the service's flow directory that this agent owns: for each of its
+ * buckets, which target hosts each flow.
+ *
+ * Taking a bucket over is a hand-shake. The claimer asks every live agent of the
+ * service; in the same step in which an agent answers it stops admitting in the
+ * bucket and tells its entries and the flows it hosts. Only with all answers does
+ * the claimer admit. So two views of the table never admit the same flow twice.
+ */
+import { BucketSet } from '../core/bucket-set';
+import { BUCKET_COUNT } from '../core/hashing';
+import { bucketScore, computeOwners } from '../core/ownership';
+import { CLAIM_REFUSED_PAUSE, CLAIM_RETRY_INTERVAL } from '../core/timing';
+import type { Endpoint } from '../environment';
+import { Events } from '../logging/events';
+import { MessageType, type ClaimAnswerMessage, type ClaimMessage } from '../wire/messages';
+import type { AgentContext } from './agent-context';
+import { packEntries, unpackEntries, type FlowEntry } from './flow-entries';
+import type { GroupMembership, Peer } from './group-membership';
+
+/** What this agent may do in a bucket. */
+export type BucketPhase = 'none' | 'claiming' | 'owned';
+
+const ENTRIES_PER_PART = 150;
+
+interface Claim {
+  readonly id: number;
+  readonly buckets: BucketSet;
+  /** Peers still to answer, with the parts received of each. */
+  readonly awaiting: Map<string, Set<number>>;
+}
+
+interface SentAnswer {
+  readonly claimId: number;
+  readonly parts: readonly ClaimAnswerMessage[];
+}
+
+/** What the directory needs to know of the flows hosted here. */
+export interface HostedFlowSource {
+  /** Callers of hosted flows whose bucket is in the set. */
+  callersIn(buckets: BucketSet): Endpoint[];
+}
+
+/** Bucket phases, directory entries and the claim hand-shake of one agent. */
+export class BucketDirectory {
+  private readonly phases: BucketPhase[] = Array.from({ length: BUCKET_COUNT }, () => 'none');
+  private readonly entries = new Map<number, Map<Endpoint, string>>();
+  private readonly claimants: (string | undefined)[] = [];
+  private readonly refusedUntil: number[] = [];
+  private readonly claims = new Map<number, Claim>();
+  private readonly sentAnswers = new Map<string, SentAnswer>();
+  private owners: readonly (string | undefined)[] = [];
+  private nextClaimId: number;
+
+  /** @param bucketsOwned called when buckets have become owned */
+  constructor(
+    private readonly context: AgentContext,
+    private readonly membership: GroupMembership,
+    private readonly hosted: HostedFlowSource,
+    private readonly bucketsOwned: () => void,
+  ) {
+    this.nextClaimId = context.settings.incarnation;
+  }
+
+  phaseOf(bucket: number): BucketPhase {
+    return this.phases[bucket]!;
+  }
+
+  /** The owner of a bucket in this agent's view. */
+  ownerOf(bucket: number): string | undefined {
+    return this.owners[bucket];
+  }
+
+  /** Who last claimed a bucket here; only that agent may still place flows in it. */
+  claimantOf(bucket: number): string | undefined {
+    return this.claimants[bucket];
+  }
+
+  /** Buckets owned here. */
+  ownedCount(): number {
+    return this.phases.filter((phase) => phase === 'owned').length;
+  }
+
+  /** Owners that place flows at the same time, in this agent's view. */
+  ownerCount(): number {
+    return Math.max(1, new Set(this.owners).size);
+  }
+
+  /** Directory entries held. */
+  entryCount(): number {
+    let count = 0;
+    for (const bucket of this.entries.values()) {
+      count += bucket.size;
+    }
+    return count;
+  }
+
+  hostOf(bucket: number, caller: Endpoint): string | undefined {
+    return this.entries.get(bucket)?.get(caller);
+  }
+
+  setHost(bucket: number, caller: Endpoint, host: string): void {
+    const known = this.entries.get(bucket);
+    if (known) {
+      known.set(caller, host);
+    } else {
+      this.entries.set(bucket, new Map([[caller, host]]));
+    }
+  }
+
+  /** Removes an entry, but only if it still names `host`. */
+  removeIfHost(bucket: number, caller: Endpoint, host: string): void {
+    const known = this.entries.get(bucket);
+    if (known?.get(caller) === host) {
+      known.delete(caller);
+    }
+  }
+
+  /** Forgets every entry of a host whose flows are gone, and stops waiting for it. */
+  forgetHost(host: string): void {
+    for (const bucket of this.entries.values()) {
+      for (const [caller, entryHost] of bucket) {
+        if (entryHost === host) {
+          bucket.delete(caller);
+        }
+      }
+    }
+    for (const claim of [...this.claims.values()]) {
+      this.answeredBy(claim, host);
+    }
+  }
+
+  /** Computes the owners anew and claims what this agent now should own. */
+  reconcile(): void {
+    this.owners = computeOwners(
+      this.context.settings.service,
+      this.membership.eligibleTargets(),
+    );
+    this.claimMissing();
+  }
+
+  /** Asks one peer for its flows in the buckets owned here, without giving up admission. */
+  refreshFrom(peer: Peer): void {
+    const buckets = BucketSet.empty();
+    this.phases.forEach((phase, bucket) => phase === 'owned' && buckets.add(bucket));
+    if (this.ownedCount() > 0) {
+      this.startClaim(buckets, [peer]);
+    }
+  }
+
+  /** Claims the buckets that this agent should own and does not. */
+  claimMissing(): void {
+    const now = this.context.environment.now();
+    const buckets = BucketSet.empty();
+    let missing = 0;
+    this.owners.forEach((owner, bucket) => {
+      const wanted = owner === this.context.settings.target && this.phases[bucket] === 'none';
+      if (wanted && now >= (this.refusedUntil[bucket] ?? 0)) {
+        buckets.add(bucket);
+        this.phases[bucket] = 'claiming';
+        missing++;
+      }
+    });
+    if (missing > 0) {
+      this.context.environment.report(Events.bucketsClaimed, { buckets: missing });
+      const handshake = this.context.safeguards.has('handshake');
+      this.startClaim(buckets, handshake ? this.membership.peersToAsk() : []);
+    }
+  }
+
+  /** Answers a peer's claim; releases what this agent does not keep. */
+  answerClaim(message: ClaimMessage, from: Endpoint): void {
+    const previous = this.sentAnswers.get(message.target);
+    if (previous?.claimId === message.claimId) {
+      previous.parts.forEach((part) => this.context.send(from, part));
+      return;
+    }
+    if (previous && previous.claimId > message.claimId) {
+      return;
+    }
+    const asked = BucketSet.decode(message.buckets);
+    const refused = this.release(asked, message);
+    const parts = this.answerParts(message, refused, this.entriesFor(asked));
+    this.dropEntries(asked);
+    this.sentAnswers.set(message.target, { claimId: message.claimId, parts });
+    parts.forEach((part) => this.context.send(from, part));
+  }
+
+  /** Takes one part of a peer's answer. */
+  receiveAnswer(message: ClaimAnswerMessage): void {
+    const claim = this.claims.get(message.claimId);
+    const parts = claim?.awaiting.get(message.target);
+    if (!claim || !parts) {
+      return;
+    }
+    this.mergeEntries(claim, message);
+    this.giveUpRefused(claim, BucketSet.decode(message.refused));
+    parts.add(message.part);
+    if (parts.size >= message.parts) {
+      this.answeredBy(claim, message.target);
+    }
+  }
+
+  private startClaim(buckets: BucketSet, peers: readonly Peer[]): void {
+    const claim: Claim = {
+      id: ++this.nextClaimId,
+      buckets,
+      awaiting: new Map(peers.map((peer) => [peer.target, new Set<number>()])),
+    };
+    this.claims.set(claim.id, claim);
+    this.pursue(claim);
+  }
+
+  private pursue(claim: Claim): void {
+    if (!this.claims.has(claim.id)) {
+      return;
+    }
+    for (const target of [...claim.awaiting.keys()]) {
+      this.askOrSkip(claim, target);
+    }
+    if (this.completeIfAnswered(claim)) {
+      return;
+    }
+    this.context.environment.startTimer(CLAIM_RETRY_INTERVAL, () => this.pursue(claim));
+  }
+
+  private askOrSkip(claim: Claim, target: string): void {
+    const peer = this.membership.peer(target);
+    if (!peer || peer.dead) {
+      claim.awaiting.delete(target);
+      return;
+    }
+    this.context.send(peer.endpoint, {
+      type: MessageType.claim,
+      service: this.context.settings.service,
+      target: this.context.settings.target,
+      claimId: claim.id,
+      tableRevision: this.membership.tableRevision,
+      buckets: claim.buckets.encode(),
+    });
+  }
+
+  private answeredBy(claim: Claim, target: string): void {
+    claim.awaiting.delete(target);
+    this.completeIfAnswered(claim);
+  }
+
+  private completeIfAnswered(claim: Claim): boolean {
+    if (claim.awaiting.size > 0 || !this.claims.delete(claim.id)) {
+      return claim.awaiting.size === 0;
+    }
+    const gained = claim.buckets.members().filter((bucket) => this.phases[bucket] === 'claiming');
+    for (const bucket of gained) {
+      this.phases[bucket] = 'owned';
+      this.claimants[bucket] = this.context.settings.target;
+    }
+    if (gained.length > 0) {
+      this.context.environment.report(Events.bucketsOwned, { buckets: gained.length });
+      this.bucketsOwned();
+    }
+    return true;
+  }
+
+  private mergeEntries(claim: Claim, message: ClaimAnswerMessage): void {
+    for (const { caller, host } of unpackEntries(message.hosts, message.entries)) {
+      const bucket = this.context.bucketOf(caller);
+      const wanted = claim.buckets.has(bucket) && this.phases[bucket] !== 'none';
+      const hostsItself = host === message.target;
+      const known = this.hostOf(bucket, caller);
+      if (wanted && !this.membership.peer(host)?.dead && (known === undefined || hostsItself)) {
+        this.setHost(bucket, caller, host);
+      }
+    }
+  }
+
+  private giveUpRefused(claim: Claim, refused: BucketSet): void {
+    const until = this.context.environment.now() + CLAIM_REFUSED_PAUSE;
+    for (const bucket of refused.members()) {
+      if (claim.buckets.has(bucket)) {
+        this.refusedUntil[bucket] = until;
+        this.surrender(bucket);
+        this.entries.delete(bucket);
+      }
+    }
+  }
+
+  /** Releases buckets to a claimer and returns those kept. */
+  private release(asked: BucketSet, message: ClaimMessage): BucketSet {
+    const refused = BucketSet.empty();
+    let released = 0;
+    for (const bucket of asked.members()) {
+      if (this.keepsAgainst(bucket, message)) {
+        refused.add(bucket);
+        asked.remove(bucket);
+        continue;
+      }
+      released += this.phases[bucket] === 'owned' ? 1 : 0;
+      this.surrender(bucket);
+      this.claimants[bucket] = message.target;
+    }
+    if (released > 0) {
+      const fields = { buckets: released, claimer: message.target };
+      this.context.environment.report(Events.bucketsReleased, fields);
+    }
+    return refused;
+  }
+
+  /** An owner keeps a bucket against a claimer with an older table or a lower score. */
+  private keepsAgainst(bucket: number, message: ClaimMessage): boolean {
+    const { service, target } = this.context.settings;
+    const holds = this.phases[bucket] !== 'none' && this.owners[bucket] === target;
+    if (!holds || message.tableRevision > this.membership.tableRevision) {
+      return false;
+    }
+    const older = message.tableRevision < this.membership.tableRevision;
+    return older || bucketScore(service, bucket, target) > bucketScore(service, bucket, message.target);
+  }
+
+  private entriesFor(buckets: BucketSet): FlowEntry[] {
+    const own = this.context.settings.target;
+    const hosted = this.hosted.callersIn(buckets).map((caller) => ({ caller, host: own }));
+    const known: FlowEntry[] = [];
+    for (const bucket of buckets.members()) {
+      this.entries.get(bucket)?.forEach((host, caller) => {
+        if (host !== own) {
+          known.push({ caller, host });
+        }
+      });
+    }
+    return [...hosted, ...known];
+  }
+
+  private answerParts(
+    message: ClaimMessage,
+    refused: BucketSet,
+    entries: readonly FlowEntry[],
+  ): ClaimAnswerMessage[] {
+    const count = Math.max(1, Math.ceil(entries.length / ENTRIES_PER_PART));
+    return Array.from({ length: count }, (_, part) => {
+      const start = part * ENTRIES_PER_PART;
+      const packed = packEntries(entries.slice(start, start + ENTRIES_PER_PART));
+      return {
+        type: MessageType.claimAnswer,
+        service: this.context.settings.service,
+        target: this.context.settings.target,
+        claimId: message.claimId,
+        refused: refused.encode(),
+        part,
+        parts: count,
+        hosts: packed.hosts,
+        entries: packed.bytes,
+      };
+    });
+  }
+
+  private dropEntries(buckets: BucketSet): void {
+    buckets.members().forEach((bucket) => this.entries.delete(bucket));
+  }
+
+  /** Stops admitting in a bucket, and takes it out of claims under way so that none completes it. */
+  private surrender(bucket: number): void {
+    this.phases[bucket] = 'none';
+    for (const claim of this.claims.values()) {
+      claim.buckets.remove(bucket);
+    }
+  }
+}
--- /dev/null
+++ b/src/agent/drain-state.ts
@@ -0,0 +1,86 @@
+/** Why an agent takes no new work, and its state as others see it. */
+import type { Environment } from '../environment';
+import { Events } from '../logging/events';
+import { AgentState, type AgentStateValue } from '../wire/messages';
+
+/** Signs that a target is leaving. */
+export type DrainReason = 'table' | 'machine-list' | 'stop' | 'backend-draining' | 'backend-silent';
+
+/** A notice of the machine list holds for so long, unless it is repeated. */
+const MACHINE_NOTICE_LIFETIME = 15_000;
+
+/** Collects the reasons; drains while there is any. */
+export class DrainState {
+  /** Rises with every change of state. */
+  sequence = 0;
+  private readonly reasons = new Set<DrainReason>();
+  private noticedAt = -Infinity;
+  private stopped = false;
+
+  /** @param enabled false in a simulation without drains */
+  constructor(
+    private readonly environment: Environment,
+    private readonly enabled: boolean,
+    private readonly changed: () => void,
+  ) {}
+
+  get state(): AgentStateValue {
+    if (this.stopped) {
+      return AgentState.stopped;
+    }
+    return this.reasons.size > 0 && this.enabled ? AgentState.draining : AgentState.serving;
+  }
+
+  /** The reasons in force, for status pages. */
+  list(): readonly DrainReason[] {
+    return [...this.reasons].sort();
+  }
+
+  /** Sets or clears one reason. */
+  set(reason: DrainReason, inForce: boolean): void {
+    const before = this.state;
+    if (inForce) {
+      this.reasons.add(reason);
+    } else {
+      this.reasons.delete(reason);
+    }
+    this.announce(before, reason);
+  }
+
+  /** The machine list has this machine as leaving. */
+  noticeMachineLeaving(): void {
+    this.noticedAt = this.environment.now();
+    this.set('machine-list', true);
+  }
+
+  /** The agent ends: nothing is hosted here any more. */
+  markStopped(): void {
+    const before = this.state;
+    this.stopped = true;
+    this.announce(before, 'stop');
+  }
+
+  /** Tells the group again that this agent lives, after it was called dead. */
+  refute(): void {
+    this.sequence++;
+    this.changed();
+  }
+
+  /** Periodic housekeeping. */
+  tick(): void {
+    if (this.environment.now() - this.noticedAt > MACHINE_NOTICE_LIFETIME) {
+      this.set('machine-list', false);
+    }
+  }
+
+  private announce(before: AgentStateValue, reason: DrainReason): void {
+    const after = this.state;
+    if (after === before) {
+      return;
+    }
+    this.sequence++;
+    const event = after === AgentState.serving ? Events.drainEnded : Events.drainStarted;
+    this.environment.report(event, { reason });
+    this.changed();
+  }
+}
--- /dev/null
+++ b/src/agent/flow-table.ts
@@ -0,0 +1,81 @@
+/** The flows this agent hosts, and the ends of flows that owners have yet to hear of. */
+import type { BucketSet } from '../core/bucket-set';
+import type { Endpoint } from '../environment';
+import type { AgentContext } from './agent-context';
+import { packCallers } from './flow-entries';
+
+const CLOSED_PER_HEARTBEAT = 100;
+
+/** One hosted flow; kept small, since a target may hold thousands. */
+export interface HostedFlow {
+  /** The balancer that last carried a datagram of the flow. */
+  balancer: Endpoint;
+  /** Time of the last datagram either way. */
+  lastActive: number;
+}
+
+/** Hosted flows by caller. */
+export class FlowTable {
+  private readonly flows = new Map<Endpoint, HostedFlow>();
+  private readonly closed = new Set<Endpoint>();
+
+  constructor(private readonly context: AgentContext) {}
+
+  get size(): number {
+    return this.flows.size;
+  }
+
+  get(caller: Endpoint): HostedFlow | undefined {
+    return this.flows.get(caller);
+  }
+
+  /** All hosted flows. */
+  all(): IterableIterator<[Endpoint, HostedFlow]> {
+    return this.flows.entries();
+  }
+
+  /** Begins to host a flow. */
+  open(caller: Endpoint, balancer: Endpoint): HostedFlow {
+    const flow = { balancer, lastActive: this.context.environment.now() };
+    this.flows.set(caller, flow);
+    this.closed.delete(caller);
+    return flow;
+  }
+
+  /** Ends the flows that were idle for too long and returns their callers. */
+  closeIdle(): Endpoint[] {
+    const oldest = this.context.environment.now() - this.context.settings.flowIdle;
+    const idle: Endpoint[] = [];
+    for (const [caller, flow] of this.flows) {
+      if (flow.lastActive < oldest) {
+        idle.push(caller);
+      }
+    }
+    idle.forEach((caller) => this.close(caller));
+    return idle;
+  }
+
+  callersIn(buckets: BucketSet): Endpoint[] {
+    return [...this.flows.keys()].filter((caller) => buckets.has(this.context.bucketOf(caller)));
+  }
+
+  /** Ended flows whose bucket passes `concerns`, packed; each is handed out once. */
+  takeClosed(concerns: (bucket: number) => boolean): Buffer {
+    const taken: Endpoint[] = [];
+    for (const caller of this.closed) {
+      if (taken.length >= CLOSED_PER_HEARTBEAT) {
+        break;
+      }
+      if (concerns(this.context.bucketOf(caller))) {
+        taken.push(caller);
+        this.closed.delete(caller);
+      }
+    }
+    return packCallers(taken);
+  }
+
+  private close(caller: Endpoint): void {
+    this.flows.delete(caller);
+    this.closed.add(caller);
+  }
+}
--- /dev/null
+++ b/src/agent/group-membership.ts
@@ -0,0 +1,384 @@
+/**
+ * Which agents of one service are alive, as one of them sees it.
+ *
+ * Agents heartbeat each other. A peer counts as dead only when a quorum of the
+ * table's targets has not heard it for PEER_UNHEARD_AFTER; an owner admits flows
+ * only within OWNER_LEASE of a heartbeat that a quorum echoed. The two sets share
+ * a member and the lease is the shorter, so a bucket's old owner has stopped
+ * before its successor may start. Groups of one or two targets have no quorum to
+ * ask and prefer staying available; docs/DESIGN.md weighs this.
+ */
+import type { PlacementCandidate } from '../core/placement';
+import type { ServiceTable, TableRow } from '../core/table';
+import { HEARTBEAT_INTERVAL, OWNER_LEASE, PEER_UNHEARD_AFTER, WARM_UP } from '../core/timing';
+import type { Endpoint } from '../environment';
+import { Events } from '../logging/events';
+import {
+  AgentState,
+  MessageType,
+  type AgentStateValue,
+  type HeartbeatMessage,
+  type TargetNotice,
+} from '../wire/messages';
+import type { AgentContext } from './agent-context';
+
+const SENT_TIMES_KEPT = 16;
+const LOAD_SCALE = 1_000;
+const SMALLEST_GROUP_WITH_QUORUM = 3;
+
+/** One other agent of the service. */
+export interface Peer {
+  readonly target: string;
+  endpoint: Endpoint;
+  row: TableRow | undefined;
+  /** 0 until first heard. */
+  incarnation: number;
+  state: AgentStateValue;
+  stateSequence: number;
+  /** Time of the last heartbeat, or of first knowing about the peer. */
+  lastHeard: number;
+  heardSequence: number;
+  /** When this agent sent the newest heartbeat that the peer has echoed. */
+  echoedAt: number;
+  /** Targets that the peer itself has not heard. */
+  unheard: readonly string[];
+  dead: boolean;
+  flows: number;
+  placedSince: number;
+  freeSlots: number;
+  load: number;
+  warmSince: number;
+}
+
+/** What a member's own heartbeat says of it. */
+export interface OwnStatus {
+  readonly state: AgentStateValue;
+  readonly stateSequence: number;
+  readonly flows: number;
+  readonly freeSlots: number;
+  /** 0 to 1. */
+  readonly load: number;
+  /** Milliseconds since the back end began to serve. */
+  readonly age: number;
+}
+
+/** Told of changes that others act on. */
+export interface MembershipListener {
+  /** Eligibility may have changed: owners must be computed anew. */
+  membersChanged(): void;
+  /** A peer is heard for the first time, or again after it counted as dead. */
+  peerAppeared(peer: Peer): void;
+  /** A peer is dead, stopped or runs anew: the flows it hosted are gone. */
+  peerLost(peer: Peer): void;
+  /** Flows that ended at a peer. */
+  flowsClosed(peer: Peer, closed: Buffer): void;
+  /** Flows that ended here, for the peer that owns their buckets. */
+  takeClosedFor(target: string): Buffer;
+  ownStatus(): OwnStatus;
+}
+
+/** The agent's view of its service's group. */
+export class GroupMembership {
+  private readonly peers = new Map<string, Peer>();
+  private readonly sentTimes = new Map<number, number>();
+  private sequence = 0;
+  private current: ServiceTable | undefined;
+  private hadQuorum = true;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly listener: MembershipListener,
+  ) {}
+
+  /** The service's table in force here. */
+  get table(): ServiceTable | undefined {
+    return this.current;
+  }
+
+  /** Revision of that table; 0 before the first. */
+  get tableRevision(): number {
+    return this.current?.revision ?? 0;
+  }
+
+  /** This agent's own row, unless the table has none. */
+  get ownRow(): TableRow | undefined {
+    return this.current?.rows.find((row) => row.target === this.context.settings.target);
+  }
+
+  peer(target: string): Peer | undefined {
+    return this.peers.get(target);
+  }
+
+  /** Peers that must be asked before a bucket may be taken over. */
+  peersToAsk(): Peer[] {
+    return [...this.peers.values()].filter(
+      (peer) => !peer.dead && peer.state !== AgentState.stopped,
+    );
+  }
+
+  /** Takes a newer table; returns false for one that is not newer. */
+  applyTable(table: ServiceTable): boolean {
+    const guarded = this.context.safeguards.has('revision-check');
+    if (guarded && table.revision <= this.tableRevision) {
+      return false;
+    }
+    this.current = table;
+    const rows = new Map(table.rows.map((row) => [row.target, row]));
+    rows.delete(this.context.settings.target);
+    for (const peer of this.peers.values()) {
+      peer.row = rows.get(peer.target);
+    }
+    for (const row of rows.values()) {
+      this.ensurePeer(row.target, row.address).endpoint = row.address;
+      this.peers.get(row.target)!.row = row;
+    }
+    this.listener.membersChanged();
+    return true;
+  }
+
+  /** Targets that may own buckets, this agent among them when it may. */
+  eligibleTargets(): string[] {
+    const targets = [...this.peers.values()].filter(isServing).map((peer) => peer.target);
+    const ownShare = this.ownRow?.share ?? 0;
+    if (ownShare > 0 && this.listener.ownStatus().state === AgentState.serving) {
+      targets.push(this.context.settings.target);
+    }
+    return targets.sort();
+  }
+
+  /** Targets that may receive new flows, with what is known of their load. */
+  candidates(): PlacementCandidate[] {
+    const now = this.context.environment.now();
+    const found = [...this.peers.values()].filter(isServing).map((peer) => ({
+      target: peer.target,
+      share: peer.row!.share,
+      connections: peer.row!.connections,
+      reportedFlows: peer.flows,
+      placedSince: peer.placedSince,
+      reportedLoad: peer.load,
+      warmth: Math.min(1, (now - peer.warmSince) / WARM_UP),
+    }));
+    const own = this.ownCandidate();
+    return own ? [...found, own] : found;
+  }
+
+  /** Whether a quorum of the group has lately confirmed that it hears this agent. */
+  holdsQuorum(): boolean {
+    const rows = this.current?.rows ?? [];
+    if (rows.length < SMALLEST_GROUP_WITH_QUORUM) {
+      return true;
+    }
+    const oldest = this.context.environment.now() - OWNER_LEASE;
+    const echoed = rows.filter((row) => (this.peers.get(row.target)?.echoedAt ?? -1) > oldest);
+    const own = this.ownRow ? 1 : 0;
+    const held = echoed.length + own >= quorumOf(rows.length);
+    this.reportQuorum(held);
+    return held;
+  }
+
+  /** Sends a heartbeat to every peer that is not known to have stopped. */
+  heartbeat(): void {
+    this.sequence++;
+    this.sentTimes.set(this.sequence, this.context.environment.now());
+    this.sentTimes.delete(this.sequence - SENT_TIMES_KEPT);
+    for (const peer of this.peers.values()) {
+      if (peer.row !== undefined || peer.state !== AgentState.stopped) {
+        this.sendHeartbeat(peer);
+      }
+    }
+    this.forgetStopped();
+    this.judgeDeaths();
+  }
+
+  /** Takes a peer's heartbeat, received from `from`. */
+  receive(message: HeartbeatMessage, from: Endpoint): void {
+    const peer = this.ensurePeer(message.target, from);
+    if (message.incarnation < peer.incarnation) {
+      return;
+    }
+    const restarted = message.incarnation > peer.incarnation && peer.incarnation > 0;
+    const appeared = peer.incarnation === 0 || peer.dead || restarted;
+    if (restarted) {
+      this.listener.peerLost(peer);
+    }
+    const eligibleBefore = isServing(peer);
+    this.update(peer, message);
+    if (appeared) {
+      this.context.environment.report(Events.memberJoined, { member: peer.target });
+      this.sendHeartbeat(peer);
+      this.listener.peerAppeared(peer);
+    }
+    this.listener.flowsClosed(peer, message.closed);
+    this.judgeDeaths();
+    if (appeared || isServing(peer) !== eligibleBefore) {
+      this.listener.membersChanged();
+    }
+  }
+
+  /** Peers whose state balancers should know of. */
+  notices(): TargetNotice[] {
+    return [...this.peers.values()]
+      .filter((peer) => peer.incarnation > 0 && (peer.dead || peer.state !== AgentState.serving))
+      .map((peer) => ({
+        target: peer.target,
+        incarnation: peer.incarnation,
+        stateSequence: peer.stateSequence,
+        state: peer.dead ? AgentState.stopped : peer.state,
+      }));
+  }
+
+  private ownCandidate(): PlacementCandidate | undefined {
+    const row = this.ownRow;
+    const status = this.listener.ownStatus();
+    if (!row || status.state !== AgentState.serving) {
+      return undefined;
+    }
+    return {
+      target: row.target,
+      share: row.share,
+      connections: row.connections,
+      reportedFlows: status.flows,
+      placedSince: 0,
+      reportedLoad: status.load,
+      warmth: Math.min(1, status.age / WARM_UP),
+    };
+  }
+
+  private ensurePeer(target: string, endpoint: Endpoint): Peer {
+    const known = this.peers.get(target);
+    if (known) {
+      return known;
+    }
+    const now = this.context.environment.now();
+    const peer: Peer = {
+      target,
+      endpoint,
+      row: this.current?.rows.find((row) => row.target === target),
+      incarnation: 0,
+      state: AgentState.serving,
+      stateSequence: 0,
+      lastHeard: now,
+      heardSequence: 0,
+      echoedAt: -Infinity,
+      unheard: [],
+      dead: false,
+      flows: 0,
+      placedSince: 0,
+      freeSlots: 0,
+      load: 0,
+      warmSince: now,
+    };
+    this.peers.set(target, peer);
+    this.sendHeartbeat(peer);
+    return peer;
+  }
+
+  private update(peer: Peer, message: HeartbeatMessage): void {
+    const now = this.context.environment.now();
+    if (message.state !== peer.state && message.state !== AgentState.serving) {
+      this.context.environment.report(Events.memberLeaving, { member: peer.target });
+    }
+    peer.incarnation = message.incarnation;
+    peer.state = message.state;
+    peer.stateSequence = message.stateSequence;
+    peer.lastHeard = now;
+    peer.heardSequence = message.sequence;
+    peer.unheard = message.unheard;
+    peer.dead = false;
+    peer.flows = message.flows;
+    peer.placedSince = 0;
+    peer.freeSlots = message.freeSlots;
+    peer.load = message.load / LOAD_SCALE;
+    peer.warmSince = now - message.age;
+    if (message.echoIncarnation === this.context.settings.incarnation) {
+      peer.echoedAt = Math.max(peer.echoedAt, this.sentTimes.get(message.echo) ?? -Infinity);
+    }
+  }
+
+  private sendHeartbeat(peer: Peer): void {
+    const { settings } = this.context;
+    const status = this.listener.ownStatus();
+    this.context.send(peer.endpoint, {
+      type: MessageType.heartbeat,
+      service: settings.service,
+      target: settings.target,
+      incarnation: settings.incarnation,
+      sequence: this.sequence,
+      echo: peer.heardSequence,
+      echoIncarnation: peer.incarnation,
+      state: status.state,
+      stateSequence: status.stateSequence,
+      tableRevision: this.tableRevision,
+      flows: status.flows,
+      freeSlots: status.freeSlots,
+      load: Math.round(status.load * LOAD_SCALE),
+      age: Math.round(status.age),
+      unheard: this.unheardTargets(),
+      closed: this.listener.takeClosedFor(peer.target),
+    });
+  }
+
+  private unheardTargets(): string[] {
+    return [...this.peers.values()]
+      .filter((peer) => this.isUnheard(peer))
+      .map((peer) => peer.target);
+  }
+
+  private isUnheard(peer: Peer): boolean {
+    return this.context.environment.now() - peer.lastHeard > PEER_UNHEARD_AFTER;
+  }
+
+  private judgeDeaths(): void {
+    const dying = [...this.peers.values()].filter(
+      (peer) => !peer.dead && this.isUnheard(peer) && this.quorumCallsDead(peer),
+    );
+    for (const peer of dying) {
+      peer.dead = true;
+      this.context.environment.report(Events.memberDead, { member: peer.target });
+      this.listener.peerLost(peer);
+    }
+    if (dying.length > 0) {
+      this.listener.membersChanged();
+    }
+  }
+
+  private quorumCallsDead(subject: Peer): boolean {
+    const voters = this.current?.rows.length ?? 0;
+    if (voters < SMALLEST_GROUP_WITH_QUORUM) {
+      return true;
+    }
+    const agreeing = [...this.peers.values()].filter(
+      (peer) =>
+        peer.row !== undefined && !this.isUnheard(peer) && peer.unheard.includes(subject.target),
+    );
+    const own = this.ownRow ? 1 : 0;
+    return agreeing.length + own >= quorumOf(voters);
+  }
+
+  /** A stopped peer that the table no longer names will not come back under this name. */
+  private forgetStopped(): void {
+    for (const peer of this.peers.values()) {
+      const silent = this.context.environment.now() - peer.lastHeard;
+      const gone = peer.dead || peer.state === AgentState.stopped;
+      if (gone && peer.row === undefined && silent > PEER_UNHEARD_AFTER + HEARTBEAT_INTERVAL) {
+        this.peers.delete(peer.target);
+      }
+    }
+  }
+
+  private reportQuorum(held: boolean): void {
+    if (held !== this.hadQuorum) {
+      this.hadQuorum = held;
+      this.context.environment.report(held ? Events.quorumRegained : Events.quorumLost, {});
+    }
+  }
+}
+
+function quorumOf(voters: number): number {
+  return Math.floor(voters / 2) + 1;
+}
+
+function isServing(peer: Peer): boolean {
+  const hasShare = peer.row !== undefined && peer.row.share > 0;
+  return hasShare && peer.incarnation > 0 && !peer.dead && peer.state === AgentState.serving;
+}
--- /dev/null
+++ b/src/agent/permit-office.ts
@@ -0,0 +1,120 @@
+/** Issues and judges permits: the at-most-once part of the agent. */
+import { decodePermit, encodePermit, type Permit } from '../core/permit';
+import { PermitLedger, type LedgerEntry } from '../core/permit-ledger';
+import { PERMIT_LIFETIME } from '../core/timing';
+import { CoapOption, findOption, type CoapMessage } from '../coap/coap-message';
+import type { Endpoint } from '../environment';
+import type { AgentContext } from './agent-context';
+
+/** The part of an answer that repeats under another message id or token need. */
+export interface PermitAnswer {
+  readonly code: string;
+  readonly options: CoapMessage['options'];
+  readonly payload: Buffer;
+}
+
+/** What a request's permit allows. */
+export type PermitVerdict =
+  /** Run it, once, under this permit. */
+  | { readonly kind: 'run'; readonly permit: Permit }
+  /** It carries no valid permit, or one that certainly never ran: tell the caller to ask again. */
+  | { readonly kind: 'not-run' }
+  /** Another copy is at the back end now. */
+  | { readonly kind: 'running' }
+  /** Another copy has had this answer. */
+  | { readonly kind: 'repeat'; readonly answer: PermitAnswer }
+  /** Another copy may have run. */
+  | { readonly kind: 'unknown' }
+  /** Issued by another incarnation; only that one can tell. */
+  | { readonly kind: 'foreign'; readonly permit: Permit };
+
+/** Permits and ledger of one agent incarnation. */
+export class PermitOffice {
+  private readonly ledger = new PermitLedger<PermitAnswer>();
+  private readonly secrets: readonly Buffer[];
+  private nextSerial = 1;
+
+  constructor(private readonly context: AgentContext) {
+    this.secrets = context.settings.keys.map((key) => key.secret);
+  }
+
+  get ledgerSize(): number {
+    return this.ledger.size;
+  }
+
+  /** A fresh permit for a caller, as the value of an Echo option. */
+  issue(caller: Endpoint): Buffer {
+    const permit = {
+      incarnation: this.context.settings.incarnation,
+      serial: this.nextSerial++,
+      expiresAt: Math.ceil(this.context.environment.now()) + PERMIT_LIFETIME,
+    };
+    return encodePermit(permit, caller, this.secrets[0]!);
+  }
+
+  /** Judges the permit that a request carries. */
+  judge(caller: Endpoint, request: CoapMessage): PermitVerdict {
+    const echo = findOption(request, CoapOption.echo);
+    const permit = echo && decodePermit(echo, caller, this.secrets);
+    if (!permit) {
+      return { kind: 'not-run' };
+    }
+    if (permit.incarnation !== this.context.settings.incarnation) {
+      return { kind: 'foreign', permit };
+    }
+    return this.judgeOwn(permit);
+  }
+
+  /** Records what became of a permit. */
+  record(permit: Permit, entry: LedgerEntry<PermitAnswer>): void {
+    this.ledger.record(permit.serial, permit.expiresAt, entry);
+  }
+
+  /** Takes a permit back out of the ledger: it may be used again. */
+  forget(permit: Permit): void {
+    this.ledger.remove(permit.serial);
+  }
+
+  /** Makes sure nothing runs under a permit of this incarnation; false if something did or may have. */
+  burnIfUnused(serial: number, expiresAt: number): boolean {
+    const known = this.ledger.lookup(serial);
+    if (known) {
+      return known.outcome === 'burnt';
+    }
+    if (!this.ledger.neverUsed(serial, expiresAt, this.context.environment.now())) {
+      return false;
+    }
+    const answer = { code: '4.01', options: [], payload: Buffer.alloc(0) };
+    this.ledger.record(serial, expiresAt, { outcome: 'burnt', answer });
+    return true;
+  }
+
+  /** Periodic housekeeping. */
+  tick(): void {
+    this.ledger.forgetExpired(this.context.environment.now());
+  }
+
+  private judgeOwn(permit: Permit): PermitVerdict {
+    const known = this.ledger.lookup(permit.serial);
+    if (known?.outcome === 'running') {
+      return { kind: 'running' };
+    }
+    if (known?.outcome === 'used') {
+      return { kind: 'unknown' };
+    }
+    if (known) {
+      return { kind: 'repeat', answer: known.answer };
+    }
+    return this.judgeUnused(permit);
+  }
+
+  private judgeUnused(permit: Permit): PermitVerdict {
+    const now = this.context.environment.now();
+    const expired = permit.expiresAt <= now && this.context.safeguards.has('expiry');
+    if (!expired) {
+      return { kind: 'run', permit };
+    }
+    const neverUsed = this.ledger.neverUsed(permit.serial, permit.expiresAt, now);
+    return { kind: neverUsed ? 'not-run' : 'unknown' };
+  }
+}
--- /dev/null
+++ b/src/agent/permit-queries.ts
@@ -0,0 +1,93 @@
+/** Questions between agents about permits: may nothing have run under it, and will nothing? */
+import type { Permit } from '../core/permit';
+import type { Endpoint } from '../environment';
+import { MessageType, type PermitAnswerMessage, type PermitQueryMessage } from '../wire/messages';
+import type { AgentContext } from './agent-context';
+import type { GroupMembership, Peer } from './group-membership';
+import type { PermitOffice } from './permit-office';
+
+const RESEND_INTERVAL = 300;
+const ATTEMPTS_MAXIMUM = 4;
+
+interface PermitQuery {
+  readonly id: number;
+  readonly permit: Permit;
+  readonly issuer: Peer;
+  readonly done: (burnt: boolean) => void;
+  attempts: number;
+}
+
+/** Asks and answers permit questions. */
+export class PermitQueries {
+  private readonly queries = new Map<number, PermitQuery>();
+  private nextId = 1;
+
+  constructor(
+    private readonly context: AgentContext,
+    private readonly membership: GroupMembership,
+    private readonly permits: PermitOffice,
+  ) {}
+
+  /** Asks the permit's issuer to burn it; `done(false)` when it was used or nobody can tell. */
+  ask(permit: Permit, done: (burnt: boolean) => void): void {
+    const issuer = this.membership
+      .peersToAsk()
+      .find((peer) => peer.incarnation === permit.incarnation);
+    if (!issuer) {
+      done(false);
+      return;
+    }
+    const query = { id: this.nextId++, permit, issuer, done, attempts: 0 };
+    this.queries.set(query.id, query);
+    this.transmit(query);
+  }
+
+  /** Answers a peer's question about a permit issued here. */
+  receiveQuery(message: PermitQueryMessage, from: Endpoint): void {
+    const { settings } = this.context;
+    if (message.issuerIncarnation !== settings.incarnation) {
+      return;
+    }
+    this.context.send(from, {
+      type: MessageType.permitAnswer,
+      service: settings.service,
+      target: settings.target,
+      queryId: message.queryId,
+      burnt: this.permits.burnIfUnused(message.serial, message.expiresAt) ? 1 : 0,
+    });
+  }
+
+  /** The issuer's answer. */
+  receiveAnswer(message: PermitAnswerMessage): void {
+    const query = this.queries.get(message.queryId);
+    if (query?.issuer.target === message.target) {
+      this.finish(query, message.burnt === 1);
+    }
+  }
+
+  private transmit(query: PermitQuery): void {
+    if (!this.queries.has(query.id)) {
+      return;
+    }
+    if (query.attempts >= ATTEMPTS_MAXIMUM) {
+      this.finish(query, false);
+      return;
+    }
+    query.attempts++;
+    this.context.send(query.issuer.endpoint, {
+      type: MessageType.permitQuery,
+      service: this.context.settings.service,
+      target: this.context.settings.target,
+      queryId: query.id,
+      issuerIncarnation: query.permit.incarnation,
+      serial: query.permit.serial,
+      expiresAt: query.permit.expiresAt,
+    });
+    this.context.environment.startTimer(RESEND_INTERVAL, () => this.transmit(query));
+  }
+
+  private finish(query: PermitQuery, burnt: boolean): void {
+    this.queries.delete(query.id);
+    query.done(burnt);
+  }
+}
--- /dev/null
+++ b/src/coap/coap-message.ts
@@ -0,0 +1,121 @@
+/** CoAP messages (RFC 7252) by way of the coap-packet library, with the few options hallhold reads. */
+import { generate, parse, type Packet, type ParsedPacket } from 'coap-packet';
+import { None, Some, type Option } from 'ts-results';
+
+/** Option numbers of RFC 7252, 7641, 7959 and 9175, and one of the experimental range. */
+export const CoapOption = {
+  etag: 4,
+  observe: 6,
+  uriPath: 11,
+  maxAge: 14,
+  block2: 23,
+  echo: 252,
+  /** Milliseconds the back end has left; hallhold's own, from the range for experiments. */
+  deadline: 65_000,
+} as const;
+
+/** Names by which coap-packet reports the options it knows. */
+const OPTION_NAMES: ReadonlyMap<number, string> = new Map([
+  [CoapOption.etag, 'ETag'],
+  [CoapOption.observe, 'Observe'],
+  [CoapOption.uriPath, 'Uri-Path'],
+  [CoapOption.maxAge, 'Max-Age'],
+  [CoapOption.block2, 'Block2'],
+]);
+
+/** Response codes used by the agent itself. */
+export const CoapCode = {
+  empty: '0.00',
+  content: '2.05',
+  changed: '2.04',
+  unauthorized: '4.01',
+  serviceUnavailable: '5.03',
+  gatewayTimeout: '5.04',
+} as const;
+
+const POST_CODE = '0.02';
+const GET_CODE = '0.01';
+const OBSERVE_REGISTER = 0;
+const INTEGER_BYTES_MAXIMUM = 6;
+const BLOCK_NUMBER_SHIFT = 16;
+
+/** A parsed message. */
+export type CoapMessage = ParsedPacket;
+
+/** Parses a datagram; none when it is not a CoAP message. */
+export function parseCoap(datagram: Buffer): Option<CoapMessage> {
+  try {
+    return Some(parse(datagram));
+  } catch {
+    return None;
+  }
+}
+
+/** Encodes a message. */
+export function generateCoap(packet: Packet): Buffer {
+  return generate(packet, Number.MAX_SAFE_INTEGER);
+}
+
+/** The first value of an option, if present. */
+export function findOption(message: CoapMessage, number: number): Buffer | undefined {
+  const name = OPTION_NAMES.get(number);
+  const found = message.options.find(
+    (option) => option.name === name || Number(option.name) === number,
+  );
+  return found?.value;
+}
+
+/** The options without one number, in the form `generateCoap` takes. */
+export function withoutOption(message: CoapMessage, number: number): CoapMessage['options'] {
+  return message.options.filter((option) => Number(option.name) !== number);
+}
+
+/** An option value that holds an unsigned integer; 0 for an empty one, as RFC 7252 has it. */
+export function integerOption(value: Buffer | undefined): number | undefined {
+  if (!value || value.length > INTEGER_BYTES_MAXIMUM) {
+    return undefined;
+  }
+  return value.length === 0 ? 0 : value.readUIntBE(0, value.length);
+}
+
+/** The shortest encoding of an unsigned integer below 2^32. */
+export function encodeInteger(value: number): Buffer {
+  const bytes = Buffer.alloc(4);
+  bytes.writeUInt32BE(value);
+  const firstUsed = bytes.findIndex((byte) => byte !== 0);
+  return firstUsed < 0 ? Buffer.alloc(0) : bytes.subarray(firstUsed);
+}
+
+/** True for codes 0.01 to 0.31. */
+export function isRequest(message: CoapMessage): boolean {
+  return message.code.startsWith('0.') && message.code !== CoapCode.empty;
+}
+
+/** True for a request that may not be repeated. */
+export function isPost(message: CoapMessage): boolean {
+  return message.code === POST_CODE;
+}
+
+/** True for a GET that registers an observation (RFC 7641). */
+export function isObserveRegistration(message: CoapMessage): boolean {
+  const observe = integerOption(findOption(message, CoapOption.observe));
+  return message.code === GET_CODE && observe === OBSERVE_REGISTER;
+}
+
+/** True for a GET that ends an observation. */
+export function isObserveCancellation(message: CoapMessage): boolean {
+  const observe = integerOption(findOption(message, CoapOption.observe));
+  return message.code === GET_CODE && observe !== undefined && observe !== OBSERVE_REGISTER;
+}
+
+/** True for a request of a later block of a transfer already begun (RFC 7959). */
+export function continuesTransfer(message: CoapMessage): boolean {
+  const value = integerOption(findOption(message, CoapOption.block2));
+  return value !== undefined && value >= BLOCK_NUMBER_SHIFT;
+}
+
+/** The request's path, for example "staff/reports". */
+export function uriPath(message: CoapMessage): string {
+  const segments = message.options.filter((option) => option.name === 'Uri-Path');
+  return segments.map((option) => option.value.toString()).join('/');
+}
--- /dev/null
+++ b/src/core/hashing.ts
@@ -0,0 +1,32 @@
+/** Hashes that every node must compute alike: buckets of flows and rendezvous scores. */
+import murmurhash from 'murmurhash';
+import type { Endpoint } from '../environment';
+
+/** Buckets a service's flows are divided into; the unit of directory ownership. */
+export const BUCKET_COUNT = 256;
+
+const ENDPOINT_BYTES = 6;
+const scratch = Buffer.alloc(ENDPOINT_BYTES);
+
+/** The seed that {@link bucketOf} takes for a service; compute it once per service. */
+export function serviceSeed(service: string): number {
+  return murmurhash.v3(Buffer.from(service));
+}
+
+/** The bucket of a caller's flow: hash(caller, service) mod 256. */
+export function bucketOf(caller: Endpoint, seed: number): number {
+  scratch.writeUIntBE(caller, 0, ENDPOINT_BYTES);
+  return murmurhash.v3(scratch, seed) & (BUCKET_COUNT - 1);
+}
+
+/** Rendezvous score of a candidate for a key; the highest score wins. */
+export function rendezvousScore(key: string, candidate: string): number {
+  return murmurhash.v3(Buffer.from(`${key}\n${candidate}`));
+}
+
+/** The candidates ordered from the best rendezvous score to the worst. */
+export function rankByRendezvous(key: string, candidates: readonly string[]): string[] {
+  const scored = candidates.map((name) => ({ name, score: rendezvousScore(key, name) }));
+  scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
+  return scored.map(({ name }) => name);
+}
--- /dev/null
+++ b/src/core/table-cache.ts
@@ -0,0 +1,68 @@
+/**
+ * The tables one node knows, with the revision through which it knows all of them.
+ *
+ * Pure state: a table is replaced only by one of a higher revision, so a late or
+ * repeated delta can never take an accepted table back.
+ */
+import type { ServiceTable } from './table';
+
+/** Tables changed after `fromRevision`, complete through `throughRevision`. */
+export interface TableDelta {
+  readonly fromRevision: number;
+  readonly throughRevision: number;
+  readonly tables: readonly ServiceTable[];
+}
+
+/** What applying a delta did. */
+export interface AppliedDelta {
+  /** Tables that are new in force. */
+  readonly changed: readonly ServiceTable[];
+  /** True when the delta starts after what this node has, so older changes are missing. */
+  readonly gap: boolean;
+}
+
+/** Revision-ordered tables of all services. */
+export class TableCache {
+  private readonly tables = new Map<string, ServiceTable>();
+  private completeThrough = 0;
+
+  /** The revision through which no table is missing; 0 before the first full delta. */
+  get revision(): number {
+    return this.completeThrough;
+  }
+
+  /** The table in force for a service. */
+  get(service: string): ServiceTable | undefined {
+    return this.tables.get(service);
+  }
+
+  /** All tables in force. */
+  all(): Iterable<ServiceTable> {
+    return this.tables.values();
+  }
+
+  /** Applies the newer tables of a delta; advances the revision only without a gap. */
+  apply(delta: TableDelta): AppliedDelta {
+    const changed = delta.tables.filter((table) => this.applyOne(table));
+    const gap = delta.fromRevision > this.completeThrough;
+    if (!gap) {
+      this.completeThrough = Math.max(this.completeThrough, delta.throughRevision);
+    }
+    return { changed, gap };
+  }
+
+  /** Everything a node with all through `revision` lacks. */
+  since(revision: number): TableDelta {
+    const tables = [...this.tables.values()].filter((table) => table.revision > revision);
+    return { fromRevision: revision, throughRevision: this.completeThrough, tables };
+  }
+
+  private applyOne(table: ServiceTable): boolean {
+    const known = this.tables.get(table.service);
+    if (known && known.revision >= table.revision) {
+      return false;
+    }
+    this.tables.set(table.service, table);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/core/table.ts
@@ -0,0 +1,87 @@
+/** The table operators edit: rows of targets, one list per service. */
+import type { Endpoint } from '../environment';
+
+/** One row: a back end of a service and its limits. */
+export interface TableRow {
+  readonly target: string;
+  /** Where the target's agent receives internal frames. */
+  readonly address: Endpoint;
+  /** Relative weight for new flows; 0 drains the target. */
+  readonly share: number;
+  /** Requests the target may run at once. */
+  readonly slots: number;
+  /** Flows the target may hold. */
+  readonly connections: number;
+}
+
+/** A service's rows at one revision of the store. */
+export interface ServiceTable {
+  readonly service: string;
+  /** The store's global revision of the write that made this version; orders all tables. */
+  readonly revision: number;
+  /** Chosen by the writer, so that it can recognise its own write after a lost answer. */
+  readonly writeId: string;
+  readonly rows: readonly TableRow[];
+}
+
+/** A row that two operators changed at once. */
+export interface RowConflict {
+  readonly target: string;
+  readonly base: TableRow | undefined;
+  readonly theirs: TableRow | undefined;
+  readonly ours: TableRow | undefined;
+}
+
+/** How one row differs between two versions of a table. */
+export interface RowChange {
+  readonly target: string;
+  readonly before: TableRow | undefined;
+  readonly after: TableRow | undefined;
+}
+
+/** Whether two rows (or absences of one) say the same. */
+export function sameRow(a: TableRow | undefined, b: TableRow | undefined): boolean {
+  if (a === undefined || b === undefined) {
+    return a === b;
+  }
+  return (
+    a.target === b.target &&
+    a.address === b.address &&
+    a.share === b.share &&
+    a.slots === b.slots &&
+    a.connections === b.connections
+  );
+}
+
+function byTarget(rows: readonly TableRow[]): Map<string, TableRow> {
+  return new Map(rows.map((row) => [row.target, row]));
+}
+
+/** The rows that differ, in order of target name. */
+export function differingRows(
+  before: readonly TableRow[],
+  after: readonly TableRow[],
+): readonly RowChange[] {
+  const old = byTarget(before);
+  const fresh = byTarget(after);
+  const targets = [...new Set([...old.keys(), ...fresh.keys()])].sort();
+  return targets
+    .map((target) => ({ target, before: old.get(target), after: fresh.get(target) }))
+    .filter((change) => !sameRow(change.before, change.after));
+}
+
+/** The rows that both sides changed, and changed differently, since `base`. */
+export function conflictingRows(
+  base: readonly TableRow[],
+  theirs: readonly TableRow[],
+  ours: readonly TableRow[],
+): readonly RowConflict[] {
+  const theirChanges = new Map(differingRows(base, theirs).map((change) => [change.target, change]));
+  return differingRows(base, ours).flatMap((mine) => {
+    const other = theirChanges.get(mine.target);
+    if (!other || sameRow(other.after, mine.after)) {
+      return [];
+    }
+    return [{ target: mine.target, base: mine.before, theirs: other.after, ours: mine.after }];
+  });
+}
--- /dev/null
+++ b/src/errors/result-codes.ts
@@ -0,0 +1,52 @@
+/**
+ * The numbered result codes of hallhold.
+ *
+ * Every failure that leaves a module carries one of these numbers; the table
+ * in docs/ERRORS.md explains each to an operator, and a test holds the two
+ * lists against each other.
+ */
+
+/** Says whether the caller may do the same thing again. */
+export type RetryAdvice =
+  /** The operation had no effect; the same call may be made again. */
+  | 'safe'
+  /** The operation may have taken effect; read back before repeating it. */
+  | 'unknown'
+  /** The same call will fail again; change the input first. */
+  | 'never';
+
+/** One entry of the catalogue of result codes. */
+export interface ResultCode {
+  readonly number: number;
+  readonly name: string;
+  readonly retry: RetryAdvice;
+}
+
+function code(number: number, name: string, retry: RetryAdvice): ResultCode {
+  return { number, name, retry };
+}
+
+/** All result codes; numbers are never reused. */
+export const ResultCodes = {
+  settingsUnreadable: code(1001, 'settings-unreadable', 'never'),
+  settingsInvalid: code(1002, 'settings-invalid', 'never'),
+  commandInvalid: code(1003, 'command-invalid', 'never'),
+  tableInvalid: code(1101, 'table-invalid', 'never'),
+  tableConflict: code(1102, 'table-conflict', 'never'),
+  tableUnknownService: code(1103, 'table-unknown-service', 'never'),
+  tableOutcomeUnknown: code(1104, 'table-outcome-unknown', 'unknown'),
+  tableFileUnreadable: code(1105, 'table-file-unreadable', 'never'),
+  storeUnavailable: code(1201, 'store-unavailable', 'safe'),
+  storeConflict: code(1202, 'store-conflict', 'never'),
+  storeWatchExpired: code(1203, 'store-watch-expired', 'safe'),
+  storeAnswerInvalid: code(1204, 'store-answer-invalid', 'unknown'),
+  frameTooShort: code(1301, 'frame-too-short', 'never'),
+  frameNotAuthentic: code(1302, 'frame-not-authentic', 'never'),
+  frameMalformed: code(1303, 'frame-malformed', 'never'),
+  addressInvalid: code(1401, 'address-invalid', 'never'),
+  addressInUse: code(1402, 'address-in-use', 'safe'),
+  operatorApiUnreachable: code(1501, 'operator-api-unreachable', 'safe'),
+  waitTimedOut: code(1502, 'wait-timed-out', 'safe'),
+  scenarioUnknown: code(1601, 'scenario-unknown', 'never'),
+  violationsFound: code(1602, 'violations-found', 'never'),
+} as const satisfies Record<string, ResultCode>;
--- /dev/null
+++ b/src/logging/events.ts
@@ -0,0 +1,62 @@
+/**
+ * The catalogue of numbered log events.
+ *
+ * docs/EVENTS.md explains each to an operator; a test holds the two lists
+ * against each other. Numbers are never reused.
+ */
+
+/** Log levels, by rising severity. */
+export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** One entry of the event catalogue. */
+export interface EventKind {
+  readonly number: number;
+  readonly name: string;
+  readonly level: EventLevel;
+}
+
+/** Values that go with an event into its log line. */
+export type EventFields = Record<string, string | number | boolean | undefined>;
+
+function event(number: number, name: string, level: EventLevel): EventKind {
+  return { number, name, level };
+}
+
+/** All events that the processes log. */
+export const Events = {
+  processStarted: event(2001, 'process-started', 'info'),
+  processStopping: event(2002, 'process-stopping', 'info'),
+  processStopped: event(2003, 'process-stopped', 'info'),
+  processFault: event(2004, 'process-fault', 'error'),
+  frameNotAuthentic: event(2101, 'frame-not-authentic', 'warn'),
+  frameMalformed: event(2102, 'frame-malformed', 'warn'),
+  frameWrongService: event(2103, 'frame-wrong-service', 'warn'),
+  frameWrongTarget: event(2104, 'frame-wrong-target', 'warn'),
+  frameHopLimit: event(2105, 'frame-hop-limit', 'warn'),
+  frameUnexpected: event(2106, 'frame-unexpected', 'warn'),
+  serviceUnknown: event(2107, 'service-unknown', 'warn'),
+  callerMessageMalformed: event(2108, 'caller-message-malformed', 'debug'),
+  backendMessageMalformed: event(2109, 'backend-message-malformed', 'warn'),
+  sendFailed: event(2110, 'send-failed', 'warn'),
+  tableApplied: event(2201, 'table-applied', 'info'),
+  tableAccepted: event(2202, 'table-accepted', 'info'),
+  tableRefused: event(2203, 'table-refused', 'warn'),
+  tableOutcomeUnknown: event(2204, 'table-outcome-unknown', 'warn'),
+  storeUnavailable: event(2301, 'store-unavailable', 'warn'),
+  storeReaderStarted: event(2302, 'store-reader-started', 'info'),
+  storeReaderStopped: event(2303, 'store-reader-stopped', 'info'),
+  memberJoined: event(2401, 'member-joined', 'info'),
+  memberSuspected: event(2402, 'member-suspected', 'warn'),
+  memberDead: event(2403, 'member-dead', 'warn'),
+  memberLeaving: event(2404, 'member-leaving', 'info'),
+  bucketsClaimed: event(2501, 'buckets-claimed', 'debug'),
+  bucketsOwned: event(2502, 'buckets-owned', 'info'),
+  bucketsReleased: event(2503, 'buckets-released', 'info'),
+  quorumLost: event(2504, 'quorum-lost', 'warn'),
+  quorumRegained: event(2505, 'quorum-regained', 'info'),
+  flowRefused: event(2601, 'flow-refused', 'warn'),
+  requestRefused: event(2602, 'request-refused', 'warn'),
+  requestOutcomeUnknown: event(2603, 'request-outcome-unknown', 'warn'),
+  drainStarted: event(2604, 'drain-started', 'info'),
+  drainEnded: event(2605, 'drain-ended', 'info'),
+} as const satisfies Record<string, EventKind>;
--- /dev/null
+++ b/src/wire/frame-codec.ts
@@ -0,0 +1,108 @@
+/**
+ * Encodes messages into authenticated frames and back.
+ *
+ * Frame layout: version (1 byte), key id (1 byte), truncated HMAC-SHA256 of
+ * everything after it (16 bytes), bson document.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { deserialize, serialize } from 'bson';
+import { Ok, type Result } from 'ts-results';
+import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import { MESSAGE_FIELDS, type FieldCodec } from './message-schema';
+import type { Message } from './messages';
+
+const VERSION = 1;
+const TAG_OFFSET = 2;
+const TAG_BYTES = 16;
+const BODY_OFFSET = TAG_OFFSET + TAG_BYTES;
+const TYPE_KEY = 't';
+
+/** A cluster key; `id` travels in the frame and says which key to check with. */
+export interface ClusterKey {
+  /** 0 to 255. */
+  readonly id: number;
+  readonly secret: Buffer;
+}
+
+/** Signs with the first key, accepts frames under any. */
+export class FrameCodec {
+  private readonly secrets = new Map<number, Buffer>();
+  private readonly signingKey: ClusterKey;
+
+  /** @param keys one, or two while a key is being replaced; must not be empty */
+  constructor(readonly keys: readonly ClusterKey[]) {
+    this.signingKey = keys[0]!;
+    for (const key of keys) {
+      this.secrets.set(key.id, key.secret);
+    }
+  }
+
+  /** Encodes a message as one datagram. */
+  encode(message: Message): Buffer {
+    const body = serialize(toDocument(message));
+    const frame = Buffer.allocUnsafe(BODY_OFFSET + body.length);
+    frame[0] = VERSION;
+    frame[1] = this.signingKey.id;
+    tagOf(body, this.signingKey.secret).copy(frame, TAG_OFFSET, 0, TAG_BYTES);
+    frame.set(body, BODY_OFFSET);
+    return frame;
+  }
+
+  /** Authenticates and checks a received datagram. Errors 1301 to 1303. */
+  decode(frame: Buffer): Result<Message, HallholdError> {
+    if (frame.length <= BODY_OFFSET) {
+      return failure(ResultCodes.frameTooShort, `${frame.length} bytes`);
+    }
+    const body = frame.subarray(BODY_OFFSET);
+    const secret = frame[0] === VERSION ? this.secrets.get(frame[1]!) : undefined;
+    if (!secret) {
+      return failure(ResultCodes.frameNotAuthentic, 'unknown version or key id');
+    }
+    const expected = tagOf(body, secret).subarray(0, TAG_BYTES);
+    if (!timingSafeEqual(expected, frame.subarray(TAG_OFFSET, BODY_OFFSET))) {
+      return failure(ResultCodes.frameNotAuthentic, 'the authentication tag is wrong');
+    }
+    return fromBody(body);
+  }
+}
+
+function tagOf(body: Uint8Array, secret: Buffer): Buffer {
+  return createHmac('sha256', secret).update(body).digest();
+}
+
+function toDocument(message: Message): Record<string, unknown> {
+  const source = message as unknown as Record<string, unknown>;
+  const document: Record<string, unknown> = { [TYPE_KEY]: message.type };
+  for (const { key, property, pack } of MESSAGE_FIELDS.get(message.type)!) {
+    const value = source[property];
+    document[key] = pack ? pack(value as never) : value;
+  }
+  return document;
+}
+
+function fromBody(body: Buffer): Result<Message, HallholdError> {
+  try {
+    const document = deserialize(body, { promoteBuffers: true });
+    const type: unknown = document[TYPE_KEY];
+    const fields = typeof type === 'number' ? MESSAGE_FIELDS.get(type) : undefined;
+    if (!fields) {
+      return failure(ResultCodes.frameMalformed, 'unknown message type');
+    }
+    return new Ok(toMessage(type as number, fields, document));
+  } catch (error) {
+    return failure(ResultCodes.frameMalformed, messageOf(error));
+  }
+}
+
+function toMessage(
+  type: number,
+  fields: readonly FieldCodec[],
+  document: Record<string, unknown>,
+): Message {
+  const message: Record<string, unknown> = { type };
+  for (const { key, property, unpack } of fields) {
+    message[property] = unpack(document[key]);
+  }
+  return message as unknown as Message;
+}
