--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -17,7 +17,12 @@
   type HelloAnswerMessage,
   type Message,
 } from '../wire/messages';
-import type { AgentContext, AgentNodeSettings, BackendPort, PlacementPolicy } from './agent-context';
+import type {
+  AgentContext,
+  AgentNodeSettings,
+  BackendPort,
+  PlacementPolicy,
+} from './agent-context';
 import { BackendMonitor } from './backend-monitor';
 import { BackendRequests } from './backend-requests';
 import { BalancerContacts } from './balancer-contacts';
@@ -95,10 +100,8 @@
   ) {
     this.context = this.createContext();
     const { context } = this;
-    this.drain = new DrainState(
-      dependencies.environment,
-      context.safeguards.has('drain'),
-      () => this.stateChanged(),
+    this.drain = new DrainState(dependencies.environment, context.safeguards.has('drain'), () =>
+      this.stateChanged(),
     );
     this.membership = new GroupMembership(context, {
       membersChanged: () => this.directory.reconcile(),
--- a/src/agent/backend-requests.ts
+++ b/src/agent/backend-requests.ts
@@ -200,7 +200,9 @@
   private acknowledge(message: CoapMessage): void {
     if (message.confirmable) {
       const { messageId } = message;
-      this.context.backend.sendMessage(generateCoap({ code: CoapCode.empty, messageId, ack: true }));
+      this.context.backend.sendMessage(
+        generateCoap({ code: CoapCode.empty, messageId, ack: true }),
+      );
     }
   }
 
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -45,7 +45,6 @@
 export class BucketDirectory {
   private readonly phases: BucketPhase[] = Array.from({ length: BUCKET_COUNT }, () => 'none');
   private readonly entries = new Map<number, Map<Endpoint, string>>();
-  private readonly claimants: (string | undefined)[] = [];
   private readonly refusedUntil: number[] = [];
   private readonly claims = new Map<number, Claim>();
   private readonly sentAnswers = new Map<string, SentAnswer>();
@@ -71,11 +70,6 @@
     return this.owners[bucket];
   }
 
-  /** Who last claimed a bucket here; only that agent may still place flows in it. */
-  claimantOf(bucket: number): string | undefined {
-    return this.claimants[bucket];
-  }
-
   /** Buckets owned here. */
   ownedCount(): number {
     return this.phases.filter((phase) => phase === 'owned').length;
@@ -132,10 +126,7 @@
 
   /** Computes the owners anew and claims what this agent now should own. */
   reconcile(): void {
-    this.owners = computeOwners(
-      this.context.settings.service,
-      this.membership.eligibleTargets(),
-    );
+    this.owners = computeOwners(this.context.settings.service, this.membership.eligibleTargets());
     this.claimMissing();
   }
 
@@ -252,7 +243,6 @@
     const gained = claim.buckets.members().filter((bucket) => this.phases[bucket] === 'claiming');
     for (const bucket of gained) {
       this.phases[bucket] = 'owned';
-      this.claimants[bucket] = this.context.settings.target;
     }
     if (gained.length > 0) {
       this.context.environment.report(Events.bucketsOwned, { buckets: gained.length });
@@ -296,7 +286,6 @@
       }
       released += this.phases[bucket] === 'owned' ? 1 : 0;
       this.surrender(bucket);
-      this.claimants[bucket] = message.target;
     }
     if (released > 0) {
       const fields = { buckets: released, claimer: message.target };
@@ -313,7 +302,9 @@
       return false;
     }
     const older = message.tableRevision < this.membership.tableRevision;
-    return older || bucketScore(service, bucket, target) > bucketScore(service, bucket, message.target);
+    return (
+      older || bucketScore(service, bucket, target) > bucketScore(service, bucket, message.target)
+    );
   }
 
   private entriesFor(buckets: BucketSet): FlowEntry[] {
--- a/src/agent/flow-entries.ts
+++ b/src/agent/flow-entries.ts
@@ -15,7 +15,9 @@
 /** Packs endpoints one after the other. */
 export function packCallers(callers: readonly Endpoint[]): Buffer {
   const bytes = Buffer.allocUnsafe(callers.length * ENDPOINT_BYTES);
-  callers.forEach((caller, index) => bytes.writeUIntBE(caller, index * ENDPOINT_BYTES, ENDPOINT_BYTES));
+  callers.forEach((caller, index) =>
+    bytes.writeUIntBE(caller, index * ENDPOINT_BYTES, ENDPOINT_BYTES),
+  );
   return bytes;
 }
 
--- a/src/agent/flow-router.ts
+++ b/src/agent/flow-router.ts
@@ -100,13 +100,12 @@
     return true;
   }
 
-  /** Only the agent that last claimed a bucket may still place flows of it here. */
+  /**
+   * A placement counts unless its owner is dead here: then another owner may have
+   * taken the bucket over without knowing of this frame, which was long under way.
+   */
   private wasPlacedHere(message: ForwardMessage): boolean {
-    if (message.placedBy === '') {
-      return false;
-    }
-    const claimant = this.directory.claimantOf(this.context.bucketOf(message.caller));
-    return claimant === undefined || claimant === message.placedBy;
+    return message.placedBy !== '' && this.membership.peer(message.placedBy)?.dead === false;
   }
 
   private deliver(message: ForwardMessage, flow: HostedFlow): void {
@@ -129,7 +128,10 @@
     const phase = this.directory.phaseOf(bucket);
     if (phase === 'owned' && this.mayAdmit()) {
       this.routeAsOwner(message, bucket);
-    } else if (phase === 'none' && this.directory.ownerOf(bucket) !== this.context.settings.target) {
+    } else if (
+      phase === 'none' &&
+      this.directory.ownerOf(bucket) !== this.context.settings.target
+    ) {
       this.passToOwner(message, bucket);
     } else {
       this.park(message);
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -178,9 +178,7 @@
 
   /** Sends a heartbeat to every peer that is not known to have stopped. */
   heartbeat(): void {
-    this.sequence++;
-    this.sentTimes.set(this.sequence, this.context.environment.now());
-    this.sentTimes.delete(this.sequence - SENT_TIMES_KEPT);
+    this.nextSequence();
     for (const peer of this.peers.values()) {
       if (peer.row !== undefined || peer.state !== AgentState.stopped) {
         this.sendHeartbeat(peer);
@@ -295,7 +293,16 @@
     }
   }
 
+  private nextSequence(): void {
+    this.sequence++;
+    this.sentTimes.set(this.sequence, this.context.environment.now());
+    this.sentTimes.delete(this.sequence - SENT_TIMES_KEPT);
+  }
+
   private sendHeartbeat(peer: Peer): void {
+    if (this.sequence === 0) {
+      this.nextSequence();
+    }
     const { settings } = this.context;
     const status = this.listener.ownStatus();
     this.context.send(peer.endpoint, {
--- a/src/agent/request-guard.ts
+++ b/src/agent/request-guard.ts
@@ -201,13 +201,12 @@
     request: CoapMessage,
     permit: Permit | undefined,
   ): void {
-    const staysHere = isObserveRegistration(request) || continuesTransfer(request);
     const takesIt = this.surroundings.takesNewWork() || continuesTransfer(request);
     const done = (result: PassResult): void => this.finish(exchange, permit, result);
     if (takesIt && this.surroundings.freeSlots() > 0) {
       const { requestDeadline } = this.context.settings;
       this.requests.send(exchange.caller, request, requestDeadline, done);
-    } else if (staysHere) {
+    } else if (isObserveRegistration(request)) {
       done({ outcome: 'refused' });
     } else {
       this.counts.passed++;
@@ -216,11 +215,7 @@
     }
   }
 
-  private finish(
-    exchange: RequestExchange,
-    permit: Permit | undefined,
-    result: PassResult,
-  ): void {
+  private finish(exchange: RequestExchange, permit: Permit | undefined, result: PassResult): void {
     if (result.outcome === 'answered') {
       this.answerFromBackend(exchange, permit, result.message);
     } else if (result.outcome === 'unknown') {
--- /dev/null
+++ b/src/balancer/store-reader.ts
@@ -0,0 +1,140 @@
+/**
+ * Decides whether this balancer watches the store, and does so.
+ *
+ * The store tolerates only a few readers: the STORE_READERS best by rendezvous
+ * over the live members watch. Being wrong about who lives costs an extra reader
+ * for a while and nothing else.
+ */
+import { rankByRendezvous } from '../core/hashing';
+import type { TableDelta } from '../core/table-cache';
+import { STORE_READERS } from '../core/timing';
+import { Events } from '../logging/events';
+import type { MachineRecord, StorePort, WatchHandle } from '../platform/store-port';
+import type { HallholdError } from '../errors/hallhold-error';
+import type { BalancerContext } from './balancer-context';
+
+const RANK_INTERVAL = 2_000;
+const RETRY_INTERVAL = 1_000;
+const RENDEZVOUS_KEY = 'store-reader';
+
+/** What the reader needs from its surroundings. */
+export interface ReaderSurroundings {
+  /** Names of the other balancers that take part. */
+  activeNames(): string[];
+  /** Revision through which this balancer has all tables. */
+  haveThrough(): number;
+  take(delta: TableDelta): void;
+  takeMachines(machines: readonly MachineRecord[]): void;
+}
+
+/** Watches the store while this balancer is among the readers. */
+export class StoreReader {
+  private reading = false;
+  private running = false;
+  private watch: WatchHandle | undefined;
+
+  constructor(
+    private readonly context: BalancerContext,
+    private readonly store: StorePort,
+    private readonly surroundings: ReaderSurroundings,
+  ) {}
+
+  /** True while this balancer is one of the store's readers. */
+  get isReading(): boolean {
+    return this.reading;
+  }
+
+  start(): void {
+    this.running = true;
+    this.evaluate();
+  }
+
+  stop(): void {
+    this.running = false;
+    this.stopReading();
+  }
+
+  private evaluate(): void {
+    if (!this.running) {
+      return;
+    }
+    const shouldRead = this.isAmongReaders();
+    if (shouldRead && !this.reading) {
+      this.startReading();
+    } else if (!shouldRead && this.reading) {
+      this.stopReading();
+    }
+    if (this.reading) {
+      this.pollMachines();
+    }
+    this.context.environment.startTimer(RANK_INTERVAL, () => this.evaluate());
+  }
+
+  private isAmongReaders(): boolean {
+    const own = this.context.settings.name;
+    const ranked = rankByRendezvous(RENDEZVOUS_KEY, [...this.surroundings.activeNames(), own]);
+    return ranked.indexOf(own) < STORE_READERS;
+  }
+
+  private startReading(): void {
+    this.reading = true;
+    this.context.environment.report(Events.storeReaderStarted, {});
+    this.list();
+  }
+
+  private stopReading(): void {
+    if (this.reading) {
+      this.context.environment.report(Events.storeReaderStopped, {});
+    }
+    this.reading = false;
+    this.watch?.close();
+    this.watch = undefined;
+  }
+
+  private list(): void {
+    this.store.list((result) => {
+      if (!this.reading) {
+        return;
+      }
+      if (result.err) {
+        this.retryLater(result.val);
+        return;
+      }
+      this.surroundings.take(result.val);
+      this.openWatch(result.val.throughRevision);
+    });
+  }
+
+  private openWatch(fromRevision: number): void {
+    this.watch?.close();
+    this.watch = this.store.watch(
+      fromRevision,
+      (delta) => this.surroundings.take(delta),
+      (error) => this.watchEnded(error),
+    );
+  }
+
+  private watchEnded(error: HallholdError): void {
+    this.watch = undefined;
+    if (this.reading) {
+      this.retryLater(error);
+    }
+  }
+
+  private retryLater(error: HallholdError): void {
+    this.context.environment.report(Events.storeUnavailable, { reason: error.message });
+    this.context.environment.startTimer(RETRY_INTERVAL, () => {
+      if (this.reading && !this.watch) {
+        this.list();
+      }
+    });
+  }
+
+  private pollMachines(): void {
+    this.store.machines((result) => {
+      if (result.ok) {
+        this.surroundings.takeMachines(result.val);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/balancer/table-distribution.ts
@@ -0,0 +1,207 @@
+/**
+ * How tables reach every balancer: a new one is pushed at once to a few members,
+ * who push it on; whoever is missed sees a higher revision in the next probe and
+ * asks for what it lacks.
+ */
+import { TableCache, type TableDelta } from '../core/table-cache';
+import type { ServiceTable } from '../core/table';
+import { TABLE_PUSH_FANOUT } from '../core/timing';
+import type { Endpoint } from '../environment';
+import { Events } from '../logging/events';
+import {
+  MessageType,
+  type MemberRecord,
+  type TableConfirmMessage,
+  type TableDeltaMessage,
+  type TableRequestMessage,
+} from '../wire/messages';
+import type { BalancerContext } from './balancer-context';
+
+const REQUEST_PAUSE = 300;
+/** Rows per datagram, so that a delta stays well under 64 KiB. */
+const ROWS_PER_PART = 250;
+const CONFIRM_RETRY_INTERVAL = 400;
+const CONFIRM_ATTEMPTS = 5;
+
+/** What the distribution needs from its surroundings. */
+export interface DistributionSurroundings {
+  sample(count: number): MemberRecord[];
+  active(): MemberRecord[];
+  /** Tables that are new in force here. */
+  changed(tables: readonly ServiceTable[]): void;
+}
+
+interface PendingConfirm {
+  readonly delta: TableDelta;
+  readonly wanted: number;
+  readonly confirmed: Set<string>;
+  readonly done: (copies: number) => void;
+  attempts: number;
+}
+
+/** Spreads tables among balancers. */
+export class TableDistribution {
+  readonly cache = new TableCache();
+  private readonly pending = new Map<number, PendingConfirm>();
+  private lastRequest = -Infinity;
+  private nextConfirmId = 1;
+  /** True once a peer or the store has said that nothing newer is missing. */
+  private caughtUp = false;
+
+  constructor(
+    private readonly context: BalancerContext,
+    private readonly surroundings: DistributionSurroundings,
+  ) {}
+
+  /** Whether this balancer has a table as new as any peer it has asked. */
+  get isCaughtUp(): boolean {
+    return this.caughtUp && this.cache.revision > 0;
+  }
+
+  /** Takes a delta from the store, a peer or an own accepted write. */
+  take(delta: TableDelta, from: Endpoint | undefined): void {
+    const { changed, gap } = this.cache.apply(delta);
+    if (!gap) {
+      this.caughtUp = true;
+    } else if (from !== undefined) {
+      this.request(from);
+    }
+    if (changed.length === 0) {
+      return;
+    }
+    for (const { service, revision } of changed) {
+      this.context.environment.report(Events.tableApplied, { service, revision });
+    }
+    this.surroundings.changed(changed);
+    this.push(delta);
+  }
+
+  /** A peer has all through `revision`: ask it if that is more than this node has. */
+  peerHasThrough(revision: number, from: Endpoint): void {
+    if (revision > this.cache.revision) {
+      this.request(from);
+    } else if (revision > 0 || this.cache.revision > 0) {
+      this.caughtUp = true;
+    }
+  }
+
+  receiveRequest(message: TableRequestMessage, from: Endpoint): void {
+    const delta = this.cache.since(message.haveThrough);
+    for (const part of splitDelta(delta)) {
+      this.sendDelta(from, part, 0);
+    }
+  }
+
+  receiveDelta(message: TableDeltaMessage, from: Endpoint): void {
+    this.take(message, from);
+    if (message.confirmId !== 0) {
+      this.context.send(from, {
+        type: MessageType.tableConfirm,
+        confirmId: message.confirmId,
+        name: this.context.settings.name,
+      });
+    }
+  }
+
+  receiveConfirm(message: TableConfirmMessage): void {
+    const pending = this.pending.get(message.confirmId);
+    if (!pending) {
+      return;
+    }
+    pending.confirmed.add(message.name);
+    if (pending.confirmed.size >= pending.wanted) {
+      this.conclude(message.confirmId, pending);
+    }
+  }
+
+  /** Has a table copied to peers, in other zones first; `done` gets how many confirmed. */
+  confirmCopies(table: ServiceTable, wanted: number, done: (copies: number) => void): void {
+    const { revision } = table;
+    const delta = { fromRevision: revision, throughRevision: revision, tables: [table] };
+    const reachable = Math.min(wanted, this.surroundings.active().length);
+    const pending = { delta, wanted: reachable, confirmed: new Set<string>(), done, attempts: 0 };
+    const id = this.nextConfirmId++;
+    this.pending.set(id, pending);
+    this.pursue(id, pending);
+  }
+
+  private pursue(id: number, pending: PendingConfirm): void {
+    if (!this.pending.has(id)) {
+      return;
+    }
+    if (pending.wanted === 0 || pending.attempts >= CONFIRM_ATTEMPTS) {
+      this.conclude(id, pending);
+      return;
+    }
+    pending.attempts++;
+    for (const member of this.copyHolders(pending)) {
+      this.sendDelta(member.endpoint, pending.delta, id);
+    }
+    this.context.environment.startTimer(CONFIRM_RETRY_INTERVAL, () => this.pursue(id, pending));
+  }
+
+  private copyHolders(pending: PendingConfirm): MemberRecord[] {
+    const { random } = this.context.environment;
+    const fresh = this.surroundings
+      .active()
+      .filter((member) => !pending.confirmed.has(member.name))
+      .map((member) => ({ member, order: random.call(this.context.environment) }));
+    const elsewhere = (member: MemberRecord): number =>
+      member.zone === this.context.settings.zone ? 1 : 0;
+    fresh.sort((a, b) => elsewhere(a.member) - elsewhere(b.member) || a.order - b.order);
+    return fresh.slice(0, pending.wanted + 1).map(({ member }) => member);
+  }
+
+  private conclude(id: number, pending: PendingConfirm): void {
+    this.pending.delete(id);
+    pending.done(pending.confirmed.size);
+  }
+
+  /** A delta too large for one datagram is not pushed: peers ask for it in parts. */
+  private push(delta: TableDelta): void {
+    if (splitDelta(delta).length > 1) {
+      return;
+    }
+    for (const member of this.surroundings.sample(TABLE_PUSH_FANOUT)) {
+      this.sendDelta(member.endpoint, delta, 0);
+    }
+  }
+
+  private request(from: Endpoint): void {
+    const now = this.context.environment.now();
+    if (now - this.lastRequest < REQUEST_PAUSE) {
+      return;
+    }
+    this.lastRequest = now;
+    this.context.send(from, { type: MessageType.tableRequest, haveThrough: this.cache.revision });
+  }
+
+  private sendDelta(to: Endpoint, delta: TableDelta, confirmId: number): void {
+    this.context.send(to, { type: MessageType.tableDelta, ...delta, confirmId });
+  }
+}
+
+/**
+ * Splits a delta into datagram-sized parts that each begin where the one before
+ * ends, so that a receiver which misses a part sees the gap in the next.
+ */
+export function splitDelta(delta: TableDelta): TableDelta[] {
+  const ordered = [...delta.tables].sort((a, b) => a.revision - b.revision);
+  const parts: TableDelta[] = [];
+  let fromRevision = delta.fromRevision;
+  let tables: ServiceTable[] = [];
+  let rows = 0;
+  for (const table of ordered) {
+    if (rows > 0 && rows + table.rows.length > ROWS_PER_PART) {
+      const throughRevision = tables[tables.length - 1]!.revision;
+      parts.push({ fromRevision, throughRevision, tables });
+      fromRevision = throughRevision;
+      tables = [];
+      rows = 0;
+    }
+    tables.push(table);
+    rows += table.rows.length;
+  }
+  parts.push({ fromRevision, throughRevision: delta.throughRevision, tables });
+  return parts;
+}
--- /dev/null
+++ b/src/balancer/target-states.ts
@@ -0,0 +1,51 @@
+/** What this balancer has heard of targets that are not simply serving. */
+import { AgentState, type TargetNotice, type TargetRumour } from '../wire/messages';
+
+/** Whether `fresh` is later news than `known`: by run, by the agent's own count, by severity. */
+function isNewer(fresh: TargetNotice, known: TargetNotice): boolean {
+  if (fresh.incarnation !== known.incarnation) {
+    return fresh.incarnation > known.incarnation;
+  }
+  if (fresh.stateSequence !== known.stateSequence) {
+    return fresh.stateSequence > known.stateSequence;
+  }
+  return fresh.state > known.state;
+}
+
+/** Newest notice per target. */
+export class TargetStates {
+  private readonly services = new Map<string, Map<string, TargetNotice>>();
+
+  /** Takes a notice; returns true when it changed what is known. */
+  apply(service: string, notice: TargetNotice): boolean {
+    const targets = this.services.get(service) ?? new Map<string, TargetNotice>();
+    const known = targets.get(notice.target);
+    const isNews = known ? isNewer(notice, known) : notice.state !== AgentState.serving;
+    if (!isNews) {
+      return false;
+    }
+    targets.set(notice.target, notice);
+    this.services.set(service, targets);
+    return true;
+  }
+
+  get(service: string, target: string): TargetNotice | undefined {
+    return this.services.get(service)?.get(target);
+  }
+
+  isServing(service: string, target: string): boolean {
+    const notice = this.get(service, target);
+    return notice === undefined || notice.state === AgentState.serving;
+  }
+
+  isStopped(service: string, target: string): boolean {
+    return this.get(service, target)?.state === AgentState.stopped;
+  }
+
+  /** Everything known, for a joining balancer. */
+  all(): TargetRumour[] {
+    return [...this.services].flatMap(([service, targets]) =>
+      [...targets.values()].map((notice) => ({ service, ...notice })),
+    );
+  }
+}
--- /dev/null
+++ b/src/cli/agent-command.ts
@@ -0,0 +1,38 @@
+/** `hallhold agent`: runs an agent process beside a back end. */
+import { Command, Option } from 'clipanion';
+import { AgentProcess } from '../runtime/agent-process';
+import { loadSettings } from '../settings/load-settings';
+import { agentSchema } from '../settings/settings-schema';
+import { printError } from './output';
+import { runUntilSignal } from './process-runner';
+
+export class AgentCommand extends Command {
+  static override paths = [['agent']];
+  static override usage = Command.Usage({
+    description: 'Run an agent beside a back end.',
+    details: 'Settings come from a YAML file; flags override it. SIGTERM begins a planned stop.',
+    examples: [
+      ['With a settings file', '$0 agent --settings examples/map-agent.yaml'],
+      [
+        'For another target',
+        '$0 agent --settings a.yaml --target target-2 --listen 127.0.2.2:7000',
+      ],
+    ],
+  });
+
+  settings = Option.String('--settings', { required: true, description: 'YAML settings file' });
+  target = Option.String('--target', { description: "Name of the target's row" });
+  listen = Option.String('--listen', { description: 'Address for internal frames' });
+  admin = Option.String('--admin', { description: 'Address for health and metrics' });
+  backend = Option.String('--backend', { description: 'Address of the back end' });
+
+  async execute(): Promise<number> {
+    const { target, listen, admin, backend } = this;
+    const overrides = { target, listen, admin, backend };
+    const loaded = loadSettings(this.settings, agentSchema, overrides);
+    if (loaded.err) {
+      return printError(this.context, loaded.val);
+    }
+    return runUntilSignal(this.context, () => AgentProcess.start(loaded.val));
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,39 @@
+/** Entry point of the `hallhold` command line: one command a file. */
+import { Builtins, Cli } from 'clipanion';
+import { AgentCommand } from './agent-command';
+import { BalancerCommand } from './balancer-command';
+import { DemoCommand } from './demo-command';
+import { SettingsCheckCommand } from './settings-check-command';
+import {
+  StandinBackendCommand,
+  StandinCallerCommand,
+  StandinFabricCommand,
+  StandinPlatformCommand,
+} from './standin-commands';
+import { TableGetCommand, TablePutCommand, TableStatusCommand } from './table-commands';
+
+const VERSION = '0.1.0';
+
+const cli = new Cli({
+  binaryLabel: 'hallhold',
+  binaryName: 'hallhold',
+  binaryVersion: VERSION,
+});
+
+[
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  AgentCommand,
+  BalancerCommand,
+  DemoCommand,
+  SettingsCheckCommand,
+  StandinBackendCommand,
+  StandinCallerCommand,
+  StandinFabricCommand,
+  StandinPlatformCommand,
+  TableGetCommand,
+  TablePutCommand,
+  TableStatusCommand,
+].forEach((command) => cli.register(command));
+
+void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,30 @@
+/** Common output of commands: errors, tables, JSON. */
+import Table from 'cli-table3';
+import type { BaseContext } from 'clipanion';
+import { HallholdError, messageOf } from '../errors/hallhold-error';
+
+/** Exit codes: 0 done, 1 a numbered error, 2 the check or simulation found something. */
+export const ExitCode = { done: 0, failed: 1, violations: 2 } as const;
+
+/** Writes an error to standard error and returns the exit code. */
+export function printError(context: BaseContext, error: unknown): number {
+  const text = error instanceof HallholdError ? error.describe() : messageOf(error);
+  context.stderr.write(`${text}\n`);
+  return ExitCode.failed;
+}
+
+/** Writes rows under a header as a readable table. */
+export function printTable(
+  context: BaseContext,
+  head: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): void {
+  const table = new Table({ head: [...head], style: { head: [], border: [] } });
+  rows.forEach((row) => table.push([...row]));
+  context.stdout.write(`${table.toString()}\n`);
+}
+
+/** Writes one JSON object as one line. */
+export function printJson(context: BaseContext, value: unknown): void {
+  context.stdout.write(`${JSON.stringify(value)}\n`);
+}
--- /dev/null
+++ b/src/cli/table-commands.ts
@@ -0,0 +1,155 @@
+/** `hallhold table get|put|status`: the table an operator edits, by way of a balancer's API. */
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { Ok, type Result } from 'ts-results';
+import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import { OperatorClient } from '../operator/operator-client';
+import { formatCsvTable, parseCsvTable, viewRows, type ServiceRows } from '../operator/table-rows';
+import { ExitCode, printError, printJson, printTable } from './output';
+
+const API_DESCRIPTION = "URL of a balancer's admin address";
+
+/** Options that all table commands share. */
+abstract class TableCommand extends Command {
+  api = Option.String('--api', { required: true, description: API_DESCRIPTION });
+
+  protected get client(): OperatorClient {
+    return new OperatorClient(this.api);
+  }
+}
+
+export class TableGetCommand extends TableCommand {
+  static override paths = [['table', 'get']];
+  static override usage = Command.Usage({
+    description: 'Print the tables in force as CSV.',
+    examples: [
+      ['All tables', '$0 table get --api http://127.0.1.1:7080 > table.csv'],
+      ['One service', '$0 table get live-map --api http://127.0.1.1:7080'],
+    ],
+  });
+
+  service = Option.String({ required: false });
+
+  async execute(): Promise<number> {
+    const answered = await this.client.tables();
+    if (answered.err) {
+      return printError(this.context, answered.val);
+    }
+    const wanted = answered.val.filter(
+      ({ service }) => this.service === undefined || service === this.service,
+    );
+    const rows = wanted.flatMap((table) => table.rows);
+    this.context.stdout.write(formatCsvTable(rows));
+    return ExitCode.done;
+  }
+}
+
+export class TablePutCommand extends TableCommand {
+  static override paths = [['table', 'put']];
+  static override usage = Command.Usage({
+    description: 'Put a CSV table in force.',
+    details:
+      'Columns: service,target,address,share,slots,connections. Every service named in the file ' +
+      'gets exactly the rows given. A file with any wrong row changes nothing.',
+    examples: [
+      ['Put a file', '$0 table put table.csv --api http://127.0.1.1:7080'],
+      [
+        'Only if nobody edited since',
+        '$0 table put table.csv --base 42 --api http://127.0.1.1:7080',
+      ],
+    ],
+  });
+
+  file = Option.String();
+  base = Option.String('--base', { description: 'Revision the file was edited from' });
+
+  async execute(): Promise<number> {
+    const parsed = readTable(this.file);
+    if (parsed.err) {
+      return printError(this.context, parsed.val);
+    }
+    for (const group of parsed.val) {
+      const accepted = await this.putService(group);
+      if (accepted.err) {
+        return printError(this.context, accepted.val);
+      }
+      this.context.stdout.write(`${accepted.val}\n`);
+    }
+    return ExitCode.done;
+  }
+
+  private async putService(group: ServiceRows): Promise<Result<string, HallholdError>> {
+    const current = await this.client.table(group.service);
+    if (current.err) {
+      return current;
+    }
+    const baseRevision = this.base === undefined ? current.val.revision : Number(this.base);
+    const answered = await this.client.put(group.service, {
+      baseRevision,
+      baseRows: current.val.rows,
+      rows: viewRows(group.service, group.rows),
+      writeId: randomUUID(),
+    });
+    return answered.map(
+      ({ revision, copies }) =>
+        `${group.service}: ${group.rows.length} rows accepted at revision ${revision}, ${copies} copies confirmed`,
+    );
+  }
+}
+
+export class TableStatusCommand extends TableCommand {
+  static override paths = [['table', 'status']];
+  static override usage = Command.Usage({
+    description: 'Show the revision of every table, or what became of one write.',
+    examples: [
+      ['Revisions', '$0 table status --api http://127.0.1.1:7080'],
+      [
+        'A write whose outcome was unknown',
+        '$0 table status --write ID --api http://127.0.1.1:7080',
+      ],
+    ],
+  });
+
+  write = Option.String('--write', {
+    description: 'Write id, as an "outcome unknown" error names it',
+  });
+
+  async execute(): Promise<number> {
+    if (this.write !== undefined) {
+      const status = await this.client.writeStatus(this.write);
+      if (status.err) {
+        return printError(this.context, status.val);
+      }
+      printJson(this.context, status.val);
+      return ExitCode.done;
+    }
+    const answered = await this.client.tables();
+    if (answered.err) {
+      return printError(this.context, answered.val);
+    }
+    const rows = answered.val.map(({ service, revision, rows: all }) => [
+      service,
+      revision,
+      all.length,
+      all
+        .filter((row) => row.share === 0)
+        .map((row) => row.target)
+        .join(' '),
+    ]);
+    printTable(this.context, ['service', 'revision', 'targets', 'share 0'], rows);
+    return ExitCode.done;
+  }
+}
+
+function readTable(file: string): Result<readonly ServiceRows[], HallholdError> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    return failure(ResultCodes.tableFileUnreadable, messageOf(error));
+  }
+  const parsed = parseCsvTable(text);
+  return parsed.ok ? new Ok(parsed.val) : parsed;
+}
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -47,7 +47,8 @@
 ): PlacementCandidate | undefined {
   const open = candidates.filter(
     (candidate) =>
-      candidate.share > 0 && candidate.reportedFlows + candidate.placedSince < candidate.connections,
+      candidate.share > 0 &&
+      candidate.reportedFlows + candidate.placedSince < candidate.connections,
   );
   if (open.length === 0) {
     return undefined;
--- a/src/core/table.ts
+++ b/src/core/table.ts
@@ -76,7 +76,9 @@
   theirs: readonly TableRow[],
   ours: readonly TableRow[],
 ): readonly RowConflict[] {
-  const theirChanges = new Map(differingRows(base, theirs).map((change) => [change.target, change]));
+  const theirChanges = new Map(
+    differingRows(base, theirs).map((change) => [change.target, change]),
+  );
   return differingRows(base, ours).flatMap((mine) => {
     const other = theirChanges.get(mine.target);
     if (!other || sameRow(other.after, mine.after)) {
--- /dev/null
+++ b/src/logging/event-log.ts
@@ -0,0 +1,69 @@
+/** Writes numbered events as JSON lines through winston, each kind at a bounded rate. */
+import { createLogger, format, transports, type Logger } from 'winston';
+import type { EventFields, EventKind, EventLevel } from './events';
+
+/** Lines of one event kind that are written in a second; the rest are counted. */
+const LINES_PER_SECOND = 10;
+const ONE_SECOND = 1_000;
+
+interface RateWindow {
+  startedAt: number;
+  written: number;
+  suppressed: number;
+}
+
+/** Receives every event, also those whose line is suppressed. */
+export type EventObserver = (event: EventKind) => void;
+
+/** Log of one process. */
+export class EventLog {
+  private readonly logger: Logger;
+  private readonly windows = new Map<number, RateWindow>();
+
+  /**
+   * @param source goes into every line, for example the process's name
+   * @param observer counts events for metrics
+   */
+  constructor(
+    source: string,
+    level: EventLevel,
+    private readonly observer: EventObserver = () => undefined,
+    private readonly now: () => number = () => performance.now(),
+  ) {
+    this.logger = createLogger({
+      level,
+      defaultMeta: { source },
+      format: format.combine(format.timestamp(), format.json()),
+      transports: [new transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] })],
+    });
+  }
+
+  /** Writes one event. */
+  report(event: EventKind, fields: EventFields): void {
+    this.observer(event);
+    if (!this.logger.isLevelEnabled(event.level)) {
+      return;
+    }
+    const window = this.windowOf(event);
+    if (window.written >= LINES_PER_SECOND) {
+      window.suppressed++;
+      return;
+    }
+    window.written++;
+    const { suppressed } = window;
+    window.suppressed = 0;
+    const note = suppressed > 0 ? { suppressed } : {};
+    this.logger.log(event.level, event.name, { event: event.number, ...fields, ...note });
+  }
+
+  private windowOf(event: EventKind): RateWindow {
+    const now = this.now();
+    const known = this.windows.get(event.number);
+    if (known && now - known.startedAt < ONE_SECOND) {
+      return known;
+    }
+    const fresh = { startedAt: now, written: 0, suppressed: known?.suppressed ?? 0 };
+    this.windows.set(event.number, fresh);
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/operator/admin-server.ts
@@ -0,0 +1,84 @@
+/** The HTTP server of a process: health, metrics and, on balancers, the operators' API. */
+import 'reflect-metadata';
+import { Module, type DynamicModule, type Type } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
+import { DocumentBuilder, SwaggerModule } from '@nestjs/swagger';
+import { endpointAddress, endpointPort, packEndpoint } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import { HallholdError, messageOf } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import type { BalancerNode } from '../balancer/balancer-node';
+import type { Metrics } from '../runtime/metrics';
+import { HealthController } from './health-controller';
+import { ADMIN_TARGET, BALANCER_NODE, type AdminTarget } from './admin-tokens';
+import { StatusController } from './status-controller';
+import { TablesController } from './tables-controller';
+
+/** What the server shows. */
+export interface AdminServerOptions {
+  readonly listen: Endpoint;
+  readonly metrics: Metrics;
+  /** Whether the process may be sent traffic. */
+  readonly isReady: () => boolean;
+  /** Present on balancers: adds the operators' API. */
+  readonly balancer?: BalancerNode;
+  /** Figures shown at /status. */
+  readonly status: () => unknown;
+}
+
+/** A running server. */
+export interface AdminServer {
+  readonly endpoint: Endpoint;
+  close(): Promise<void>;
+}
+
+@Module({})
+class AdminModule {}
+
+function moduleFor(options: AdminServerOptions): DynamicModule {
+  const target: AdminTarget = options;
+  const controllers: Type[] = [HealthController, StatusController];
+  return {
+    module: AdminModule,
+    controllers: options.balancer ? [...controllers, TablesController] : controllers,
+    providers: [
+      { provide: ADMIN_TARGET, useValue: target },
+      { provide: BALANCER_NODE, useValue: options.balancer },
+    ],
+  };
+}
+
+/** Starts the server. Throws a {@link HallholdError} 1402 when the address is taken. */
+export async function startAdminServer(options: AdminServerOptions): Promise<AdminServer> {
+  const adapter = new FastifyAdapter();
+  const application = await NestFactory.create<NestFastifyApplication>(
+    moduleFor(options),
+    adapter,
+    { logger: false },
+  );
+  serveOpenApi(application);
+  try {
+    await application.listen(endpointPort(options.listen), endpointAddress(options.listen));
+  } catch (error) {
+    throw new HallholdError(ResultCodes.addressInUse, messageOf(error));
+  }
+  const bound = application.getHttpServer().address() as { address: string; port: number };
+  return {
+    endpoint: packEndpoint(bound.address, bound.port),
+    close: () => application.close(),
+  };
+}
+
+function serveOpenApi(application: NestFastifyApplication): void {
+  const configuration = new DocumentBuilder()
+    .setTitle('hallhold')
+    .setDescription('Health, metrics, status and tables of a hallhold process')
+    .setVersion('1')
+    .build();
+  const document = SwaggerModule.createDocument(application, configuration);
+  application
+    .getHttpAdapter()
+    .getInstance()
+    .get('/openapi.json', (_request, reply) => reply.send(document));
+}
--- /dev/null
+++ b/src/operator/admin-tokens.ts
@@ -0,0 +1,14 @@
+/** Injection tokens of the admin server. */
+import type { Metrics } from '../runtime/metrics';
+
+/** Token of the {@link AdminTarget}. */
+export const ADMIN_TARGET = 'hallhold-admin-target';
+/** Token of the balancer node; undefined on agents. */
+export const BALANCER_NODE = 'hallhold-balancer-node';
+
+/** What health, metrics and status read. */
+export interface AdminTarget {
+  readonly metrics: Metrics;
+  readonly isReady: () => boolean;
+  readonly status: () => unknown;
+}
--- /dev/null
+++ b/src/operator/operator-client.ts
@@ -0,0 +1,93 @@
+/** The operators' API as the command line calls it, through undici. */
+import { Err, Ok, type Result } from 'ts-results';
+import { request } from 'undici';
+import { failure, HallholdError, messageOf } from '../errors/hallhold-error';
+import { ResultCodes, type ResultCode } from '../errors/result-codes';
+import type { AcceptedEdit } from '../balancer/table-acceptance';
+import type { RowView } from './table-rows';
+import type { ErrorView, TableView } from './tables-controller';
+
+const CALL_TIMEOUT = 15_000;
+const STATUS_ERROR = 400;
+const STATUS_NOT_FOUND = 404;
+
+/** An edit as sent to the API. */
+export interface EditRequest {
+  readonly baseRevision: number;
+  readonly baseRows: readonly RowView[];
+  readonly rows: readonly RowView[];
+  readonly writeId: string;
+}
+
+/** Client of one balancer's API. */
+export class OperatorClient {
+  /** @param url base address, for example "http://127.0.1.1:7080" */
+  constructor(private readonly url: string) {}
+
+  /** Every table in force at the balancer. */
+  tables(): Promise<Result<readonly TableView[], HallholdError>> {
+    return this.call('GET', '/tables');
+  }
+
+  /** One table; revision 0 without rows when the service has none. */
+  async table(service: string): Promise<Result<TableView, HallholdError>> {
+    const answered = await this.call<TableView>('GET', `/tables/${service}`);
+    if (answered.err && answered.val.resultCode.number === ResultCodes.tableUnknownService.number) {
+      return new Ok({ service, revision: 0, rows: [] });
+    }
+    return answered;
+  }
+
+  put(service: string, edit: EditRequest): Promise<Result<AcceptedEdit, HallholdError>> {
+    return this.call('PUT', `/tables/${service}`, edit);
+  }
+
+  /** The state of a write by its id. */
+  writeStatus(writeId: string): Promise<Result<unknown, HallholdError>> {
+    return this.call('GET', `/tables/writes/${writeId}`);
+  }
+
+  /** Figures and members of the process. */
+  status(): Promise<Result<unknown, HallholdError>> {
+    return this.call('GET', '/status');
+  }
+
+  private async call<T>(
+    method: 'GET' | 'PUT',
+    path: string,
+    body?: unknown,
+  ): Promise<Result<T, HallholdError>> {
+    try {
+      const response = await request(this.url + path, {
+        method,
+        signal: AbortSignal.timeout(CALL_TIMEOUT),
+        ...(body === undefined
+          ? {}
+          : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+      });
+      const answer: unknown = await response.body.json();
+      return response.statusCode < STATUS_ERROR
+        ? new Ok(answer as T)
+        : new Err(toError(response.statusCode, answer));
+    } catch (error) {
+      return failure(ResultCodes.operatorApiUnreachable, `${this.url}: ${messageOf(error)}`);
+    }
+  }
+}
+
+function toError(status: number, answer: unknown): HallholdError {
+  const view = answer as Partial<ErrorView>;
+  const code = codeByNumber(view.number);
+  if (code) {
+    return new HallholdError(code, view.message ?? '', view.details ?? []);
+  }
+  const fallback =
+    status === STATUS_NOT_FOUND
+      ? ResultCodes.tableUnknownService
+      : ResultCodes.operatorApiUnreachable;
+  return new HallholdError(fallback, `the balancer answered ${status}`);
+}
+
+function codeByNumber(number: number | undefined): ResultCode | undefined {
+  return Object.values(ResultCodes).find((code) => code.number === number);
+}
--- /dev/null
+++ b/src/operator/status-controller.ts
@@ -0,0 +1,14 @@
+/** The state of a process as an operator reads it. */
+import { Controller, Get, Inject } from '@nestjs/common';
+import { ADMIN_TARGET, type AdminTarget } from './admin-tokens';
+
+@Controller()
+export class StatusController {
+  constructor(@Inject(ADMIN_TARGET) private readonly target: AdminTarget) {}
+
+  /** Figures, members and drains known to this process. */
+  @Get('status')
+  status(): unknown {
+    return this.target.status();
+  }
+}
--- /dev/null
+++ b/src/operator/table-rows.ts
@@ -0,0 +1,124 @@
+/** Rows of a table as operators write them, in CSV and in JSON. */
+import { parse } from 'csv-parse/sync';
+import { stringify } from 'csv-stringify/sync';
+import { Err, Ok, type Result } from 'ts-results';
+import { z } from 'zod';
+import { formatEndpoint, parseEndpoint } from '../core/endpoint';
+import type { TableRow } from '../core/table';
+import { failure, HallholdError, messageOf } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+
+const SHARE_MAXIMUM = 1_000_000;
+const LIMIT_MAXIMUM = 10_000_000;
+const COLUMNS = ['service', 'target', 'address', 'share', 'slots', 'connections'] as const;
+const FIRST_DATA_LINE = 2;
+
+const name = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be lower-case letters, digits, "-" or "."');
+
+const decimal = z
+  .union([z.number(), z.string().regex(/^\d+(\.\d+)?$/, 'must be a number, 0 or more')])
+  .transform(Number);
+
+/** One row as text or JSON. */
+export const rowSchema = z.strictObject({
+  service: name,
+  target: name,
+  address: z
+    .string()
+    .refine((text) => parseEndpoint(text).ok, 'must be an IPv4 address with a port')
+    .transform((text) => parseEndpoint(text).unwrap()),
+  share: decimal.pipe(z.number().min(0).max(SHARE_MAXIMUM)),
+  slots: decimal.pipe(z.number().int().min(0).max(LIMIT_MAXIMUM)),
+  connections: decimal.pipe(z.number().int().min(0).max(LIMIT_MAXIMUM)),
+});
+
+/** Rows of one service. */
+export interface ServiceRows {
+  readonly service: string;
+  readonly rows: readonly TableRow[];
+}
+
+/** A row as the operators' API shows it. */
+export interface RowView {
+  readonly service: string;
+  readonly target: string;
+  readonly address: string;
+  readonly share: number;
+  readonly slots: number;
+  readonly connections: number;
+}
+
+/** Turns stored rows into what operators see. */
+export function viewRows(service: string, rows: readonly TableRow[]): RowView[] {
+  return rows.map((row) => ({
+    service,
+    target: row.target,
+    address: formatEndpoint(row.address),
+    share: row.share,
+    slots: row.slots,
+    connections: row.connections,
+  }));
+}
+
+/** Checks rows given as objects; `where` names a row's place in an error, for example "line 3". */
+export function checkRows(
+  values: readonly unknown[],
+  where: (index: number) => string,
+): Result<readonly ServiceRows[], HallholdError> {
+  const services = new Map<string, TableRow[]>();
+  const problems: string[] = [];
+  const seen = new Map<string, string>();
+  values.forEach((value, index) => {
+    const checked = rowSchema.safeParse(value);
+    if (!checked.success) {
+      problems.push(...describeIssues(checked.error, where(index)));
+      return;
+    }
+    const { service, ...row } = checked.data;
+    for (const key of [
+      `target ${service}/${row.target}`,
+      `address ${formatEndpoint(row.address)}`,
+    ]) {
+      const earlier = seen.get(key);
+      if (earlier) {
+        problems.push(
+          `${where(index)}, column ${key.split(' ')[0]}: ${key} stands at ${earlier} already`,
+        );
+      }
+      seen.set(key, where(index));
+    }
+    services.set(service, [...(services.get(service) ?? []), row]);
+  });
+  if (problems.length > 0) {
+    return failure(ResultCodes.tableInvalid, `the table has ${problems.length} errors`, problems);
+  }
+  return new Ok([...services].map(([service, rows]) => ({ service, rows })));
+}
+
+/** Parses a CSV table. Error 1101 names line, column and reason of everything wrong. */
+export function parseCsvTable(text: string): Result<readonly ServiceRows[], HallholdError> {
+  try {
+    const records = parse(text, { bom: true, skip_empty_lines: true, trim: true }) as string[][];
+    const [header, ...rows] = records;
+    const wrongHeader = !header || header.join(',') !== COLUMNS.join(',');
+    if (wrongHeader) {
+      const detail = `line 1: the columns must be ${COLUMNS.join(',')}`;
+      return failure(ResultCodes.tableInvalid, 'the header is wrong', [detail]);
+    }
+    const values = rows.map((row) => Object.fromEntries(COLUMNS.map((key, at) => [key, row[at]])));
+    return checkRows(values, (index) => `line ${index + FIRST_DATA_LINE}`);
+  } catch (error) {
+    return new Err(new HallholdError(ResultCodes.tableInvalid, messageOf(error)));
+  }
+}
+
+/** Writes rows as CSV with a header. */
+export function formatCsvTable(rows: readonly RowView[]): string {
+  return stringify([...rows], { header: true, columns: [...COLUMNS] });
+}
+
+function describeIssues(error: z.ZodError, where: string): string[] {
+  return error.issues.map((issue) => `${where}, column ${issue.path.join('.')}: ${issue.message}`);
+}
--- /dev/null
+++ b/src/operator/tables-controller.ts
@@ -0,0 +1,131 @@
+/** The operators' API for tables, on balancers. */
+import { Body, Controller, Get, HttpException, Inject, Param, Put } from '@nestjs/common';
+import { z } from 'zod';
+import type { BalancerNode } from '../balancer/balancer-node';
+import type { AcceptedEdit } from '../balancer/table-acceptance';
+import type { ServiceTable } from '../core/table';
+import { HallholdError } from '../errors/hallhold-error';
+import { ResultCodes, type ResultCode } from '../errors/result-codes';
+import { BALANCER_NODE } from './admin-tokens';
+import { checkRows, viewRows, type RowView, type ServiceRows } from './table-rows';
+
+/** A service's table as the API shows it. */
+export interface TableView {
+  readonly service: string;
+  readonly revision: number;
+  readonly rows: readonly RowView[];
+}
+
+/** An error as the API shows it. */
+export interface ErrorView {
+  readonly number: number;
+  readonly name: string;
+  readonly message: string;
+  readonly retry: string;
+  readonly details: readonly string[];
+}
+
+const editSchema = z.strictObject({
+  baseRevision: z.number().int().min(0),
+  baseRows: z.array(z.unknown()).default([]),
+  rows: z.array(z.unknown()),
+  writeId: z.string().min(8).max(64),
+});
+
+const HTTP_STATUS: ReadonlyMap<number, number> = new Map([
+  [ResultCodes.tableInvalid.number, 400],
+  [ResultCodes.tableConflict.number, 409],
+  [ResultCodes.tableUnknownService.number, 404],
+  [ResultCodes.tableOutcomeUnknown.number, 504],
+  [ResultCodes.storeUnavailable.number, 503],
+]);
+
+@Controller('tables')
+export class TablesController {
+  constructor(@Inject(BALANCER_NODE) private readonly balancer: BalancerNode) {}
+
+  /** Every table in force here. */
+  @Get()
+  list(): readonly TableView[] {
+    return [...this.balancer.distribution.cache.all()].map(viewTable);
+  }
+
+  /** One service's table; 404 with error 1103 when there is none. */
+  @Get(':service')
+  get(@Param('service') service: string): TableView {
+    const table = this.balancer.distribution.cache.get(service);
+    if (!table) {
+      throw httpError(ResultCodes.tableUnknownService, `no table for ${service}`);
+    }
+    return viewTable(table);
+  }
+
+  /** How far an edit is, by its write id. */
+  @Get('writes/:writeId')
+  writeStatus(@Param('writeId') writeId: string): unknown {
+    const status = this.balancer.acceptance.status(writeId);
+    if (!status) {
+      throw httpError(ResultCodes.tableUnknownService, `no write ${writeId} at this balancer`);
+    }
+    return status.state === 'refused' ? { ...status, error: viewError(status.error) } : status;
+  }
+
+  /** Replaces a service's rows; answers when accepted, refused, or not yet known. */
+  @Put(':service')
+  async put(@Param('service') service: string, @Body() body: unknown): Promise<AcceptedEdit> {
+    const edit = editSchema.safeParse(body);
+    if (!edit.success) {
+      const details = edit.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+      throw httpError(ResultCodes.tableInvalid, 'the edit is malformed', details);
+    }
+    const { baseRevision, writeId } = edit.data;
+    const rows = rowsOf(service, edit.data.rows);
+    const baseRows = rowsOf(service, edit.data.baseRows);
+    const submitted = { service, rows, baseRows, baseRevision, writeId };
+    return new Promise((resolve, reject) => {
+      this.balancer.acceptance.submit(submitted, (result) => {
+        if (result.ok) {
+          resolve(result.val);
+        } else {
+          reject(toHttp(result.val));
+        }
+      });
+    });
+  }
+}
+
+/** An error in the API's form. */
+export function viewError(error: HallholdError): ErrorView {
+  const { number, name, retry } = error.resultCode;
+  return { number, name, message: error.message, retry, details: error.details };
+}
+
+function viewTable(table: ServiceTable): TableView {
+  const { service, revision, rows } = table;
+  return { service, revision, rows: viewRows(service, rows) };
+}
+
+function rowsOf(service: string, values: readonly unknown[]): ServiceRows['rows'] {
+  const checked = checkRows(values, (index) => `row ${index + 1}`);
+  if (checked.err) {
+    throw toHttp(checked.val);
+  }
+  const foreign = checked.val.find((group) => group.service !== service);
+  if (foreign) {
+    const text = `the edit is of ${service} but has rows of ${foreign.service}`;
+    throw httpError(ResultCodes.tableInvalid, text);
+  }
+  return checked.val[0]?.rows ?? [];
+}
+
+function toHttp(error: HallholdError): HttpException {
+  return new HttpException(viewError(error), HTTP_STATUS.get(error.resultCode.number) ?? 500);
+}
+
+function httpError(
+  code: ResultCode,
+  message: string,
+  details: readonly string[] = [],
+): HttpException {
+  return toHttp(new HallholdError(code, message, details));
+}
--- /dev/null
+++ b/src/platform/store-resources.ts
@@ -0,0 +1,114 @@
+/**
+ * The store's resources in the form of the Kubernetes API conventions, and their
+ * conversion to tables. Received objects are checked before use.
+ */
+import { z } from 'zod';
+import { formatEndpoint, parseEndpoint } from '../core/endpoint';
+import type { ServiceTable, TableRow } from '../core/table';
+import type { MachineRecord, StoredTable, TableWrite } from './store-port';
+import { RECENT_WRITE_IDS } from './store-port';
+
+/** Path of the table collection. */
+export const TABLES_PATH = '/apis/hallhold.io/v1/tables';
+/** Path of the machine list. */
+export const NODES_PATH = '/api/v1/nodes';
+
+const WRITE_IDS_ANNOTATION = 'hallhold.io/write-ids';
+
+const resourceVersion = z.string().regex(/^\d+$/).transform(Number);
+
+const tableRow = z.object({
+  target: z.string(),
+  address: z
+    .string()
+    .refine((text) => parseEndpoint(text).ok)
+    .transform((text) => parseEndpoint(text).unwrap()),
+  share: z.number().min(0),
+  slots: z.number().int().min(0),
+  connections: z.number().int().min(0),
+});
+
+/** A table object of the store. */
+export const tableResource = z.object({
+  metadata: z.object({
+    name: z.string(),
+    resourceVersion,
+    annotations: z.record(z.string(), z.string()).default({}),
+  }),
+  spec: z.object({ rows: z.array(tableRow) }),
+});
+
+/** A list of table objects. */
+export const tableList = z.object({
+  metadata: z.object({ resourceVersion }),
+  items: z.array(tableResource),
+});
+
+/** One line of a watch. */
+export const watchEvent = z.object({
+  type: z.enum(['ADDED', 'MODIFIED', 'BOOKMARK', 'ERROR']),
+  object: z.unknown(),
+});
+
+const nodeResource = z.object({
+  spec: z.object({ unschedulable: z.boolean().default(false) }).default({ unschedulable: false }),
+  status: z.object({ addresses: z.array(z.object({ type: z.string(), address: z.string() })) }),
+});
+
+/** The machine list. */
+export const nodeList = z.object({ items: z.array(nodeResource) });
+
+type TableResource = z.infer<typeof tableResource>;
+
+/** The write ids of an object, newest first. */
+function writeIdsOf(resource: TableResource): string[] {
+  const joined = resource.metadata.annotations[WRITE_IDS_ANNOTATION] ?? '';
+  return joined.split(',').filter((id) => id !== '');
+}
+
+/** A stored object as a table. */
+export function toTable(resource: TableResource): ServiceTable {
+  const { name, resourceVersion: revision } = resource.metadata;
+  return {
+    service: name,
+    revision,
+    writeId: writeIdsOf(resource)[0] ?? '',
+    rows: resource.spec.rows,
+  };
+}
+
+/** A stored object with its write ids. */
+export function toStoredTable(resource: TableResource): StoredTable {
+  return { table: toTable(resource), recentWriteIds: writeIdsOf(resource) };
+}
+
+/** The object to send for a write. */
+export function toResource(
+  write: TableWrite,
+  expectedRevision: number,
+  earlierWriteIds: readonly string[],
+): unknown {
+  const writeIds = [write.writeId, ...earlierWriteIds].slice(0, RECENT_WRITE_IDS);
+  const version = expectedRevision > 0 ? { resourceVersion: String(expectedRevision) } : {};
+  return {
+    apiVersion: 'hallhold.io/v1',
+    kind: 'Table',
+    metadata: {
+      name: write.service,
+      ...version,
+      annotations: { [WRITE_IDS_ANNOTATION]: writeIds.join(',') },
+    },
+    spec: { rows: write.rows.map(rowResource) },
+  };
+}
+
+/** The machine list's entries. */
+export function toMachines(list: z.infer<typeof nodeList>): MachineRecord[] {
+  return list.items.flatMap((node) =>
+    node.status.addresses.map(({ address }) => ({ address, leaving: node.spec.unschedulable })),
+  );
+}
+
+function rowResource(row: TableRow): unknown {
+  return { ...row, address: formatEndpoint(row.address) };
+}
--- /dev/null
+++ b/src/runtime/balancer-process.ts
@@ -0,0 +1,141 @@
+/** A balancer as a process: its sockets, its node, its admin server. */
+import { BalancerNode } from '../balancer/balancer-node';
+import { parseEndpoint } from '../core/endpoint';
+import { EventLog } from '../logging/event-log';
+import { Events } from '../logging/events';
+import { startAdminServer, type AdminServer } from '../operator/admin-server';
+import { HttpStore } from '../platform/http-store';
+import type { BalancerSettings } from '../settings/settings-schema';
+import { FrameCodec } from '../wire/frame-codec';
+import { clusterKeys, startIncarnation } from './process-identity';
+import { Metrics } from './metrics';
+import { RealEnvironment } from './real-environment';
+import { UdpSocket } from './udp-socket';
+
+const QUIET_CHECK_INTERVAL = 100;
+const STOP_LIMIT = 30_000;
+
+/** One running balancer. */
+export class BalancerProcess {
+  private readonly services = new Map<string, UdpSocket>();
+  private stopping = false;
+
+  private constructor(
+    private readonly settings: BalancerSettings,
+    private readonly log: EventLog,
+    private readonly environment: RealEnvironment,
+    private readonly store: HttpStore,
+    readonly node: BalancerNode,
+    private readonly frames: UdpSocket,
+    private admin: AdminServer | undefined,
+  ) {}
+
+  /** Binds everything and starts. Throws a HallholdError when an address is taken. */
+  static async start(settings: BalancerSettings): Promise<BalancerProcess> {
+    const metrics = new Metrics();
+    const log = new EventLog(settings.name, settings.log.level, (event) => metrics.count(event));
+    const environment = new RealEnvironment(log);
+    const store = new HttpStore(settings.store);
+    const codec = new FrameCodec(clusterKeys(settings.keys));
+    const listen = parseEndpoint(settings.listen).unwrap();
+    const frames = await UdpSocket.bindEndpoint(listen, (frame, from) =>
+      process.node.receiveFrame(frame, from),
+    );
+    if (frames.err) {
+      throw frames.val;
+    }
+    const node = new BalancerNode(nodeSettings(settings), {
+      environment,
+      codec,
+      store,
+      transport: { send: (to, frame) => frames.val.send(to, frame) },
+      callers: {
+        send: (service, caller, payload) => process.services.get(service)?.send(caller, payload),
+      },
+    });
+    const process = new BalancerProcess(
+      settings,
+      log,
+      environment,
+      store,
+      node,
+      frames.val,
+      undefined,
+    );
+    await process.open(metrics);
+    return process;
+  }
+
+  /** True when traffic may be sent here. */
+  get isReady(): boolean {
+    return !this.stopping && this.node.isReady;
+  }
+
+  /** Planned stop: leaves the fabric by /readyz, forwards until quiet, then ends. */
+  async stop(): Promise<void> {
+    this.log.report(Events.processStopping, {});
+    this.stopping = true;
+    this.node.beginStop();
+    const quiet = this.settings.quietSeconds * 1_000;
+    const limit = performance.now() + STOP_LIMIT;
+    const startedAt = performance.now();
+    const isQuiet = (): boolean =>
+      this.node.quietFor >= quiet && performance.now() - startedAt >= quiet;
+    while (!isQuiet() && performance.now() < limit) {
+      await new Promise((resolve) => setTimeout(resolve, QUIET_CHECK_INTERVAL));
+    }
+    await this.kill();
+    this.log.report(Events.processStopped, {});
+  }
+
+  /** Ends at once, without a word to anyone. */
+  async kill(): Promise<void> {
+    this.node.stop();
+    this.environment.close();
+    this.frames.close();
+    this.services.forEach((socket) => socket.close());
+    await this.admin?.close();
+    await this.store.close();
+  }
+
+  private async open(metrics: Metrics): Promise<void> {
+    for (const { name, listen } of this.settings.services) {
+      const endpoint = parseEndpoint(listen).unwrap();
+      const socket = await UdpSocket.bindEndpoint(endpoint, (payload, caller) =>
+        this.node.receiveDatagram(name, caller, payload),
+      );
+      if (socket.err) {
+        throw socket.val;
+      }
+      this.services.set(name, socket.val);
+    }
+    metrics.expose('balancer', () => ({ ...this.node.statistics }));
+    this.admin = await startAdminServer({
+      listen: parseEndpoint(this.settings.admin).unwrap(),
+      metrics,
+      isReady: () => this.isReady,
+      balancer: this.node,
+      status: () => ({
+        role: 'balancer',
+        name: this.settings.name,
+        zone: this.settings.zone,
+        ready: this.isReady,
+        statistics: this.node.statistics,
+        members: this.node.members(),
+      }),
+    });
+    this.node.start();
+    this.log.report(Events.processStarted, { role: 'balancer' });
+  }
+}
+
+function nodeSettings(settings: BalancerSettings): BalancerNode['settings'] {
+  return {
+    name: settings.name,
+    zone: settings.zone,
+    endpoint: parseEndpoint(settings.advertise ?? settings.listen).unwrap(),
+    peers: settings.peers.map((peer) => parseEndpoint(peer).unwrap()),
+    incarnation: startIncarnation(),
+    learntFlows: settings.learntFlows,
+  };
+}
--- /dev/null
+++ b/src/runtime/metrics.ts
@@ -0,0 +1,45 @@
+/** Prometheus metrics of one process, through prom-client. */
+import { collectDefaultMetrics, Counter, Gauge, Registry } from 'prom-client';
+import type { EventKind } from '../logging/events';
+
+/** A snapshot of figures by name; numbers and booleans. */
+export type Figures = Readonly<Record<string, number | boolean>>;
+
+/** Registry of one process. */
+export class Metrics {
+  readonly registry = new Registry();
+  private readonly events: Counter<'event'>;
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry });
+    this.events = new Counter({
+      name: 'hallhold_events_total',
+      help: 'Numbered events, also those whose log line was suppressed',
+      labelNames: ['event'],
+      registers: [this.registry],
+    });
+  }
+
+  /** Counts an event. */
+  count(event: EventKind): void {
+    this.events.inc({ event: event.name });
+  }
+
+  /** Exposes every figure of a node as a gauge, read when scraped. */
+  expose(prefix: string, read: () => Figures): void {
+    for (const name of Object.keys(read())) {
+      new Gauge({
+        name: `hallhold_${prefix}_${snakeCase(name)}`,
+        help: `The ${prefix}'s ${name}`,
+        registers: [this.registry],
+        collect() {
+          this.set(Number(read()[name]));
+        },
+      });
+    }
+  }
+}
+
+function snakeCase(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/src/runtime/real-environment.ts
@@ -0,0 +1,43 @@
+/** The environment of a real process: its monotonic clock, timers, random source and log. */
+import type { Environment, TimerHandle } from '../environment';
+import type { EventLog } from '../logging/event-log';
+import type { EventFields, EventKind } from '../logging/events';
+
+/** Environment over Node's own clock and timers. */
+export class RealEnvironment implements Environment {
+  private readonly timers = new Set<NodeJS.Timeout>();
+
+  constructor(private readonly log: EventLog) {}
+
+  now(): number {
+    return performance.now();
+  }
+
+  startTimer(delayMilliseconds: number, action: () => void): TimerHandle {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      action();
+    }, delayMilliseconds);
+    this.timers.add(timer);
+    return {
+      cancel: () => {
+        clearTimeout(timer);
+        this.timers.delete(timer);
+      },
+    };
+  }
+
+  random(): number {
+    return Math.random();
+  }
+
+  report(event: EventKind, fields: EventFields): void {
+    this.log.report(event, fields);
+  }
+
+  /** Cancels every timer, so that a stopped node keeps no process alive. */
+  close(): void {
+    this.timers.forEach((timer) => clearTimeout(timer));
+    this.timers.clear();
+  }
+}
--- /dev/null
+++ b/src/runtime/udp-socket.ts
@@ -0,0 +1,98 @@
+/** A UDP socket that speaks in packed endpoints and never throws on sending. */
+import { createSocket, type Socket } from 'node:dgram';
+import { Ok, type Result } from 'ts-results';
+import { endpointAddress, endpointPort, formatEndpoint, packEndpoint } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+
+const BUFFER_BYTES = 4 * 1_024 * 1_024;
+const DESTINATIONS_KEPT = 10_000;
+
+/** Receives one datagram. */
+export type DatagramHandler = (payload: Buffer, from: Endpoint) => void;
+
+/** A bound socket. */
+export class UdpSocket {
+  /** Dotted forms of endpoints sent to, since formatting costs as much as sending. */
+  private readonly addresses = new Map<Endpoint, string>();
+  private sendErrors = 0;
+
+  private constructor(
+    private readonly socket: Socket,
+    readonly endpoint: Endpoint,
+  ) {}
+
+  /** Datagrams the kernel would not take. */
+  get sendErrorCount(): number {
+    return this.sendErrors;
+  }
+
+  /** Binds an address; port 0 takes a free one. Error 1402 when it is taken. */
+  static bind(
+    address: string,
+    port: number,
+    handler: DatagramHandler,
+  ): Promise<Result<UdpSocket, HallholdError>> {
+    const socket = createSocket({ type: 'udp4' });
+    return new Promise((resolve) => {
+      socket.once('error', (error) => {
+        socket.close();
+        const text = `cannot bind ${address}:${port}: ${messageOf(error)}`;
+        resolve(failure(ResultCodes.addressInUse, text));
+      });
+      socket.bind(port, address, () => {
+        socket.removeAllListeners('error');
+        resolve(new Ok(UdpSocket.adopt(socket, handler)));
+      });
+    });
+  }
+
+  /** Binds a packed endpoint. */
+  static bindEndpoint(
+    endpoint: Endpoint,
+    handler: DatagramHandler,
+  ): Promise<Result<UdpSocket, HallholdError>> {
+    return UdpSocket.bind(endpointAddress(endpoint), endpointPort(endpoint), handler);
+  }
+
+  send(to: Endpoint, payload: Buffer): void {
+    this.socket.send(payload, endpointPort(to), this.addressOf(to), (error) => {
+      if (error) {
+        this.sendErrors++;
+      }
+    });
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+
+  toString(): string {
+    return formatEndpoint(this.endpoint);
+  }
+
+  private static adopt(socket: Socket, handler: DatagramHandler): UdpSocket {
+    const { address, port } = socket.address();
+    socket.on('error', () => undefined);
+    socket.on('message', (payload, remote) => {
+      handler(payload, packEndpoint(remote.address, remote.port));
+    });
+    socket.setRecvBufferSize(BUFFER_BYTES);
+    socket.setSendBufferSize(BUFFER_BYTES);
+    return new UdpSocket(socket, packEndpoint(address, port));
+  }
+
+  private addressOf(to: Endpoint): string {
+    const known = this.addresses.get(to);
+    if (known !== undefined) {
+      return known;
+    }
+    if (this.addresses.size >= DESTINATIONS_KEPT) {
+      this.addresses.clear();
+    }
+    const address = endpointAddress(to);
+    this.addresses.set(to, address);
+    return address;
+  }
+}
--- /dev/null
+++ b/src/settings/load-settings.ts
@@ -0,0 +1,64 @@
+/** Reads a settings file, lays flags over it, and checks the whole. */
+import { readFileSync } from 'node:fs';
+import { Ok, type Result } from 'ts-results';
+import { parse } from 'yaml';
+import type { z } from 'zod';
+import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+
+/** Values from flags; undefined ones do not override. */
+export type Overrides = Readonly<Record<string, unknown>>;
+
+/**
+ * Loads and checks settings.
+ * Error 1001 when the file cannot be read or is not YAML, 1002 when a key is wrong,
+ * with one detail line for each wrong key: file, path and what is allowed.
+ */
+export function loadSettings<T>(
+  file: string,
+  schema: z.ZodType<T>,
+  overrides: Overrides = {},
+): Result<T, HallholdError> {
+  const content = readYaml(file);
+  if (content.err) {
+    return content;
+  }
+  const given = Object.entries(overrides).filter(([, value]) => value !== undefined);
+  const merged =
+    typeof content.val === 'object' && content.val !== null
+      ? { ...content.val, ...Object.fromEntries(given) }
+      : content.val;
+  return checkSettings(file, schema, merged);
+}
+
+/** Checks values against a schema; `source` names them in errors. */
+export function checkSettings<T>(
+  source: string,
+  schema: z.ZodType<T>,
+  values: unknown,
+): Result<T, HallholdError> {
+  const checked = schema.safeParse(values);
+  if (checked.success) {
+    return new Ok(checked.data);
+  }
+  const details = checked.error.issues.map((issue) => describeIssue(source, issue));
+  return failure(
+    ResultCodes.settingsInvalid,
+    `${source} has ${details.length} wrong keys`,
+    details,
+  );
+}
+
+function readYaml(file: string): Result<unknown, HallholdError> {
+  try {
+    return new Ok(parse(readFileSync(file, 'utf8')) as unknown);
+  } catch (error) {
+    return failure(ResultCodes.settingsUnreadable, `${file}: ${messageOf(error)}`);
+  }
+}
+
+function describeIssue(source: string, issue: z.core.$ZodIssue): string {
+  const path = issue.path.length > 0 ? issue.path.join('.') : '(the whole file)';
+  const allowed = 'values' in issue ? ` (allowed: ${issue.values.map(String).join(', ')})` : '';
+  return `${source}: ${path}: ${issue.message}${allowed}`;
+}
--- /dev/null
+++ b/src/standins/backend-standin.ts
@@ -0,0 +1,309 @@
+/**
+ * A back end for tests and demos: feeds, reports that may not be repeated, tiles in
+ * blocks, a load report. It knows what it ran, so that callers' claims can be judged.
+ *
+ * Resources: `feed/NAME` (observable), `reports` (POST), `tiles/NAME` (Block2 with
+ * ETag), `load`, and any other path as a plain answer.
+ */
+import murmurhash from 'murmurhash';
+import {
+  CoapCode,
+  CoapOption,
+  encodeInteger,
+  findOption,
+  generateCoap,
+  integerOption,
+  isObserveRegistration,
+  isPost,
+  parseCoap,
+  uriPath,
+  type CoapMessage,
+} from '../coap/coap-message';
+import type { Endpoint, Environment, TimerHandle } from '../environment';
+import type { RunRecord } from './run-record';
+
+const BLOCK_SIZE_EXPONENT = 6;
+const BLOCK_BYTES = 1_024;
+const BLOCK_NUMBER_SHIFT = 4;
+const MORE_BLOCKS = 8;
+const NOTIFICATION_TIMEOUT = 2_000;
+const NOTIFICATION_RETRIES = 4;
+const MESSAGE_ID_RANGE = 65_536;
+/** Service times just after a cold start are longer by up to this factor. */
+const COLD_FACTOR = 4;
+const COLD_FOR = 10_000;
+
+/** What an answer says of the back end that gave it. */
+export interface AnswerOrigin {
+  readonly service: string;
+  readonly target: string;
+  /** The run of the back end; another run has lost its feeds. */
+  readonly run: number;
+}
+
+/** Options of one stand-in. */
+export interface BackendOptions extends AnswerOrigin {
+  /** Mean milliseconds to serve a request; exponentially distributed. */
+  readonly serviceTime: number;
+  /** Milliseconds between notifications of a feed. */
+  readonly feedInterval: number;
+  readonly tileBytes: number;
+}
+
+interface Feed {
+  readonly peer: Endpoint;
+  readonly token: Buffer;
+  readonly path: string;
+  sequence: number;
+  unacknowledged: { messageId: number; datagram: Buffer; attempts: number } | undefined;
+  ended: boolean;
+}
+
+/** One back end. */
+export class BackendStandin {
+  /** Set by tests: refuses all requests with 5.03. */
+  shedding = false;
+  /** Set by tests: what the load report says about draining. */
+  draining = false;
+  /** Set by tests: overrides the reported load, as a lying back end does. */
+  reportedLoad: number | undefined;
+  /** Most requests that ran at once. */
+  busiest = 0;
+  private readonly feeds = new Map<string, Feed>();
+  private readonly running = new Map<string, TimerHandle>();
+  private readonly startedAt: number;
+  private nextMessageId: number;
+  private stopped = false;
+
+  constructor(
+    readonly options: BackendOptions,
+    private readonly environment: Environment,
+    private readonly record: RunRecord,
+    private readonly send: (to: Endpoint, datagram: Buffer) => void,
+  ) {
+    this.startedAt = environment.now();
+    this.nextMessageId = Math.floor(environment.random() * MESSAGE_ID_RANGE);
+  }
+
+  /** Requests running now. */
+  get busy(): number {
+    return this.running.size;
+  }
+
+  /** Feeds held now. */
+  get feedCount(): number {
+    return this.feeds.size;
+  }
+
+  /** Ends: no timer does anything any more. */
+  stop(): void {
+    this.stopped = true;
+    this.running.forEach((timer) => timer.cancel());
+    this.feeds.forEach((feed) => (feed.ended = true));
+  }
+
+  /** Takes a datagram of a coap service. */
+  receive(datagram: Buffer, from: Endpoint): void {
+    const parsed = parseCoap(datagram);
+    if (parsed.none || this.stopped) {
+      return;
+    }
+    const message = parsed.val;
+    if (message.code === CoapCode.empty) {
+      this.receiveEmpty(message, from);
+    } else if (uriPath(message) === 'load') {
+      this.answerLoad(message, from);
+    } else {
+      this.startRequest(message, from);
+    }
+  }
+
+  /** Takes a datagram of a datagram service: answers who it is and what came. */
+  receiveDatagram(datagram: Buffer, from: Endpoint): void {
+    if (!this.stopped) {
+      this.send(from, Buffer.from(JSON.stringify({ ...this.origin(), echo: datagram.toString() })));
+    }
+  }
+
+  private origin(): AnswerOrigin {
+    const { service, target, run } = this.options;
+    return { service, target, run };
+  }
+
+  private receiveEmpty(message: CoapMessage, from: Endpoint): void {
+    const key = requestKey(from, message.messageId);
+    const running = this.running.get(key);
+    if (message.reset && running) {
+      running.cancel();
+      this.running.delete(key);
+    }
+    for (const [feedKey, feed] of this.feeds) {
+      if (feed.peer === from && feed.unacknowledged?.messageId === message.messageId) {
+        feed.unacknowledged = undefined;
+        if (message.reset) {
+          this.endFeed(feedKey, feed);
+        }
+      }
+    }
+  }
+
+  private answerLoad(message: CoapMessage, from: Endpoint): void {
+    const load = this.reportedLoad ?? Math.min(1, this.running.size / 4);
+    const report = { load, draining: this.draining };
+    this.answer(message, from, CoapCode.content, Buffer.from(JSON.stringify(report)), []);
+  }
+
+  private startRequest(message: CoapMessage, from: Endpoint): void {
+    if (this.shedding) {
+      const maxAge = { name: CoapOption.maxAge, value: encodeInteger(1) };
+      this.answer(message, from, CoapCode.serviceUnavailable, Buffer.alloc(0), [maxAge]);
+      return;
+    }
+    const key = requestKey(from, message.messageId);
+    if (this.running.has(key)) {
+      return;
+    }
+    if (isPost(message)) {
+      this.record.noteRun(message.payload.toString());
+    }
+    const timer = this.environment.startTimer(this.drawServiceTime(), () => {
+      this.running.delete(key);
+      this.finishRequest(message, from);
+    });
+    this.running.set(key, timer);
+    this.busiest = Math.max(this.busiest, this.running.size);
+  }
+
+  private drawServiceTime(): number {
+    const age = this.environment.now() - this.startedAt;
+    const coldness = Math.max(0, 1 - age / COLD_FOR);
+    const mean = this.options.serviceTime * (1 + (COLD_FACTOR - 1) * coldness);
+    return -Math.log(1 - this.environment.random()) * mean;
+  }
+
+  private finishRequest(message: CoapMessage, from: Endpoint): void {
+    const path = uriPath(message);
+    if (isPost(message)) {
+      const done = { ...this.origin(), done: message.payload.toString() };
+      this.answer(message, from, CoapCode.changed, Buffer.from(JSON.stringify(done)), []);
+    } else if (path.startsWith('tiles/')) {
+      this.answerBlock(message, from, path);
+    } else if (path.startsWith('feed/') && isObserveRegistration(message)) {
+      this.openFeed(message, from, path);
+    } else {
+      const content = { ...this.origin(), path };
+      this.answer(message, from, CoapCode.content, Buffer.from(JSON.stringify(content)), []);
+    }
+  }
+
+  private answerBlock(message: CoapMessage, from: Endpoint, path: string): void {
+    const content = tileContent(this.options.service, path, this.options.tileBytes);
+    const asked = integerOption(findOption(message, CoapOption.block2)) ?? 0;
+    const block = asked >> BLOCK_NUMBER_SHIFT;
+    const start = block * BLOCK_BYTES;
+    const more = start + BLOCK_BYTES < content.length ? MORE_BLOCKS : 0;
+    const value = (block << BLOCK_NUMBER_SHIFT) | more | BLOCK_SIZE_EXPONENT;
+    const etag = Buffer.alloc(4);
+    etag.writeUInt32BE(murmurhash.v3(content));
+    this.answer(message, from, CoapCode.content, content.subarray(start, start + BLOCK_BYTES), [
+      { name: CoapOption.etag, value: etag },
+      { name: CoapOption.block2, value: encodeInteger(value) },
+    ]);
+  }
+
+  private openFeed(message: CoapMessage, from: Endpoint, path: string): void {
+    const key = `${from}/${message.token.toString('hex')}`;
+    const previous = this.feeds.get(key);
+    if (previous) {
+      previous.ended = true;
+    }
+    const feed: Feed = {
+      peer: from,
+      token: message.token,
+      path,
+      sequence: 1,
+      unacknowledged: undefined,
+      ended: false,
+    };
+    this.feeds.set(key, feed);
+    const observe = { name: CoapOption.observe, value: encodeInteger(feed.sequence) };
+    this.answer(message, from, CoapCode.content, this.feedContent(feed), [observe]);
+    this.scheduleNotification(key, feed);
+  }
+
+  private scheduleNotification(key: string, feed: Feed): void {
+    this.environment.startTimer(this.options.feedInterval, () => {
+      if (!feed.ended && !this.stopped) {
+        this.notify(key, feed);
+        this.scheduleNotification(key, feed);
+      }
+    });
+  }
+
+  /** A notification not yet acknowledged is given up for the newer one, as RFC 7641 allows. */
+  private notify(key: string, feed: Feed): void {
+    const attempts = feed.unacknowledged?.attempts ?? 0;
+    feed.sequence++;
+    const messageId = this.newMessageId();
+    const datagram = generateCoap({
+      code: CoapCode.content,
+      confirmable: true,
+      messageId,
+      token: feed.token,
+      options: [{ name: CoapOption.observe, value: encodeInteger(feed.sequence) }],
+      payload: this.feedContent(feed),
+    });
+    feed.unacknowledged = { messageId, datagram, attempts };
+    this.transmit(key, feed, messageId);
+  }
+
+  private transmit(key: string, feed: Feed, messageId: number): void {
+    const pending = feed.unacknowledged;
+    if (pending?.messageId !== messageId || feed.ended || this.stopped) {
+      return;
+    }
+    if (pending.attempts > NOTIFICATION_RETRIES) {
+      this.endFeed(key, feed);
+      return;
+    }
+    pending.attempts++;
+    this.send(feed.peer, pending.datagram);
+    this.environment.startTimer(NOTIFICATION_TIMEOUT, () => this.transmit(key, feed, messageId));
+  }
+
+  private endFeed(key: string, feed: Feed): void {
+    feed.ended = true;
+    this.feeds.delete(key);
+  }
+
+  private feedContent(feed: Feed): Buffer {
+    const content = { ...this.origin(), path: feed.path, sequence: feed.sequence };
+    return Buffer.from(JSON.stringify(content));
+  }
+
+  private answer(
+    request: CoapMessage,
+    to: Endpoint,
+    code: string,
+    payload: Buffer,
+    options: CoapMessage['options'],
+  ): void {
+    const { messageId, token } = request;
+    const packet = { code, ack: true, messageId, token, options, payload };
+    this.send(to, generateCoap(packet));
+  }
+
+  private newMessageId(): number {
+    this.nextMessageId = (this.nextMessageId + 1) % MESSAGE_ID_RANGE;
+    return this.nextMessageId;
+  }
+}
+
+/** The content of a tile; the same at every target of a service. */
+export function tileContent(service: string, path: string, bytes: number): Buffer {
+  return Buffer.alloc(bytes, `${service}:${path};`);
+}
+
+function requestKey(from: Endpoint, messageId: number): string {
+  return `${from}/${messageId}`;
+}
--- /dev/null
+++ b/src/standins/caller-statistics.ts
@@ -0,0 +1,60 @@
+/** What callers saw, counted by themselves. */
+import { build, type Histogram } from 'hdr-histogram-js';
+
+/** Kinds of traffic whose latency is kept apart. */
+export type TrafficKind = 'feed' | 'report' | 'transfer' | 'datagram';
+
+/** Latency in milliseconds. */
+export interface LatencySummary {
+  readonly p50: number;
+  readonly p99: number;
+  readonly p999: number;
+}
+
+const MICROSECONDS = 1_000;
+
+/** Counters of a fleet of callers. */
+export class CallerStatistics {
+  flowsOpened = 0;
+  flowsBroken = 0;
+  requestsSent = 0;
+  answersWhole = 0;
+  refusedNotRun = 0;
+  outcomeUnknown = 0;
+  unanswered = 0;
+  misdelivered = 0;
+  wrongAnswers = 0;
+  notifications = 0;
+  /** Why flows counted as broken. */
+  readonly breakReasons = new Map<string, number>();
+  private readonly histograms = new Map<TrafficKind, Histogram>();
+
+  /** Notes how long an answer took, in milliseconds. */
+  noteLatency(kind: TrafficKind, milliseconds: number): void {
+    const histogram = this.histograms.get(kind) ?? build({ numberOfSignificantValueDigits: 3 });
+    histogram.recordValue(Math.max(0, Math.round(milliseconds * MICROSECONDS)));
+    this.histograms.set(kind, histogram);
+  }
+
+  noteBroken(reason: string): void {
+    this.flowsBroken++;
+    this.breakReasons.set(reason, (this.breakReasons.get(reason) ?? 0) + 1);
+  }
+
+  /** Latency of one kind; undefined when it had no answer. */
+  latency(kind: TrafficKind): LatencySummary | undefined {
+    const histogram = this.histograms.get(kind);
+    if (!histogram) {
+      return undefined;
+    }
+    const at = (percentile: number): number =>
+      histogram.getValueAtPercentile(percentile) / MICROSECONDS;
+    return { p50: at(50), p99: at(99), p999: at(99.9) };
+  }
+
+  /** Latency of every kind that had answers. */
+  latencies(): Partial<Record<TrafficKind, LatencySummary>> {
+    const kinds = [...this.histograms.keys()];
+    return Object.fromEntries(kinds.map((kind) => [kind, this.latency(kind)]));
+  }
+}
--- /dev/null
+++ b/src/standins/coap-client.ts
@@ -0,0 +1,131 @@
+/** The message layer of a CoAP client: retransmission, matching of answers, feeds. */
+import { CoapCode, generateCoap, parseCoap, type CoapMessage } from '../coap/coap-message';
+import type { Environment, TimerHandle } from '../environment';
+
+/** Transmission parameters of RFC 7252, section 4.8. */
+const ACK_TIMEOUT = 2_000;
+const ACK_RANDOM_FACTOR = 0.5;
+const MAX_RETRANSMIT = 4;
+const MESSAGE_ID_RANGE = 65_536;
+const TOKEN_BYTES = 4;
+
+/** A request as a caller makes it. */
+export interface ClientRequest {
+  readonly method: 'GET' | 'POST';
+  readonly options: CoapMessage['options'];
+  readonly payload: Buffer;
+  /** A token to reuse; a fresh one when absent. */
+  readonly token?: Buffer;
+}
+
+/** Receives the answer; undefined when every retransmission went unanswered. */
+export type AnswerHandler = (answer: CoapMessage | undefined) => void;
+
+interface PendingRequest {
+  readonly datagram: Buffer;
+  readonly messageId: number;
+  readonly token: Buffer;
+  readonly done: AnswerHandler;
+  attempts: number;
+  timeout: number;
+  timer: TimerHandle | undefined;
+}
+
+/** One caller's socket, as far as CoAP goes. */
+export class CoapClient {
+  private readonly pending = new Map<number, PendingRequest>();
+  private nextMessageId: number;
+  private closed = false;
+
+  /** @param notified receives messages that answer no pending request: notifications */
+  constructor(
+    private readonly environment: Environment,
+    private readonly send: (datagram: Buffer) => void,
+    private readonly notified: (message: CoapMessage) => void,
+  ) {
+    this.nextMessageId = Math.floor(environment.random() * MESSAGE_ID_RANGE);
+  }
+
+  /** Sends a confirmable request and repeats it until answered or given up. Returns its token. */
+  request(request: ClientRequest, done: AnswerHandler): Buffer {
+    const messageId = this.newMessageId();
+    const token = request.token ?? this.newToken();
+    const datagram = generateCoap({
+      code: request.method,
+      confirmable: true,
+      messageId,
+      token,
+      options: request.options,
+      payload: request.payload,
+    });
+    const pending: PendingRequest = {
+      datagram,
+      messageId,
+      token,
+      done,
+      attempts: 0,
+      timeout: ACK_TIMEOUT * (1 + ACK_RANDOM_FACTOR * this.environment.random()),
+      timer: undefined,
+    };
+    this.pending.set(messageId, pending);
+    this.transmit(pending);
+    return token;
+  }
+
+  /** Takes a datagram that arrived at the caller's socket. */
+  receive(datagram: Buffer): void {
+    const parsed = parseCoap(datagram);
+    if (parsed.none || this.closed) {
+      return;
+    }
+    const message = parsed.val;
+    const pending = message.ack ? this.pending.get(message.messageId) : undefined;
+    if (pending && message.code !== CoapCode.empty) {
+      this.finish(pending, pending.token.equals(message.token) ? message : undefined);
+    } else if (!message.ack && message.code !== CoapCode.empty) {
+      this.notified(message);
+    }
+  }
+
+  /** Acknowledges or rejects a notification. */
+  respond(message: CoapMessage, kind: 'acknowledge' | 'reset'): void {
+    const { messageId } = message;
+    const ack = kind === 'acknowledge';
+    this.send(generateCoap({ code: CoapCode.empty, messageId, ack, reset: !ack }));
+  }
+
+  close(): void {
+    this.closed = true;
+    this.pending.forEach((pending) => pending.timer?.cancel());
+    this.pending.clear();
+  }
+
+  private transmit(pending: PendingRequest): void {
+    if (pending.attempts > MAX_RETRANSMIT) {
+      this.finish(pending, undefined);
+      return;
+    }
+    const wait = pending.timeout * 2 ** pending.attempts;
+    pending.attempts++;
+    this.send(pending.datagram);
+    pending.timer = this.environment.startTimer(wait, () => this.transmit(pending));
+  }
+
+  private finish(pending: PendingRequest, answer: CoapMessage | undefined): void {
+    pending.timer?.cancel();
+    if (this.pending.delete(pending.messageId)) {
+      pending.done(answer);
+    }
+  }
+
+  private newMessageId(): number {
+    this.nextMessageId = (this.nextMessageId + 1) % MESSAGE_ID_RANGE;
+    return this.nextMessageId;
+  }
+
+  private newToken(): Buffer {
+    const token = Buffer.alloc(TOKEN_BYTES);
+    token.writeUInt32BE(Math.floor(this.environment.random() * 2 ** 32));
+    return token;
+  }
+}
--- /dev/null
+++ b/src/standins/deployments.ts
@@ -0,0 +1,105 @@
+/** The two deployments of the users, as demos and simulations build them. */
+import type { ServiceProtocol } from '../agent/agent-context';
+
+/** Callers of one service. */
+export interface CallerMix {
+  readonly feeds: number;
+  readonly reporters: number;
+  readonly transfers: number;
+}
+
+/** One service of a deployment. */
+export interface DeployedService {
+  readonly name: string;
+  readonly protocol: ServiceProtocol;
+  readonly targets: number;
+  readonly slots: number;
+  readonly connections: number;
+  readonly callers: CallerMix;
+  /** Mean milliseconds a back end takes for a request. */
+  readonly serviceTime: number;
+  readonly tileBytes: number;
+}
+
+/** One deployment. */
+export interface Deployment {
+  readonly name: 'map' | 'porting';
+  readonly zones: readonly string[];
+  readonly balancersPerZone: number;
+  /** One-way milliseconds between zones. */
+  readonly zoneDelay: number;
+  /** One-way milliseconds between callers and balancers. */
+  readonly callerDelay: number;
+  readonly services: readonly DeployedService[];
+}
+
+const MAP_OFFICE: Deployment = {
+  name: 'map',
+  zones: ['zone-a', 'zone-b', 'zone-c'],
+  balancersPerZone: 1,
+  zoneDelay: 1.5,
+  callerDelay: 1,
+  services: [
+    {
+      name: 'live-map',
+      protocol: 'coap',
+      targets: 7,
+      slots: 5,
+      connections: 2_000,
+      callers: { feeds: 56, reporters: 28, transfers: 0 },
+      serviceTime: 20,
+      tileBytes: 0,
+    },
+    {
+      name: 'tiles',
+      protocol: 'coap',
+      targets: 3,
+      slots: 5,
+      connections: 2_000,
+      callers: { feeds: 0, reporters: 0, transfers: 18 },
+      serviceTime: 5,
+      tileBytes: 6_000,
+    },
+  ],
+};
+
+const PORTING_OFFICE: Deployment = {
+  name: 'porting',
+  zones: ['zone-a', 'zone-b', 'zone-c', 'zone-d'],
+  balancersPerZone: 1,
+  zoneDelay: 0.5,
+  callerDelay: 3,
+  services: [
+    {
+      name: 'porting-core',
+      protocol: 'coap',
+      targets: 7,
+      slots: 4,
+      connections: 2_000,
+      callers: { feeds: 42, reporters: 42, transfers: 0 },
+      serviceTime: 30,
+      tileBytes: 0,
+    },
+    {
+      name: 'routing-snapshot',
+      protocol: 'coap',
+      targets: 4,
+      slots: 4,
+      connections: 2_000,
+      callers: { feeds: 0, reporters: 0, transfers: 16 },
+      serviceTime: 4,
+      tileBytes: 40_000,
+    },
+  ],
+};
+
+/** Deployments by name. */
+export const DEPLOYMENTS: Readonly<Record<Deployment['name'], Deployment>> = {
+  map: MAP_OFFICE,
+  porting: PORTING_OFFICE,
+};
+
+/** The name of a service's target by number, from 1. */
+export function targetName(number: number): string {
+  return `target-${number}`;
+}
--- /dev/null
+++ b/src/standins/embedded-deployment.ts
@@ -0,0 +1,316 @@
+/**
+ * A whole deployment in one process on loopback, with real sockets throughout:
+ * platform, balancers, agents, back ends, fabric and callers.
+ */
+import { AgentProcess } from '../runtime/agent-process';
+import { BalancerProcess } from '../runtime/balancer-process';
+import { RealEnvironment } from '../runtime/real-environment';
+import { UdpSocket } from '../runtime/udp-socket';
+import { packEndpoint } from '../core/endpoint';
+import type { TableRow } from '../core/table';
+import { EventLog } from '../logging/event-log';
+import type { EventLevel } from '../logging/events';
+import { agentSchema, balancerSchema } from '../settings/settings-schema';
+import { BackendStandin } from './backend-standin';
+import { CallerFleet } from './caller-fleet';
+import { CallerStatistics } from './caller-statistics';
+import { targetName, type DeployedService, type Deployment } from './deployments';
+import { FabricStandin } from './fabric-standin';
+import { PlatformServer } from './platform-server';
+import { RunRecord } from './run-record';
+
+const FRAME_PORT = 7_000;
+const ADMIN_PORT = 7_080;
+const BACKEND_PORT = 5_700;
+const FIRST_SERVICE_PORT = 5_683;
+const MACHINE_LAG = 1_000;
+const READY_TIMEOUT = 15_000;
+const POLL_INTERVAL = 50;
+const FEED_INTERVAL = 500;
+const DEMO_KEY = { id: 1, secret: 'loopback-demonstration-key' };
+
+/** One target's parts. */
+interface EmbeddedTarget {
+  readonly service: DeployedService;
+  readonly name: string;
+  readonly agent: AgentProcess;
+  readonly backend: BackendStandin;
+  readonly backendSocket: UdpSocket;
+}
+
+/** Options of an embedded deployment. */
+export interface EmbeddedOptions {
+  readonly logLevel: EventLevel;
+}
+
+/** A running deployment. */
+export class EmbeddedDeployment {
+  readonly statistics = new CallerStatistics();
+  readonly record = new RunRecord();
+  readonly platform: PlatformServer;
+  private readonly balancers = new Map<string, BalancerProcess>();
+  private readonly targets: EmbeddedTarget[] = [];
+  private readonly fleets: CallerFleet[] = [];
+  private readonly environment: RealEnvironment;
+  private readonly fabric: FabricStandin;
+  private storeUrl = '';
+
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly options: EmbeddedOptions,
+  ) {
+    this.environment = new RealEnvironment(new EventLog('standins', 'error'));
+    const listen = packEndpoint(loopback(0, 1), 0);
+    this.platform = new PlatformServer({ listen, machineLag: MACHINE_LAG });
+    this.fabric = new FabricStandin(
+      deployment.services.map((service, index) => ({
+        name: service.name,
+        listen: packEndpoint(loopback(0, 2), FIRST_SERVICE_PORT + index),
+        balancers: new Map(
+          this.balancerNames().map((name, at) => [
+            name,
+            packEndpoint(loopback(1, at + 1), FIRST_SERVICE_PORT + index),
+          ]),
+        ),
+      })),
+    );
+  }
+
+  /** Starts everything and waits until every balancer and agent is ready. */
+  async start(): Promise<void> {
+    this.storeUrl = await this.platform.start();
+    await this.fabric.start();
+    await Promise.all(this.balancerNames().map((_, index) => this.startBalancer(index)));
+    await this.startTargets();
+    await this.putInitialTables();
+    await this.waitUntil('all processes are ready', () => this.allReady());
+  }
+
+  /** Starts the callers of every service. */
+  async startCallers(): Promise<void> {
+    for (const [index, service] of this.deployment.services.entries()) {
+      await this.startCallersOf(service, FIRST_SERVICE_PORT + index);
+    }
+  }
+
+  /** Replaces a service's rows by way of a balancer's acceptance. */
+  async edit(service: string, change: (rows: readonly TableRow[]) => TableRow[]): Promise<void> {
+    const balancer = this.firstBalancer();
+    const table = balancer.node.distribution.cache.get(service);
+    const baseRows = table?.rows ?? [];
+    const edit = {
+      service,
+      baseRows,
+      rows: change(baseRows),
+      baseRevision: table?.revision ?? 0,
+      writeId: `embedded-${service}-${performance.now()}`,
+    };
+    await new Promise<void>((resolve, reject) => {
+      balancer.node.acceptance.submit(edit, (result) =>
+        result.ok ? resolve() : reject(result.val),
+      );
+    });
+  }
+
+  /** Stops a balancer as planned: first out of the fabric, then its own stop. */
+  async stopBalancer(name: string): Promise<void> {
+    const balancer = this.balancers.get(name)!;
+    this.fabric.setLive(name, false);
+    this.balancers.delete(name);
+    await balancer.stop();
+  }
+
+  /** Names of the balancers that run. */
+  runningBalancers(): string[] {
+    return [...this.balancers.keys()];
+  }
+
+  /** Largest over mean of hosted flows per share, per service; 1 when even or empty. */
+  imbalance(): Record<string, number> {
+    return Object.fromEntries(
+      this.deployment.services.map(({ name }) => [name, this.imbalanceOf(name)]),
+    );
+  }
+
+  /** Flows hosted by all agents. */
+  hostedFlows(): number {
+    return this.targets.reduce((sum, target) => sum + target.agent.node.statistics.flows, 0);
+  }
+
+  /** Stops callers, then everything else. */
+  async stop(): Promise<void> {
+    this.fleets.forEach((fleet) => fleet.stop());
+    this.fabric.stop();
+    await Promise.all(this.targets.map((target) => target.agent.vanish()));
+    for (const { backend, backendSocket } of this.targets) {
+      backend.stop();
+      backendSocket.close();
+    }
+    await Promise.all([...this.balancers.values()].map((balancer) => balancer.kill()));
+    await this.platform.stop();
+    this.environment.close();
+  }
+
+  private balancerNames(): string[] {
+    return this.deployment.zones.flatMap((_, zone) =>
+      Array.from(
+        { length: this.deployment.balancersPerZone },
+        (_unused, index) => `balancer-${zone * this.deployment.balancersPerZone + index + 1}`,
+      ),
+    );
+  }
+
+  private firstBalancer(): BalancerProcess {
+    return [...this.balancers.values()][0]!;
+  }
+
+  private async startBalancer(index: number): Promise<void> {
+    const address = loopback(1, index + 1);
+    const name = this.balancerNames()[index]!;
+    const zone = this.deployment.zones[Math.floor(index / this.deployment.balancersPerZone)]!;
+    const settings = balancerSchema.parse({
+      role: 'balancer',
+      name,
+      zone,
+      listen: `${address}:${FRAME_PORT}`,
+      admin: `${address}:${ADMIN_PORT}`,
+      peers: this.balancerNames().map((_, peer) => `${loopback(1, peer + 1)}:${FRAME_PORT}`),
+      store: this.storeUrl,
+      keys: [DEMO_KEY],
+      quietSeconds: 0.5,
+      services: this.deployment.services.map((service, at) => ({
+        name: service.name,
+        protocol: service.protocol,
+        listen: `${address}:${FIRST_SERVICE_PORT + at}`,
+      })),
+      log: { level: this.options.logLevel },
+    });
+    this.balancers.set(name, await BalancerProcess.start(settings));
+  }
+
+  private async startTargets(): Promise<void> {
+    for (const [serviceIndex, service] of this.deployment.services.entries()) {
+      const numbers = Array.from({ length: service.targets }, (_, index) => index + 1);
+      const started = numbers.map((number) => this.startTarget(service, serviceIndex, number));
+      this.targets.push(...(await Promise.all(started)));
+    }
+  }
+
+  private async startTarget(
+    service: DeployedService,
+    serviceIndex: number,
+    number: number,
+  ): Promise<EmbeddedTarget> {
+    const address = loopback(2 + serviceIndex, number);
+    const name = targetName(number);
+    const backend = new BackendStandin(
+      {
+        service: service.name,
+        target: name,
+        run: 1,
+        serviceTime: service.serviceTime,
+        feedInterval: FEED_INTERVAL,
+        tileBytes: service.tileBytes,
+      },
+      this.environment,
+      this.record,
+      (to, datagram) => backendSocket.send(to, datagram),
+    );
+    const bound = await UdpSocket.bind(address, BACKEND_PORT, (datagram, from) =>
+      backend.receive(datagram, from),
+    );
+    const backendSocket = bound.unwrap();
+    const agent = await AgentProcess.start(this.agentSettings(service, name, address));
+    return { service, name, agent, backend, backendSocket };
+  }
+
+  private agentSettings(
+    service: DeployedService,
+    target: string,
+    address: string,
+  ): ReturnType<typeof agentSchema.parse> {
+    return agentSchema.parse({
+      role: 'agent',
+      service: service.name,
+      target,
+      protocol: service.protocol,
+      listen: `${address}:${FRAME_PORT}`,
+      admin: `${address}:${ADMIN_PORT}`,
+      backend: `${address}:${BACKEND_PORT}`,
+      balancers: this.balancerNames().map((_, index) => `${loopback(1, index + 1)}:${FRAME_PORT}`),
+      keys: [DEMO_KEY],
+      loadPath: 'load',
+      log: { level: this.options.logLevel },
+    });
+  }
+
+  private async putInitialTables(): Promise<void> {
+    await this.waitUntil('a balancer has joined', () => this.firstBalancer().node.isReady);
+    for (const [serviceIndex, service] of this.deployment.services.entries()) {
+      const rows = Array.from({ length: service.targets }, (_, index) => ({
+        target: targetName(index + 1),
+        address: packEndpoint(loopback(2 + serviceIndex, index + 1), FRAME_PORT),
+        share: 1,
+        slots: service.slots,
+        connections: service.connections,
+      }));
+      await this.edit(service.name, () => rows);
+    }
+  }
+
+  private allReady(): boolean {
+    const services = this.deployment.services.map((service) => service.name);
+    const balancersReady = [...this.balancers.values()].every(
+      ({ node }) =>
+        node.isReady && services.every((service) => node.distribution.cache.get(service)),
+    );
+    const owned = services.every((service) => {
+      const group = this.targets.filter((target) => target.service.name === service);
+      const buckets = group.map((target) => target.agent.node.statistics.bucketsOwned);
+      return buckets.reduce((sum, count) => sum + count, 0) === 256;
+    });
+    return balancersReady && owned;
+  }
+
+  private async startCallersOf(service: DeployedService, port: number): Promise<void> {
+    const address = packEndpoint(loopback(0, 2), port);
+    const { statistics, record } = this;
+    const shared = { statistics, record };
+    const fleet = new CallerFleet(this.environment, address, service.name, service.name, shared);
+    this.fleets.push(fleet);
+    await fleet.start({ ...service.callers, datagrams: 0, tileBytes: service.tileBytes });
+  }
+
+  private imbalanceOf(service: string): number {
+    const rows = this.firstBalancer().node.distribution.cache.get(service)?.rows ?? [];
+    const loads = rows
+      .filter((row) => row.share > 0)
+      .map((row) => {
+        const target = this.targets.find(
+          (one) => one.service.name === service && one.name === row.target,
+        );
+        return { flows: target?.agent.node.statistics.flows ?? 0, share: row.share };
+      });
+    const flows = loads.reduce((sum, load) => sum + load.flows, 0);
+    const shares = loads.reduce((sum, load) => sum + load.share, 0);
+    const largest = Math.max(...loads.map((load) => load.flows / load.share));
+    return flows === 0 ? 1 : largest / (flows / shares);
+  }
+
+  private async waitUntil(what: string, condition: () => boolean): Promise<void> {
+    const limit = performance.now() + READY_TIMEOUT;
+    while (!condition()) {
+      if (performance.now() > limit) {
+        throw new Error(`timed out waiting until ${what}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL));
+    }
+  }
+}
+
+/** An address of 127.0.0.0/8 that belongs to this process: two octets follow its process id. */
+function loopback(group: number, host: number): string {
+  const high = 1 + ((process.pid >> 8) % 120);
+  const low = process.pid & 255;
+  return `127.${high}.${low}.${group * 20 + host}`;
+}
--- /dev/null
+++ b/src/standins/object-store.ts
@@ -0,0 +1,111 @@
+/**
+ * The objects behind the platform stand-in: versions, compare-and-set, a bounded
+ * history for watches, and a machine list that lags. Pure state, used by the HTTP
+ * stand-in and by the simulator alike.
+ */
+
+/** A stored object in the form of the Kubernetes API conventions. */
+export interface StoredObject {
+  readonly metadata: {
+    readonly name: string;
+    readonly resourceVersion: string;
+    readonly annotations?: Record<string, string>;
+  };
+  readonly spec: unknown;
+}
+
+/** A change as a watch reports it. */
+export interface StoreEvent {
+  readonly type: 'ADDED' | 'MODIFIED';
+  readonly revision: number;
+  readonly object: StoredObject;
+}
+
+/** How a write ended. */
+export type WriteResult =
+  | { readonly outcome: 'written'; readonly object: StoredObject }
+  | { readonly outcome: 'conflict' }
+  | { readonly outcome: 'not-found' };
+
+const HISTORY_KEPT = 1_000;
+
+/** Versioned objects of one collection. */
+export class ObjectStore {
+  private readonly objects = new Map<string, StoredObject>();
+  private history: StoreEvent[] = [];
+  private readonly listeners = new Set<(event: StoreEvent) => void>();
+  private current = 1;
+
+  /** The global revision: that of the last write. */
+  get revision(): number {
+    return this.current;
+  }
+
+  list(): StoredObject[] {
+    return [...this.objects.values()];
+  }
+
+  get(name: string): StoredObject | undefined {
+    return this.objects.get(name);
+  }
+
+  /** Creates an object, which must not exist. */
+  create(name: string, draft: Omit<StoredObject, 'metadata'> & Partial<StoredObject>): WriteResult {
+    if (this.objects.has(name)) {
+      return { outcome: 'conflict' };
+    }
+    return this.store('ADDED', name, draft);
+  }
+
+  /** Replaces an object if its version is still `expectedVersion`. */
+  replace(
+    name: string,
+    expectedVersion: string | undefined,
+    draft: Omit<StoredObject, 'metadata'> & Partial<StoredObject>,
+  ): WriteResult {
+    const known = this.objects.get(name);
+    if (!known) {
+      return { outcome: 'not-found' };
+    }
+    if (known.metadata.resourceVersion !== expectedVersion) {
+      return { outcome: 'conflict' };
+    }
+    return this.store('MODIFIED', name, draft);
+  }
+
+  /** Changes after a revision; undefined when that is too long ago. */
+  changesSince(revision: number): StoreEvent[] | undefined {
+    const oldest = this.history[0]?.revision ?? this.current + 1;
+    const complete = revision >= oldest - 1 || revision >= this.current;
+    return complete ? this.history.filter((event) => event.revision > revision) : undefined;
+  }
+
+  /** Forgets the history, as a store does that compacts: older watches expire. */
+  compact(): void {
+    this.history = [];
+  }
+
+  /** Calls `listener` on every write; returns the way to stop that. */
+  subscribe(listener: (event: StoreEvent) => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private store(
+    type: StoreEvent['type'],
+    name: string,
+    draft: Omit<StoredObject, 'metadata'> & Partial<StoredObject>,
+  ): WriteResult {
+    this.current++;
+    const metadata = { ...draft.metadata, name, resourceVersion: String(this.current) };
+    const object = { ...draft, metadata };
+    this.objects.set(name, object);
+    const event = { type, revision: this.current, object };
+    this.history.push(event);
+    if (this.history.length > HISTORY_KEPT) {
+      this.history.shift();
+    }
+    this.listeners.forEach((listener) => listener(event));
+    return { outcome: 'written', object };
+  }
+}
--- /dev/null
+++ b/src/standins/platform-server.ts
@@ -0,0 +1,178 @@
+/** The platform stand-in: an object store over HTTP and JSON, with a machine list that lags. */
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import { endpointAddress, endpointPort } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import { NODES_PATH, TABLES_PATH } from '../platform/store-resources';
+import { ObjectStore, type StoredObject, type StoreEvent, type WriteResult } from './object-store';
+
+/** Ways in which the stand-in misbehaves. */
+export interface PlatformFaults {
+  /** Refuses every call with 503 and breaks watches. */
+  down: boolean;
+  /** Delays every answer, in milliseconds. */
+  delay: number;
+  /** Carries writes out but breaks the connection before answering. */
+  loseWriteAnswers: boolean;
+}
+
+/** A machine as an operator of the stand-in sets it. */
+export interface StandinMachine {
+  readonly address: string;
+  readonly leaving: boolean;
+}
+
+/** Options of the stand-in. */
+export interface PlatformOptions {
+  readonly listen: Endpoint;
+  /** Milliseconds by which the machine list is behind. */
+  readonly machineLag: number;
+}
+
+type TableDraft = Omit<StoredObject, 'metadata'> & Partial<StoredObject>;
+
+const HTTP_WRITTEN = 200;
+const HTTP_CONFLICT = 409;
+const HTTP_NOT_FOUND = 404;
+const HTTP_GONE = 410;
+const HTTP_UNAVAILABLE = 503;
+
+/** The stand-in's HTTP server. */
+export class PlatformServer {
+  readonly store = new ObjectStore();
+  readonly faults: PlatformFaults = { down: false, delay: 0, loseWriteAnswers: false };
+  private readonly machines = new Map<string, StandinMachine>();
+  private readonly watchers = new Set<FastifyReply>();
+  private readonly server: FastifyInstance;
+
+  constructor(private readonly options: PlatformOptions) {
+    this.server = Fastify({ forceCloseConnections: true });
+    this.server.addHook('onRequest', (request, reply) => this.applyFaults(request, reply));
+    this.addTableRoutes();
+    this.addMachineRoutes();
+    this.server.put('/standin/faults', (request) => this.setFaults(request.body));
+  }
+
+  /** Starts to listen and returns the base URL. */
+  async start(): Promise<string> {
+    const { listen } = this.options;
+    return this.server.listen({ host: endpointAddress(listen), port: endpointPort(listen) });
+  }
+
+  async stop(): Promise<void> {
+    this.breakWatches();
+    await this.server.close();
+  }
+
+  /** Sets a machine's entry; the list shows it after the lag. */
+  setMachine(machine: StandinMachine): void {
+    setTimeout(() => this.machines.set(machine.address, machine), this.options.machineLag).unref();
+  }
+
+  private addTableRoutes(): void {
+    this.server.get(TABLES_PATH, (request, reply) => this.listOrWatch(request, reply));
+    this.server.get(`${TABLES_PATH}/:name`, (request, reply) => {
+      const object = this.store.get(nameOf(request));
+      return object ?? reply.code(HTTP_NOT_FOUND).send(statusBody('NotFound'));
+    });
+    this.server.post(TABLES_PATH, (request, reply) => {
+      const draft = request.body as TableDraft;
+      return this.sendWritten(reply, this.store.create(draft.metadata?.name ?? '', draft));
+    });
+    this.server.put(`${TABLES_PATH}/:name`, (request, reply) => {
+      const draft = request.body as TableDraft;
+      const version = draft.metadata?.resourceVersion;
+      return this.sendWritten(reply, this.store.replace(nameOf(request), version, draft));
+    });
+  }
+
+  private addMachineRoutes(): void {
+    this.server.get(NODES_PATH, () => ({
+      kind: 'NodeList',
+      items: [...this.machines.values()].map((machine) => ({
+        metadata: { name: machine.address },
+        spec: { unschedulable: machine.leaving },
+        status: { addresses: [{ type: 'InternalIP', address: machine.address }] },
+      })),
+    }));
+    this.server.put('/standin/machines', (request) => {
+      this.setMachine(request.body as StandinMachine);
+      return { status: 'accepted' };
+    });
+  }
+
+  private setFaults(body: unknown): PlatformFaults {
+    Object.assign(this.faults, body);
+    if (this.faults.down) {
+      this.breakWatches();
+    }
+    return this.faults;
+  }
+
+  private async applyFaults(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    if (request.url.startsWith('/standin')) {
+      return;
+    }
+    if (this.faults.delay > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this.faults.delay));
+    }
+    if (this.faults.down) {
+      await reply.code(HTTP_UNAVAILABLE).send(statusBody('ServiceUnavailable'));
+    }
+  }
+
+  private sendWritten(reply: FastifyReply, result: WriteResult): FastifyReply {
+    if (result.outcome === 'written' && this.faults.loseWriteAnswers) {
+      reply.raw.destroy();
+      return reply.hijack();
+    }
+    switch (result.outcome) {
+      case 'written':
+        return reply.code(HTTP_WRITTEN).send(result.object);
+      case 'conflict':
+        return reply.code(HTTP_CONFLICT).send(statusBody('Conflict'));
+      case 'not-found':
+        return reply.code(HTTP_NOT_FOUND).send(statusBody('NotFound'));
+    }
+  }
+
+  private listOrWatch(request: FastifyRequest, reply: FastifyReply): FastifyReply {
+    const query = request.query as { watch?: string; resourceVersion?: string };
+    if (query.watch === undefined) {
+      const metadata = { resourceVersion: String(this.store.revision) };
+      return reply.send({ kind: 'TableList', metadata, items: this.store.list() });
+    }
+    const missed = this.store.changesSince(Number(query.resourceVersion ?? 0));
+    if (!missed) {
+      return reply.code(HTTP_GONE).send(statusBody('Expired'));
+    }
+    this.streamChanges(reply, missed);
+    return reply.hijack();
+  }
+
+  private streamChanges(reply: FastifyReply, missed: readonly StoreEvent[]): void {
+    reply.raw.writeHead(HTTP_WRITTEN, { 'content-type': 'application/json' });
+    reply.raw.flushHeaders();
+    const write = (event: StoreEvent): void => {
+      reply.raw.write(`${JSON.stringify({ type: event.type, object: event.object })}\n`);
+    };
+    missed.forEach(write);
+    const unsubscribe = this.store.subscribe(write);
+    this.watchers.add(reply);
+    reply.raw.on('close', () => {
+      unsubscribe();
+      this.watchers.delete(reply);
+    });
+  }
+
+  private breakWatches(): void {
+    this.watchers.forEach((watcher) => watcher.raw.destroy());
+  }
+}
+
+function nameOf(request: FastifyRequest): string {
+  return (request.params as { name: string }).name;
+}
+
+function statusBody(reason: string): unknown {
+  return { kind: 'Status', status: 'Failure', reason };
+}
--- /dev/null
+++ b/src/standins/record-server.ts
@@ -0,0 +1,16 @@
+/** Serves a back end stand-in's run record over HTTP, for tests with separate processes. */
+import Fastify, { type FastifyInstance } from 'fastify';
+import { endpointAddress, endpointPort } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import type { RunRecord } from './run-record';
+
+/** Starts serving `GET /runs`. */
+export async function startRecordServer(
+  listen: Endpoint,
+  record: RunRecord,
+): Promise<FastifyInstance> {
+  const server = Fastify({ forceCloseConnections: true });
+  server.get('/runs', () => ({ attempts: record.attempts() }));
+  await server.listen({ host: endpointAddress(listen), port: endpointPort(listen) });
+  return server;
+}
--- a/src/wire/message-schema.ts
+++ b/src/wire/message-schema.ts
@@ -241,18 +241,7 @@
       field('entries', 'e', binary),
     ],
   ],
-  [
-    MessageType.hello,
-    [
-      service,
-      target,
-      incarnation,
-      state,
-      stateSequence,
-      tableRevision,
-      notices,
-    ],
-  ],
+  [MessageType.hello, [service, target, incarnation, state, stateSequence, tableRevision, notices]],
   [MessageType.helloAnswer, [service, tables, field('balancers', 'l', listOf(integer)), notices]],
   [MessageType.tableRequest, [haveThrough]],
   [
