--- a/src/agent/agent-context.ts
+++ b/src/agent/agent-context.ts
@@ -53,6 +53,8 @@
   readonly safeguards: Safeguards;
   readonly backend: BackendPort;
   readonly place: PlacementPolicy;
+  /** True in the simulator's baselines, where an agent hosts whatever flow reaches it. */
+  readonly hostsAnyFlow: boolean;
   /** Bucket of a caller's flow to this service. */
   bucketOf(caller: Endpoint): number;
   /** Encodes, signs and sends an internal message. */
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -50,6 +50,7 @@
   readonly backend: BackendPort;
   readonly safeguards?: Safeguards;
   readonly place?: PlacementPolicy;
+  readonly hostsAnyFlow?: boolean;
 }
 
 /** Figures of an agent for metrics and status. */
@@ -233,6 +234,7 @@
       safeguards: safeguards ?? new Safeguards(),
       backend,
       place: place ?? chooseTarget,
+      hostsAnyFlow: this.dependencies.hostsAnyFlow ?? false,
       bucketOf: (caller) => bucketOf(caller, seed),
       send: (to, message) => {
         const frame = codec.encode(message);
--- a/src/agent/flow-router.ts
+++ b/src/agent/flow-router.ts
@@ -51,7 +51,7 @@
     const flow = this.flows.get(message.caller);
     if (flow) {
       this.deliver(message, flow);
-    } else if (this.wasPlacedHere(message)) {
+    } else if (this.context.hostsAnyFlow || this.wasPlacedHere(message)) {
       this.host(message);
     } else {
       this.route(message);
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -151,6 +151,7 @@
     const now = this.context.environment.now();
     const found = [...this.peers.values()].filter(isServing).map((peer) => ({
       target: peer.target,
+      address: peer.endpoint,
       share: peer.row!.share,
       connections: peer.row!.connections,
       reportedFlows: peer.flows,
@@ -233,6 +234,7 @@
     }
     return {
       target: row.target,
+      address: row.address,
       share: row.share,
       connections: row.connections,
       reportedFlows: status.flows,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { BalancerCommand } from './balancer-command';
 import { DemoCommand } from './demo-command';
 import { SettingsCheckCommand } from './settings-check-command';
+import { SimulateCommand } from './simulate-command';
 import {
   StandinBackendCommand,
   StandinCallerCommand,
@@ -27,6 +28,7 @@
   BalancerCommand,
   DemoCommand,
   SettingsCheckCommand,
+  SimulateCommand,
   StandinBackendCommand,
   StandinCallerCommand,
   StandinFabricCommand,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -6,9 +6,12 @@
  * counts, so what this owner placed stands for what all owners placed.
  */
 
+import type { Endpoint } from '../environment';
+
 /** One target as the placing owner knows it. */
 export interface PlacementCandidate {
   readonly target: string;
+  readonly address: Endpoint;
   readonly share: number;
   /** Cap on flows. */
   readonly connections: number;
--- /dev/null
+++ b/src/simulation/baselines.ts
@@ -0,0 +1,94 @@
+/**
+ * The ways of routing that hallhold is compared with: a stateless consistent hash,
+ * and the same with a connection table in each balancer. In both, any agent hosts
+ * whatever flow reaches it.
+ */
+import type { RoutingFactory } from '../balancer/balancer-node';
+import type { FlowRouting } from '../balancer/flow-routing';
+import type { LearntHost } from '../balancer/learnt-hosts';
+import type { TargetStates } from '../balancer/target-states';
+import { rendezvousScore } from '../core/hashing';
+import type { ServiceTable } from '../core/table';
+import type { Endpoint } from '../environment';
+
+/** Ways of routing and placing that a simulation can run. */
+export const DESIGNS = ['hallhold', 'hash', 'hash-and-table', 'oracle'] as const;
+export type Design = (typeof DESIGNS)[number];
+
+const SCORE_RANGE = 2 ** 32;
+
+/** Weighted rendezvous hashing of each flow over the targets that serve. */
+class HashRouting implements FlowRouting {
+  protected hosts: readonly (LearntHost & { readonly share: number })[] = [];
+
+  constructor(
+    private readonly service: string,
+    private readonly states: TargetStates,
+  ) {}
+
+  get knownFlows(): number {
+    return 0;
+  }
+
+  route(caller: Endpoint): LearntHost | undefined {
+    let best: LearntHost | undefined;
+    let bestScore = -Infinity;
+    for (const host of this.hosts) {
+      const uniform = (rendezvousScore(String(caller), host.target) + 1) / (SCORE_RANGE + 1);
+      const score = -host.share / Math.log(uniform);
+      if (score > bestScore) {
+        best = host;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  learn(): void {
+    // A stateless hash learns nothing.
+  }
+
+  invalidate(table: ServiceTable | undefined): void {
+    this.hosts = (table?.rows ?? [])
+      .filter((row) => row.share > 0 && this.states.isServing(this.service, row.target))
+      .map((row) => ({ target: row.target, endpoint: row.address, share: row.share }));
+  }
+}
+
+/** The hash, but a balancer keeps what it once chose for a flow. */
+class HashAndTableRouting extends HashRouting {
+  private readonly table = new Map<Endpoint, LearntHost>();
+
+  override get knownFlows(): number {
+    return this.table.size;
+  }
+
+  override route(caller: Endpoint): LearntHost | undefined {
+    const known = this.table.get(caller);
+    if (known) {
+      return known;
+    }
+    const chosen = super.route(caller);
+    if (chosen) {
+      this.table.set(caller, chosen);
+    }
+    return chosen;
+  }
+}
+
+/** The routing of a design; undefined for hallhold's own. */
+export function routingOf(design: Design): RoutingFactory | undefined {
+  switch (design) {
+    case 'hash':
+      return (service, states) => new HashRouting(service, states);
+    case 'hash-and-table':
+      return (service, states) => new HashAndTableRouting(service, states);
+    default:
+      return undefined;
+  }
+}
+
+/** True for designs in which an agent hosts whatever reaches it. */
+export function hostsAnything(design: Design): boolean {
+  return design === 'hash' || design === 'hash-and-table';
+}
--- /dev/null
+++ b/src/simulation/run-simulation.ts
@@ -0,0 +1,117 @@
+/** Runs one scenario in one world and reports what was judged. */
+import type { SafeguardName } from '../agent/safeguards';
+import type { Deployment } from '../standins/deployments';
+import type { Design } from './baselines';
+import { Faults } from './faults';
+import type { CheckerOutcome } from './invariant-checkers';
+import type { Scenario } from './scenarios';
+import { SimulatedWorld } from './simulated-world';
+import type { ImbalanceSummary } from './world-watcher';
+
+/** Time for requests under way to end, after the last fault. */
+const SETTLING = 5_000;
+
+/** What to run. */
+export interface SimulationRequest {
+  readonly scenario: Scenario;
+  readonly deployment: Deployment;
+  readonly seed: number;
+  readonly design: Design;
+  readonly without: readonly SafeguardName[];
+  readonly trace?: (line: string) => void;
+}
+
+/** The report; the shape of the JSON line. */
+export interface SimulationReport {
+  readonly scenario: string;
+  readonly deployment: string;
+  readonly seed: number;
+  readonly design: Design;
+  readonly without: readonly SafeguardName[];
+  readonly faults: Readonly<Record<string, number>>;
+  readonly violations: Readonly<Record<string, number>>;
+  readonly checked: Readonly<Record<string, number>>;
+  readonly examples: readonly string[];
+  readonly flowsOpened: number;
+  readonly flowsBroken: number;
+  readonly imbalance: Readonly<Record<string, ImbalanceSummary>>;
+  readonly busyImbalance: Readonly<Record<string, ImbalanceSummary>>;
+  readonly requestsSent: number;
+  readonly answersWhole: number;
+  readonly refusedNotRun: number;
+  readonly outcomeUnknown: number;
+  readonly unanswered: number;
+  readonly doubled: number;
+  readonly latencyMs: unknown;
+  readonly controlBytesPerNodePerSecond: number;
+  readonly tableSecondsToAll: number;
+  readonly virtualSeconds: number;
+  readonly digest: string;
+}
+
+/** Runs a simulation to its end. */
+export function runSimulation(request: SimulationRequest): SimulationReport {
+  const { scenario, deployment, seed, design, without, trace } = request;
+  const world = new SimulatedWorld({
+    deployment,
+    seed,
+    design,
+    without,
+    ...(trace ? { trace } : {}),
+  });
+  const faults = new Faults(world);
+  world.start();
+  world.startCallers();
+  const begin = world.clock.now;
+  for (const { at, name, duration } of scenario.draw(world.random)) {
+    world.clock.schedule(at, () => {
+      trace?.(`${world.clock.now.toFixed(3)} FAULT ${name} for ${duration.toFixed(0)} ms`);
+      faults.apply(name, duration);
+    });
+  }
+  world.runUntil(begin + scenario.length + SETTLING);
+  const digest = world.finish();
+  world.watcher.conclude();
+  return reportOf(request, world, faults, digest);
+}
+
+/** Violations of all checkers in a report. */
+export function totalViolations(report: SimulationReport): number {
+  return Object.values(report.violations).reduce((sum, count) => sum + count, 0);
+}
+
+function reportOf(
+  request: SimulationRequest,
+  world: SimulatedWorld,
+  faults: Faults,
+  digest: string,
+): SimulationReport {
+  const { statistics, record, watcher } = world;
+  const outcomes = Object.entries<CheckerOutcome>(watcher.checkers.outcomes());
+  return {
+    scenario: request.scenario.name,
+    deployment: request.deployment.name,
+    seed: request.seed,
+    design: request.design,
+    without: request.without,
+    faults: Object.fromEntries(faults.counts),
+    violations: Object.fromEntries(outcomes.map(([name, one]) => [name, one.violations])),
+    checked: Object.fromEntries(outcomes.map(([name, one]) => [name, one.judged])),
+    examples: outcomes.flatMap(([name, one]) => one.examples.map((text) => `${name}: ${text}`)),
+    flowsOpened: statistics.flowsOpened,
+    flowsBroken: statistics.flowsBroken,
+    imbalance: watcher.imbalance(),
+    busyImbalance: watcher.busyImbalance(),
+    requestsSent: statistics.requestsSent,
+    answersWhole: statistics.answersWhole,
+    refusedNotRun: statistics.refusedNotRun,
+    outcomeUnknown: statistics.outcomeUnknown,
+    unanswered: statistics.unanswered,
+    doubled: record.doubled().length,
+    latencyMs: statistics.latencies(),
+    controlBytesPerNodePerSecond: watcher.controlBytesPerNodePerSecond(),
+    tableSecondsToAll: watcher.tableSecondsToAll(),
+    virtualSeconds: world.clock.now / 1_000,
+    digest,
+  };
+}
--- /dev/null
+++ b/src/simulation/simulated-network.ts
@@ -0,0 +1,140 @@
+/** The network of the simulation: delay by zone, loss, duplication, reordering, cuts. */
+import type { Endpoint } from '../environment';
+import type { SimulatedProcess } from './simulated-process';
+import type { SeededRandom } from './seeded-random';
+import type { VirtualClock } from './virtual-clock';
+
+const SAME_MACHINE_DELAY = 0.02;
+const SAME_ZONE_DELAY = 0.2;
+const JITTER_PART = 0.1;
+
+/** Zone name of callers. */
+export const CALLER_ZONE = 'callers';
+
+/** Disturbances that hold for all datagrams between machines; probabilities 0 to 1. */
+export interface NetworkQuality {
+  loss: number;
+  duplication: number;
+  reordering: number;
+  /** Milliseconds by which a reordered datagram is late, at most. */
+  reorderDelay: number;
+}
+
+/** A direction in which nothing passes. Names are those of processes, machines or zones. */
+export interface NetworkCut {
+  readonly from: string;
+  readonly to: string;
+}
+
+/** One-way delays between places, in milliseconds. */
+export interface NetworkDelays {
+  readonly zoneDelay: number;
+  readonly callerDelay: number;
+}
+
+interface Binding {
+  readonly process: SimulatedProcess;
+  readonly handler: (payload: Buffer, from: Endpoint) => void;
+}
+
+/** Told of every datagram delivered, for the digest and traces. */
+export type DeliveryObserver = (from: Endpoint, to: Endpoint, payload: Buffer) => void;
+
+/** Carries datagrams between bound endpoints. */
+export class SimulatedNetwork {
+  readonly quality: NetworkQuality = { loss: 0, duplication: 0, reordering: 0, reorderDelay: 0 };
+  private readonly bindings = new Map<Endpoint, Binding>();
+  private readonly cuts = new Set<NetworkCut>();
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly random: SeededRandom,
+    private readonly delays: NetworkDelays,
+    private readonly delivered: DeliveryObserver,
+  ) {}
+
+  /** Binds an endpoint; the last binding wins, as with an address that is given away. */
+  bind(
+    endpoint: Endpoint,
+    process: SimulatedProcess,
+    handler: (payload: Buffer, from: Endpoint) => void,
+  ): void {
+    this.bindings.set(endpoint, { process, handler });
+  }
+
+  /** Begins a cut; end it with {@link heal}. */
+  cut(cut: NetworkCut): void {
+    this.cuts.add(cut);
+  }
+
+  heal(cut: NetworkCut): void {
+    this.cuts.delete(cut);
+  }
+
+  get hasCuts(): boolean {
+    return this.cuts.size > 0;
+  }
+
+  /** Sends a datagram; what becomes of it is drawn here. */
+  send(sender: SimulatedProcess, from: Endpoint, to: Endpoint, payload: Buffer): void {
+    const receiver = this.bindings.get(to)?.process;
+    if (!receiver || this.isCut(sender, receiver)) {
+      return;
+    }
+    const local = sender.machine === receiver.machine;
+    if (!local && this.random.next() < this.quality.loss) {
+      return;
+    }
+    this.carry(sender, receiver, from, to, payload);
+    if (!local && this.random.next() < this.quality.duplication) {
+      this.carry(sender, receiver, from, to, payload);
+    }
+  }
+
+  /** Whether a cut lies between two processes in this direction. */
+  isCut(sender: SimulatedProcess, receiver: SimulatedProcess): boolean {
+    for (const { from, to } of this.cuts) {
+      if (isPlaceOf(from, sender) && isPlaceOf(to, receiver)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private carry(
+    sender: SimulatedProcess,
+    receiver: SimulatedProcess,
+    from: Endpoint,
+    to: Endpoint,
+    payload: Buffer,
+  ): void {
+    this.clock.schedule(this.drawDelay(sender, receiver), () => {
+      const binding = this.bindings.get(to);
+      if (binding && !binding.process.isDead && !this.isCut(sender, binding.process)) {
+        this.delivered(from, to, payload);
+        binding.process.deliver(binding.handler, payload, from);
+      }
+    });
+  }
+
+  private drawDelay(sender: SimulatedProcess, receiver: SimulatedProcess): number {
+    if (sender.machine === receiver.machine) {
+      return SAME_MACHINE_DELAY;
+    }
+    const base = this.baseDelay(sender.zone, receiver.zone);
+    const late = this.random.next() < this.quality.reordering;
+    const reordering = late ? this.random.next() * this.quality.reorderDelay : 0;
+    return base * (1 + this.random.next() * JITTER_PART) + reordering;
+  }
+
+  private baseDelay(from: string, to: string): number {
+    if (from === CALLER_ZONE || to === CALLER_ZONE) {
+      return this.delays.callerDelay;
+    }
+    return from === to ? SAME_ZONE_DELAY : this.delays.zoneDelay;
+  }
+}
+
+function isPlaceOf(place: string, process: SimulatedProcess): boolean {
+  return place === process.name || place === process.machine || place === process.zone;
+}
--- /dev/null
+++ b/src/simulation/simulated-store.ts
@@ -0,0 +1,206 @@
+/** The platform's store in the simulation, with the faults of the brief. */
+import { Err, Ok } from 'ts-results';
+import type { TableDelta } from '../core/table-cache';
+import { HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import type {
+  Answer,
+  MachineRecord,
+  StoredTable,
+  StorePort,
+  TableWrite,
+  WatchHandle,
+} from '../platform/store-port';
+import { tableResource, toResource, toStoredTable, toTable } from '../platform/store-resources';
+import { ObjectStore, type StoredObject, type StoreEvent } from '../standins/object-store';
+import type { SeededRandom } from './seeded-random';
+import type { SimulatedProcess } from './simulated-process';
+import type { VirtualClock } from './virtual-clock';
+
+const CALL_TIMEOUT = 2_000;
+const NORMAL_DELAY = 5;
+/** A lost write takes effect up to so much later. */
+const LATE_EFFECT = 1_500;
+
+/** What is wrong with the store now. */
+export interface StoreFaults {
+  down: boolean;
+  /** Milliseconds added to every call. */
+  slowness: number;
+  /** Part of the writes that take effect while their answer is lost. */
+  lostAnswers: number;
+}
+
+/** The store and its machine list. */
+export class SimulatedStore {
+  readonly objects = new ObjectStore();
+  readonly faults: StoreFaults = { down: false, slowness: 0, lostAnswers: 0 };
+  /** Watches open now, by the name of the watching process. */
+  readonly watchers = new Map<string, () => void>();
+  private readonly machines = new Map<string, MachineRecord>();
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly random: SeededRandom,
+    private readonly machineLag: number,
+  ) {}
+
+  /** The port of one process. */
+  portFor(process: SimulatedProcess): StorePort {
+    return {
+      list: (answer) => this.call(process, answer, () => this.list()),
+      read: (service, answer) => this.call(process, answer, () => this.read(service)),
+      machines: (answer) => this.call(process, answer, () => [...this.machines.values()]),
+      write: (write, expected, answer) => this.write(process, write, expected, answer),
+      watch: (from, changed, ended) => this.watch(process, from, changed, ended),
+    };
+  }
+
+  /** Takes the store down, which breaks every watch, or brings it back. */
+  setDown(down: boolean): void {
+    this.faults.down = down;
+    if (down) {
+      [...this.watchers.values()].forEach((breakWatch) => breakWatch());
+    }
+  }
+
+  /** Sets a machine's entry; the list shows it after its lag. */
+  setMachine(machine: MachineRecord): void {
+    this.clock.schedule(this.machineLag, () => this.machines.set(machine.address, machine));
+  }
+
+  /** A table as the store has it. */
+  read(service: string): StoredTable | undefined {
+    const object = this.objects.get(service);
+    return object && toStoredTable(tableResource.parse(object));
+  }
+
+  private list(): TableDelta {
+    const tables = this.objects.list().map((object) => toTable(tableResource.parse(object)));
+    return { fromRevision: 0, throughRevision: this.objects.revision, tables };
+  }
+
+  private delay(): number {
+    return (NORMAL_DELAY + this.faults.slowness) * (0.5 + this.random.next());
+  }
+
+  /** Runs a read at the store and answers; a store that is down or slow answers by time-out. */
+  private call<T>(process: SimulatedProcess, answer: Answer<T>, read: () => T): void {
+    const delay = this.delay();
+    if (this.faults.down || delay > CALL_TIMEOUT) {
+      this.timeOut(process, answer);
+      return;
+    }
+    this.clock.schedule(delay, () => {
+      const value = read();
+      process.run(() => answer(new Ok(value)));
+    });
+  }
+
+  private timeOut<T>(process: SimulatedProcess, answer: Answer<T>): void {
+    process.startTimer(CALL_TIMEOUT, () => {
+      answer(new Err(new HallholdError(ResultCodes.storeUnavailable, 'no answer in time')));
+    });
+  }
+
+  private write(
+    process: SimulatedProcess,
+    write: TableWrite,
+    expected: number,
+    answer: Answer<number>,
+  ): void {
+    const lost = this.random.next() < this.faults.lostAnswers;
+    if (this.faults.down) {
+      this.timeOut(process, answer);
+      return;
+    }
+    const delay = this.delay() + (lost ? this.random.next() * LATE_EFFECT : 0);
+    if (lost || delay > CALL_TIMEOUT) {
+      this.timeOut(process, answer);
+      this.clock.schedule(delay, () => this.apply(write, expected));
+      return;
+    }
+    this.clock.schedule(delay, () => {
+      const revision = this.apply(write, expected);
+      process.run(() =>
+        answer(
+          revision === undefined
+            ? new Err(new HallholdError(ResultCodes.storeConflict, 'the object has changed'))
+            : new Ok(revision),
+        ),
+      );
+    });
+  }
+
+  /** The read and compare-and-set that the HTTP client does in two calls. */
+  private apply(write: TableWrite, expected: number): number | undefined {
+    const current = this.read(write.service);
+    if ((current?.table.revision ?? 0) !== expected) {
+      return undefined;
+    }
+    const earlier = current?.recentWriteIds ?? [];
+    const draft = toResource(write, expected, earlier) as StoredObject;
+    const result =
+      expected === 0
+        ? this.objects.create(write.service, draft)
+        : this.objects.replace(write.service, String(expected), draft);
+    return result.outcome === 'written'
+      ? Number(result.object.metadata.resourceVersion)
+      : undefined;
+  }
+
+  private watch(
+    process: SimulatedProcess,
+    fromRevision: number,
+    changed: (delta: TableDelta) => void,
+    ended: (error: HallholdError) => void,
+  ): WatchHandle {
+    const missed = this.faults.down ? undefined : this.objects.changesSince(fromRevision);
+    if (!missed) {
+      const error = new HallholdError(ResultCodes.storeWatchExpired, 'the watch cannot start');
+      process.startTimer(NORMAL_DELAY, () => ended(error));
+      return { close: () => undefined };
+    }
+    return this.stream(process, missed, fromRevision, changed, ended);
+  }
+
+  private stream(
+    process: SimulatedProcess,
+    missed: readonly StoreEvent[],
+    fromRevision: number,
+    changed: (delta: TableDelta) => void,
+    ended: (error: HallholdError) => void,
+  ): WatchHandle {
+    let last = fromRevision;
+    let open = true;
+    const close = (): void => {
+      open = false;
+      unsubscribe();
+      this.watchers.delete(process.name);
+    };
+    const breakWatch = (): void => {
+      close();
+      process.run(() => ended(new HallholdError(ResultCodes.storeUnavailable, 'watch broken')));
+    };
+    const pass = (event: StoreEvent): void => {
+      if (process.isDead) {
+        close();
+        return;
+      }
+      const delta = {
+        fromRevision: last,
+        throughRevision: event.revision,
+        tables: [toTable(tableResource.parse(event.object))],
+      };
+      last = event.revision;
+      // One delay for all keeps the stream in order.
+      this.clock.schedule(NORMAL_DELAY + this.faults.slowness, () => {
+        process.run(() => open && changed(delta));
+      });
+    };
+    const unsubscribe = this.objects.subscribe(pass);
+    this.watchers.set(process.name, breakWatch);
+    missed.forEach(pass);
+    return { close };
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-target.ts
@@ -0,0 +1,180 @@
+/** One target in the simulation: a machine with an agent and a back end beside it. */
+import { AgentNode } from '../agent/agent-node';
+import type { AgentNodeSettings, PlacementPolicy } from '../agent/agent-context';
+import type { Safeguards } from '../agent/safeguards';
+import type { Endpoint } from '../environment';
+import { packEndpoint } from '../core/endpoint';
+import { BackendStandin } from '../standins/backend-standin';
+import type { RunRecord } from '../standins/run-record';
+import type { DeployedService } from '../standins/deployments';
+import type { FrameCodec } from '../wire/frame-codec';
+import type { SimulatedNetwork } from './simulated-network';
+import type { SimulatedProcess } from './simulated-process';
+
+const FRAME_PORT = 7_000;
+const BACKEND_PORT = 5_700;
+const AGENT_BACKEND_PORT = 6_000;
+const FIRST_FLOW_PORT = 20_000;
+const FLOW_PORTS = 40_000;
+const FEED_INTERVAL = 1_000;
+const REQUEST_DEADLINE = 5_000;
+
+/** What all targets of a simulation share. */
+export interface TargetSurroundings {
+  readonly network: SimulatedNetwork;
+  readonly codec: FrameCodec;
+  readonly record: RunRecord;
+  readonly safeguards: Safeguards;
+  readonly place: PlacementPolicy | undefined;
+  readonly hostsAnyFlow: boolean;
+  readonly flowIdle: number;
+  balancerEndpoints(): Endpoint[];
+  /** Creates a process on a machine. */
+  createProcess(name: string, zone: string, machine: string): SimulatedProcess;
+  /** A number that rises with every start. */
+  nextIncarnation(): number;
+  /** A request or flow begins at a back end. */
+  workBegan(target: SimulatedTarget, datagram: Buffer): void;
+}
+
+/** A target and its two processes. */
+export class SimulatedTarget {
+  readonly endpoint: Endpoint;
+  agent!: AgentNode;
+  agentProcess!: SimulatedProcess;
+  backend!: BackendStandin;
+  backendProcess!: SimulatedProcess;
+  /** Time of the last unplanned fault that touched this target; -Infinity for none. */
+  touchedAt = -Infinity;
+  private readonly backendEndpoint: Endpoint;
+  private readonly agentBackendEndpoint: Endpoint;
+  private readonly flowEndpoints = new Map<Endpoint, Endpoint>();
+  private nextFlowPort = 0;
+
+  /** @param address the machine's IPv4 address, which is also its name */
+  constructor(
+    readonly service: DeployedService,
+    readonly name: string,
+    readonly zone: string,
+    readonly address: string,
+    private readonly surroundings: TargetSurroundings,
+  ) {
+    this.endpoint = packEndpoint(address, FRAME_PORT);
+    this.backendEndpoint = packEndpoint(address, BACKEND_PORT);
+    this.agentBackendEndpoint = packEndpoint(address, AGENT_BACKEND_PORT);
+  }
+
+  /** "service/target". */
+  get label(): string {
+    return `${this.service.name}/${this.name}`;
+  }
+
+  get isRunning(): boolean {
+    return this.agentProcess.isRunning && this.backendProcess.isRunning;
+  }
+
+  /** Starts a fresh back end, and whatever ran there is gone. */
+  startBackend(): void {
+    this.backendProcess?.kill();
+    this.backend?.stop();
+    const process = this.createProcess('backend');
+    const { network, record } = this.surroundings;
+    const { name: service, serviceTime, tileBytes } = this.service;
+    const backend = new BackendStandin(
+      {
+        service,
+        target: this.name,
+        run: this.surroundings.nextIncarnation(),
+        serviceTime,
+        feedInterval: FEED_INTERVAL,
+        tileBytes,
+      },
+      process,
+      record,
+      (to, datagram) => network.send(process, this.backendEndpoint, to, datagram),
+    );
+    network.bind(this.backendEndpoint, process, (datagram, from) => {
+      this.surroundings.workBegan(this, datagram);
+      if (this.service.protocol === 'coap') {
+        backend.receive(datagram, from);
+      } else {
+        backend.receiveDatagram(datagram, from);
+      }
+    });
+    this.backend = backend;
+    this.backendProcess = process;
+  }
+
+  /** Starts a fresh agent with nothing in it. */
+  startAgent(): void {
+    this.agentProcess?.kill();
+    this.runAgent(this.surroundings.nextIncarnation());
+    this.agent.start();
+  }
+
+  /** Planned restart. */
+  handOver(): void {
+    this.startAgent();
+  }
+
+  private runAgent(incarnation: number): void {
+    const process = this.createProcess('agent');
+    const { network, codec, safeguards, place } = this.surroundings;
+    const agent = new AgentNode(this.settings(incarnation), {
+      environment: process,
+      codec,
+      safeguards,
+      hostsAnyFlow: this.surroundings.hostsAnyFlow,
+      ...(place ? { place } : {}),
+      transport: { send: (to, frame) => network.send(process, this.endpoint, to, frame) },
+      backend: {
+        sendMessage: (message) =>
+          network.send(process, this.agentBackendEndpoint, this.backendEndpoint, message),
+        sendDatagram: (caller, payload) => this.sendFlowDatagram(process, agent, caller, payload),
+        closeFlow: (caller) => this.flowEndpoints.delete(caller),
+      },
+    });
+    network.bind(this.endpoint, process, (frame, from) => agent.receiveFrame(frame, from));
+    network.bind(this.agentBackendEndpoint, process, (datagram) =>
+      agent.receiveBackendMessage(datagram),
+    );
+    this.agent = agent;
+    this.agentProcess = process;
+  }
+
+  private sendFlowDatagram(
+    process: SimulatedProcess,
+    agent: AgentNode,
+    caller: Endpoint,
+    payload: Buffer,
+  ): void {
+    const { network } = this.surroundings;
+    let endpoint = this.flowEndpoints.get(caller);
+    if (endpoint === undefined) {
+      const port = FIRST_FLOW_PORT + (this.nextFlowPort++ % FLOW_PORTS);
+      endpoint = packEndpoint(this.address, port);
+      this.flowEndpoints.set(caller, endpoint);
+    }
+    network.bind(endpoint, process, (datagram) => agent.receiveBackendDatagram(caller, datagram));
+    network.send(process, endpoint, this.backendEndpoint, payload);
+  }
+
+  private settings(incarnation: number): AgentNodeSettings {
+    return {
+      service: this.service.name,
+      protocol: this.service.protocol,
+      target: this.name,
+      endpoint: this.endpoint,
+      balancers: this.surroundings.balancerEndpoints(),
+      incarnation,
+      flowIdle: this.surroundings.flowIdle,
+      requestDeadline: REQUEST_DEADLINE,
+      loadPath: this.service.protocol === 'coap' ? 'load' : '',
+      keys: this.surroundings.codec.keys,
+    };
+  }
+
+  private createProcess(kind: string): SimulatedProcess {
+    return this.surroundings.createProcess(`${kind} ${this.label}`, this.zone, this.address);
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-world.ts
@@ -0,0 +1,340 @@
+/**
+ * A whole deployment in virtual time: store, balancers, targets, fabric, callers,
+ * with the real node classes. Faults act on it; checkers watch it.
+ */
+import { createHash } from 'node:crypto';
+import { chooseTarget, type PlacementCandidate } from '../core/placement';
+import { packEndpoint } from '../core/endpoint';
+import type { TableRow } from '../core/table';
+import type { Endpoint } from '../environment';
+import type { PlacementPolicy } from '../agent/agent-context';
+import { Safeguards, type SafeguardName } from '../agent/safeguards';
+import { CallerStatistics } from '../standins/caller-statistics';
+import {
+  DatagramCaller,
+  FeedCaller,
+  ReportCaller,
+  TransferCaller,
+  type Caller,
+  type CallerSurroundings,
+} from '../standins/callers';
+import { targetName, type Deployment, type DeployedService } from '../standins/deployments';
+import { RunRecord } from '../standins/run-record';
+import { FrameCodec } from '../wire/frame-codec';
+import { hostsAnything, routingOf, type Design } from './baselines';
+import { SeededRandom } from './seeded-random';
+import { SimulatedBalancer } from './simulated-balancer';
+import { CALLER_ZONE, SimulatedNetwork } from './simulated-network';
+import { SimulatedProcess } from './simulated-process';
+import { SimulatedStore } from './simulated-store';
+import { SimulatedTarget } from './simulated-target';
+import { VirtualClock } from './virtual-clock';
+import { WorldWatcher } from './world-watcher';
+
+const FRAME_PORT = 7_000;
+const CALLER_PORT = 40_000;
+const MACHINE_LAG = 3_000;
+/** The fabric goes on spraying at a balancer that died for so long. */
+const FABRIC_LAG = 1_500;
+const FEED_SILENCE_LIMIT = 20_000;
+const REPORT_INTERVAL = 2_000;
+const TRANSFER_INTERVAL = 500;
+const DATAGRAM_INTERVAL = 500;
+const FLOW_IDLE = 300_000;
+const FIRST_INCARNATION = 1_000;
+const CLUSTER_KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
+
+/** What a world is made of. */
+export interface WorldOptions {
+  readonly deployment: Deployment;
+  readonly seed: number;
+  readonly design: Design;
+  readonly without: readonly SafeguardName[];
+  /** Receives one line for each event and delivery; absent for no trace. */
+  readonly trace?: (line: string) => void;
+}
+
+/** The simulated deployment. */
+export class SimulatedWorld {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly network: SimulatedNetwork;
+  readonly store: SimulatedStore;
+  readonly statistics: CallerStatistics;
+  readonly record = new RunRecord();
+  readonly balancers: SimulatedBalancer[] = [];
+  readonly targets: SimulatedTarget[] = [];
+  readonly watcher: WorldWatcher;
+  private readonly codec = new FrameCodec([CLUSTER_KEY]);
+  private readonly digest = createHash('sha256');
+  private readonly callers: Caller[] = [];
+  private readonly callerProcess: SimulatedProcess;
+  /** Balancers that the fabric sprays over. */
+  private readonly sprayed = new Set<string>();
+  private incarnations = FIRST_INCARNATION;
+  private callerCount = 0;
+
+  constructor(readonly options: WorldOptions) {
+    const { deployment, seed } = options;
+    this.random = new SeededRandom(seed);
+    this.network = new SimulatedNetwork(this.clock, this.random, deployment, (from, to, payload) =>
+      this.noteDelivery(from, to, payload),
+    );
+    this.store = new SimulatedStore(this.clock, this.random, MACHINE_LAG);
+    this.watcher = new WorldWatcher(this);
+    this.statistics = new CallerStatistics(this.watcher);
+    this.callerProcess = this.createProcess(CALLER_ZONE, CALLER_ZONE, CALLER_ZONE);
+  }
+
+  /** Starts balancers, targets and the first tables; runs until flows can be admitted. */
+  start(): void {
+    this.createBalancers();
+    this.createTargets();
+    this.targets.forEach((target) => target.startBackend());
+    this.balancers.forEach((balancer) => this.startBalancer(balancer));
+    this.clock.runUntil(1_000);
+    this.options.deployment.services.forEach((service) => this.putFirstTable(service));
+    this.targets.forEach((target) => target.startAgent());
+    this.clock.runUntil(8_000);
+    this.watcher.start();
+  }
+
+  /** Starts the callers of every service. */
+  startCallers(): void {
+    for (const service of this.options.deployment.services) {
+      const { feeds, reporters, transfers, datagrams } = service.callers;
+      this.startMany(service, feeds, (surroundings, index) => {
+        return new FeedCaller(surroundings, `feed/${service.name}-${index}`, FEED_SILENCE_LIMIT);
+      });
+      this.startMany(service, reporters, (surroundings, index) => {
+        return new ReportCaller(surroundings, `${service.name}-${index}`, REPORT_INTERVAL);
+      });
+      this.startMany(service, transfers, (surroundings, index) => {
+        const name = `${service.name}-${index}`;
+        return new TransferCaller(surroundings, name, TRANSFER_INTERVAL, service.tileBytes);
+      });
+      this.startMany(service, datagrams, (surroundings, index) => {
+        return new DatagramCaller(surroundings, `${service.name}-${index}`, DATAGRAM_INTERVAL);
+      });
+    }
+  }
+
+  /** Adds one caller of a service on a new endpoint. */
+  addCaller(service: string, create: (surroundings: CallerSurroundings) => Caller): Caller {
+    const endpoint = this.newCallerEndpoint();
+    const caller = create({
+      environment: this.callerProcess,
+      statistics: this.statistics,
+      record: this.record,
+      service,
+      send: (datagram) => this.spray(service, endpoint, datagram),
+    });
+    this.network.bind(endpoint, this.callerProcess, (datagram) => caller.receive(datagram));
+    this.callers.push(caller);
+    return caller;
+  }
+
+  /** Runs until a time; stops nothing. */
+  runUntil(time: number): void {
+    this.clock.runUntil(time);
+  }
+
+  /** Stops the callers and lets what is under way end. */
+  finish(): string {
+    this.callers.forEach((caller) => caller.stop());
+    return this.digest.digest('hex');
+  }
+
+  /** Starts a balancer; the fabric sprays at it once it is ready. */
+  startBalancer(balancer: SimulatedBalancer): void {
+    balancer.start();
+    this.sprayWhenReady(balancer);
+  }
+
+  /** Takes a balancer out of the fabric: at once when planned, after a lag when it died. */
+  withdraw(balancer: SimulatedBalancer, planned: boolean): void {
+    this.clock.schedule(planned ? 0 : FABRIC_LAG, () => {
+      if (planned || !balancer.isRunning) {
+        this.sprayed.delete(balancer.name);
+      }
+    });
+  }
+
+  /** Puts a balancer that woke back into the fabric. */
+  sprayAgain(balancer: SimulatedBalancer): void {
+    this.sprayWhenReady(balancer);
+  }
+
+  /** Sends a caller's datagram through a random balancer. */
+  spray(service: string, caller: Endpoint, datagram: Buffer): void {
+    const live = this.balancers.filter((balancer) => this.sprayed.has(balancer.name));
+    if (live.length > 0) {
+      const balancer = this.random.pick(live);
+      const to = balancer.serviceEndpoint(service);
+      this.network.send(this.callerProcess, caller, to, datagram);
+    }
+  }
+
+  /** An operator edits a service's rows through a balancer. */
+  edit(
+    service: string,
+    change: (rows: readonly TableRow[]) => TableRow[],
+    acceptor: SimulatedBalancer,
+    writeId: string,
+  ): void {
+    const table = acceptor.node.distribution.cache.get(service);
+    const baseRows = table?.rows ?? [];
+    const baseRevision = table?.revision ?? 0;
+    const rows = change(baseRows);
+    const submitted = { service, rows, baseRows, baseRevision, writeId };
+    acceptor.node.acceptance.submit(submitted, (result) => {
+      if (result.ok) {
+        this.watcher.tableAccepted(service, result.val.revision, rows);
+      }
+    });
+  }
+
+  targetsOf(service: string): SimulatedTarget[] {
+    return this.targets.filter((target) => target.service.name === service);
+  }
+
+  runningBalancers(): SimulatedBalancer[] {
+    return this.balancers.filter((balancer) => balancer.isRunning);
+  }
+
+  /** Control bytes sent by all nodes that run now. */
+  controlBytes(): number {
+    const balancers = this.balancers.map((one) => one.node.statistics.controlBytesSent);
+    const agents = this.targets.map((one) => one.agent.statistics.controlBytesSent);
+    return [...balancers, ...agents].reduce((sum, bytes) => sum + bytes, 0);
+  }
+
+  createProcess(name: string, zone: string, machine: string): SimulatedProcess {
+    return new SimulatedProcess(
+      name,
+      zone,
+      machine,
+      this.clock,
+      this.random,
+      (process, event, fields) =>
+        this.options.trace?.(
+          `${this.clock.now.toFixed(3)} ${process} ${event.name} ${JSON.stringify(fields)}`,
+        ),
+    );
+  }
+
+  private createBalancers(): void {
+    const { deployment, design } = this.options;
+    const surroundings = {
+      network: this.network,
+      codec: this.codec,
+      store: this.store,
+      routing: routingOf(design),
+      serviceNames: deployment.services.map((service) => service.name),
+      seedEndpoints: () => this.balancers.map((balancer) => balancer.endpoint),
+      createProcess: this.createProcess.bind(this),
+      nextIncarnation: () => this.nextIncarnation(),
+    };
+    for (const [zoneIndex, zone] of deployment.zones.entries()) {
+      for (let index = 0; index < deployment.balancersPerZone; index++) {
+        const name = `balancer-${this.balancers.length + 1}`;
+        const address = `10.1.${zoneIndex}.${index + 1}`;
+        this.balancers.push(new SimulatedBalancer(name, zone, address, surroundings));
+      }
+    }
+  }
+
+  private createTargets(): void {
+    const { deployment, design, without } = this.options;
+    const surroundings = {
+      network: this.network,
+      codec: this.codec,
+      record: this.record,
+      safeguards: new Safeguards(new Set(without)),
+      place: design === 'oracle' ? this.oracle() : undefined,
+      hostsAnyFlow: hostsAnything(design),
+      flowIdle: FLOW_IDLE,
+      balancerEndpoints: () => this.balancers.map((balancer) => balancer.endpoint),
+      createProcess: this.createProcess.bind(this),
+      nextIncarnation: () => this.nextIncarnation(),
+      workBegan: (target: SimulatedTarget, datagram: Buffer) =>
+        this.watcher.workBegan(target, datagram),
+    };
+    deployment.services.forEach((service, serviceIndex) => {
+      for (let number = 1; number <= service.targets; number++) {
+        const zone = deployment.zones[(number - 1) % deployment.zones.length]!;
+        const address = `10.2.${serviceIndex}.${number}`;
+        const name = targetName(number);
+        this.targets.push(new SimulatedTarget(service, name, zone, address, surroundings));
+      }
+    });
+  }
+
+  /** Places on the fewest flows per share with every count known at once: the limit. */
+  private oracle(): PlacementPolicy {
+    return (candidates, _owners, tieBreak) => {
+      const exact = candidates.map((candidate) => this.withExactCount(candidate));
+      return chooseTarget(exact, 1, tieBreak);
+    };
+  }
+
+  private withExactCount(candidate: PlacementCandidate): PlacementCandidate {
+    const target = this.targets.find(
+      (one) => one.name === candidate.target && one.endpoint === candidate.address,
+    );
+    const reportedFlows = target?.agent.statistics.flows ?? candidate.reportedFlows;
+    return { ...candidate, reportedFlows, placedSince: 0, reportedLoad: 0, warmth: 1 };
+  }
+
+  private putFirstTable(service: DeployedService): void {
+    const rows = this.targetsOf(service.name).map((target) => ({
+      target: target.name,
+      address: target.endpoint,
+      share: 1,
+      slots: service.slots,
+      connections: service.connections,
+    }));
+    this.edit(service.name, () => rows, this.balancers[0]!, `first-${service.name}`);
+  }
+
+  private sprayWhenReady(balancer: SimulatedBalancer): void {
+    const { process } = balancer;
+    const look = (): void => {
+      if (balancer.node.isReady && !balancer.stopping) {
+        this.sprayed.add(balancer.name);
+      } else {
+        process.startTimer(100, look);
+      }
+    };
+    process.startTimer(100, look);
+  }
+
+  private startMany(
+    service: DeployedService,
+    count: number,
+    create: (surroundings: CallerSurroundings, index: number) => Caller,
+  ): void {
+    for (let index = 0; index < count; index++) {
+      const caller = this.addCaller(service.name, (surroundings) => create(surroundings, index));
+      this.clock.schedule(this.random.between(0, 2_000), () => caller.start());
+    }
+  }
+
+  private newCallerEndpoint(): Endpoint {
+    this.callerCount++;
+    const high = this.callerCount >> 8;
+    return packEndpoint(`10.9.${high}.${this.callerCount & 255}`, CALLER_PORT);
+  }
+
+  private nextIncarnation(): number {
+    this.incarnations++;
+    return this.incarnations;
+  }
+
+  private noteDelivery(from: Endpoint, to: Endpoint, payload: Buffer): void {
+    this.digest.update(`${this.clock.now} ${from} ${to} ${payload.length}\n`);
+  }
+}
+
+/** Frame port of simulated nodes, for tests that forge frames. */
+export const SIMULATED_FRAME_PORT = FRAME_PORT;
--- /dev/null
+++ b/src/simulation/virtual-clock.ts
@@ -0,0 +1,45 @@
+/** Virtual time: events run in order of time, then of scheduling. */
+import { Heap } from 'heap-js';
+import type { TimerHandle } from '../environment';
+
+interface ScheduledEvent {
+  readonly at: number;
+  readonly order: number;
+  action: (() => void) | undefined;
+}
+
+function compareEvents(a: ScheduledEvent, b: ScheduledEvent): number {
+  return a.at - b.at || a.order - b.order;
+}
+
+/** The clock and event queue of one simulation; milliseconds. */
+export class VirtualClock {
+  private readonly queue = new Heap<ScheduledEvent>(compareEvents);
+  private current = 0;
+  private scheduled = 0;
+
+  get now(): number {
+    return this.current;
+  }
+
+  /** Runs `action` after a delay of 0 or more milliseconds. */
+  schedule(delay: number, action: () => void): TimerHandle {
+    const event: ScheduledEvent = {
+      at: this.current + Math.max(0, delay),
+      order: this.scheduled++,
+      action,
+    };
+    this.queue.push(event);
+    return { cancel: () => (event.action = undefined) };
+  }
+
+  /** Runs everything that is due until `time`, which becomes the present. */
+  runUntil(time: number): void {
+    for (let next = this.queue.peek(); next && next.at <= time; next = this.queue.peek()) {
+      this.queue.pop();
+      this.current = next.at;
+      next.action?.();
+    }
+    this.current = time;
+  }
+}
--- a/src/standins/caller-statistics.ts
+++ b/src/standins/caller-statistics.ts
@@ -13,6 +13,14 @@
 
 const MICROSECONDS = 1_000;
 
+/** Told of what callers suffer, as it happens; used by the simulation's checkers. */
+export interface CallerObserver {
+  /** A flow that began at a target of this service broke; no target when none is known. */
+  flowBroken(reason: string, service: string, target: string): void;
+  /** A request ended without a definite answer. */
+  requestFailed(outcome: 'unknown' | 'unanswered'): void;
+}
+
 /** Counters of a fleet of callers. */
 export class CallerStatistics {
   flowsOpened = 0;
@@ -29,6 +37,8 @@
   readonly breakReasons = new Map<string, number>();
   private readonly histograms = new Map<TrafficKind, Histogram>();
 
+  constructor(private readonly observer?: CallerObserver) {}
+
   /** Notes how long an answer took, in milliseconds. */
   noteLatency(kind: TrafficKind, milliseconds: number): void {
     const histogram = this.histograms.get(kind) ?? build({ numberOfSignificantValueDigits: 3 });
@@ -36,9 +46,20 @@
     this.histograms.set(kind, histogram);
   }
 
-  noteBroken(reason: string): void {
+  noteBroken(reason: string, service: string, target: string): void {
     this.flowsBroken++;
     this.breakReasons.set(reason, (this.breakReasons.get(reason) ?? 0) + 1);
+    this.observer?.flowBroken(reason, service, target);
+  }
+
+  noteUnknown(): void {
+    this.outcomeUnknown++;
+    this.observer?.requestFailed('unknown');
+  }
+
+  noteUnanswered(): void {
+    this.unanswered++;
+    this.observer?.requestFailed('unanswered');
   }
 
   /** Latency of one kind; undefined when it had no answer. */
--- a/src/standins/callers.ts
+++ b/src/standins/callers.ts
@@ -89,7 +89,7 @@
   markBroken(reason: string): void {
     if (this.first && !this.broken) {
       this.broken = true;
-      this.surroundings.statistics.noteBroken(reason);
+      this.surroundings.statistics.noteBroken(reason, this.first.service, this.first.target);
     }
   }
 
@@ -498,11 +498,11 @@
 
 function countFailure(statistics: CallerStatistics, answer: CoapMessage | undefined): void {
   if (answer === undefined) {
-    statistics.unanswered++;
+    statistics.noteUnanswered();
   } else if (answer.code === CoapCode.serviceUnavailable) {
     statistics.refusedNotRun++;
   } else if (answer.code === CoapCode.gatewayTimeout) {
-    statistics.outcomeUnknown++;
+    statistics.noteUnknown();
   } else {
     statistics.wrongAnswers++;
   }
--- a/src/standins/deployments.ts
+++ b/src/standins/deployments.ts
@@ -6,6 +6,8 @@
   readonly feeds: number;
   readonly reporters: number;
   readonly transfers: number;
+  /** Callers of a datagram service. */
+  readonly datagrams: number;
 }
 
 /** One service of a deployment. */
@@ -46,7 +48,7 @@
       targets: 7,
       slots: 5,
       connections: 2_000,
-      callers: { feeds: 56, reporters: 28, transfers: 0 },
+      callers: { feeds: 56, reporters: 28, transfers: 0, datagrams: 0 },
       serviceTime: 20,
       tileBytes: 0,
     },
@@ -56,7 +58,7 @@
       targets: 3,
       slots: 5,
       connections: 2_000,
-      callers: { feeds: 0, reporters: 0, transfers: 18 },
+      callers: { feeds: 0, reporters: 0, transfers: 18, datagrams: 0 },
       serviceTime: 5,
       tileBytes: 6_000,
     },
@@ -76,7 +78,7 @@
       targets: 7,
       slots: 4,
       connections: 2_000,
-      callers: { feeds: 42, reporters: 42, transfers: 0 },
+      callers: { feeds: 42, reporters: 42, transfers: 0, datagrams: 0 },
       serviceTime: 30,
       tileBytes: 0,
     },
@@ -86,7 +88,7 @@
       targets: 4,
       slots: 4,
       connections: 2_000,
-      callers: { feeds: 0, reporters: 0, transfers: 16 },
+      callers: { feeds: 0, reporters: 0, transfers: 16, datagrams: 0 },
       serviceTime: 4,
       tileBytes: 40_000,
     },
--- a/src/standins/embedded-deployment.ts
+++ b/src/standins/embedded-deployment.ts
@@ -278,7 +278,7 @@
     const shared = { statistics, record };
     const fleet = new CallerFleet(this.environment, address, service.name, service.name, shared);
     this.fleets.push(fleet);
-    await fleet.start({ ...service.callers, datagrams: 0, tileBytes: service.tileBytes });
+    await fleet.start({ ...service.callers, tileBytes: service.tileBytes });
   }
 
   private imbalanceOf(service: string): number {
