--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -23,6 +23,7 @@
   BackendPort,
   PlacementPolicy,
 } from './agent-context';
+import type { AgentSnapshot } from './agent-snapshot';
 import { BackendMonitor } from './backend-monitor';
 import { BackendRequests } from './backend-requests';
 import { BalancerContacts } from './balancer-contacts';
@@ -34,6 +35,7 @@
 import { PermitOffice } from './permit-office';
 import { PermitQueries } from './permit-queries';
 import { refusalOf, RequestGuard } from './request-guard';
+import type { BackendResult, RequestPurpose } from './request-exchange';
 import { RequestPassing } from './request-passing';
 import { Safeguards } from './safeguards';
 
@@ -128,26 +130,21 @@
         refuse: (caller, balancer, payload) => this.refuse(caller, balancer, payload),
       },
     );
-    this.requests = new BackendRequests(context, (caller, message) =>
-      this.replyToCaller(caller, message),
-    );
-    this.passing = new RequestPassing(context, this.membership, this.requests, () =>
-      this.freeSlotsForNewWork(),
+    this.requests = new BackendRequests(
+      context,
+      (caller, message) => this.replyToCaller(caller, message),
+      (purpose, result) => this.requestEnded(purpose, result),
     );
-    this.permits = new PermitOffice(context);
-    this.queries = new PermitQueries(context, this.membership, this.permits);
-    this.guard = new RequestGuard(
+    this.passing = new RequestPassing(
       context,
+      this.membership,
       this.requests,
-      this.passing,
-      this.permits,
-      this.queries,
-      {
-        reply: (caller, payload) => this.replyToCaller(caller, payload),
-        freeSlots: () => this.freeSlots(),
-        takesNewWork: () => this.drain.state === AgentState.serving,
-      },
+      () => this.freeSlotsForNewWork(),
+      (request, result) => this.guard.finish(request, result),
     );
+    this.permits = new PermitOffice(context);
+    this.queries = new PermitQueries(context, this.membership, this.permits);
+    this.guard = this.createGuard();
     this.monitor = new BackendMonitor(context, this.requests, () => this.backendChanged());
   }
 
@@ -159,6 +156,40 @@
     this.hello();
   }
 
+  /** Ends this node in favour of a successor, and returns all that the successor needs. */
+  handOver(): AgentSnapshot {
+    this.running = false;
+    const running = [...this.requests.purposes(), ...this.passing.purposes()];
+    const callers = running.filter((purpose) => purpose.kind === 'caller');
+    return {
+      incarnation: this.settings.incarnation,
+      membership: this.membership.exportState(),
+      directory: this.directory.exportState(),
+      flows: this.flows.exportState(),
+      requests: this.requests.exportState(),
+      passing: this.passing.exportState(),
+      permits: this.permits.exportState(),
+      guard: this.guard.exportState(callers),
+      monitor: this.monitor.exportState(),
+      drain: this.drain.exportState(),
+    };
+  }
+
+  /** Takes over from a predecessor; call before {@link start}, with its incarnation in settings. */
+  takeOver(snapshot: AgentSnapshot): void {
+    this.membership.importState(snapshot.membership);
+    this.drain.importState(snapshot.drain);
+    this.flows.importState(snapshot.flows);
+    this.directory.importState(snapshot.directory);
+    this.permits.importState(snapshot.permits);
+    this.guard.importState(snapshot.guard);
+    this.monitor.importState(snapshot.monitor);
+    this.requests.importState(snapshot.requests);
+    this.passing.importState(snapshot.passing);
+    this.directory.reconcile();
+    this.membership.heartbeat();
+  }
+
   /** Begins a planned stop: no new work; hosted flows run out. */
   beginStop(): void {
     this.drain.set('stop', true);
@@ -225,6 +256,15 @@
     this.replyToCaller(caller, payload);
   }
 
+  private createGuard(): RequestGuard {
+    const { context, requests, passing, permits, queries } = this;
+    return new RequestGuard(context, requests, passing, permits, queries, {
+      reply: (caller, payload) => this.replyToCaller(caller, payload),
+      freeSlots: () => this.freeSlots(),
+      takesNewWork: () => this.drain.state === AgentState.serving,
+    });
+  }
+
   private createContext(): AgentContext {
     const { environment, transport, codec, backend, safeguards, place } = this.dependencies;
     const seed = serviceSeed(this.settings.service);
@@ -401,6 +441,20 @@
     }
   }
 
+  private requestEnded(purpose: RequestPurpose, result: BackendResult): void {
+    switch (purpose.kind) {
+      case 'caller':
+        this.guard.finish(purpose, result);
+        break;
+      case 'peer':
+        this.passing.finishHelp(purpose, result);
+        break;
+      case 'load-report':
+        this.monitor.receiveReport(result);
+        break;
+    }
+  }
+
   private backendChanged(): void {
     this.drain.set('backend-draining', this.monitor.draining);
     this.drain.set('backend-silent', !this.monitor.ready);
--- /dev/null
+++ b/src/agent/agent-snapshot.ts
@@ -0,0 +1,39 @@
+/**
+ * All that one run of an agent hands to its successor on the same machine.
+ *
+ * Times in it are of the machine's monotonic clock, which both processes share.
+ */
+import { deserialize, serialize } from 'bson';
+import type { BackendMonitorState } from './backend-monitor';
+import type { BackendRequestsState } from './backend-requests';
+import type { BucketDirectoryState } from './bucket-directory';
+import type { DrainStateSnapshot } from './drain-state';
+import type { FlowTableState } from './flow-table';
+import type { GroupMembershipState } from './group-membership';
+import type { PermitOfficeState } from './permit-office';
+import type { RequestGuardState } from './request-guard';
+import type { RequestPassingState } from './request-passing';
+
+/** State of an agent, part by part. */
+export interface AgentSnapshot {
+  readonly incarnation: number;
+  readonly membership: GroupMembershipState;
+  readonly directory: BucketDirectoryState;
+  readonly flows: FlowTableState;
+  readonly requests: BackendRequestsState;
+  readonly passing: RequestPassingState;
+  readonly permits: PermitOfficeState;
+  readonly guard: RequestGuardState;
+  readonly monitor: BackendMonitorState;
+  readonly drain: DrainStateSnapshot;
+}
+
+/** Encodes a snapshot as one bson document. */
+export function encodeSnapshot(snapshot: AgentSnapshot): Buffer {
+  return Buffer.from(serialize(snapshot));
+}
+
+/** Decodes a snapshot; the sender is this machine's own predecessor and is trusted. */
+export function decodeSnapshot(bytes: Buffer): AgentSnapshot {
+  return deserialize(bytes, { promoteBuffers: true }) as AgentSnapshot;
+}
--- a/src/agent/backend-monitor.ts
+++ b/src/agent/backend-monitor.ts
@@ -7,6 +7,7 @@
 import { CoapCode, CoapOption, type CoapMessage } from '../coap/coap-message';
 import type { AgentContext } from './agent-context';
 import type { BackendRequests } from './backend-requests';
+import type { BackendResult } from './request-exchange';
 
 const REPORT_DEADLINE = 1_000;
 const SILENT_REPORTS_UNTIL_UNREADY = 3;
@@ -19,6 +20,15 @@
   readonly draining?: unknown;
 }
 
+/** What a successor needs to go on. */
+export interface BackendMonitorState {
+  readonly load: number;
+  readonly draining: boolean;
+  readonly servingSince: number;
+  readonly silentReports: number;
+  readonly polling: boolean;
+}
+
 /** Polls one back end. */
 export class BackendMonitor {
   /** Last reported load, 0 to 1. */
@@ -50,10 +60,22 @@
       return;
     }
     this.polling = true;
-    this.requests.sendUncounted(loadRequest(loadPath), REPORT_DEADLINE, (answer) => {
-      this.polling = false;
-      this.take(answer.outcome === 'answered' ? answer.message : undefined);
-    });
+    this.requests.send(loadRequest(loadPath), { kind: 'load-report' }, REPORT_DEADLINE);
+  }
+
+  /** Takes the end of a poll. */
+  receiveReport(result: BackendResult): void {
+    this.polling = false;
+    this.take(result.outcome === 'answered' ? result.message : undefined);
+  }
+
+  exportState(): BackendMonitorState {
+    const { load, draining, servingSince, silentReports, polling } = this;
+    return { load, draining, servingSince, silentReports, polling };
+  }
+
+  importState(state: BackendMonitorState): void {
+    Object.assign(this, state);
   }
 
   private take(message: CoapMessage | undefined): void {
--- a/src/agent/backend-requests.ts
+++ b/src/agent/backend-requests.ts
@@ -17,10 +17,10 @@
   withoutOption,
   type CoapMessage,
 } from '../coap/coap-message';
-import type { Endpoint } from '../environment';
+import type { Endpoint, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
 import type { AgentContext } from './agent-context';
-import type { BackendAnswer, BackendExchange } from './request-exchange';
+import type { BackendResult, RequestPurpose } from './request-exchange';
 
 const TOKEN_BYTES = 6;
 /** Upper half of a token names the agent's run, lower half counts its requests. */
@@ -36,12 +36,33 @@
   lastMessageId: number;
 }
 
+/** A request now at the back end. */
+interface BackendExchange {
+  /** Token used towards the back end; never reused within an incarnation. */
+  readonly token: number;
+  readonly messageId: number;
+  readonly deadlineAt: number;
+  readonly purpose: RequestPurpose;
+}
+
+/** What a successor needs to go on. */
+export interface BackendRequestsState {
+  readonly nextToken: number;
+  readonly nextMessageId: number;
+  readonly running: readonly BackendExchange[];
+  readonly observations: readonly Observation[];
+}
+
+/** Receives the end of every request. */
+export type RequestEnded = (purpose: RequestPurpose, result: BackendResult) => void;
+
 /** Receives notifications for the caller of an observation. */
 export type NotificationSink = (caller: Endpoint, message: Buffer) => void;
 
 /** The agent's requests at its back end. */
 export class BackendRequests {
   private readonly running = new Map<number, BackendExchange>();
+  private readonly deadlines = new Map<number, TimerHandle>();
   private readonly observations = new Map<number, Observation>();
   private readonly observationKeys = new Map<string, number>();
   private busy = 0;
@@ -51,6 +72,7 @@
   constructor(
     private readonly context: AgentContext,
     private readonly notify: NotificationSink,
+    private readonly ended: RequestEnded,
   ) {
     const { incarnation } = context.settings;
     this.nextToken = (incarnation % TOKEN_RUN_RANGE) * TOKEN_RUN_RANGE;
@@ -66,34 +88,41 @@
     return this.observations.size;
   }
 
+  /** The purposes of the requests now at the back end. */
+  purposes(): RequestPurpose[] {
+    return [...this.running.values()].map((exchange) => exchange.purpose);
+  }
+
   /**
    * Sends a request to the back end once.
    * @param deadline milliseconds until the answer counts as unknown and the request is cancelled
    */
-  send(
-    caller: Endpoint,
-    request: CoapMessage,
-    deadline: number,
-    onAnswer: (answer: BackendAnswer) => void,
-  ): void {
+  send(request: CoapMessage, purpose: RequestPurpose, deadline: number): void {
     const token = this.newToken();
-    if (isObserveRegistration(request)) {
-      this.addObservation(caller, request.token, token);
+    if (purpose.kind === 'caller' && isObserveRegistration(request)) {
+      this.addObservation(purpose.caller, request.token, token);
     }
-    this.busy++;
-    this.transmit(request, token, deadline, (answer) => {
-      this.busy--;
-      onAnswer(answer);
-    });
+    const messageId = this.newMessageId();
+    const deadlineAt = this.context.environment.now() + deadline;
+    this.track({ token, messageId, deadlineAt, purpose });
+    this.context.backend.sendMessage(encodeForBackend(request, token, messageId, deadline));
   }
 
-  /** Sends a request of the agent's own, which takes no slot. */
-  sendUncounted(
-    request: CoapMessage,
-    deadline: number,
-    onAnswer: (answer: BackendAnswer) => void,
-  ): void {
-    this.transmit(request, this.newToken(), deadline, onAnswer);
+  exportState(): BackendRequestsState {
+    const { nextToken, nextMessageId } = this;
+    const running = [...this.running.values()];
+    return { nextToken, nextMessageId, running, observations: [...this.observations.values()] };
+  }
+
+  importState(state: BackendRequestsState): void {
+    this.nextToken = state.nextToken;
+    this.nextMessageId = state.nextMessageId;
+    state.running.forEach((exchange) => this.track(exchange));
+    for (const observation of state.observations) {
+      const { caller, callerToken, backendToken } = observation;
+      this.observations.set(backendToken, { ...observation });
+      this.observationKeys.set(observationKey(caller, callerToken), backendToken);
+    }
   }
 
   /** Ends a caller's observation, here and at the back end. */
@@ -152,16 +181,13 @@
     }
   }
 
-  private transmit(
-    request: CoapMessage,
-    token: number,
-    deadline: number,
-    onAnswer: (answer: BackendAnswer) => void,
-  ): void {
-    const messageId = this.newMessageId();
-    const timer = this.context.environment.startTimer(deadline, () => this.giveUp(token));
-    this.running.set(token, { token, messageId, deadline: timer, onAnswer });
-    this.context.backend.sendMessage(encodeForBackend(request, token, messageId, deadline));
+  private track(exchange: BackendExchange): void {
+    const { token, deadlineAt, purpose } = exchange;
+    this.running.set(token, exchange);
+    this.busy += purpose.kind === 'load-report' ? 0 : 1;
+    const left = deadlineAt - this.context.environment.now();
+    const timer = this.context.environment.startTimer(left, () => this.giveUp(token));
+    this.deadlines.set(token, timer);
   }
 
   private passNotification(observation: Observation, message: CoapMessage): void {
@@ -191,10 +217,13 @@
     }
   }
 
-  private finish(exchange: BackendExchange, answer: BackendAnswer): void {
-    exchange.deadline.cancel();
-    this.running.delete(exchange.token);
-    exchange.onAnswer(answer);
+  private finish(exchange: BackendExchange, result: BackendResult): void {
+    const { token, purpose } = exchange;
+    this.deadlines.get(token)?.cancel();
+    this.deadlines.delete(token);
+    this.running.delete(token);
+    this.busy -= purpose.kind === 'load-report' ? 0 : 1;
+    this.ended(purpose, result);
   }
 
   private acknowledge(message: CoapMessage): void {
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -30,11 +30,22 @@
   readonly awaiting: Map<string, Set<number>>;
 }
 
-interface SentAnswer {
+/** The answer to a peer's latest claim, kept in case it asks again. */
+export interface SentAnswer {
   readonly claimId: number;
   readonly parts: readonly ClaimAnswerMessage[];
 }
 
+/** What a successor needs to go on. Claims under way are made anew. */
+export interface BucketDirectoryState {
+  readonly owned: Buffer;
+  readonly hosts: readonly string[];
+  /** Entries of 7 bytes, as in a claim's answer. */
+  readonly entries: Buffer;
+  readonly nextClaimId: number;
+  readonly sentAnswers: readonly (SentAnswer & { readonly claimer: string })[];
+}
+
 /** What the directory needs to know of the flows hosted here. */
 export interface HostedFlowSource {
   /** Callers of hosted flows whose bucket is in the set. */
@@ -132,10 +143,8 @@
 
   /** Asks one peer for its flows in the buckets owned here, without giving up admission. */
   refreshFrom(peer: Peer): void {
-    const buckets = BucketSet.empty();
-    this.phases.forEach((phase, bucket) => phase === 'owned' && buckets.add(bucket));
     if (this.ownedCount() > 0) {
-      this.startClaim(buckets, [peer]);
+      this.startClaim(this.ownedBuckets(), [peer]);
     }
   }
 
@@ -192,6 +201,35 @@
     }
   }
 
+  exportState(): BucketDirectoryState {
+    const all = [...this.entries.values()].flatMap((bucket) =>
+      [...bucket].map(([caller, host]) => ({ caller, host })),
+    );
+    const { hosts, bytes } = packEntries(all);
+    const sentAnswers = [...this.sentAnswers].map(([claimer, sent]) => ({ claimer, ...sent }));
+    const { nextClaimId } = this;
+    return { owned: this.ownedBuckets().encode(), hosts, entries: bytes, nextClaimId, sentAnswers };
+  }
+
+  importState(state: BucketDirectoryState): void {
+    this.nextClaimId = state.nextClaimId;
+    for (const bucket of BucketSet.decode(state.owned).members()) {
+      this.phases[bucket] = 'owned';
+    }
+    for (const { caller, host } of unpackEntries(state.hosts, state.entries)) {
+      this.setHost(this.context.bucketOf(caller), caller, host);
+    }
+    for (const { claimer, claimId, parts } of state.sentAnswers) {
+      this.sentAnswers.set(claimer, { claimId, parts });
+    }
+  }
+
+  private ownedBuckets(): BucketSet {
+    const buckets = BucketSet.empty();
+    this.phases.forEach((phase, bucket) => phase === 'owned' && buckets.add(bucket));
+    return buckets;
+  }
+
   private startClaim(buckets: BucketSet, peers: readonly Peer[]): void {
     const claim: Claim = {
       id: ++this.nextClaimId,
--- a/src/agent/drain-state.ts
+++ b/src/agent/drain-state.ts
@@ -9,6 +9,13 @@
 /** A notice of the machine list holds for so long, unless it is repeated. */
 const MACHINE_NOTICE_LIFETIME = 15_000;
 
+/** What a successor needs to go on. */
+export interface DrainStateSnapshot {
+  readonly sequence: number;
+  readonly reasons: readonly DrainReason[];
+  readonly noticedAt: number;
+}
+
 /** Collects the reasons; drains while there is any. */
 export class DrainState {
   /** Rises with every change of state. */
@@ -66,6 +73,19 @@
     this.changed();
   }
 
+  /** The state without the reason `stop`: the successor does not stop. */
+  exportState(): DrainStateSnapshot {
+    const reasons = this.list().filter((reason) => reason !== 'stop');
+    return { sequence: this.sequence, reasons, noticedAt: this.noticedAt };
+  }
+
+  importState(state: DrainStateSnapshot): void {
+    // One further, so that a "stop" said before the hand-over is out of date.
+    this.sequence = state.sequence + 1;
+    this.noticedAt = state.noticedAt;
+    state.reasons.forEach((reason) => this.reasons.add(reason));
+  }
+
   /** Periodic housekeeping. */
   tick(): void {
     if (this.environment.now() - this.noticedAt > MACHINE_NOTICE_LIFETIME) {
--- a/src/agent/flow-table.ts
+++ b/src/agent/flow-table.ts
@@ -14,6 +14,12 @@
   lastActive: number;
 }
 
+/** What a successor needs to go on. */
+export interface FlowTableState {
+  readonly flows: readonly (HostedFlow & { readonly caller: Endpoint })[];
+  readonly closed: readonly Endpoint[];
+}
+
 /** Hosted flows by caller. */
 export class FlowTable {
   private readonly flows = new Map<Endpoint, HostedFlow>();
@@ -74,6 +80,18 @@
     return packCallers(taken);
   }
 
+  exportState(): FlowTableState {
+    const flows = [...this.flows].map(([caller, flow]) => ({ caller, ...flow }));
+    return { flows, closed: [...this.closed] };
+  }
+
+  importState(state: FlowTableState): void {
+    for (const { caller, balancer, lastActive } of state.flows) {
+      this.flows.set(caller, { balancer, lastActive });
+    }
+    state.closed.forEach((caller) => this.closed.add(caller));
+  }
+
   private close(caller: Endpoint): void {
     this.flows.delete(caller);
     this.closed.add(caller);
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -50,6 +50,14 @@
   warmSince: number;
 }
 
+/** What a successor needs to go on. */
+export interface GroupMembershipState {
+  readonly sequence: number;
+  readonly sentTimes: readonly { readonly sequence: number; readonly at: number }[];
+  readonly peers: readonly Peer[];
+  readonly table: ServiceTable | undefined;
+}
+
 /** What a member's own heartbeat says of it. */
 export interface OwnStatus {
   readonly state: AgentStateValue;
@@ -226,6 +234,23 @@
       }));
   }
 
+  exportState(): GroupMembershipState {
+    const sentTimes = [...this.sentTimes].map(([sequence, at]) => ({ sequence, at }));
+    return {
+      sequence: this.sequence,
+      sentTimes,
+      peers: [...this.peers.values()],
+      table: this.current,
+    };
+  }
+
+  importState(state: GroupMembershipState): void {
+    this.sequence = state.sequence;
+    this.current = state.table;
+    state.sentTimes.forEach(({ sequence, at }) => this.sentTimes.set(sequence, at));
+    state.peers.forEach((peer) => this.peers.set(peer.target, { ...peer }));
+  }
+
   private ownCandidate(): PlacementCandidate | undefined {
     const row = this.ownRow;
     const status = this.listener.ownStatus();
--- a/src/agent/permit-office.ts
+++ b/src/agent/permit-office.ts
@@ -1,6 +1,6 @@
 /** Issues and judges permits: the at-most-once part of the agent. */
 import { decodePermit, encodePermit, type Permit } from '../core/permit';
-import { PermitLedger, type LedgerEntry } from '../core/permit-ledger';
+import { PermitLedger, type LedgerEntry, type StoredEntry } from '../core/permit-ledger';
 import { PERMIT_LIFETIME } from '../core/timing';
 import { CoapOption, findOption, type CoapMessage } from '../coap/coap-message';
 import type { Endpoint } from '../environment';
@@ -28,6 +28,12 @@
   /** Issued by another incarnation; only that one can tell. */
   | { readonly kind: 'foreign'; readonly permit: Permit };
 
+/** What a successor needs to go on. */
+export interface PermitOfficeState {
+  readonly nextSerial: number;
+  readonly ledger: readonly StoredEntry<PermitAnswer>[];
+}
+
 /** Permits and ledger of one agent incarnation. */
 export class PermitOffice {
   private readonly ledger = new PermitLedger<PermitAnswer>();
@@ -89,6 +95,17 @@
     return true;
   }
 
+  exportState(): PermitOfficeState {
+    return { nextSerial: this.nextSerial, ledger: this.ledger.all() };
+  }
+
+  importState(state: PermitOfficeState): void {
+    this.nextSerial = state.nextSerial;
+    for (const { serial, expiresAt, entry } of state.ledger) {
+      this.ledger.record(serial, expiresAt, entry);
+    }
+  }
+
   /** Periodic housekeeping. */
   tick(): void {
     this.ledger.forgetExpired(this.context.environment.now());
--- a/src/agent/request-exchange.ts
+++ b/src/agent/request-exchange.ts
@@ -1,6 +1,7 @@
-/** State of one request on its way through the agent. */
-import type { Endpoint, TimerHandle } from '../environment';
+/** Plain state of requests on their way through the agent; all of it can be handed to a successor. */
 import type { CoapMessage } from '../coap/coap-message';
+import type { Permit } from '../core/permit';
+import type { Endpoint } from '../environment';
 
 /** A request taken from a caller, until its answer no longer needs repeating. */
 export interface RequestExchange {
@@ -19,15 +20,34 @@
   forgetAt: number;
 }
 
-/** A request now at this agent's back end. */
-export interface BackendExchange {
-  /** Token used towards the back end; never reused within an incarnation. */
-  readonly token: number;
+/** Names a caller's request, to find its exchange when it ends. */
+export interface CallerRequest {
+  readonly kind: 'caller';
+  readonly caller: Endpoint;
   readonly messageId: number;
-  readonly deadline: TimerHandle;
-  readonly onAnswer: (answer: BackendAnswer) => void;
+  /** The exchange's own; another request may have taken over the message id meanwhile. */
+  readonly fingerprint: number;
+  /** The permit it runs under; only for requests that may not be repeated. */
+  readonly permit: Permit | undefined;
+}
+
+/** Names a request that a peer passed here. */
+export interface PeerRequest {
+  readonly kind: 'peer';
+  readonly origin: string;
+  readonly originIncarnation: number;
+  readonly originEndpoint: Endpoint;
+  readonly passId: number;
 }
 
-/** How the back end's part ended. */
-export type BackendAnswer =
-  { readonly outcome: 'answered'; readonly message: CoapMessage } | { readonly outcome: 'unknown' };
+/** For whom a request runs at the back end. */
+export type RequestPurpose = CallerRequest | PeerRequest | { readonly kind: 'load-report' };
+
+/** How a request ended; a refused one did not run. */
+export type RequestResult =
+  | { readonly outcome: 'answered'; readonly message: CoapMessage }
+  | { readonly outcome: 'unknown' }
+  | { readonly outcome: 'refused' };
+
+/** A result of a request that reached a back end. */
+export type BackendResult = Exclude<RequestResult, { readonly outcome: 'refused' }>;
--- a/src/agent/request-guard.ts
+++ b/src/agent/request-guard.ts
@@ -28,8 +28,8 @@
 import type { BackendRequests } from './backend-requests';
 import type { PermitAnswer, PermitOffice } from './permit-office';
 import type { PermitQueries } from './permit-queries';
-import type { RequestExchange } from './request-exchange';
-import type { PassResult, RequestPassing } from './request-passing';
+import type { CallerRequest, RequestExchange, RequestResult } from './request-exchange';
+import type { RequestPassing } from './request-passing';
 
 const NO_PAYLOAD = Buffer.alloc(0);
 /** Class of the response codes that say the request was done. */
@@ -53,10 +53,22 @@
   passed: number;
 }
 
+/** The exchanges of one caller. */
+interface CallerExchanges {
+  readonly byMessageId: Map<number, RequestExchange>;
+  /** Those without a final answer. */
+  readonly unanswered: Set<RequestExchange>;
+}
+
+/** What a successor needs to go on. */
+export interface RequestGuardState {
+  readonly exchanges: readonly RequestExchange[];
+}
+
 /** Guards the requests of the flows hosted at one agent. */
 export class RequestGuard {
   readonly counts: GuardCounts = { answered: 0, refused: 0, unknown: 0, passed: 0 };
-  private readonly exchanges = new Map<Endpoint, Map<number, RequestExchange>>();
+  private readonly exchanges = new Map<Endpoint, CallerExchanges>();
 
   constructor(
     private readonly context: AgentContext,
@@ -85,14 +97,29 @@
     this.exchanges.delete(caller);
   }
 
+  /** A caller's request has ended, here or at another target. */
+  finish(request: CallerRequest, result: RequestResult): void {
+    const latest = this.exchanges.get(request.caller)?.byMessageId.get(request.messageId);
+    const exchange = latest?.fingerprint === request.fingerprint ? latest : undefined;
+    const { permit } = request;
+    if (result.outcome === 'answered') {
+      this.answerFromBackend(exchange, permit, result.message);
+    } else if (result.outcome === 'unknown') {
+      this.answerUnknown(exchange, permit);
+    } else {
+      this.refuse(exchange, permit);
+    }
+  }
+
   /** Periodic housekeeping. */
   tick(): void {
     const now = this.context.environment.now();
-    for (const [caller, byMessageId] of this.exchanges) {
+    for (const [caller, { byMessageId }] of this.exchanges) {
       for (const [messageId, exchange] of byMessageId) {
-        if (exchange.answer && exchange.forgetAt <= now) {
-          byMessageId.delete(messageId);
+        if (exchange.forgetAt > now) {
+          break;
         }
+        byMessageId.delete(messageId);
       }
       if (byMessageId.size === 0) {
         this.exchanges.delete(caller);
@@ -100,6 +127,22 @@
     }
   }
 
+  /** Exchanges that are answered, or whose request runs somewhere; others begin anew. */
+  exportState(running: readonly CallerRequest[]): RequestGuardState {
+    const isRunning = new Set(running.map(({ caller, messageId }) => `${caller}/${messageId}`));
+    const all = [...this.exchanges.values()].flatMap(({ byMessageId }) => [
+      ...byMessageId.values(),
+    ]);
+    const exchanges = all.filter(
+      ({ answer, caller, messageId }) => answer || isRunning.has(`${caller}/${messageId}`),
+    );
+    return { exchanges };
+  }
+
+  importState(state: RequestGuardState): void {
+    state.exchanges.forEach((exchange) => this.keep({ ...exchange }));
+  }
+
   private receiveEmpty(caller: Endpoint, message: CoapMessage): void {
     if (message.ack || message.reset) {
       this.requests.passEmpty(caller, message);
@@ -111,7 +154,7 @@
   }
 
   private receiveRequest(caller: Endpoint, request: CoapMessage, fingerprint: number): void {
-    const known = this.exchanges.get(caller)?.get(request.messageId);
+    const known = this.exchanges.get(caller)?.byMessageId.get(request.messageId);
     if (known && known.fingerprint === fingerprint) {
       this.repeat(known);
       return;
@@ -149,15 +192,30 @@
       answer: undefined,
       forgetAt: Infinity,
     };
-    const byMessageId = this.exchanges.get(caller) ?? new Map<number, RequestExchange>();
-    for (const other of byMessageId.values()) {
-      if (!other.answer && other.token.equals(request.token)) {
+    this.supersede(caller, request.token);
+    this.keep(exchange);
+    return exchange;
+  }
+
+  /** A token used again while its old answer is under way: the old answer is not sent any more. */
+  private supersede(caller: Endpoint, token: Buffer): void {
+    for (const other of this.exchanges.get(caller)?.unanswered ?? []) {
+      if (other.token.equals(token)) {
         other.superseded = true;
       }
     }
-    byMessageId.set(request.messageId, exchange);
-    this.exchanges.set(caller, byMessageId);
-    return exchange;
+  }
+
+  private keep(exchange: RequestExchange): void {
+    const known = this.exchanges.get(exchange.caller);
+    const kept: CallerExchanges = known ?? { byMessageId: new Map(), unanswered: new Set() };
+    // Set anew, so that the order of the map is the order in which answers are forgotten.
+    kept.byMessageId.delete(exchange.messageId);
+    kept.byMessageId.set(exchange.messageId, exchange);
+    if (!exchange.answer) {
+      kept.unanswered.add(exchange);
+    }
+    this.exchanges.set(exchange.caller, kept);
   }
 
   private judgePost(exchange: RequestExchange, request: CoapMessage): void {
@@ -202,31 +260,21 @@
     permit: Permit | undefined,
   ): void {
     const takesIt = this.surroundings.takesNewWork() || continuesTransfer(request);
-    const done = (result: PassResult): void => this.finish(exchange, permit, result);
+    const { caller, messageId, fingerprint } = exchange;
+    const purpose: CallerRequest = { kind: 'caller', caller, messageId, fingerprint, permit };
     if (takesIt && this.surroundings.freeSlots() > 0) {
-      const { requestDeadline } = this.context.settings;
-      this.requests.send(exchange.caller, request, requestDeadline, done);
+      this.requests.send(request, purpose, this.context.settings.requestDeadline);
     } else if (isObserveRegistration(request)) {
-      done({ outcome: 'refused' });
+      this.finish(purpose, { outcome: 'refused' });
     } else {
       this.counts.passed++;
       const stripped = { ...request, options: withoutOption(request, CoapOption.echo) };
-      this.passing.pass(stripped, done);
-    }
-  }
-
-  private finish(exchange: RequestExchange, permit: Permit | undefined, result: PassResult): void {
-    if (result.outcome === 'answered') {
-      this.answerFromBackend(exchange, permit, result.message);
-    } else if (result.outcome === 'unknown') {
-      this.answerUnknown(exchange, permit);
-    } else {
-      this.refuse(exchange, permit);
+      this.passing.pass(stripped, purpose);
     }
   }
 
   private answerFromBackend(
-    exchange: RequestExchange,
+    exchange: RequestExchange | undefined,
     permit: Permit | undefined,
     message: CoapMessage,
   ): void {
@@ -239,7 +287,7 @@
     this.answer(exchange, answer);
   }
 
-  private answerUnknown(exchange: RequestExchange, permit: Permit | undefined): void {
+  private answerUnknown(exchange: RequestExchange | undefined, permit: Permit | undefined): void {
     const answer = { code: CoapCode.gatewayTimeout, options: [], payload: NO_PAYLOAD };
     if (permit) {
       this.permits.record(permit, { outcome: 'answered', answer });
@@ -250,7 +298,7 @@
   }
 
   /** Refuses for good: the permit is burnt, so a copy that comes later is refused too. */
-  private refuse(exchange: RequestExchange, permit: Permit | undefined): void {
+  private refuse(exchange: RequestExchange | undefined, permit: Permit | undefined): void {
     const answer = refusal();
     if (permit && this.context.safeguards.has('burn')) {
       this.permits.record(permit, { outcome: 'burnt', answer });
@@ -266,7 +314,11 @@
     this.answer(exchange, { code: CoapCode.unauthorized, options: [], payload: NO_PAYLOAD });
   }
 
-  private answer(exchange: RequestExchange, answer: PermitAnswer): void {
+  /** Answers an exchange; one whose flow has ended meanwhile needs no answer. */
+  private answer(exchange: RequestExchange | undefined, answer: PermitAnswer): void {
+    if (!exchange) {
+      return;
+    }
     const options = [...answer.options];
     if (exchange.method === 'post' && this.context.safeguards.has('permits')) {
       options.push({ name: CoapOption.echo, value: this.permits.issue(exchange.caller) });
@@ -280,6 +332,8 @@
       payload: answer.payload,
     });
     exchange.forgetAt = this.context.environment.now() + ANSWER_KEPT_FOR;
+    this.exchanges.get(exchange.caller)?.unanswered.delete(exchange);
+    this.keep(exchange);
     if (!exchange.superseded) {
       this.surroundings.reply(exchange.caller, exchange.answer);
     }
@@ -287,7 +341,9 @@
 
   /** A copy of a request that runs already: the copy that runs will be answered. */
   private forgetExchange(exchange: RequestExchange): void {
-    this.exchanges.get(exchange.caller)?.delete(exchange.messageId);
+    const kept = this.exchanges.get(exchange.caller);
+    kept?.byMessageId.delete(exchange.messageId);
+    kept?.unanswered.delete(exchange);
   }
 }
 
--- a/src/agent/request-passing.ts
+++ b/src/agent/request-passing.ts
@@ -17,34 +17,45 @@
 import type { AgentContext } from './agent-context';
 import type { BackendRequests } from './backend-requests';
 import type { GroupMembership, Peer } from './group-membership';
-import type { BackendAnswer } from './request-exchange';
+import type { BackendResult, CallerRequest, PeerRequest, RequestResult } from './request-exchange';
 
 const ATTEMPTS_MAXIMUM = 3;
 const RESEND_INTERVAL = 500;
 const NO_PAYLOAD = Buffer.alloc(0);
 
-/** How passing a request on ended. */
-export type PassResult = BackendAnswer | { readonly outcome: 'refused' };
-
+/** A request that another target runs for this one. */
 interface PassedRequest {
   readonly id: number;
+  readonly purpose: CallerRequest;
   readonly request: Buffer;
   readonly deadlineAt: number;
-  readonly tried: Set<string>;
-  readonly done: (result: PassResult) => void;
-  helper: Peer;
+  /** Targets asked so far. */
+  readonly tried: string[];
+  helper: string;
   helperIncarnation: number;
-  timer: TimerHandle | undefined;
 }
 
+/** A request run for a peer. */
 interface HelpedRequest {
-  answer: PassedAnswerMessage | undefined;
+  readonly key: string;
   readonly since: number;
+  answer: PassedAnswerMessage | undefined;
+}
+
+/** What a successor needs to go on. */
+export interface RequestPassingState {
+  readonly nextId: number;
+  readonly passed: readonly PassedRequest[];
+  readonly helped: readonly HelpedRequest[];
 }
 
+/** Receives the end of every passed request. */
+export type PassEnded = (purpose: CallerRequest, result: RequestResult) => void;
+
 /** Passing of requests among the targets of one service. */
 export class RequestPassing {
   private readonly passed = new Map<number, PassedRequest>();
+  private readonly timers = new Map<number, TimerHandle>();
   private readonly helped = new Map<string, HelpedRequest>();
   private nextId = 1;
 
@@ -53,38 +64,45 @@
     private readonly membership: GroupMembership,
     private readonly requests: BackendRequests,
     private readonly freeSlots: () => number,
+    private readonly ended: PassEnded,
   ) {}
 
-  /** Passes a request to a target believed to have a free slot; `done` is called once. */
-  pass(request: CoapMessage, done: (result: PassResult) => void): void {
-    const tried = new Set<string>();
-    const helper = this.findHelper(tried);
+  /** Passes a request to a target believed to have a free slot. */
+  pass(request: CoapMessage, purpose: CallerRequest): void {
+    const helper = this.findHelper([]);
     if (!helper) {
-      done({ outcome: 'refused' });
+      this.ended(purpose, { outcome: 'refused' });
       return;
     }
     const entry: PassedRequest = {
       id: this.nextId++,
+      purpose,
       request: generateCoap(request),
       deadlineAt: this.context.environment.now() + this.context.settings.requestDeadline,
-      tried,
-      done,
-      helper,
+      tried: [],
+      helper: helper.target,
       helperIncarnation: helper.incarnation,
-      timer: undefined,
     };
     this.passed.set(entry.id, entry);
     this.sendTo(entry, helper);
   }
 
+  /** The purposes of the requests that others run now. */
+  purposes(): CallerRequest[] {
+    return [...this.passed.values()].map((entry) => entry.purpose);
+  }
+
   /** The helper's answer to a passed request. */
   receiveAnswer(message: PassedAnswerMessage): void {
     const entry = this.passed.get(message.passId);
-    if (!entry || entry.helper.target !== message.target) {
+    if (!entry || entry.helper !== message.target) {
       return;
     }
-    entry.helper.freeSlots = message.freeSlots;
-    entry.timer?.cancel();
+    const helper = this.membership.peer(entry.helper);
+    if (helper) {
+      helper.freeSlots = message.freeSlots;
+    }
+    this.timers.get(entry.id)?.cancel();
     if (message.outcome === PassedOutcome.refused) {
       this.tryNext(entry);
     } else if (message.outcome === PassedOutcome.unknown) {
@@ -97,7 +115,7 @@
   /** A helper is gone: what was passed to it has an unknown outcome, said at once. */
   peerLost(peer: Peer): void {
     for (const entry of [...this.passed.values()]) {
-      if (entry.helper === peer && entry.helperIncarnation === peer.incarnation) {
+      if (entry.helper === peer.target && entry.helperIncarnation === peer.incarnation) {
         this.finish(entry, { outcome: 'unknown' });
       }
     }
@@ -111,20 +129,43 @@
     if (!meantForHere) {
       return;
     }
-    const key = `${message.origin}/${message.originIncarnation}/${message.passId}`;
-    const known = this.helped.get(key);
-    if (known) {
-      if (known.answer) {
-        this.context.send(from, known.answer);
-      }
-      return;
+    const { origin, originIncarnation, passId } = message;
+    const purpose: PeerRequest = {
+      kind: 'peer',
+      origin,
+      originIncarnation,
+      originEndpoint: from,
+      passId,
+    };
+    const known = this.helped.get(keyOf(purpose));
+    if (known?.answer) {
+      this.context.send(from, known.answer);
+    } else if (!known) {
+      this.help(message, purpose);
+    }
+  }
+
+  /** A request run for a peer has ended. */
+  finishHelp(purpose: PeerRequest, result: BackendResult): void {
+    if (result.outcome === 'answered') {
+      this.answerPeer(purpose, PassedOutcome.answered, generateCoap(result.message));
+    } else {
+      this.answerPeer(purpose, PassedOutcome.unknown, NO_PAYLOAD);
+    }
+  }
+
+  exportState(): RequestPassingState {
+    const { nextId } = this;
+    return { nextId, passed: [...this.passed.values()], helped: [...this.helped.values()] };
+  }
+
+  importState(state: RequestPassingState): void {
+    this.nextId = state.nextId;
+    state.helped.forEach((entry) => this.helped.set(entry.key, { ...entry }));
+    for (const entry of state.passed) {
+      this.passed.set(entry.id, { ...entry });
+      this.transmit(this.passed.get(entry.id)!);
     }
-    const entry: HelpedRequest = { answer: undefined, since: this.context.environment.now() };
-    this.helped.set(key, entry);
-    this.help(message, (outcome, payload) => {
-      entry.answer = this.answerTo(message, outcome, payload);
-      this.context.send(from, entry.answer);
-    });
   }
 
   /** Periodic housekeeping. */
@@ -138,45 +179,40 @@
     }
   }
 
-  private help(
-    message: PassedRequestMessage,
-    done: (outcome: PassedOutcomeValue, payload: Buffer) => void,
-  ): void {
+  private help(message: PassedRequestMessage, purpose: PeerRequest): void {
+    const key = keyOf(purpose);
+    this.helped.set(key, { key, since: this.context.environment.now(), answer: undefined });
     const request = parseCoap(message.payload);
     if (request.none || this.freeSlots() <= 0) {
-      done(PassedOutcome.refused, NO_PAYLOAD);
-      return;
+      this.answerPeer(purpose, PassedOutcome.refused, NO_PAYLOAD);
+    } else {
+      this.requests.send(request.val, purpose, message.deadline);
     }
-    this.requests.send(0, request.val, message.deadline, (answer) => {
-      if (answer.outcome === 'answered') {
-        done(PassedOutcome.answered, generateCoap(answer.message));
-      } else {
-        done(PassedOutcome.unknown, NO_PAYLOAD);
-      }
-    });
   }
 
-  private answerTo(
-    message: PassedRequestMessage,
-    outcome: PassedOutcomeValue,
-    payload: Buffer,
-  ): PassedAnswerMessage {
-    return {
+  private answerPeer(purpose: PeerRequest, outcome: PassedOutcomeValue, payload: Buffer): void {
+    const answer: PassedAnswerMessage = {
       type: MessageType.passedAnswer,
       service: this.context.settings.service,
       target: this.context.settings.target,
-      passId: message.passId,
+      passId: purpose.passId,
       outcome,
       freeSlots: Math.max(0, this.freeSlots()),
       payload,
     };
+    const entry = this.helped.get(keyOf(purpose));
+    if (entry) {
+      entry.answer = answer;
+    }
+    this.context.send(purpose.originEndpoint, answer);
   }
 
-  private findHelper(tried: ReadonlySet<string>): Peer | undefined {
+  private findHelper(tried: readonly string[]): Peer | undefined {
     let best: Peer | undefined;
     for (const peer of this.membership.peersToAsk()) {
       const serving = peer.state === AgentState.serving && (peer.row?.share ?? 0) > 0;
-      const free = serving && peer.incarnation > 0 && !tried.has(peer.target) ? peer.freeSlots : 0;
+      const free =
+        serving && peer.incarnation > 0 && !tried.includes(peer.target) ? peer.freeSlots : 0;
       if (free > (best?.freeSlots ?? 0)) {
         best = peer;
       }
@@ -185,24 +221,25 @@
   }
 
   private sendTo(entry: PassedRequest, helper: Peer): void {
-    entry.helper = helper;
+    entry.helper = helper.target;
     entry.helperIncarnation = helper.incarnation;
-    entry.tried.add(helper.target);
+    entry.tried.push(helper.target);
     helper.freeSlots--;
     this.transmit(entry);
   }
 
   private transmit(entry: PassedRequest): void {
     const left = entry.deadlineAt - this.context.environment.now();
-    if (left <= 0) {
+    const helper = this.membership.peer(entry.helper);
+    if (left <= 0 || !helper) {
       this.finish(entry, { outcome: 'unknown' });
       return;
     }
     const { settings } = this.context;
-    this.context.send(entry.helper.endpoint, {
+    this.context.send(helper.endpoint, {
       type: MessageType.passedRequest,
       service: settings.service,
-      target: entry.helper.target,
+      target: entry.helper,
       targetIncarnation: entry.helperIncarnation,
       origin: settings.target,
       originIncarnation: settings.incarnation,
@@ -211,11 +248,13 @@
       payload: entry.request,
     });
     const wait = Math.min(RESEND_INTERVAL, left);
-    entry.timer = this.context.environment.startTimer(wait, () => this.transmit(entry));
+    const timer = this.context.environment.startTimer(wait, () => this.transmit(entry));
+    this.timers.set(entry.id, timer);
   }
 
   private tryNext(entry: PassedRequest): void {
-    const helper = entry.tried.size < ATTEMPTS_MAXIMUM ? this.findHelper(entry.tried) : undefined;
+    const mayTry = entry.tried.length < ATTEMPTS_MAXIMUM;
+    const helper = mayTry ? this.findHelper(entry.tried) : undefined;
     if (helper) {
       this.sendTo(entry, helper);
     } else {
@@ -225,16 +264,21 @@
 
   private finishAnswered(entry: PassedRequest, payload: Buffer): void {
     const message = parseCoap(payload);
-    const result: PassResult = message.some
+    const result: RequestResult = message.some
       ? { outcome: 'answered', message: message.val }
       : { outcome: 'unknown' };
     this.finish(entry, result);
   }
 
-  private finish(entry: PassedRequest, result: PassResult): void {
-    entry.timer?.cancel();
+  private finish(entry: PassedRequest, result: RequestResult): void {
+    this.timers.get(entry.id)?.cancel();
+    this.timers.delete(entry.id);
     if (this.passed.delete(entry.id)) {
-      entry.done(result);
+      this.ended(entry.purpose, result);
     }
   }
 }
+
+function keyOf(purpose: PeerRequest): string {
+  return `${purpose.origin}/${purpose.originIncarnation}/${purpose.passId}`;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { BalancerCommand } from './balancer-command';
 import { DemoCommand } from './demo-command';
 import { SettingsCheckCommand } from './settings-check-command';
+import { SoakCommand } from './soak-command';
 import { SimulateCommand } from './simulate-command';
 import {
   StandinBackendCommand,
@@ -29,6 +30,7 @@
   DemoCommand,
   SettingsCheckCommand,
   SimulateCommand,
+  SoakCommand,
   StandinBackendCommand,
   StandinCallerCommand,
   StandinFabricCommand,
--- a/src/core/permit-ledger.ts
+++ b/src/core/permit-ledger.ts
@@ -19,7 +19,9 @@
 /** Milliseconds after expiry for which a permit's use is remembered. */
 export const USE_REMEMBERED_FOR = 3_600_000;
 
-interface StoredEntry<Answer> {
+/** An entry as kept and as handed to a successor. */
+export interface StoredEntry<Answer> {
+  readonly serial: number;
   entry: LedgerEntry<Answer>;
   readonly expiresAt: number;
 }
@@ -38,7 +40,12 @@
 
   /** Records or replaces the outcome of a permit. */
   record(serial: number, expiresAt: number, entry: LedgerEntry<Answer>): void {
-    this.entries.set(serial, { entry, expiresAt });
+    this.entries.set(serial, { serial, entry, expiresAt });
+  }
+
+  /** Everything, for a successor. */
+  all(): StoredEntry<Answer>[] {
+    return [...this.entries.values()];
   }
 
   remove(serial: number): void {
--- a/src/simulation/run-simulation.ts
+++ b/src/simulation/run-simulation.ts
@@ -1,6 +1,6 @@
 /** Runs one scenario in one world and reports what was judged. */
 import type { SafeguardName } from '../agent/safeguards';
-import type { Deployment } from '../standins/deployments';
+import { withBeacon, type Deployment } from '../standins/deployments';
 import type { Design } from './baselines';
 import { Faults } from './faults';
 import type { CheckerOutcome } from './invariant-checkers';
@@ -53,7 +53,7 @@
 export function runSimulation(request: SimulationRequest): SimulationReport {
   const { scenario, deployment, seed, design, without, trace } = request;
   const world = new SimulatedWorld({
-    deployment,
+    deployment: withBeacon(deployment),
     seed,
     design,
     without,
--- a/src/simulation/simulated-process.ts
+++ b/src/simulation/simulated-process.ts
@@ -95,6 +95,12 @@
     due.forEach((action) => this.run(action));
   }
 
+  /** Wakes after a delay and does `first` before anything that came due meanwhile. */
+  afterWake(delay: number, first: () => void): void {
+    this.postponed.unshift(first);
+    this.clock.schedule(delay, () => this.wake());
+  }
+
   kill(): void {
     this.state = 'dead';
     this.postponed = [];
--- a/src/simulation/simulated-target.ts
+++ b/src/simulation/simulated-target.ts
@@ -1,5 +1,6 @@
 /** One target in the simulation: a machine with an agent and a back end beside it. */
 import { AgentNode } from '../agent/agent-node';
+import { decodeSnapshot, encodeSnapshot } from '../agent/agent-snapshot';
 import type { AgentNodeSettings, PlacementPolicy } from '../agent/agent-context';
 import type { Safeguards } from '../agent/safeguards';
 import type { Endpoint } from '../environment';
@@ -18,6 +19,8 @@
 const FLOW_PORTS = 40_000;
 const FEED_INTERVAL = 1_000;
 const REQUEST_DEADLINE = 5_000;
+/** Milliseconds that a hand-over takes. */
+const HAND_OVER_TIME = 30;
 
 /** What all targets of a simulation share. */
 export interface TargetSurroundings {
@@ -112,9 +115,18 @@
     this.agent.start();
   }
 
-  /** Planned restart. */
+  /** Planned restart: a successor takes everything over; datagrams wait meanwhile. */
   handOver(): void {
-    this.startAgent();
+    const predecessor = this.agentProcess;
+    const snapshot = decodeSnapshot(encodeSnapshot(this.agent.handOver()));
+    predecessor.kill();
+    this.runAgent(snapshot.incarnation);
+    const successor = this.agentProcess;
+    successor.freeze();
+    successor.afterWake(HAND_OVER_TIME, () => {
+      this.agent.takeOver(snapshot);
+      this.agent.start();
+    });
   }
 
   private runAgent(incarnation: number): void {
--- a/src/standins/deployments.ts
+++ b/src/standins/deployments.ts
@@ -105,3 +105,20 @@
 export function targetName(number: number): string {
   return `target-${number}`;
 }
+
+/** A datagram service that simulations add to a deployment, so that both protocols are judged. */
+const BEACON: DeployedService = {
+  name: 'beacon',
+  protocol: 'datagram',
+  targets: 3,
+  slots: 0,
+  connections: 500,
+  callers: { feeds: 0, reporters: 0, transfers: 0, datagrams: 9 },
+  serviceTime: 0,
+  tileBytes: 0,
+};
+
+/** A deployment with the datagram service added. */
+export function withBeacon(deployment: Deployment): Deployment {
+  return { ...deployment, services: [...deployment.services, BEACON] };
+}
