--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -29,12 +29,13 @@
 import { BalancerContacts } from './balancer-contacts';
 import { BucketDirectory } from './bucket-directory';
 import { DrainState } from './drain-state';
+import { unpackCallers } from './flow-entries';
 import { FlowRouter } from './flow-router';
 import { FlowTable, type HostedFlow } from './flow-table';
 import { GroupMembership, type OwnStatus, type Peer } from './group-membership';
 import { PermitOffice } from './permit-office';
 import { PermitQueries } from './permit-queries';
-import { refusalOf, RequestGuard } from './request-guard';
+import { RequestGuard } from './request-guard';
 import type { BackendResult, RequestPurpose } from './request-exchange';
 import { RequestPassing } from './request-passing';
 import { Safeguards } from './safeguards';
@@ -325,6 +326,9 @@
       case MessageType.permitAnswer:
         this.queries.receiveAnswer(message);
         break;
+      case MessageType.flowEviction:
+        unpackCallers(message.callers).forEach((caller) => this.endFlow(caller));
+        break;
       case MessageType.drainNotice:
         this.drain.noticeMachineLeaving();
         break;
@@ -387,13 +391,17 @@
   }
 
   private endIdleFlows(): void {
-    const own = this.settings.target;
-    for (const caller of this.flows.closeIdle()) {
-      this.flowsClosed++;
-      this.guard.flowEnded(caller);
-      this.dependencies.backend.closeFlow(caller);
-      this.directory.removeIfHost(this.context.bucketOf(caller), caller, own);
+    this.flows.idleCallers().forEach((caller) => this.endFlow(caller));
+  }
+
+  private endFlow(caller: Endpoint): void {
+    if (!this.flows.close(caller)) {
+      return;
     }
+    this.flowsClosed++;
+    this.guard.flowEnded(caller);
+    this.dependencies.backend.closeFlow(caller);
+    this.directory.removeIfHost(this.context.bucketOf(caller), caller, this.settings.target);
   }
 
   private takeClosedFor(target: string): Buffer {
@@ -494,9 +502,10 @@
   }
 
   private refuse(caller: Endpoint, balancer: Endpoint, payload: Buffer): void {
-    const answer = this.settings.protocol === 'coap' ? refusalOf(payload) : undefined;
-    if (answer) {
-      this.sendReply(caller, balancer, answer, 0);
+    if (this.settings.protocol === 'coap') {
+      this.guard.refuseUnhosted(caller, payload, (answer) =>
+        this.sendReply(caller, balancer, answer, 0),
+      );
     }
   }
 
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -15,7 +15,7 @@
 import { Events } from '../logging/events';
 import { MessageType, type ClaimAnswerMessage, type ClaimMessage } from '../wire/messages';
 import type { AgentContext } from './agent-context';
-import { packEntries, unpackEntries, type FlowEntry } from './flow-entries';
+import { packCallers, packEntries, unpackEntries, type FlowEntry } from './flow-entries';
 import type { GroupMembership, Peer } from './group-membership';
 
 /** What this agent may do in a bucket. */
@@ -289,16 +289,44 @@
     return true;
   }
 
+  /**
+   * Takes a peer's entries. A flow that another live agent hosts already, as happens
+   * when the peer counted as dead for a while, is ended at the peer: two hosts of one
+   * flow would each keep the balancers that learnt of it.
+   */
   private mergeEntries(claim: Claim, message: ClaimAnswerMessage): void {
+    const evicted: Endpoint[] = [];
     for (const { caller, host } of unpackEntries(message.hosts, message.entries)) {
       const bucket = this.context.bucketOf(caller);
-      const wanted = claim.buckets.has(bucket) && this.phases[bucket] !== 'none';
-      const hostsItself = host === message.target;
+      if (!claim.buckets.has(bucket) || this.phases[bucket] === 'none') {
+        continue;
+      }
       const known = this.hostOf(bucket, caller);
-      if (wanted && !this.membership.peer(host)?.dead && (known === undefined || hostsItself)) {
-        this.setHost(bucket, caller, host);
+      if (known === undefined) {
+        this.takeEntry(bucket, caller, host);
+      } else if (host === message.target && host !== known) {
+        evicted.push(caller);
       }
     }
+    this.evict(message.target, evicted);
+  }
+
+  private takeEntry(bucket: number, caller: Endpoint, host: string): void {
+    if (!this.membership.peer(host)?.dead) {
+      this.setHost(bucket, caller, host);
+    }
+  }
+
+  private evict(target: string, callers: readonly Endpoint[]): void {
+    const peer = this.membership.peer(target);
+    if (peer && callers.length > 0) {
+      this.context.send(peer.endpoint, {
+        type: MessageType.flowEviction,
+        service: this.context.settings.service,
+        target: this.context.settings.target,
+        callers: packCallers(callers),
+      });
+    }
   }
 
   private giveUpRefused(claim: Claim, refused: BucketSet): void {
--- a/src/agent/flow-table.ts
+++ b/src/agent/flow-table.ts
@@ -48,8 +48,8 @@
     return flow;
   }
 
-  /** Ends the flows that were idle for too long and returns their callers. */
-  closeIdle(): Endpoint[] {
+  /** Callers whose flows were idle for too long. */
+  idleCallers(): Endpoint[] {
     const oldest = this.context.environment.now() - this.context.settings.flowIdle;
     const idle: Endpoint[] = [];
     for (const [caller, flow] of this.flows) {
@@ -57,10 +57,18 @@
         idle.push(caller);
       }
     }
-    idle.forEach((caller) => this.close(caller));
     return idle;
   }
 
+  /** Ends a flow; its owner will hear of it. False when it is not hosted here. */
+  close(caller: Endpoint): boolean {
+    const hosted = this.flows.delete(caller);
+    if (hosted) {
+      this.closed.add(caller);
+    }
+    return hosted;
+  }
+
   callersIn(buckets: BucketSet): Endpoint[] {
     return [...this.flows.keys()].filter((caller) => buckets.has(this.context.bucketOf(caller)));
   }
@@ -91,9 +99,4 @@
     }
     state.closed.forEach((caller) => this.closed.add(caller));
   }
-
-  private close(caller: Endpoint): void {
-    this.flows.delete(caller);
-    this.closed.add(caller);
-  }
 }
--- a/src/agent/request-guard.ts
+++ b/src/agent/request-guard.ts
@@ -91,6 +91,25 @@
     }
   }
 
+  /**
+   * Refuses a datagram whose flow has no host here. A refused request must not run
+   * later from another copy, so its permit is burnt first, by its issuer.
+   * @param reply sends an answer to the caller; not called when there is none to give
+   */
+  refuseUnhosted(caller: Endpoint, datagram: Buffer, reply: (answer: Buffer) => void): void {
+    const parsed = parseCoap(datagram);
+    if (parsed.none || !isRequest(parsed.val)) {
+      return;
+    }
+    const request = parsed.val;
+    const respond = (answer: PermitAnswer): void => reply(encodeAnswer(request, answer, []));
+    if (!isPost(request) || !this.context.safeguards.has('permits')) {
+      respond(refusal());
+      return;
+    }
+    this.burnUnhosted(caller, request, respond);
+  }
+
   /** A flow has ended: its observations end, its kept answers go. */
   flowEnded(caller: Endpoint): void {
     this.requests.flowEnded(caller);
@@ -143,6 +162,42 @@
     state.exchanges.forEach((exchange) => this.keep({ ...exchange }));
   }
 
+  private burnUnhosted(
+    caller: Endpoint,
+    request: CoapMessage,
+    respond: (answer: PermitAnswer) => void,
+  ): void {
+    const verdict = this.permits.judge(caller, request);
+    switch (verdict.kind) {
+      case 'run':
+        this.burn(verdict.permit, refusal());
+        respond(refusal());
+        break;
+      case 'not-run':
+        respond(refusal());
+        break;
+      case 'repeat':
+        respond(verdict.answer);
+        break;
+      case 'unknown':
+        respond(unknownOutcome());
+        break;
+      case 'foreign':
+        this.queries.ask(verdict.permit, (burnt) => respond(burnt ? refusal() : unknownOutcome()));
+        break;
+      case 'running':
+        break;
+    }
+  }
+
+  private burn(permit: Permit, answer: PermitAnswer): void {
+    if (this.context.safeguards.has('burn')) {
+      this.permits.record(permit, { outcome: 'burnt', answer });
+    } else {
+      this.permits.forget(permit);
+    }
+  }
+
   private receiveEmpty(caller: Endpoint, message: CoapMessage): void {
     if (message.ack || message.reset) {
       this.requests.passEmpty(caller, message);
@@ -288,7 +343,7 @@
   }
 
   private answerUnknown(exchange: RequestExchange | undefined, permit: Permit | undefined): void {
-    const answer = { code: CoapCode.gatewayTimeout, options: [], payload: NO_PAYLOAD };
+    const answer = unknownOutcome();
     if (permit) {
       this.permits.record(permit, { outcome: 'answered', answer });
     }
@@ -300,10 +355,8 @@
   /** Refuses for good: the permit is burnt, so a copy that comes later is refused too. */
   private refuse(exchange: RequestExchange | undefined, permit: Permit | undefined): void {
     const answer = refusal();
-    if (permit && this.context.safeguards.has('burn')) {
-      this.permits.record(permit, { outcome: 'burnt', answer });
-    } else if (permit) {
-      this.permits.forget(permit);
+    if (permit) {
+      this.burn(permit, answer);
     }
     this.counts.refused++;
     this.context.environment.report(Events.requestRefused, {});
@@ -319,18 +372,11 @@
     if (!exchange) {
       return;
     }
-    const options = [...answer.options];
-    if (exchange.method === 'post' && this.context.safeguards.has('permits')) {
-      options.push({ name: CoapOption.echo, value: this.permits.issue(exchange.caller) });
-    }
-    exchange.answer = generateCoap({
-      code: answer.code,
-      ack: exchange.confirmable,
-      messageId: exchange.messageId,
-      token: exchange.token,
-      options,
-      payload: answer.payload,
-    });
+    const givesPermit = exchange.method === 'post' && this.context.safeguards.has('permits');
+    const echo = givesPermit
+      ? [{ name: CoapOption.echo, value: this.permits.issue(exchange.caller) }]
+      : [];
+    exchange.answer = encodeAnswer(exchange, answer, echo);
     exchange.forgetAt = this.context.environment.now() + ANSWER_KEPT_FOR;
     this.exchanges.get(exchange.caller)?.unanswered.delete(exchange);
     this.keep(exchange);
@@ -348,22 +394,28 @@
 }
 
 /** The final refusal, with the time after which to come back. */
-export function refusal(): PermitAnswer {
+function refusal(): PermitAnswer {
   const maxAge = { name: CoapOption.maxAge, value: encodeInteger(RETRY_AFTER_SECONDS) };
   return { code: CoapCode.serviceUnavailable, options: [maxAge], payload: NO_PAYLOAD };
 }
 
-/** A refusal of a datagram whose flow has no host: none unless it is a request. */
-export function refusalOf(datagram: Buffer): Buffer | undefined {
-  const parsed = parseCoap(datagram);
-  if (parsed.none || !isRequest(parsed.val)) {
-    return undefined;
-  }
-  const request = parsed.val;
+/** The answer when nobody can tell whether the request ran. */
+function unknownOutcome(): PermitAnswer {
+  return { code: CoapCode.gatewayTimeout, options: [], payload: NO_PAYLOAD };
+}
+
+/** Encodes an answer to a request as its acknowledgement. */
+function encodeAnswer(
+  request: Pick<CoapMessage, 'messageId' | 'token' | 'confirmable'>,
+  answer: PermitAnswer,
+  further: CoapMessage['options'],
+): Buffer {
   return generateCoap({
-    ...refusal(),
+    code: answer.code,
     ack: request.confirmable,
     messageId: request.messageId,
     token: request.token,
+    options: [...answer.options, ...further],
+    payload: answer.payload,
   });
 }
--- a/src/standins/caller-statistics.ts
+++ b/src/standins/caller-statistics.ts
@@ -19,6 +19,8 @@
   flowBroken(reason: string, service: string, target: string): void;
   /** A request ended without a definite answer. */
   requestFailed(outcome: 'unknown' | 'unanswered'): void;
+  /** An answer was not whole or not the caller's own. */
+  answerWrong(what: string): void;
 }
 
 /** Counters of a fleet of callers. */
@@ -52,6 +54,12 @@
     this.observer?.flowBroken(reason, service, target);
   }
 
+  /** @param what what was expected and what came, in words */
+  noteWrongAnswer(what: string): void {
+    this.wrongAnswers++;
+    this.observer?.answerWrong(what);
+  }
+
   noteUnknown(): void {
     this.outcomeUnknown++;
     this.observer?.requestFailed('unknown');
--- a/src/standins/run-record.ts
+++ b/src/standins/run-record.ts
@@ -5,12 +5,16 @@
  * the same report as another attempt.
  */
 export class RunRecord {
+  /** @param observe receives a line for each note, for traces */
+  constructor(private readonly observe: (line: string) => void = () => undefined) {}
+
   private readonly runsByReport = new Map<string, number>();
   private readonly attemptsRun = new Set<string>();
   private readonly attemptsRefused = new Set<string>();
 
   /** A back end begins to run an attempt. */
   noteRun(attempt: string): void {
+    this.observe(`run ${attempt}`);
     const report = attempt.split('#')[0]!;
     this.runsByReport.set(report, (this.runsByReport.get(report) ?? 0) + 1);
     this.attemptsRun.add(attempt);
@@ -18,6 +22,7 @@
 
   /** A caller was told that an attempt did not run. */
   noteRefused(attempt: string): void {
+    this.observe(`refused ${attempt}`);
     this.attemptsRefused.add(attempt);
   }
 
--- a/src/wire/message-schema.ts
+++ b/src/wire/message-schema.ts
@@ -299,4 +299,5 @@
     [service, target, field('queryId', 'd', integer), field('burnt', 'a', oneOf(0, 1))],
   ],
   [MessageType.drainNotice, [service, target]],
+  [MessageType.flowEviction, [service, target, field('callers', 'x', binary)]],
 ]);
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -24,6 +24,7 @@
   permitQuery: 18,
   permitAnswer: 19,
   drainNotice: 20,
+  flowEviction: 21,
 } as const;
 
 /** A caller's datagram on its way to the flow's host. */
@@ -285,6 +286,15 @@
   readonly target: string;
 }
 
+/** The owner of a bucket tells an agent to end flows that another agent hosts. */
+export interface FlowEvictionMessage {
+  readonly type: typeof MessageType.flowEviction;
+  readonly service: string;
+  readonly target: string;
+  /** 6-byte endpoints. */
+  readonly callers: Buffer;
+}
+
 /** Any internal message. */
 export type Message =
   | ForwardMessage
@@ -306,4 +316,5 @@
   | PassedAnswerMessage
   | PermitQueryMessage
   | PermitAnswerMessage
-  | DrainNoticeMessage;
+  | DrainNoticeMessage
+  | FlowEvictionMessage;
