--- a/src/agent/flow-router.ts
+++ b/src/agent/flow-router.ts
@@ -101,11 +101,13 @@
   }
 
   /**
-   * A placement counts unless its owner is dead here: then another owner may have
-   * taken the bucket over without knowing of this frame, which was long under way.
+   * A placement counts unless its owner is dead here, or this agent is out of touch
+   * with its group, as after a freeze: then another agent may host the flow by now,
+   * and the frame was long under way.
    */
   private wasPlacedHere(message: ForwardMessage): boolean {
-    return message.placedBy !== '' && this.membership.peer(message.placedBy)?.dead === false;
+    const { placedBy } = message;
+    return placedBy !== '' && this.membership.peer(placedBy)?.dead === false && this.mayAdmit();
   }
 
   private deliver(message: ForwardMessage, flow: HostedFlow): void {
--- a/src/balancer/balancer-membership.ts
+++ b/src/balancer/balancer-membership.ts
@@ -58,6 +58,7 @@
   private readonly relayed = new Map<number, { requester: Endpoint; sequence: number }>();
   private own: MemberRecord;
   private sequence = 0;
+  private ticks = 0;
   private running = false;
   private joined = false;
 
@@ -207,11 +208,12 @@
     if (!this.running) {
       return;
     }
+    this.ticks++;
     this.probeOne();
-    if (this.sequence % RECONNECT_EVERY === 0) {
+    if (this.ticks % RECONNECT_EVERY === 0) {
       this.reconnect();
     }
-    if (this.sequence % FORGET_EVERY === 0) {
+    if (this.ticks % FORGET_EVERY === 0) {
       this.list.forgetOld(this.context.environment.now());
     }
     this.context.environment.startTimer(PROBE_INTERVAL, () => this.tick());
@@ -261,7 +263,10 @@
     }
   }
 
-  /** Tries a dead member and a seed: after a cut heals, someone has to knock. */
+  /**
+   * Tries a dead member and a seed that is not among the live: after a cut heals, or
+   * when members joined through each other in separate pairs, someone has to knock.
+   */
   private reconnect(): void {
     const { environment } = this.context;
     const dead = this.list.randomDead(environment.random());
@@ -270,9 +275,10 @@
       const members = [dead, ...gossip.members];
       this.context.send(dead.endpoint, { type: MessageType.ping, ...gossip, members });
     }
-    const seeds = this.seeds();
-    if (this.list.liveCount === 0 && seeds.length > 0) {
-      this.sendJoin(seeds[Math.floor(environment.random() * seeds.length)]!);
+    const live = new Set(this.list.live().map((member) => member.endpoint));
+    const strangers = this.seeds().filter((seed) => !live.has(seed));
+    if (strangers.length > 0) {
+      this.sendJoin(strangers[Math.floor(environment.random() * strangers.length)]!);
     }
   }
 
--- a/src/core/timing.ts
+++ b/src/core/timing.ts
@@ -19,7 +19,7 @@
 /** Between an agent's hellos to balancers. */
 export const HELLO_INTERVAL = 2_000;
 /** A reply goes to a flow's last balancer only if that was heard within this. */
-export const BALANCER_FRESH_WITHIN = 2_500;
+export const BALANCER_FRESH_WITHIN = 1_000;
 /** A cold target reaches its full part of new flows after this. */
 export const WARM_UP = 30_000;
 /** Lifetime of a permit. */
--- a/src/simulation/simulated-world.ts
+++ b/src/simulation/simulated-world.ts
@@ -218,9 +218,12 @@
     const baseRevision = table?.revision ?? 0;
     const rows = change(baseRows);
     const submitted = { service, rows, baseRows, baseRevision, writeId };
+    const undo = this.watcher.tableSubmitted(service, rows);
     acceptor.node.acceptance.submit(submitted, (result) => {
       if (result.ok) {
         this.watcher.tableAccepted(service, result.val.revision, rows);
+      } else if (result.val.retry === 'never') {
+        undo();
       }
     });
   }
--- a/src/simulation/world-watcher.ts
+++ b/src/simulation/world-watcher.ts
@@ -15,7 +15,7 @@
 /** A balancer that started, thawed or was cut off within this is not judged on a table. */
 const BALANCER_GRACE = 8_000;
 /** An unplanned fault may still show in what callers see after this long. */
-const FAULT_AFTERMATH = 120_000;
+const FAULT_AFTERMATH = 45_000;
 
 interface AcceptedTable {
   readonly service: string;
@@ -117,6 +117,26 @@
     this.nextAcceptance = action;
   }
 
+  /**
+   * An edit is submitted: from now on it may be in force, so targets that it brings
+   * back are no longer judged as leaving. Returns the way to undo that for a refused edit.
+   */
+  tableSubmitted(service: string, rows: readonly TableRow[]): () => void {
+    const before = new Map(this.leavingSince);
+    for (const target of this.world.targetsOf(service)) {
+      if (rows.some((row) => row.target === target.name && row.share > 0)) {
+        this.returned(target);
+      }
+    }
+    return () => {
+      for (const [label, since] of before) {
+        if (label.startsWith(`${service}/`) && !this.leavingSince.has(label)) {
+          this.leavingSince.set(label, since);
+        }
+      }
+    };
+  }
+
   tableAccepted(service: string, revision: number, rows: readonly TableRow[]): void {
     const acceptedAt = this.world.clock.now;
     this.accepted.push({ service, revision, acceptedAt, judged: false, spreadAfter: undefined });
--- a/src/standins/backend-standin.ts
+++ b/src/standins/backend-standin.ts
@@ -50,12 +50,20 @@
   readonly tileBytes: number;
 }
 
+interface PendingNotification {
+  readonly messageId: number;
+  readonly datagram: Buffer;
+  attempts: number;
+  /** The feed has newer content. */
+  stale: boolean;
+}
+
 interface Feed {
   readonly peer: Endpoint;
   readonly token: Buffer;
   readonly path: string;
   sequence: number;
-  unacknowledged: { messageId: number; datagram: Buffer; attempts: number } | undefined;
+  unacknowledged: PendingNotification | undefined;
   ended: boolean;
 }
 
@@ -240,10 +248,21 @@
     });
   }
 
-  /** A notification not yet acknowledged is given up for the newer one, as RFC 7641 allows. */
+  /**
+   * A newer notification replaces one not yet acknowledged and goes out at that one's
+   * next retransmission, as RFC 7641, section 4.5.2, has it.
+   */
   private notify(key: string, feed: Feed): void {
-    const attempts = feed.unacknowledged?.attempts ?? 0;
     feed.sequence++;
+    const pending = feed.unacknowledged;
+    if (pending) {
+      pending.stale = true;
+      return;
+    }
+    this.transmitNew(key, feed, 0);
+  }
+
+  private transmitNew(key: string, feed: Feed, attempts: number): void {
     const messageId = this.newMessageId();
     const datagram = generateCoap({
       code: CoapCode.content,
@@ -253,7 +272,7 @@
       options: [{ name: CoapOption.observe, value: encodeInteger(feed.sequence) }],
       payload: this.feedContent(feed),
     });
-    feed.unacknowledged = { messageId, datagram, attempts };
+    feed.unacknowledged = { messageId, datagram, attempts, stale: false };
     this.transmit(key, feed, messageId);
   }
 
@@ -264,11 +283,14 @@
     }
     if (pending.attempts > NOTIFICATION_RETRIES) {
       this.endFeed(key, feed);
-      return;
+    } else if (pending.stale) {
+      this.transmitNew(key, feed, pending.attempts);
+    } else {
+      const wait = NOTIFICATION_TIMEOUT * 2 ** pending.attempts;
+      pending.attempts++;
+      this.send(feed.peer, pending.datagram);
+      this.environment.startTimer(wait, () => this.transmit(key, feed, messageId));
     }
-    pending.attempts++;
-    this.send(feed.peer, pending.datagram);
-    this.environment.startTimer(NOTIFICATION_TIMEOUT, () => this.transmit(key, feed, messageId));
   }
 
   private endFeed(key: string, feed: Feed): void {
