--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -7,7 +7,7 @@
 import { chooseTarget } from '../core/placement';
 import type { ServiceTable } from '../core/table';
 import { HEARTBEAT_INTERVAL, HELLO_INTERVAL } from '../core/timing';
-import type { Endpoint, Environment, FrameTransport } from '../environment';
+import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
 import type { FrameCodec } from '../wire/frame-codec';
 import {
@@ -97,6 +97,8 @@
   private flowsClosed = 0;
   private lastHello = -Infinity;
   private running = false;
+  private heartbeatTimer: TimerHandle | undefined;
+  private helloTimer: TimerHandle | undefined;
 
   constructor(
     private readonly settings: AgentNodeSettings,
@@ -153,13 +155,14 @@
   start(): void {
     this.running = true;
     const { environment } = this.dependencies;
-    environment.startTimer(environment.random() * HEARTBEAT_INTERVAL, () => this.heartbeat());
+    const delay = environment.random() * HEARTBEAT_INTERVAL;
+    this.heartbeatTimer = environment.startTimer(delay, () => this.heartbeat());
     this.hello();
   }
 
   /** Ends this node in favour of a successor, and returns all that the successor needs. */
   handOver(): AgentSnapshot {
-    this.running = false;
+    this.halt();
     const running = [...this.requests.purposes(), ...this.passing.purposes()];
     const callers = running.filter((purpose) => purpose.kind === 'caller');
     return {
@@ -200,7 +203,7 @@
   stop(): void {
     this.drain.markStopped();
     this.membership.heartbeat();
-    this.running = false;
+    this.halt();
   }
 
   /** True while flows or requests are here. */
@@ -257,6 +260,12 @@
     this.replyToCaller(caller, payload);
   }
 
+  private halt(): void {
+    this.running = false;
+    this.heartbeatTimer?.cancel();
+    this.helloTimer?.cancel();
+  }
+
   private createGuard(): RequestGuard {
     const { context, requests, passing, permits, queries } = this;
     return new RequestGuard(context, requests, passing, permits, queries, {
@@ -387,7 +396,7 @@
     this.membership.heartbeat();
     this.directory.claimMissing();
     const { environment } = this.dependencies;
-    environment.startTimer(HEARTBEAT_INTERVAL, () => this.heartbeat());
+    this.heartbeatTimer = environment.startTimer(HEARTBEAT_INTERVAL, () => this.heartbeat());
   }
 
   private endIdleFlows(): void {
@@ -417,7 +426,7 @@
       this.sendHello(balancer);
     }
     const interval = this.membership.table ? HELLO_INTERVAL : FIRST_HELLO_INTERVAL;
-    this.dependencies.environment.startTimer(interval, () => this.hello());
+    this.helloTimer = this.dependencies.environment.startTimer(interval, () => this.hello());
   }
 
   private promptedHello(balancer: Endpoint): void {
--- a/src/cli/agent-command.ts
+++ b/src/cli/agent-command.ts
@@ -26,6 +26,10 @@
   admin = Option.String('--admin', { description: 'Address for health and metrics' });
   backend = Option.String('--backend', { description: 'Address of the back end' });
 
+  takeOver = Option.Boolean('--take-over', false, {
+    description: 'Take flows, ledger and incarnation over from the agent that runs here now',
+  });
+
   async execute(): Promise<number> {
     const { target, listen, admin, backend } = this;
     const overrides = { target, listen, admin, backend };
@@ -33,6 +37,8 @@
     if (loaded.err) {
       return printError(this.context, loaded.val);
     }
-    return runUntilSignal(this.context, () => AgentProcess.start(loaded.val));
+    return runUntilSignal(this.context, () =>
+      this.takeOver ? AgentProcess.startAsSuccessor(loaded.val) : AgentProcess.start(loaded.val),
+    );
   }
 }
--- a/src/cli/process-runner.ts
+++ b/src/cli/process-runner.ts
@@ -5,6 +5,8 @@
 /** A process that can be stopped as planned. */
 export interface StoppableProcess {
   stop(): Promise<void>;
+  /** Resolves when a successor has taken over, and this process has nothing left to do. */
+  readonly handedOver?: Promise<void>;
 }
 
 /** Starts, waits for SIGTERM or SIGINT, stops as planned. Returns the exit code. */
@@ -14,11 +16,15 @@
 ): Promise<number> {
   try {
     const running = await start();
-    await new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+    const signalled = new Promise<'signal'>((resolve) => {
+      process.once('SIGTERM', () => resolve('signal'));
+      process.once('SIGINT', () => resolve('signal'));
     });
-    await running.stop();
+    const succeeded = running.handedOver?.then(() => 'handed-over' as const);
+    const cause = await Promise.race(succeeded ? [signalled, succeeded] : [signalled]);
+    if (cause === 'signal') {
+      await running.stop();
+    }
     return ExitCode.done;
   } catch (error) {
     return printError(context, error);
--- a/src/cli/standin-commands.ts
+++ b/src/cli/standin-commands.ts
@@ -163,8 +163,9 @@
     description: 'Run the fabric stand-in: sprays datagrams over balancers.',
     examples: [
       [
-        'One service over two balancers',
-        '$0 standin fabric --listen 127.0.0.2:5683 --balancer 127.0.1.1:5683 --balancer 127.0.1.2:5683',
+        'One service over two balancers, each sprayed at while its /readyz answers',
+        '$0 standin fabric --listen 127.0.0.2:5683 --balancer 127.0.1.1:5683=http://127.0.1.1:7080/readyz ' +
+          '--balancer 127.0.1.2:5683=http://127.0.1.2:7080/readyz',
       ],
     ],
   });
@@ -174,9 +175,13 @@
 
   async execute(): Promise<number> {
     return runUntilSignal(this.context, async () => {
-      const balancers = new Map(this.balancers.map((text) => [text, endpointOf(text)]));
+      const given = this.balancers.map((text) => text.split('='));
+      const balancers = new Map(given.map(([address]) => [address!, endpointOf(address!)]));
+      const healthUrls = new Map(
+        given.flatMap(([address, url]) => (url ? [[address!, url] as const] : [])),
+      );
       const listen = endpointOf(this.listen);
-      const fabric = new FabricStandin([{ name: 'service', listen, balancers }]);
+      const fabric = new FabricStandin([{ name: 'service', listen, balancers }], healthUrls);
       await fabric.start();
       return { stop: async () => fabric.stop() };
     });
--- a/src/errors/result-codes.ts
+++ b/src/errors/result-codes.ts
@@ -45,6 +45,7 @@
   frameMalformed: code(1303, 'frame-malformed', 'never'),
   addressInvalid: code(1401, 'address-invalid', 'never'),
   addressInUse: code(1402, 'address-in-use', 'safe'),
+  handoverFailed: code(1403, 'handover-failed', 'safe'),
   operatorApiUnreachable: code(1501, 'operator-api-unreachable', 'safe'),
   waitTimedOut: code(1502, 'wait-timed-out', 'safe'),
   scenarioUnknown: code(1601, 'scenario-unknown', 'never'),
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -28,6 +28,8 @@
   processStopping: event(2002, 'process-stopping', 'info'),
   processStopped: event(2003, 'process-stopped', 'info'),
   processFault: event(2004, 'process-fault', 'error'),
+  processHandedOver: event(2005, 'process-handed-over', 'info'),
+  processTookOver: event(2006, 'process-took-over', 'info'),
   frameNotAuthentic: event(2101, 'frame-not-authentic', 'warn'),
   frameMalformed: event(2102, 'frame-malformed', 'warn'),
   frameWrongService: event(2103, 'frame-wrong-service', 'warn'),
--- /dev/null
+++ b/src/runtime/agent-handover.ts
@@ -0,0 +1,184 @@
+/**
+ * Hands a running agent over to its successor on the same machine, over TCP.
+ *
+ * Records are a type byte, a length of 4 bytes and a body. The predecessor sends its
+ * snapshot and from then on passes every datagram it still receives; the successor
+ * binds the same addresses and says `ready`; the predecessor ends for good and says
+ * `go`; only then the successor acts. Whichever side dies before `go`, the other one
+ * is the agent alone.
+ */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { deserialize, serialize } from 'bson';
+import type { AgentSnapshot } from '../agent/agent-snapshot';
+import { endpointAddress, endpointPort } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import { HallholdError, messageOf } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+
+const RecordType = { snapshot: 1, datagram: 2, ready: 3, go: 4 } as const;
+const HEADER_BYTES = 5;
+const NO_BODY = Buffer.alloc(0);
+const ANSWER_LIMIT = 5_000;
+
+/** Local ports that the successor must bind. */
+export interface SocketState {
+  /** Port towards the back end of a coap service. */
+  readonly sharedPort: number;
+  /** Port of each flow of a datagram service. */
+  readonly flowPorts: readonly { readonly caller: Endpoint; readonly port: number }[];
+}
+
+/** All that passes to the successor. */
+export interface HandoverState {
+  readonly snapshot: AgentSnapshot;
+  readonly sockets: SocketState;
+}
+
+/** A datagram that reached the predecessor after its snapshot. */
+export interface PassedDatagram {
+  readonly kind: 'frame' | 'backend' | 'flow';
+  /** Sender of a frame; caller of a flow. */
+  readonly endpoint: Endpoint;
+  readonly payload: Buffer;
+}
+
+/** What the predecessor does when asked. */
+export interface Predecessor {
+  /** Stops acting and returns everything; datagrams from now on go to `pass`. */
+  begin(pass: (datagram: PassedDatagram) => void): HandoverState;
+  /** The successor is ready: end for good. Resolves when the addresses are free. */
+  end(): Promise<void>;
+  /** The successor is gone: act again. */
+  resume(): void;
+}
+
+function encodeRecord(type: number, body: Buffer): Buffer {
+  const header = Buffer.alloc(HEADER_BYTES);
+  header[0] = type;
+  header.writeUInt32BE(body.length, 1);
+  return Buffer.concat([header, body]);
+}
+
+function readRecords(socket: Socket, handle: (type: number, body: Buffer) => void): void {
+  let pending = NO_BODY;
+  socket.on('data', (data: Buffer) => {
+    pending = Buffer.concat([pending, data]);
+    while (pending.length >= HEADER_BYTES) {
+      const end = HEADER_BYTES + pending.readUInt32BE(1);
+      if (pending.length < end) {
+        return;
+      }
+      const [type, body] = [pending[0]!, pending.subarray(HEADER_BYTES, end)];
+      pending = pending.subarray(end);
+      handle(type, body);
+    }
+  });
+}
+
+/** Waits for a successor. */
+export class HandoverServer {
+  private readonly server: Server;
+  private busy = false;
+
+  constructor(private readonly predecessor: Predecessor) {
+    this.server = createServer((socket) => this.serve(socket));
+  }
+
+  start(listen: Endpoint): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', (error) => {
+        reject(new HallholdError(ResultCodes.addressInUse, messageOf(error)));
+      });
+      this.server.listen(endpointPort(listen), endpointAddress(listen), resolve);
+    });
+  }
+
+  stop(): void {
+    this.server.close();
+  }
+
+  private serve(socket: Socket): void {
+    if (this.busy) {
+      socket.destroy();
+      return;
+    }
+    this.busy = true;
+    let ended = false;
+    const pass = (datagram: PassedDatagram): void => {
+      socket.write(encodeRecord(RecordType.datagram, Buffer.from(serialize(datagram))));
+    };
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.busy = false;
+      if (!ended) {
+        this.predecessor.resume();
+      }
+    });
+    readRecords(socket, (type) => {
+      if (type === RecordType.ready && !ended) {
+        ended = true;
+        void this.finish(socket);
+      }
+    });
+    const state = this.predecessor.begin(pass);
+    socket.write(encodeRecord(RecordType.snapshot, Buffer.from(serialize(state))));
+  }
+
+  /** Frees this server's own address too, then lets the successor go. */
+  private async finish(socket: Socket): Promise<void> {
+    this.server.close();
+    await this.predecessor.end();
+    socket.end(encodeRecord(RecordType.go, NO_BODY));
+  }
+}
+
+/** What the successor does with what it receives. */
+export interface Successor {
+  /** Binds the addresses; nothing is sent yet. */
+  prepare(state: HandoverState): Promise<void>;
+  /** Begins to act. */
+  go(): void;
+  /** A datagram that the predecessor received. */
+  receive(datagram: PassedDatagram): void;
+}
+
+/**
+ * Takes over from the predecessor at `address`.
+ * Rejects with error 1403 when there is none or it does not finish in time.
+ */
+export function takeOver(address: Endpoint, successor: Successor): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const fail = (reason: string): void => {
+      socket.destroy();
+      reject(new HallholdError(ResultCodes.handoverFailed, reason));
+    };
+    const socket = connect(endpointPort(address), endpointAddress(address));
+    const limit = setTimeout(() => fail('the predecessor did not finish in time'), ANSWER_LIMIT);
+    const waiting: PassedDatagram[] = [];
+    let acting = false;
+    socket.on('error', (error) => fail(messageOf(error)));
+    socket.on('close', () => {
+      clearTimeout(limit);
+      if (!acting) {
+        fail('the predecessor closed the connection');
+      }
+    });
+    readRecords(socket, (type, body) => {
+      if (type === RecordType.snapshot) {
+        const state = deserialize(body, { promoteBuffers: true }) as HandoverState;
+        successor.prepare(state).then(
+          () => socket.write(encodeRecord(RecordType.ready, NO_BODY)),
+          (error: unknown) => fail(messageOf(error)),
+        );
+      } else if (type === RecordType.datagram) {
+        waiting.push(deserialize(body, { promoteBuffers: true }) as PassedDatagram);
+      } else if (type === RecordType.go) {
+        acting = true;
+        clearTimeout(limit);
+        successor.go();
+        waiting.forEach((datagram) => successor.receive(datagram));
+        resolve();
+      }
+    });
+  });
+}
--- a/src/runtime/agent-process.ts
+++ b/src/runtime/agent-process.ts
@@ -2,11 +2,20 @@
 import { AgentNode } from '../agent/agent-node';
 import type { AgentNodeSettings } from '../agent/agent-context';
 import { parseEndpoint } from '../core/endpoint';
+import type { Endpoint } from '../environment';
 import { EventLog } from '../logging/event-log';
 import { Events } from '../logging/events';
 import { startAdminServer, type AdminServer } from '../operator/admin-server';
 import type { AgentSettings } from '../settings/settings-schema';
 import { FrameCodec } from '../wire/frame-codec';
+import {
+  HandoverServer,
+  takeOver,
+  type HandoverState,
+  type PassedDatagram,
+  type Predecessor,
+  type Successor,
+} from './agent-handover';
 import { BackendSockets } from './backend-sockets';
 import { Metrics } from './metrics';
 import { clusterKeys, startIncarnation } from './process-identity';
@@ -17,52 +26,55 @@
 const MILLISECONDS = 1_000;
 
 /** One running agent. */
-export class AgentProcess {
-  private constructor(
-    private readonly settings: AgentSettings,
-    private readonly log: EventLog,
-    private readonly environment: RealEnvironment,
-    readonly node: AgentNode,
-    private readonly frames: UdpSocket,
-    private readonly backend: BackendSockets,
-    private admin: AdminServer | undefined,
-  ) {}
-
-  /** Binds everything and starts. Throws a HallholdError when an address is taken. */
-  static async start(settings: AgentSettings): Promise<AgentProcess> {
-    const metrics = new Metrics();
+export class AgentProcess implements Predecessor, Successor {
+  private readonly metrics = new Metrics();
+  private readonly log: EventLog;
+  private readonly environment: RealEnvironment;
+  private readonly backend: BackendSockets;
+  private running: AgentNode | undefined;
+  private frames: UdpSocket | undefined;
+  private admin: AdminServer | undefined;
+  private handover: HandoverServer | undefined;
+  /** Set while a successor takes over: datagrams go there. */
+  private passOn: ((datagram: PassedDatagram) => void) | undefined;
+  /** Set on a successor between binding the addresses and being let go. */
+  private pendingSnapshot: HandoverState | undefined;
+  /** Datagrams that came in that time. */
+  private early: PassedDatagram[] = [];
+  private finished!: () => void;
+  /** Resolves when a successor has taken over. */
+  readonly handedOver = new Promise<void>((resolve) => (this.finished = resolve));
+
+  private constructor(private readonly settings: AgentSettings) {
     const source = `${settings.service}/${settings.target}`;
-    const log = new EventLog(source, settings.log.level, (event) => metrics.count(event));
-    const environment = new RealEnvironment(log);
-    const backend = new BackendSockets(parseEndpoint(settings.backend).unwrap());
-    const listen = parseEndpoint(settings.listen).unwrap();
-    const frames = await UdpSocket.bindEndpoint(listen, (frame, from) =>
-      node.receiveFrame(frame, from),
-    );
-    if (frames.err) {
-      throw frames.val;
-    }
-    const checked = nodeSettings(settings);
-    const node = new AgentNode(checked, {
-      environment,
-      backend,
-      codec: new FrameCodec(checked.keys),
-      transport: { send: (to, frame) => frames.val.send(to, frame) },
-    });
-    await backend.open(node);
-    const process = new AgentProcess(
-      settings,
-      log,
-      environment,
-      node,
-      frames.val,
-      backend,
-      undefined,
-    );
-    await process.open(metrics);
+    this.log = new EventLog(source, settings.log.level, (event) => this.metrics.count(event));
+    this.environment = new RealEnvironment(this.log);
+    this.backend = new BackendSockets(parseEndpoint(settings.backend).unwrap());
+  }
+
+  /** Starts with nothing. Throws a HallholdError when an address is taken. */
+  static async start(settings: AgentSettings): Promise<AgentProcess> {
+    const process = new AgentProcess(settings);
+    await process.bind(process.createNode(startIncarnation()), undefined);
+    await process.openAdmin();
+    process.node.start();
+    process.log.report(Events.processStarted, { role: 'agent' });
+    return process;
+  }
+
+  /** Takes over from the running agent of this target. Throws error 1403 when there is none. */
+  static async startAsSuccessor(settings: AgentSettings): Promise<AgentProcess> {
+    const process = new AgentProcess(settings);
+    await takeOver(parseEndpoint(settings.handover ?? '').unwrap(), process);
+    await process.openAdmin();
+    process.log.report(Events.processTookOver, { flows: process.node.statistics.flows });
     return process;
   }
 
+  get node(): AgentNode {
+    return this.running!;
+  }
+
   /** Planned stop: no new work, wait for flows to end, at most `stopAfterSeconds`. */
   async stop(): Promise<void> {
     this.log.report(Events.processStopping, {});
@@ -85,16 +97,109 @@
   /** Ends at once, without a word to anyone. */
   async vanish(): Promise<void> {
     this.environment.close();
-    this.frames.close();
+    this.handover?.stop();
+    this.frames?.close();
     this.backend.close();
     await this.admin?.close();
   }
 
-  private async open(metrics: Metrics): Promise<void> {
-    metrics.expose('agent', () => ({ ...this.node.statistics }));
+  // Predecessor
+
+  begin(pass: (datagram: PassedDatagram) => void): HandoverState {
+    this.passOn = pass;
+    return { snapshot: this.node.handOver(), sockets: this.backend.exportState() };
+  }
+
+  async end(): Promise<void> {
+    this.log.report(Events.processHandedOver, {});
+    this.environment.close();
+    await this.admin?.close();
+    this.frames?.close();
+    this.backend.close();
+    this.finished();
+  }
+
+  resume(): void {
+    this.passOn = undefined;
+    this.node.start();
+  }
+
+  // Successor
+
+  async prepare(state: HandoverState): Promise<void> {
+    const node = this.createNode(state.snapshot.incarnation);
+    await this.bind(node, state);
+    this.pendingSnapshot = state;
+  }
+
+  go(): void {
+    this.node.takeOver(this.pendingSnapshot!.snapshot);
+    this.node.start();
+    this.pendingSnapshot = undefined;
+    const early = this.early;
+    this.early = [];
+    early.forEach((datagram) => this.receive(datagram));
+  }
+
+  receive(datagram: PassedDatagram): void {
+    if (this.pendingSnapshot) {
+      this.early.push(datagram);
+    } else if (this.passOn) {
+      this.passOn(datagram);
+    } else {
+      this.dispatch(datagram);
+    }
+  }
+
+  private dispatch({ kind, endpoint, payload }: PassedDatagram): void {
+    switch (kind) {
+      case 'frame':
+        this.node.receiveFrame(payload, endpoint);
+        break;
+      case 'backend':
+        this.node.receiveBackendMessage(payload);
+        break;
+      case 'flow':
+        this.node.receiveBackendDatagram(endpoint, payload);
+        break;
+    }
+  }
+
+  private createNode(incarnation: number): AgentNode {
+    const settings = nodeSettings(this.settings, incarnation);
+    return new AgentNode(settings, {
+      environment: this.environment,
+      backend: this.backend,
+      codec: new FrameCodec(settings.keys),
+      transport: { send: (to, frame) => this.frames?.send(to, frame) },
+    });
+  }
+
+  private async bind(node: AgentNode, state: HandoverState | undefined): Promise<void> {
+    this.running = node;
+    this.pendingSnapshot = state;
+    const listen = parseEndpoint(this.settings.listen).unwrap();
+    const handle = (payload: Buffer, endpoint: Endpoint): void =>
+      this.receive({ kind: 'frame', endpoint, payload });
+    const frames = await UdpSocket.bindEndpoint(listen, handle, true);
+    if (frames.err) {
+      throw frames.val;
+    }
+    this.frames = frames.val;
+    const receiver = {
+      receiveBackendMessage: (payload: Buffer) =>
+        this.receive({ kind: 'backend', endpoint: 0, payload }),
+      receiveBackendDatagram: (endpoint: Endpoint, payload: Buffer) =>
+        this.receive({ kind: 'flow', endpoint, payload }),
+    };
+    await this.backend.open(receiver, state?.sockets);
+  }
+
+  private async openAdmin(): Promise<void> {
+    this.metrics.expose('agent', () => ({ ...this.node.statistics }));
     this.admin = await startAdminServer({
       listen: parseEndpoint(this.settings.admin).unwrap(),
-      metrics,
+      metrics: this.metrics,
       isReady: () => this.node.statistics.tableRevision > 0,
       status: () => ({
         role: 'agent',
@@ -103,19 +208,21 @@
         statistics: this.node.statistics,
       }),
     });
-    this.node.start();
-    this.log.report(Events.processStarted, { role: 'agent' });
+    if (this.settings.handover !== undefined) {
+      this.handover = new HandoverServer(this);
+      await this.handover.start(parseEndpoint(this.settings.handover).unwrap());
+    }
   }
 }
 
-function nodeSettings(settings: AgentSettings): AgentNodeSettings {
+function nodeSettings(settings: AgentSettings, incarnation: number): AgentNodeSettings {
   return {
     service: settings.service,
     protocol: settings.protocol,
     target: settings.target,
     endpoint: parseEndpoint(settings.advertise ?? settings.listen).unwrap(),
     balancers: settings.balancers.map((balancer) => parseEndpoint(balancer).unwrap()),
-    incarnation: startIncarnation(),
+    incarnation,
     flowIdle: settings.flowIdleSeconds * MILLISECONDS,
     requestDeadline: settings.requestDeadlineSeconds * MILLISECONDS,
     loadPath: settings.loadPath,
--- a/src/runtime/backend-sockets.ts
+++ b/src/runtime/backend-sockets.ts
@@ -1,7 +1,8 @@
 /** An agent's sockets towards its back end. */
 import type { BackendPort } from '../agent/agent-context';
 import type { Endpoint } from '../environment';
-import { endpointAddress } from '../core/endpoint';
+import { endpointAddress, endpointPort } from '../core/endpoint';
+import type { SocketState } from './agent-handover';
 import { UdpSocket } from './udp-socket';
 
 /** Receives what the back end sends. */
@@ -17,6 +18,8 @@
   socket: UdpSocket | undefined;
   waiting: Buffer[];
   closed: boolean;
+  /** Settles when the socket is bound or could not be. */
+  bound: Promise<void>;
 }
 
 /** One shared socket for coap services, one a flow for datagram services. */
@@ -27,13 +30,29 @@
 
   constructor(private readonly backend: Endpoint) {}
 
-  /** Binds the shared socket. */
-  async open(receiver: BackendReceiver): Promise<void> {
+  /** Binds the shared socket; with `state`, all the sockets that a predecessor had. */
+  async open(receiver: BackendReceiver, state?: SocketState): Promise<void> {
     this.receiver = receiver;
-    const bound = await UdpSocket.bind(this.localAddress(), 0, (payload) =>
-      receiver.receiveBackendMessage(payload),
+    const bound = await UdpSocket.bind(
+      this.localAddress(),
+      state?.sharedPort ?? 0,
+      (payload) => receiver.receiveBackendMessage(payload),
+      true,
     );
-    this.shared = bound.unwrap();
+    if (bound.err) {
+      throw bound.val;
+    }
+    this.shared = bound.val;
+    const flows = state?.flowPorts ?? [];
+    await Promise.all(flows.map(({ caller, port }) => this.openFlow(caller, port).bound));
+  }
+
+  /** Local ports, for a successor. */
+  exportState(): SocketState {
+    const flowPorts = [...this.flows].flatMap(([caller, { socket }]) =>
+      socket ? [{ caller, port: endpointPort(socket.endpoint) }] : [],
+    );
+    return { sharedPort: this.shared ? endpointPort(this.shared.endpoint) : 0, flowPorts };
   }
 
   sendMessage(message: Buffer): void {
@@ -63,16 +82,24 @@
     [...this.flows.keys()].forEach((caller) => this.closeFlow(caller));
   }
 
-  private openFlow(caller: Endpoint): FlowSocket {
-    const flow: FlowSocket = { socket: undefined, waiting: [], closed: false };
+  private openFlow(caller: Endpoint, port = 0): FlowSocket {
+    const flow: FlowSocket = {
+      socket: undefined,
+      waiting: [],
+      closed: false,
+      bound: Promise.resolve(),
+    };
     this.flows.set(caller, flow);
-    void this.bindFlow(caller, flow);
+    flow.bound = this.bindFlow(caller, flow, port);
     return flow;
   }
 
-  private async bindFlow(caller: Endpoint, flow: FlowSocket): Promise<void> {
-    const bound = await UdpSocket.bind(this.localAddress(), 0, (payload) =>
-      this.receiver?.receiveBackendDatagram(caller, payload),
+  private async bindFlow(caller: Endpoint, flow: FlowSocket, port: number): Promise<void> {
+    const bound = await UdpSocket.bind(
+      this.localAddress(),
+      port,
+      (payload) => this.receiver?.receiveBackendDatagram(caller, payload),
+      true,
     );
     if (bound.err) {
       this.flows.delete(caller);
--- a/src/runtime/real-environment.ts
+++ b/src/runtime/real-environment.ts
@@ -3,6 +3,12 @@
 import type { EventLog } from '../logging/event-log';
 import type { EventFields, EventKind } from '../logging/events';
 
+/**
+ * Offset from this process's clock to the machine's monotonic clock, which all
+ * processes of the machine share: times survive a hand-over to a successor.
+ */
+const MACHINE_CLOCK_OFFSET = Number(process.hrtime.bigint()) / 1e6 - performance.now();
+
 /** Environment over Node's own clock and timers. */
 export class RealEnvironment implements Environment {
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -10,7 +16,7 @@
   constructor(private readonly log: EventLog) {}
 
   now(): number {
-    return performance.now();
+    return performance.now() + MACHINE_CLOCK_OFFSET;
   }
 
   startTimer(delayMilliseconds: number, action: () => void): TimerHandle {
--- a/src/runtime/udp-socket.ts
+++ b/src/runtime/udp-socket.ts
@@ -28,13 +28,17 @@
     return this.sendErrors;
   }
 
-  /** Binds an address; port 0 takes a free one. Error 1402 when it is taken. */
+  /**
+   * Binds an address; port 0 takes a free one. Error 1402 when it is taken.
+   * @param shared lets a successor bind the same address; the latest to bind receives
+   */
   static bind(
     address: string,
     port: number,
     handler: DatagramHandler,
+    shared = false,
   ): Promise<Result<UdpSocket, HallholdError>> {
-    const socket = createSocket({ type: 'udp4' });
+    const socket = createSocket({ type: 'udp4', reuseAddr: shared });
     return new Promise((resolve) => {
       socket.once('error', (error) => {
         socket.close();
@@ -52,8 +56,9 @@
   static bindEndpoint(
     endpoint: Endpoint,
     handler: DatagramHandler,
+    shared = false,
   ): Promise<Result<UdpSocket, HallholdError>> {
-    return UdpSocket.bind(endpointAddress(endpoint), endpointPort(endpoint), handler);
+    return UdpSocket.bind(endpointAddress(endpoint), endpointPort(endpoint), handler, shared);
   }
 
   send(to: Endpoint, payload: Buffer): void {
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -66,6 +66,8 @@
   flowIdleSeconds: z.number().min(1).max(86_400).default(300),
   requestDeadlineSeconds: z.number().min(0.1).max(600).default(10),
   loadPath: z.string().max(200).default(''),
+  /** TCP address at which a successor on the same machine asks to take over. */
+  handover: endpoint.optional(),
   stopAfterSeconds: z.number().min(0).max(86_400).default(30),
 });
 
--- a/src/standins/fabric-standin.ts
+++ b/src/standins/fabric-standin.ts
@@ -3,11 +3,14 @@
  * Every caller flow has one socket towards the balancers, so that its source address
  * stays the flow's key whichever balancer it reaches.
  */
+import { request } from 'undici';
 import type { Endpoint } from '../environment';
 import { endpointAddress } from '../core/endpoint';
 import { UdpSocket } from '../runtime/udp-socket';
 
 const WAITING_MAXIMUM = 64;
+const HEALTH_INTERVAL = 250;
+const HEALTH_TIMEOUT = 1_000;
 
 /** A service's address and where its balancers receive. */
 export interface FabricService {
@@ -26,10 +29,14 @@
 export class FabricStandin {
   private readonly withdrawn = new Set<string>();
   private readonly sockets: UdpSocket[] = [];
+  private readonly listeners = new Map<string, UdpSocket>();
   private readonly flows = new Map<string, FabricFlow>();
+  private healthTimer: NodeJS.Timeout | undefined;
 
+  /** @param healthUrls balancer name to the URL that answers 200 while it may be sprayed at */
   constructor(
     private readonly services: readonly FabricService[],
+    private readonly healthUrls: ReadonlyMap<string, string> = new Map(),
     private readonly random: () => number = Math.random,
   ) {}
 
@@ -45,6 +52,10 @@
       this.sockets.push(bound.val);
       this.listeners.set(service.name, bound.val);
     }
+    if (this.healthUrls.size > 0) {
+      this.healthTimer = setInterval(() => void this.checkHealth(), HEALTH_INTERVAL);
+      await this.checkHealth();
+    }
   }
 
   /** Takes a balancer out of the spray, or puts it back. */
@@ -57,11 +68,17 @@
   }
 
   stop(): void {
+    clearInterval(this.healthTimer);
     this.sockets.forEach((socket) => socket.close());
     this.flows.forEach((flow) => flow.socket?.close());
   }
 
-  private readonly listeners = new Map<string, UdpSocket>();
+  private async checkHealth(): Promise<void> {
+    const checks = [...this.healthUrls].map(async ([name, url]) => {
+      this.setLive(name, await isHealthy(url));
+    });
+    await Promise.all(checks);
+  }
 
   private receive(service: FabricService, caller: Endpoint, payload: Buffer): void {
     const key = `${service.name}/${caller}`;
@@ -99,3 +116,13 @@
     }
   }
 }
+
+async function isHealthy(url: string): Promise<boolean> {
+  try {
+    const response = await request(url, { signal: AbortSignal.timeout(HEALTH_TIMEOUT) });
+    await response.body.dump();
+    return response.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/test/integration-processes.test.ts
@@ -0,0 +1,140 @@
+/** Separate processes behind the fault proxy: loss, duplication, reordering, a killed balancer. */
+import test from 'ava';
+import { fetchJson, ProcessCluster, waitFor } from './support/process-cluster';
+
+const FAULTS = { loss: 0.05, duplication: 0.05, reordering: 0.1, reorderDelay: 30 };
+
+interface CallerSummary {
+  readonly flowsOpened: number;
+  readonly flowsBroken: number;
+  readonly answersWhole: number;
+  readonly wrongAnswers: number;
+  readonly misdelivered: number;
+  readonly unanswered: number;
+  readonly outcomeUnknown: number;
+  readonly refusedAttempts: readonly string[];
+}
+
+test('requests are answered through faults while a balancer is killed', async (t) => {
+  const cluster = new ProcessCluster(0, FAULTS);
+  try {
+    await cluster.start(2, 3);
+    const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
+    const mix = ['--feeds', '6', '--reporters', '6', '--transfers', '2', '--seconds', '12'];
+    const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
+    await new Promise((done) => setTimeout(done, 4_000));
+    cluster.children.get('balancer-2')!.process.kill('SIGKILL');
+    t.is(await calling.ended, 0, calling.stderr());
+
+    const summary = JSON.parse(calling.stdout()) as CallerSummary;
+    t.true(summary.answersWhole > 30, JSON.stringify(summary));
+    t.true(summary.flowsOpened >= 12, JSON.stringify(summary));
+    t.is(summary.flowsBroken, 0);
+    t.is(summary.wrongAnswers, 0);
+    t.is(summary.misdelivered, 0);
+    t.is(summary.unanswered, 0);
+
+    const runs = await Promise.all([0, 1, 2].map((index) => fetchJson(cluster.recordUrl(index))));
+    const attempts = runs.flatMap((run) => run.attempts as string[]);
+    const reports = attempts.map((attempt) => attempt.split('#')[0]);
+    t.true(reports.length > 10);
+    t.is(new Set(reports).size, reports.length, 'no report ran twice');
+    const refused = new Set(summary.refusedAttempts);
+    t.deepEqual(
+      attempts.filter((attempt) => refused.has(attempt)),
+      [],
+      'a refusal is true',
+    );
+  } finally {
+    await cluster.stop();
+  }
+});
+
+test('a table edit reaches every process and a bad row changes nothing', async (t) => {
+  const cluster = new ProcessCluster(1, {
+    loss: 0,
+    duplication: 0,
+    reordering: 0,
+    reorderDelay: 0,
+  });
+  try {
+    await cluster.start(2, 3);
+    const api = cluster.balancerApi(1);
+    const drained = cluster.write(
+      'drain.csv',
+      cluster.table(3, (number) => (number === 2 ? 0 : 1)),
+    );
+    const put = await cluster.run('table', 'put', drained, '--api', api);
+    t.is(put.code, 0, put.stderr);
+    t.regex(put.stdout, /live-map: 3 rows accepted at revision \d+, 1 copies confirmed/);
+
+    const bad = cluster.write(
+      'bad.csv',
+      cluster.table(3, (number) => (number === 3 ? -1 : 1)),
+    );
+    const refused = await cluster.run('table', 'put', bad, '--api', api);
+    t.is(refused.code, 1);
+    t.regex(refused.stderr, /error 1101 table-invalid/);
+    t.regex(refused.stderr, /line 4, column share: must be a number/);
+
+    const got = await cluster.run('table', 'get', '--api', cluster.balancerApi(0));
+    t.regex(got.stdout, /live-map,target-2,[\d.]+:7000,0,5,2000/);
+    t.regex(got.stdout, /live-map,target-3,[\d.]+:7000,1,5,2000/);
+
+    const stale = await cluster.run('table', 'put', drained, '--base', '1', '--api', api);
+    t.is(stale.code, 1);
+    t.regex(stale.stderr, /error 1102 table-conflict/);
+
+    cluster.storeProxy!.setCut(true);
+    const unknown = await cluster.run('table', 'put', drained, '--api', api);
+    t.is(unknown.code, 1);
+    t.regex(unknown.stderr, /error 1104 table-outcome-unknown/);
+    const writeId = /write id (\S+)/.exec(unknown.stderr)![1]!;
+    cluster.storeProxy!.setCut(false);
+    let status = '';
+    for (let attempt = 0; attempt < 100 && !status.includes('accepted'); attempt++) {
+      status = (await cluster.run('table', 'status', '--write', writeId, '--api', api)).stdout;
+    }
+    t.regex(status, /"state":"accepted"/);
+  } finally {
+    await cluster.stop();
+  }
+});
+
+test('an agent is restarted as planned while feeds and reports go on', async (t) => {
+  const cluster = new ProcessCluster(2, {
+    loss: 0,
+    duplication: 0,
+    reordering: 0,
+    reorderDelay: 0,
+  });
+  try {
+    await cluster.start(2, 3);
+    const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
+    const mix = ['--feeds', '9', '--reporters', '9', '--seconds', '10'];
+    const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
+    await new Promise((done) => setTimeout(done, 3_000));
+    const settings = cluster.path('agent-0.yaml');
+    const before = await fetchJson(cluster.agentStatus(0));
+    cluster.spawn('successor', ['agent', '--settings', settings, '--take-over']);
+    t.is(await cluster.children.get('agent-1')!.ended, 0, 'the predecessor ends by itself');
+    await waitFor('the successor serves', async () => {
+      const after = await fetchJson(cluster.agentStatus(0));
+      return flowsOf(after) >= flowsOf(before);
+    });
+    t.true(flowsOf(before) > 0);
+    t.is(await calling.ended, 0, calling.stderr());
+    const summary = JSON.parse(calling.stdout()) as CallerSummary;
+    t.true(summary.flowsOpened >= 18, JSON.stringify(summary));
+    t.is(summary.flowsBroken, 0);
+    t.is(summary.unanswered, 0);
+    t.is(summary.outcomeUnknown, 0);
+    t.is(summary.wrongAnswers, 0);
+  } finally {
+    await cluster.stop();
+  }
+});
+
+function flowsOf(status: Record<string, unknown>): number {
+  return (status.statistics as { flows: number }).flows;
+}
--- /dev/null
+++ b/test/support/process-cluster.ts
@@ -0,0 +1,252 @@
+/** Real processes, one a role, for integration tests; every address is this test process's own. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { stringify } from 'yaml';
+import { parseEndpoint } from '../../src/core/endpoint';
+import type { Endpoint } from '../../src/environment';
+import { TcpFaultProxy, UdpFaultProxy, type DatagramFaults } from '../../src/standins/fault-proxy';
+
+const PROGRAM = resolve(__dirname, '../../../bin/hallhold.js');
+const KEY = { id: 1, secret: 'integration-test-key' };
+const WAIT_LIMIT = 30_000;
+
+/** A child process with what it printed. */
+export interface Child {
+  readonly process: ChildProcess;
+  stdout(): string;
+  stderr(): string;
+  readonly ended: Promise<number | null>;
+}
+
+/** Waits until a condition holds; fails after half a minute. */
+export async function waitFor(what: string, condition: () => Promise<boolean>): Promise<void> {
+  const limit = performance.now() + WAIT_LIMIT;
+  while (!(await condition().catch(() => false))) {
+    if (performance.now() > limit) {
+      throw new Error(`gave up waiting until ${what}`);
+    }
+    await new Promise((done) => setTimeout(done, 50));
+  }
+}
+
+/** Reads JSON from a URL. */
+export async function fetchJson(url: string): Promise<Record<string, unknown>> {
+  const response = await fetch(url);
+  if (!response.ok) {
+    throw new Error(`${url} answered ${response.status}`);
+  }
+  return (await response.json()) as Record<string, unknown>;
+}
+
+/** A cluster of one service behind fault proxies. */
+export class ProcessCluster {
+  readonly children = new Map<string, Child>();
+  readonly proxies: UdpFaultProxy[] = [];
+  storeProxy: TcpFaultProxy | undefined;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'hallhold-test-'));
+
+  /** @param group keeps addresses of clusters in one test process apart */
+  constructor(
+    private readonly group: number,
+    private readonly faults: DatagramFaults,
+    private readonly service = { name: 'live-map', protocol: 'coap' },
+  ) {}
+
+  /** An address of 127.0.0.0/8 that no other test process uses. */
+  address(host: number): string {
+    return `127.${130 + ((process.pid >> 8) % 100)}.${process.pid & 255}.${this.group * 60 + host}`;
+  }
+
+  balancerApi(index: number): string {
+    return `http://${this.address(10 + index)}:7080`;
+  }
+
+  recordUrl(index: number): string {
+    return `http://${this.address(20 + index)}:7090/runs`;
+  }
+
+  agentStatus(index: number): string {
+    return `http://${this.address(20 + index)}:7080/status`;
+  }
+
+  /** The path of a file in the cluster's folder. */
+  path(name: string): string {
+    return join(this.folder, name);
+  }
+
+  get serviceAddress(): string {
+    return `${this.address(2)}:5683`;
+  }
+
+  /** Starts platform, balancers, agents with back ends, fabric; waits until flows are admitted. */
+  async start(balancers: number, targets: number): Promise<void> {
+    await this.startPlatform();
+    for (let index = 0; index < balancers; index++) {
+      await this.startBalancer(index, balancers);
+    }
+    await waitFor('balancers are ready', async () => {
+      const all = Array.from({ length: balancers }, (_, index) => this.isReady(index));
+      return (await Promise.all(all)).every(Boolean);
+    });
+    await this.putTable(targets);
+    for (let index = 0; index < targets; index++) {
+      await this.startTarget(index, balancers);
+    }
+    await this.startFabric(balancers);
+    await waitFor('every bucket has an owner', async () => {
+      const all = Array.from({ length: targets }, (_, index) => fetchJson(this.agentStatus(index)));
+      const owned = (await Promise.all(all)).map(
+        (status) => (status.statistics as { bucketsOwned: number }).bucketsOwned,
+      );
+      return owned.reduce((sum, count) => sum + count, 0) === 256;
+    });
+  }
+
+  /** Runs a hallhold command; resolves when it ends. */
+  async run(...words: string[]): Promise<{ code: number | null; stdout: string; stderr: string }> {
+    const child = this.spawn(`command-${this.children.size}`, words);
+    const code = await child.ended;
+    return { code, stdout: child.stdout(), stderr: child.stderr() };
+  }
+
+  /** Starts a hallhold command and leaves it running. */
+  spawn(name: string, words: readonly string[]): Child {
+    const child = spawn(process.execPath, [PROGRAM, ...words], { stdio: 'pipe' });
+    let stdout = '';
+    let stderr = '';
+    child.stdout.on('data', (data: Buffer) => (stdout += data.toString()));
+    child.stderr.on('data', (data: Buffer) => (stderr += data.toString()));
+    const ended = new Promise<number | null>((done) => child.once('exit', (code) => done(code)));
+    const entry = { process: child, stdout: () => stdout, stderr: () => stderr, ended };
+    this.children.set(name, entry);
+    return entry;
+  }
+
+  /** Ends everything that this cluster started. */
+  async stop(): Promise<void> {
+    for (const { process: child } of this.children.values()) {
+      child.kill('SIGKILL');
+    }
+    await Promise.all([...this.children.values()].map((child) => child.ended));
+    await Promise.all(this.proxies.map((proxy) => proxy.stop()));
+    this.storeProxy?.stop();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  /** Writes a file into the cluster's folder and returns its path. */
+  write(name: string, content: string): string {
+    const path = join(this.folder, name);
+    writeFileSync(path, content);
+    return path;
+  }
+
+  /** A CSV table of the first targets; `share` by target number from 1. */
+  table(targets: number, share: (number: number) => number = () => 1): string {
+    const rows = Array.from({ length: targets }, (_, index) => {
+      const address = `${this.address(30 + index)}:7000`;
+      return `${this.service.name},target-${index + 1},${address},${share(index + 1)},5,2000`;
+    });
+    return ['service,target,address,share,slots,connections', ...rows].join('\n');
+  }
+
+  private async putTable(targets: number): Promise<void> {
+    const file = this.write('table.csv', this.table(targets));
+    const put = await this.run('table', 'put', file, '--api', this.balancerApi(0));
+    if (put.code !== 0) {
+      throw new Error(`table put failed: ${put.stderr}`);
+    }
+  }
+
+  private async isReady(index: number): Promise<boolean> {
+    const answer = await fetch(`${this.balancerApi(index)}/readyz`);
+    return answer.ok;
+  }
+
+  private async startPlatform(): Promise<void> {
+    const listen = `${this.address(1)}:7900`;
+    this.spawn('platform', ['standin', 'platform', '--listen', listen]);
+    const target = endpoint(listen);
+    this.storeProxy = new TcpFaultProxy(endpoint(`${this.address(1)}:7901`), target);
+    await this.storeProxy.start();
+    await waitFor('the platform answers', async () => {
+      const answer = await fetch(`http://${listen}/api/v1/nodes`);
+      return answer.ok;
+    });
+  }
+
+  /** Balancer `index`: behind a proxy for its frames and one for callers' datagrams. */
+  async startBalancer(index: number, balancers: number): Promise<void> {
+    const address = this.address(10 + index);
+    const file = this.write(
+      `balancer-${index}.yaml`,
+      stringify({
+        role: 'balancer',
+        name: `balancer-${index + 1}`,
+        zone: `zone-${index + 1}`,
+        listen: `${address}:7000`,
+        advertise: `${this.address(14 + index)}:7000`,
+        admin: `${address}:7080`,
+        peers: Array.from({ length: balancers }, (_, peer) => `${this.address(14 + peer)}:7000`),
+        store: `http://${this.address(1)}:7901`,
+        keys: [KEY],
+        quietSeconds: 0.5,
+        services: [{ ...this.service, listen: `${address}:5683` }],
+        log: { level: 'warn' },
+      }),
+    );
+    await this.startProxy(`${this.address(14 + index)}:7000`, `${address}:7000`);
+    this.spawn(`balancer-${index + 1}`, ['balancer', '--settings', file]);
+  }
+
+  private async startTarget(index: number, balancers: number): Promise<void> {
+    const address = this.address(20 + index);
+    const name = `target-${index + 1}`;
+    const file = this.write(
+      `agent-${index}.yaml`,
+      stringify({
+        role: 'agent',
+        service: this.service.name,
+        target: name,
+        protocol: this.service.protocol,
+        listen: `${address}:7000`,
+        advertise: `${this.address(30 + index)}:7000`,
+        admin: `${address}:7080`,
+        backend: `${address}:5700`,
+        balancers: Array.from({ length: balancers }, (_, at) => `${this.address(14 + at)}:7000`),
+        keys: [KEY],
+        loadPath: this.service.protocol === 'coap' ? 'load' : '',
+        handover: `${address}:7070`,
+        log: { level: 'warn' },
+      }),
+    );
+    await this.startProxy(`${this.address(30 + index)}:7000`, `${address}:7000`);
+    this.spawn(`backend-${index + 1}`, [
+      ...['standin', 'backend', '--listen', `${address}:5700`],
+      ...['--service', this.service.name, '--target', name],
+      ...['--record', `${address}:7090`, '--protocol', this.service.protocol],
+    ]);
+    this.spawn(`agent-${index + 1}`, ['agent', '--settings', file]);
+  }
+
+  private async startFabric(balancers: number): Promise<void> {
+    const words = ['standin', 'fabric', '--listen', this.serviceAddress];
+    for (let index = 0; index < balancers; index++) {
+      const address = this.address(10 + index);
+      words.push('--balancer', `${address}:5683=${this.balancerApi(index)}/readyz`);
+    }
+    this.spawn('fabric', words);
+  }
+
+  private async startProxy(listen: string, target: string): Promise<void> {
+    const seed = this.proxies.length + 1;
+    const proxy = new UdpFaultProxy(endpoint(listen), endpoint(target), this.faults, seed);
+    this.proxies.push(proxy);
+    await proxy.start();
+  }
+}
+
+function endpoint(text: string): Endpoint {
+  return parseEndpoint(text).unwrap();
+}
--- /dev/null
+++ b/test/table-rows.test.ts
@@ -0,0 +1,62 @@
+/** The table as a spreadsheet: errors name line, column and reason. */
+import test from 'ava';
+import { parseEndpoint } from '../src/core/endpoint';
+import { conflictingRows, differingRows, type TableRow } from '../src/core/table';
+import { formatCsvTable, parseCsvTable, viewRows } from '../src/operator/table-rows';
+
+const HEADER = 'service,target,address,share,slots,connections';
+
+function row(target: string, share: number): TableRow {
+  const address = parseEndpoint('127.0.0.1:7000').unwrap();
+  return { target, address, share, slots: 5, connections: 2_000 };
+}
+
+test('a table survives being written and read, also as a spreadsheet saves it', (t) => {
+  const rows = [row('target-1', 1), { ...row('target-2', 0.5), address: 12_345_678 }];
+  const csv = formatCsvTable(viewRows('live-map', rows));
+  const spreadsheet = `\uFEFF${csv.replace(/\n/g, '\r\n')}`;
+  t.deepEqual(parseCsvTable(csv).unwrap(), [{ service: 'live-map', rows }]);
+  t.deepEqual(parseCsvTable(spreadsheet).unwrap(), [{ service: 'live-map', rows }]);
+});
+
+test('every bad cell is named', (t) => {
+  const csv = [
+    HEADER,
+    'live-map,target-1,127.0.0.1:7000,1,5,2000',
+    'live-map,target-2,127.0.0.2,1,5,2000',
+    'live-map,target-3,127.0.0.3:7000,minus,5.5,2000',
+    'live-map,target-1,127.0.0.4:7000,1,5,2000',
+    'tiles,target-1,127.0.0.1:7000,1,5,2000',
+  ].join('\n');
+  const parsed = parseCsvTable(csv);
+  t.true(parsed.err);
+  const details = parsed.err ? parsed.val.details : [];
+  t.deepEqual(details, [
+    'line 3, column address: must be an IPv4 address with a port',
+    'line 4, column share: must be a number, 0 or more',
+    'line 4, column slots: Invalid input: expected int, received number',
+    'line 5, column target: target live-map/target-1 stands at line 2 already',
+    'line 6, column address: address 127.0.0.1:7000 stands at line 2 already',
+  ]);
+});
+
+test('a wrong header is refused', (t) => {
+  const parsed = parseCsvTable('a,b\n1,2');
+  t.is(parsed.err && parsed.val.resultCode.number, 1_101);
+});
+
+test('edits of different rows do not collide, edits of the same row do', (t) => {
+  const base = [row('a', 1), row('b', 1), row('c', 1)];
+  const theirs = [row('a', 2), row('b', 1), row('c', 1)];
+  const mineElsewhere = [row('a', 1), row('b', 3), row('c', 1)];
+  const mineSame = [row('a', 5), row('b', 1)];
+  t.deepEqual(conflictingRows(base, theirs, mineElsewhere), []);
+  t.deepEqual(
+    conflictingRows(base, theirs, mineSame).map((conflict) => conflict.target),
+    ['a'],
+  );
+  t.deepEqual(
+    differingRows(base, mineSame).map((change) => change.target),
+    ['a', 'c'],
+  );
+});
