--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -216,6 +216,16 @@
     return [...this.flows.all()].map(([caller]) => caller);
   }
 
+  /** Revision of the table in force here; 0 before the first. */
+  get tableRevision(): number {
+    return this.membership.tableRevision;
+  }
+
+  /** Buckets of the service's directory that this agent owns. */
+  get ownedBuckets(): number {
+    return this.directory.ownedCount();
+  }
+
   get statistics(): AgentStatistics {
     return {
       flows: this.flows.size,
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -22,6 +22,8 @@
 export type BucketPhase = 'none' | 'claiming' | 'owned';
 
 const ENTRIES_PER_PART = 150;
+/** Answers kept over all claimers. */
+const SENT_ANSWERS_KEPT = 64;
 
 interface Claim {
   readonly id: number;
@@ -30,9 +32,10 @@
   readonly awaiting: Map<string, Set<number>>;
 }
 
-/** The answer to a peer's latest claim, kept in case it asks again. */
+/** The answer to a peer's claim, kept in case it asks again. */
 export interface SentAnswer {
-  readonly claimId: number;
+  /** Claimer and claim id. */
+  readonly key: string;
   readonly parts: readonly ClaimAnswerMessage[];
 }
 
@@ -43,7 +46,7 @@
   /** Entries of 7 bytes, as in a claim's answer. */
   readonly entries: Buffer;
   readonly nextClaimId: number;
-  readonly sentAnswers: readonly (SentAnswer & { readonly claimer: string })[];
+  readonly sentAnswers: readonly SentAnswer[];
 }
 
 /** What the directory needs to know of the flows hosted here. */
@@ -172,19 +175,17 @@
 
   /** Answers a peer's claim; releases what this agent does not keep. */
   answerClaim(message: ClaimMessage, from: Endpoint): void {
-    const previous = this.sentAnswers.get(message.target);
-    if (previous?.claimId === message.claimId) {
+    const key = `${message.target}/${message.claimId}`;
+    const previous = this.sentAnswers.get(key);
+    if (previous) {
       previous.parts.forEach((part) => this.context.send(from, part));
       return;
     }
-    if (previous && previous.claimId > message.claimId) {
-      return;
-    }
     const asked = BucketSet.decode(message.buckets);
     const refused = this.release(asked, message);
     const parts = this.answerParts(message, refused, this.entriesFor(asked));
     this.dropEntries(asked);
-    this.sentAnswers.set(message.target, { claimId: message.claimId, parts });
+    this.keepAnswer({ key, parts });
     parts.forEach((part) => this.context.send(from, part));
   }
 
@@ -208,7 +209,7 @@
       [...bucket].map(([caller, host]) => ({ caller, host })),
     );
     const { hosts, bytes } = packEntries(all);
-    const sentAnswers = [...this.sentAnswers].map(([claimer, sent]) => ({ claimer, ...sent }));
+    const sentAnswers = [...this.sentAnswers.values()];
     const { nextClaimId } = this;
     return { owned: this.ownedBuckets().encode(), hosts, entries: bytes, nextClaimId, sentAnswers };
   }
@@ -221,8 +222,17 @@
     for (const { caller, host } of unpackEntries(state.hosts, state.entries)) {
       this.setHost(this.context.bucketOf(caller), caller, host);
     }
-    for (const { claimer, claimId, parts } of state.sentAnswers) {
-      this.sentAnswers.set(claimer, { claimId, parts });
+    state.sentAnswers.forEach((answer) => this.keepAnswer(answer));
+  }
+
+  /**
+   * Keeps answers by claim, not only the latest of a claimer: two claims of one agent
+   * may cross on the way, and each must find its answer.
+   */
+  private keepAnswer(answer: SentAnswer): void {
+    this.sentAnswers.set(answer.key, answer);
+    if (this.sentAnswers.size > SENT_ANSWERS_KEPT) {
+      this.sentAnswers.delete(this.sentAnswers.keys().next().value as string);
     }
   }
 
--- a/src/balancer/balancer-membership.ts
+++ b/src/balancer/balancer-membership.ts
@@ -124,6 +124,14 @@
     this.changeOwn(MemberState.leaving);
   }
 
+  /** Takes members as known, without spreading them as news. */
+  adopt(members: readonly MemberRecord[]): void {
+    const now = this.context.environment.now();
+    const others = members.filter((member) => member.name !== this.own.name);
+    others.forEach((member) => this.list.apply(member, now));
+    this.joined = this.joined || others.length > 0;
+  }
+
   /** Spreads news of a target. */
   spread(rumour: TargetRumour): void {
     this.targetRumours.add(`${rumour.service}/${rumour.target}`, rumour);
--- a/src/balancer/member-list.ts
+++ b/src/balancer/member-list.ts
@@ -19,6 +19,7 @@
   private readonly members = new Map<string, KnownMember>();
   /** Names of members that are probed; kept as an array for random choice. */
   private liveNames: string[] = [];
+  private liveNamesAreStale = false;
 
   get(name: string): MemberRecord | undefined {
     return this.members.get(name)?.record;
@@ -33,23 +34,24 @@
     const wasLive = known !== undefined && isLive(known.record);
     this.members.set(record.name, { record, changedAt: now });
     if (wasLive !== isLive(record)) {
-      this.rebuildLiveNames();
+      this.liveNamesAreStale = true;
     }
     return true;
   }
 
   /** Members that are not dead. */
   live(): MemberRecord[] {
-    return this.liveNames.map((name) => this.members.get(name)!.record);
+    return this.currentLiveNames().map((name) => this.members.get(name)!.record);
   }
 
   get liveCount(): number {
-    return this.liveNames.length;
+    return this.currentLiveNames().length;
   }
 
   /** A live member at random. */
   randomLive(random: number): MemberRecord | undefined {
-    const name = this.liveNames[Math.floor(random * this.liveNames.length)];
+    const names = this.currentLiveNames();
+    const name = names[Math.floor(random * names.length)];
     return name === undefined ? undefined : this.members.get(name)!.record;
   }
 
@@ -72,10 +74,15 @@
     }
   }
 
-  private rebuildLiveNames(): void {
-    this.liveNames = this.all()
-      .filter(isLive)
-      .map((record) => record.name);
+  /** Rebuilt only when asked for after a change: a list of many members changes many at once. */
+  private currentLiveNames(): readonly string[] {
+    if (this.liveNamesAreStale) {
+      this.liveNamesAreStale = false;
+      this.liveNames = this.all()
+        .filter(isLive)
+        .map((record) => record.name);
+    }
+    return this.liveNames;
   }
 }
 
--- a/src/balancer/table-distribution.ts
+++ b/src/balancer/table-distribution.ts
@@ -58,22 +58,18 @@
     return this.caughtUp && this.cache.revision > 0;
   }
 
-  /** Takes a delta from the store, a peer or an own accepted write. */
+  /** Takes news from the store, a peer's push or an own accepted write, and passes it on. */
   take(delta: TableDelta, from: Endpoint | undefined): void {
-    const { changed, gap } = this.cache.apply(delta);
-    if (!gap) {
-      this.caughtUp = true;
-    } else if (from !== undefined) {
-      this.request(from);
-    }
-    if (changed.length === 0) {
-      return;
-    }
-    for (const { service, revision } of changed) {
-      this.context.environment.report(Events.tableApplied, { service, revision });
+    if (this.apply(delta, from)) {
+      this.push(delta);
     }
+  }
+
+  /** Takes a delta without pushing it on: the peers have it. */
+  adopt(delta: TableDelta): void {
+    const { changed, gap } = this.cache.apply(delta);
+    this.caughtUp = this.caughtUp || !gap;
     this.surroundings.changed(changed);
-    this.push(delta);
   }
 
   /** A peer has all through `revision`: ask it if that is more than this node has. */
@@ -88,12 +84,16 @@
   receiveRequest(message: TableRequestMessage, from: Endpoint): void {
     const delta = this.cache.since(message.haveThrough);
     for (const part of splitDelta(delta)) {
-      this.sendDelta(from, part, 0);
+      this.context.send(from, { type: MessageType.tableDelta, ...part, pushed: 0, confirmId: 0 });
     }
   }
 
   receiveDelta(message: TableDeltaMessage, from: Endpoint): void {
-    this.take(message, from);
+    if (message.pushed === 1) {
+      this.take(message, from);
+    } else {
+      this.apply(message, from);
+    }
     if (message.confirmId !== 0) {
       this.context.send(from, {
         type: MessageType.tableConfirm,
@@ -125,6 +125,24 @@
     this.pursue(id, pending);
   }
 
+  /** Applies a delta; returns true when any table in it was new here. */
+  private apply(delta: TableDelta, from: Endpoint | undefined): boolean {
+    const { changed, gap } = this.cache.apply(delta);
+    if (!gap) {
+      this.caughtUp = true;
+    } else if (from !== undefined) {
+      this.request(from);
+    }
+    if (changed.length === 0) {
+      return false;
+    }
+    for (const { service, revision } of changed) {
+      this.context.environment.report(Events.tableApplied, { service, revision });
+    }
+    this.surroundings.changed(changed);
+    return true;
+  }
+
   private pursue(id: number, pending: PendingConfirm): void {
     if (!this.pending.has(id)) {
       return;
@@ -135,7 +153,7 @@
     }
     pending.attempts++;
     for (const member of this.copyHolders(pending)) {
-      this.sendDelta(member.endpoint, pending.delta, id);
+      this.pushTo(member.endpoint, pending.delta, id);
     }
     this.context.environment.startTimer(CONFIRM_RETRY_INTERVAL, () => this.pursue(id, pending));
   }
@@ -163,7 +181,7 @@
       return;
     }
     for (const member of this.surroundings.sample(TABLE_PUSH_FANOUT)) {
-      this.sendDelta(member.endpoint, delta, 0);
+      this.pushTo(member.endpoint, delta, 0);
     }
   }
 
@@ -176,8 +194,8 @@
     this.context.send(from, { type: MessageType.tableRequest, haveThrough: this.cache.revision });
   }
 
-  private sendDelta(to: Endpoint, delta: TableDelta, confirmId: number): void {
-    this.context.send(to, { type: MessageType.tableDelta, ...delta, confirmId });
+  private pushTo(to: Endpoint, delta: TableDelta, confirmId: number): void {
+    this.context.send(to, { type: MessageType.tableDelta, ...delta, pushed: 1, confirmId });
   }
 }
 
--- /dev/null
+++ b/src/bench/hollow-cluster.ts
@@ -0,0 +1,334 @@
+/**
+ * Hollow nodes at any size in one process: the real balancer and agent classes with
+ * real encoded frames over the virtual network, without back ends or callers.
+ */
+import { AgentNode } from '../agent/agent-node';
+import { BalancerNode } from '../balancer/balancer-node';
+import { packEndpoint } from '../core/endpoint';
+import type { ServiceTable } from '../core/table';
+import type { Endpoint } from '../environment';
+import type { StorePort } from '../platform/store-port';
+import { SeededRandom } from '../simulation/seeded-random';
+import { SimulatedNetwork } from '../simulation/simulated-network';
+import { SimulatedProcess } from '../simulation/simulated-process';
+import { VirtualClock } from '../simulation/virtual-clock';
+import { FrameCodec } from '../wire/frame-codec';
+import { MemberState, type MemberRecord } from '../wire/messages';
+
+/** The planned size: 1,300 balancers before 9,700 targets behind 1,600 addresses. */
+export const PLANNED = { balancers: 1_300, targets: 9_700, services: 1_600 } as const;
+
+const REGIONS = 3;
+const ZONES = 8;
+const ZONE_DELAY = 5;
+const FRAME_PORT = 7_000;
+const LEARNT_FLOWS = 50_000;
+const FLOW_IDLE = 3_600_000;
+const SEEDS_NAMED = 5;
+const KEY = { id: 1, secret: Buffer.from('hollow-cluster-secret') };
+const SILENT_STORE: StorePort = {
+  list: () => undefined,
+  watch: () => ({ close: () => undefined }),
+  read: () => undefined,
+  write: () => undefined,
+  machines: () => undefined,
+};
+
+/** A node with its place. */
+interface HollowNode {
+  readonly name: string;
+  readonly endpoint: Endpoint;
+  readonly zone: string;
+  process: SimulatedProcess;
+}
+
+export interface HollowBalancer extends HollowNode {
+  node: BalancerNode;
+}
+
+export interface HollowAgent extends HollowNode {
+  readonly service: string;
+  readonly target: string;
+  node: AgentNode;
+}
+
+/** Bytes that passed, per node, in one second. */
+export interface TrafficSample {
+  /** Mean bytes a node sent and received. */
+  readonly mean: number;
+  /** Most bytes that one node sent and received. */
+  readonly largest: number;
+}
+
+/** A cluster of the planned proportions. */
+export class HollowCluster {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly network: SimulatedNetwork;
+  readonly balancers: HollowBalancer[] = [];
+  readonly agents: HollowAgent[] = [];
+  readonly tables: ServiceTable[] = [];
+  /** The agent at which a caller's datagram was last delivered. */
+  readonly deliveredAt = new Map<Endpoint, HollowAgent>();
+  private readonly codec = new FrameCodec([KEY]);
+  private readonly traffic = new Map<Endpoint, number>();
+  private revision = 1;
+  private incarnation = 1;
+  frames = 0;
+
+  /** @param balancerCount targets and services follow in the planned proportion */
+  constructor(
+    readonly balancerCount: number,
+    seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    const delays = { zoneDelay: ZONE_DELAY, callerDelay: 1 };
+    this.network = new SimulatedNetwork(this.clock, this.random, delays, (from, to, payload) =>
+      this.count(from, to, payload.length),
+    );
+  }
+
+  get nodeCount(): number {
+    return this.balancers.length + this.agents.length;
+  }
+
+  /** Creates all nodes with members and tables known, as after a long run; starts them. */
+  start(): void {
+    this.createTables();
+    this.createBalancers();
+    this.balancers.forEach((balancer) => this.startBalancer(balancer, true));
+    this.agents.forEach((agent) => this.startAgent(agent));
+  }
+
+  run(seconds: number): void {
+    this.clock.runUntil(this.clock.now + seconds * 1_000);
+  }
+
+  /** Runs second by second and returns the traffic of each. */
+  sampleTraffic(seconds: number): TrafficSample[] {
+    return Array.from({ length: seconds }, () => {
+      this.traffic.clear();
+      this.run(1);
+      let total = 0;
+      let largest = 0;
+      for (const bytes of this.traffic.values()) {
+        total += bytes;
+        largest = Math.max(largest, bytes);
+      }
+      return { mean: total / this.nodeCount, largest };
+    });
+  }
+
+  /** Puts a changed table in at one balancer, as a store reader would. Returns its revision. */
+  changeTable(): ServiceTable {
+    const old = this.random.pick(this.tables);
+    const fromRevision = this.revision;
+    this.revision++;
+    const rows = old.rows.map((row, index) => (index === 0 ? { ...row, share: 2 } : row));
+    const table = { ...old, rows, revision: this.revision, writeId: `w${this.revision}` };
+    this.tables[this.tables.indexOf(old)] = table;
+    const reader = this.random.pick(this.balancers.filter((one) => one.process.isRunning));
+    const delta = { fromRevision, throughRevision: this.revision, tables: [table] };
+    reader.node.distribution.take(delta, undefined);
+    return table;
+  }
+
+  /** Balancers that run and lack a table's revision. */
+  balancersBehind(table: ServiceTable): number {
+    return this.balancers.filter(
+      ({ process, node }) =>
+        process.isRunning &&
+        (node.distribution.cache.get(table.service)?.revision ?? 0) < table.revision,
+    ).length;
+  }
+
+  /** Agents of a table's service that run and lack its revision. */
+  agentsBehind(table: ServiceTable): number {
+    return this.agents.filter(
+      ({ service, process, node }) =>
+        service === table.service && process.isRunning && node.tableRevision < table.revision,
+    ).length;
+  }
+
+  /** Buckets without exactly one owner among the running agents, over all services. */
+  bucketsUnowned(): number {
+    const owned = new Map<string, number>();
+    for (const { service, process, node } of this.agents) {
+      const count = process.isRunning ? node.ownedBuckets : 0;
+      owned.set(service, (owned.get(service) ?? 0) + count);
+    }
+    return [...owned.values()].reduce((sum, count) => sum + Math.abs(256 - count), 0);
+  }
+
+  /** Sends a caller's datagram through a random running balancer. */
+  sendDatagram(service: string, caller: Endpoint): void {
+    const running = this.balancers.filter(({ process }) => process.isRunning);
+    const balancer = this.random.pick(running);
+    balancer.node.receiveDatagram(service, caller, Buffer.from('datagram'));
+  }
+
+  kill(node: HollowNode): void {
+    node.process.kill();
+  }
+
+  /** Restarts a node with nothing in it. */
+  restart(node: HollowBalancer | HollowAgent): void {
+    node.process.kill();
+    if ('service' in node) {
+      this.startAgent(node);
+    } else {
+      this.startBalancer(node, false);
+    }
+  }
+
+  /** Number of the region of a zone. */
+  regionOf(zone: string): number {
+    return Number(zone.slice('zone-'.length)) % REGIONS;
+  }
+
+  get zones(): string[] {
+    return Array.from({ length: ZONES }, (_, index) => `zone-${index}`);
+  }
+
+  private count(from: Endpoint, to: Endpoint, bytes: number): void {
+    this.frames++;
+    this.traffic.set(from, (this.traffic.get(from) ?? 0) + bytes);
+    this.traffic.set(to, (this.traffic.get(to) ?? 0) + bytes);
+  }
+
+  /** Services get six or seven targets each, spread over the zones of one region. */
+  private createTables(): void {
+    const scale = this.balancerCount / PLANNED.balancers;
+    const targets = Math.round(PLANNED.targets * scale);
+    const services = Math.round(PLANNED.services * scale);
+    for (let index = 0; index < targets; index++) {
+      const service = `service-${index % services}`;
+      const number = Math.floor(index / services);
+      const zones = this.zones.filter(
+        (zone) => this.regionOf(zone) === (index % services) % REGIONS,
+      );
+      const zone = zones[number % zones.length]!;
+      const endpoint = packEndpoint(
+        `10.${100 + (index >> 16)}.${(index >> 8) & 255}.${index & 255}`,
+        FRAME_PORT,
+      );
+      const target = `target-${number}`;
+      const name = `${service}/${target}`;
+      this.agents.push({ name, endpoint, zone, service, target } as HollowAgent);
+    }
+    for (let index = 0; index < services; index++) {
+      this.tables.push(this.firstTable(`service-${index}`));
+    }
+  }
+
+  private firstTable(service: string): ServiceTable {
+    this.revision++;
+    const rows = this.agents
+      .filter((agent) => agent.service === service)
+      .map(({ target, endpoint }) => ({
+        target,
+        address: endpoint,
+        share: 1,
+        slots: 5,
+        connections: 10_000,
+      }));
+    return { service, revision: this.revision, writeId: 'first', rows };
+  }
+
+  private createBalancers(): void {
+    for (let index = 0; index < this.balancerCount; index++) {
+      const name = `balancer-${index}`;
+      const zone = `zone-${index % ZONES}`;
+      const endpoint = packEndpoint(`10.1.${index >> 8}.${index & 255}`, FRAME_PORT);
+      this.balancers.push({ name, endpoint, zone } as HollowBalancer);
+    }
+  }
+
+  /** @param settled gives it members and tables as after a long run, instead of a join */
+  private startBalancer(balancer: HollowBalancer, settled: boolean): void {
+    const process = this.createProcess(balancer);
+    balancer.process = process;
+    balancer.node = new BalancerNode(
+      {
+        name: balancer.name,
+        zone: balancer.zone,
+        endpoint: balancer.endpoint,
+        peers: this.balancers.slice(0, SEEDS_NAMED).map((seed) => seed.endpoint),
+        incarnation: this.incarnation++,
+        learntFlows: LEARNT_FLOWS,
+      },
+      {
+        environment: process,
+        codec: this.codec,
+        store: SILENT_STORE,
+        transport: {
+          send: (to, frame) => this.network.send(process, balancer.endpoint, to, frame),
+        },
+        callers: { send: () => undefined },
+      },
+    );
+    this.network.bind(balancer.endpoint, process, (frame, from) =>
+      balancer.node.receiveFrame(frame, from),
+    );
+    if (settled) {
+      this.settle(balancer.node);
+    }
+    balancer.node.start();
+  }
+
+  private settle(node: BalancerNode): void {
+    const members: MemberRecord[] = this.balancers.map(({ name, endpoint, zone }, index) => ({
+      name,
+      endpoint,
+      zone,
+      incarnation: index + 1,
+      state: MemberState.alive,
+    }));
+    node.membership.adopt(members);
+    const delta = { fromRevision: 0, throughRevision: this.revision, tables: this.tables };
+    node.distribution.adopt(delta);
+  }
+
+  private startAgent(agent: HollowAgent): void {
+    const process = this.createProcess(agent);
+    agent.process = process;
+    agent.node = new AgentNode(
+      {
+        service: agent.service,
+        protocol: 'datagram',
+        target: agent.target,
+        endpoint: agent.endpoint,
+        balancers: Array.from(
+          { length: SEEDS_NAMED },
+          () => this.random.pick(this.balancers).endpoint,
+        ),
+        incarnation: this.incarnation++,
+        flowIdle: FLOW_IDLE,
+        requestDeadline: 10_000,
+        loadPath: '',
+        keys: [KEY],
+      },
+      {
+        environment: process,
+        codec: this.codec,
+        transport: {
+          send: (to, frame) => this.network.send(process, agent.endpoint, to, frame),
+        },
+        backend: {
+          sendMessage: () => undefined,
+          sendDatagram: (caller) => void this.deliveredAt.set(caller, agent),
+          closeFlow: () => undefined,
+        },
+      },
+    );
+    this.network.bind(agent.endpoint, process, (frame, from) =>
+      agent.node.receiveFrame(frame, from),
+    );
+    agent.node.start();
+  }
+
+  private createProcess(node: HollowNode): SimulatedProcess {
+    const { name, zone } = node;
+    return new SimulatedProcess(name, zone, name, this.clock, this.random, () => undefined);
+  }
+}
--- a/src/wire/message-schema.ts
+++ b/src/wire/message-schema.ts
@@ -250,6 +250,7 @@
       field('fromRevision', 'f', integer),
       field('throughRevision', 'u', integer),
       tables,
+      field('pushed', 'p', oneOf(0, 1)),
       field('confirmId', 'd', integer),
     ],
   ],
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -159,6 +159,8 @@
   readonly fromRevision: number;
   readonly throughRevision: number;
   readonly tables: readonly ServiceTable[];
+  /** 1 for news that the receiver passes on; 0 for the answer to its own request. */
+  readonly pushed: number;
   /** Non-zero when the sender wants a {@link TableConfirmMessage}. */
   readonly confirmId: number;
 }
--- /dev/null
+++ b/test/bucket-directory.test.ts
@@ -0,0 +1,98 @@
+/** The claim hand-shake, message by message. */
+import test from 'ava';
+import type { AgentContext } from '../src/agent/agent-context';
+import { BucketDirectory } from '../src/agent/bucket-directory';
+import type { GroupMembership } from '../src/agent/group-membership';
+import { Safeguards } from '../src/agent/safeguards';
+import { BucketSet } from '../src/core/bucket-set';
+import {
+  MessageType,
+  type ClaimAnswerMessage,
+  type ClaimMessage,
+  type Message,
+} from '../src/wire/messages';
+
+const CLAIMER_ENDPOINT = 7;
+
+/** A directory on its own, with what it sends. */
+function createDirectory(target: string): { directory: BucketDirectory; sent: Message[] } {
+  const sent: Message[] = [];
+  const context = {
+    settings: { service: 'live-map', target, incarnation: 100 },
+    environment: {
+      now: () => 0,
+      random: () => 0,
+      report: () => undefined,
+      startTimer: () => ({ cancel: () => undefined }),
+    },
+    safeguards: new Safeguards(),
+    bucketOf: (caller: number) => caller % 256,
+    send: (_to: number, message: Message) => sent.push(message),
+  } as unknown as AgentContext;
+  const membership = {
+    tableRevision: 1,
+    eligibleTargets: () => ['target-1', 'target-2'],
+    peersToAsk: () => [],
+    peer: () => undefined,
+  } as unknown as GroupMembership;
+  const hosted = { callersIn: () => [] };
+  const directory = new BucketDirectory(context, membership, hosted, () => undefined);
+  return { directory, sent };
+}
+
+function claim(claimId: number, buckets: readonly number[]): ClaimMessage {
+  const set = BucketSet.empty();
+  buckets.forEach((bucket) => set.add(bucket));
+  return {
+    type: MessageType.claim,
+    service: 'live-map',
+    target: 'target-2',
+    claimId,
+    tableRevision: 2,
+    buckets: set.encode(),
+  };
+}
+
+function answersIn(sent: readonly Message[]): ClaimAnswerMessage[] {
+  return sent.filter((message) => message.type === MessageType.claimAnswer);
+}
+
+test('claims of one agent that cross on the way are each answered', (t) => {
+  // Found by the storm "rolling" on a hollow cluster of 100 balancers: the older claim
+  // was ignored for good, and its buckets had no owner.
+  const { directory, sent } = createDirectory('target-1');
+  directory.answerClaim(claim(12, [1, 2]), CLAIMER_ENDPOINT);
+  directory.answerClaim(claim(11, [3]), CLAIMER_ENDPOINT);
+  t.deepEqual(
+    answersIn(sent).map((answer) => answer.claimId),
+    [12, 11],
+  );
+});
+
+test('a claim asked again gets the same entries, though they were released', (t) => {
+  const { directory, sent } = createDirectory('target-1');
+  directory.reconcile();
+  const bucket = Array.from({ length: 256 }, (_, index) => index).find(
+    (index) => directory.phaseOf(index) === 'owned',
+  )!;
+  directory.setHost(bucket, bucket, 'target-2');
+  directory.answerClaim(claim(1, [bucket]), CLAIMER_ENDPOINT);
+  t.is(directory.phaseOf(bucket), 'none');
+  t.is(directory.hostOf(bucket, bucket), undefined);
+  directory.answerClaim(claim(1, [bucket]), CLAIMER_ENDPOINT);
+  const [first, second] = answersIn(sent);
+  t.is(first!.entries.length, 7);
+  t.deepEqual(second, first);
+});
+
+test('an owner keeps its bucket against a claimer with an older table', (t) => {
+  const { directory, sent } = createDirectory('target-1');
+  directory.reconcile();
+  const owned = Array.from({ length: 256 }, (_, index) => index).filter(
+    (index) => directory.phaseOf(index) === 'owned',
+  );
+  t.true(owned.length > 0);
+  directory.answerClaim({ ...claim(1, owned), tableRevision: 0 }, CLAIMER_ENDPOINT);
+  t.deepEqual(BucketSet.decode(answersIn(sent)[0]!.refused).members(), owned);
+  t.true(owned.every((bucket) => directory.phaseOf(bucket) === 'owned'));
+});
--- a/test/decoders.test.ts
+++ b/test/decoders.test.ts
@@ -34,6 +34,7 @@
     type: MessageType.tableDelta,
     fromRevision: 1,
     throughRevision: 3,
+    pushed: 1,
     confirmId: 0,
     tables: [
       {
