--- a/src/balancer/balancer-membership.ts
+++ b/src/balancer/balancer-membership.ts
@@ -286,7 +286,12 @@
     const live = new Set(this.list.live().map((member) => member.endpoint));
     const strangers = this.seeds().filter((seed) => !live.has(seed));
     if (strangers.length > 0) {
-      this.sendJoin(strangers[Math.floor(environment.random() * strangers.length)]!);
+      // A probe, not a join: a join is answered with every member, and many may knock at once.
+      const stranger = strangers[Math.floor(environment.random() * strangers.length)]!;
+      this.context.send(stranger, {
+        type: MessageType.ping,
+        ...this.gossip(this.nextSequence()),
+      });
     }
   }
 
--- a/src/bench/hollow-cluster.ts
+++ b/src/bench/hollow-cluster.ts
@@ -25,7 +25,8 @@
 const ZONE_DELAY = 5;
 const FRAME_PORT = 7_000;
 const LEARNT_FLOWS = 50_000;
-const FLOW_IDLE = 3_600_000;
+/** Hollow flows end when they are told to. */
+const FLOW_IDLE = 1e9;
 const SEEDS_NAMED = 5;
 const KEY = { id: 1, secret: Buffer.from('hollow-cluster-secret') };
 const SILENT_STORE: StorePort = {
@@ -189,8 +190,8 @@
 
   /** Sends a caller's datagram through a random running balancer. */
   sendDatagram(service: string, caller: Endpoint): void {
-    const running = this.balancers.filter(({ process }) => process.isRunning);
-    const balancer = this.random.pick(running);
+    const ready = this.balancers.filter(({ process, node }) => process.isRunning && node.isReady);
+    const balancer = this.random.pick(ready);
     balancer.node.receiveDatagram(service, caller, Buffer.from('datagram'));
   }
 
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -2,8 +2,8 @@
  * Which target receives a new flow: the one with the fewest flows per share.
  *
  * The owner of a bucket knows its peers' counts as of their last heartbeat, plus
- * what it placed since. Other owners place at the same time on the same stale
- * counts, so what this owner placed stands for what all owners placed.
+ * what it placed since. In a burst the other owners place at the same time on the same
+ * stale counts, so what this owner placed stands for a part of what they placed.
  */
 
 import type { Endpoint } from '../environment';
@@ -25,15 +25,29 @@
   readonly warmth: number;
 }
 
+/**
+ * Placements of an owner since the last reports at which half of what it placed is
+ * taken to have been placed by every other owner too: one placement is chance, many
+ * at once are a burst that all owners see. Chosen by `bench balance` (docs/DESIGN.md).
+ */
+const BURST_HALF = 2;
+
 /** Load weighs less than one flow, so that a lying report cannot shift balance. */
 const LOAD_WEIGHT = 0.5;
 
-function estimatedFlows(candidate: PlacementCandidate, owners: number): number {
-  return candidate.reportedFlows + candidate.placedSince * owners;
+/** How many flows stand for one that this owner placed, from 1 up to the number of owners. */
+function placementWeight(candidates: readonly PlacementCandidate[], owners: number): number {
+  const placed = candidates.reduce((sum, candidate) => sum + candidate.placedSince, 0);
+  const burst = placed / (placed + BURST_HALF);
+  return 1 + (owners - 1) * burst;
+}
+
+function estimatedFlows(candidate: PlacementCandidate, weight: number): number {
+  return candidate.reportedFlows + candidate.placedSince * weight;
 }
 
-function meanFlowsPerShare(candidates: readonly PlacementCandidate[], owners: number): number {
-  const flows = candidates.reduce((sum, candidate) => sum + estimatedFlows(candidate, owners), 0);
+function meanFlowsPerShare(candidates: readonly PlacementCandidate[], weight: number): number {
+  const flows = candidates.reduce((sum, candidate) => sum + estimatedFlows(candidate, weight), 0);
   const shares = candidates.reduce((sum, candidate) => sum + candidate.share, 0);
   return flows / shares;
 }
@@ -56,13 +70,14 @@
   if (open.length === 0) {
     return undefined;
   }
-  const mean = meanFlowsPerShare(open, owners);
+  const weight = placementWeight(candidates, owners);
+  const mean = meanFlowsPerShare(open, weight);
   const start = Math.floor(tieBreak * open.length);
   let best: PlacementCandidate | undefined;
   let bestScore = Infinity;
   for (let step = 0; step < open.length; step++) {
     const candidate = open[(start + step) % open.length]!;
-    const score = scoreOf(candidate, owners, mean);
+    const score = scoreOf(candidate, weight, mean);
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
@@ -72,8 +87,8 @@
 }
 
 /** Flows per share; a cold target counts as fuller than it is, so that it is not rushed. */
-function scoreOf(candidate: PlacementCandidate, owners: number, mean: number): number {
-  const flows = estimatedFlows(candidate, owners) + LOAD_WEIGHT * candidate.reportedLoad;
+function scoreOf(candidate: PlacementCandidate, weight: number, mean: number): number {
+  const flows = estimatedFlows(candidate, weight) + LOAD_WEIGHT * candidate.reportedLoad;
   const coldFloor = mean * (1 - candidate.warmth);
   return Math.max(flows / candidate.share, coldFloor);
 }
--- a/src/core/table-cache.ts
+++ b/src/core/table-cache.ts
@@ -21,10 +21,21 @@
   readonly gap: boolean;
 }
 
+/** Deltas kept that arrived before the one they follow. */
+const EARLY_DELTAS_KEPT = 256;
+
+/** A stretch of revisions whose tables are known. */
+interface KnownStretch {
+  readonly fromRevision: number;
+  readonly throughRevision: number;
+}
+
 /** Revision-ordered tables of all services. */
 export class TableCache {
   private readonly tables = new Map<string, ServiceTable>();
   private completeThrough = 0;
+  /** Stretches known beyond a gap: parts of one transfer overtake each other on the way. */
+  private early: KnownStretch[] = [];
 
   /** The revision through which no table is missing; 0 before the first full delta. */
   get revision(): number {
@@ -45,8 +56,11 @@
   apply(delta: TableDelta): AppliedDelta {
     const changed = delta.tables.filter((table) => this.applyOne(table));
     const gap = delta.fromRevision > this.completeThrough;
-    if (!gap) {
-      this.completeThrough = Math.max(this.completeThrough, delta.throughRevision);
+    if (gap) {
+      const { fromRevision, throughRevision } = delta;
+      this.early = [...this.early, { fromRevision, throughRevision }].slice(-EARLY_DELTAS_KEPT);
+    } else {
+      this.advanceThrough(delta.throughRevision);
     }
     return { changed, gap };
   }
@@ -57,6 +71,16 @@
     return { fromRevision: revision, throughRevision: this.completeThrough, tables };
   }
 
+  /** Moves the revision forward, over every early stretch that this reaches. */
+  private advanceThrough(revision: number): void {
+    this.completeThrough = Math.max(this.completeThrough, revision);
+    const reached = this.early.filter((one) => one.fromRevision <= this.completeThrough);
+    if (reached.length > 0) {
+      this.early = this.early.filter((one) => one.fromRevision > this.completeThrough);
+      this.advanceThrough(Math.max(...reached.map((one) => one.throughRevision)));
+    }
+  }
+
   private applyOne(table: ServiceTable): boolean {
     const known = this.tables.get(table.service);
     if (known && known.revision >= table.revision) {
