--- a/src/agent/agent-context.ts
+++ b/src/agent/agent-context.ts
@@ -26,7 +26,6 @@
   readonly requestDeadline: number;
   /** Path of the back end's load report; empty when it has none. */
   readonly loadPath: string;
-  readonly keys: readonly ClusterKey[];
 }
 
 /** The agent's side of its back end. */
@@ -55,6 +54,8 @@
   readonly place: PlacementPolicy;
   /** True in the simulator's baselines, where an agent hosts whatever flow reaches it. */
   readonly hostsAnyFlow: boolean;
+  /** The cluster's keys in use, by which permits are made too. */
+  keys(): readonly ClusterKey[];
   /** Bucket of a caller's flow to this service. */
   bucketOf(caller: Endpoint): number;
   /** Encodes, signs and sends an internal message. */
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -300,6 +300,7 @@
       backend,
       place: place ?? chooseTarget,
       hostsAnyFlow: this.dependencies.hostsAnyFlow ?? false,
+      keys: () => codec.keys,
       bucketOf: (caller) => bucketOf(caller, seed),
       send: (to, message) => {
         const frame = codec.encode(message);
--- a/src/agent/permit-office.ts
+++ b/src/agent/permit-office.ts
@@ -37,12 +37,9 @@
 /** Permits and ledger of one agent incarnation. */
 export class PermitOffice {
   private readonly ledger = new PermitLedger<PermitAnswer>();
-  private readonly secrets: readonly Buffer[];
   private nextSerial = 1;
 
-  constructor(private readonly context: AgentContext) {
-    this.secrets = context.settings.keys.map((key) => key.secret);
-  }
+  constructor(private readonly context: AgentContext) {}
 
   get ledgerSize(): number {
     return this.ledger.size;
@@ -55,13 +52,14 @@
       serial: this.nextSerial++,
       expiresAt: Math.ceil(this.context.environment.now()) + PERMIT_LIFETIME,
     };
-    return encodePermit(permit, caller, this.secrets[0]!);
+    return encodePermit(permit, caller, this.context.keys()[0]!.secret);
   }
 
   /** Judges the permit that a request carries. */
   judge(caller: Endpoint, request: CoapMessage): PermitVerdict {
     const echo = findOption(request, CoapOption.echo);
-    const permit = echo && decodePermit(echo, caller, this.secrets);
+    const secrets = this.context.keys().map((key) => key.secret);
+    const permit = echo && decodePermit(echo, caller, secrets);
     if (!permit) {
       return { kind: 'not-run' };
     }
--- a/src/balancer/balancer-node.ts
+++ b/src/balancer/balancer-node.ts
@@ -10,12 +10,14 @@
 import type { MachineRecord, StorePort } from '../platform/store-port';
 import type { FrameCodec } from '../wire/frame-codec';
 import {
+  AgentState,
   MessageType,
   type HelloMessage,
   type MemberRecord,
   type Message,
   type ReplyMessage,
   type TargetNotice,
+  type TargetRumour,
 } from '../wire/messages';
 import type { BalancerContext, BalancerNodeSettings } from './balancer-context';
 import { BalancerMembership } from './balancer-membership';
@@ -157,9 +159,9 @@
     return [this.membership.self, ...this.membership.known()];
   }
 
-  /** What is known of a target that is not simply serving. */
-  targetNotice(service: string, target: string): TargetNotice | undefined {
-    return this.states.get(service, target);
+  /** Targets that do not simply serve, as far as known here. */
+  leavingTargets(): TargetRumour[] {
+    return this.states.all().filter((rumour) => rumour.state !== AgentState.serving);
   }
 
   /** Takes a caller's datagram that arrived at a service's address. */
--- a/src/bench/balance.ts
+++ b/src/bench/balance.ts
@@ -6,6 +6,7 @@
 import { packEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { hostsAnything, routingOf, type Design } from '../simulation/baselines';
+import { SeededRandom } from '../simulation/seeded-random';
 import { HollowCluster, type HollowAgent, type HollowShape } from './hollow-cluster';
 
 const BALANCERS = 3;
@@ -63,6 +64,8 @@
 class BalanceRun {
   private readonly cluster: HollowCluster;
   private readonly samples: number[] = [];
+  /** Its own stream, so that every design meets the same arrivals and lengths. */
+  private readonly arrivals: SeededRandom;
   /** The oracle's placements whose first datagram has not arrived yet. */
   private underWay: { readonly endpoint: Endpoint; readonly until: number }[] = [];
   private opened = 0;
@@ -74,6 +77,7 @@
     private readonly pattern: ArrivalPattern,
   ) {
     this.cluster = new HollowCluster(this.shape(), order.seed);
+    this.arrivals = new SeededRandom(order.seed + 1);
   }
 
   execute(): BalanceFigures {
@@ -158,7 +162,7 @@
     const steadyRate = Math.max(0, FLOWS_AT_ONCE / FLOW_LENGTH - burstPart);
     const arrive = (): void => {
       this.openFlow();
-      this.cluster.clock.schedule(this.cluster.random.exponential(SECOND / steadyRate), arrive);
+      this.cluster.clock.schedule(this.arrivals.exponential(SECOND / steadyRate), arrive);
     };
     this.cluster.clock.schedule(0, arrive);
     if (this.pattern === 'bursts') {
@@ -175,7 +179,7 @@
     const caller = packEndpoint('172.16.0.0', 0) + this.opened;
     this.cluster.sendDatagram('service-0', caller);
     const scale = (FLOW_LENGTH * (LENGTH_SHAPE - 1)) / LENGTH_SHAPE;
-    const length = scale / (1 - this.cluster.random.next()) ** (1 / LENGTH_SHAPE);
+    const length = scale / (1 - this.arrivals.next()) ** (1 / LENGTH_SHAPE);
     this.cluster.clock.schedule(length * SECOND, () => this.endFlow(caller));
   }
 
--- a/src/bench/datapath.ts
+++ b/src/bench/datapath.ts
@@ -158,7 +158,6 @@
         flowIdle: FLOW_IDLE,
         requestDeadline: 10_000,
         loadPath: '',
-        keys: [KEY],
       },
       {
         environment,
--- a/src/bench/hollow-cluster.ts
+++ b/src/bench/hollow-cluster.ts
@@ -346,7 +346,6 @@
         flowIdle: FLOW_IDLE,
         requestDeadline: 10_000,
         loadPath: '',
-        keys: [KEY],
       },
       {
         environment: process,
--- a/src/cli/agent-command.ts
+++ b/src/cli/agent-command.ts
@@ -1,16 +1,19 @@
 /** `hallhold agent`: runs an agent process beside a back end. */
 import { Command, Option } from 'clipanion';
+import type { Result } from 'ts-results';
+import type { HallholdError } from '../errors/hallhold-error';
 import { AgentProcess } from '../runtime/agent-process';
 import { loadSettings } from '../settings/load-settings';
-import { agentSchema } from '../settings/settings-schema';
+import { agentSchema, type AgentSettings } from '../settings/settings-schema';
 import { printError } from './output';
-import { runUntilSignal } from './process-runner';
+import { reloadKeys, runUntilSignal } from './process-runner';
 
 export class AgentCommand extends Command {
   static override paths = [['agent']];
   static override usage = Command.Usage({
     description: 'Run an agent beside a back end.',
-    details: 'Settings come from a YAML file; flags override it. SIGTERM begins a planned stop.',
+    details:
+      'Settings come from a YAML file; flags override it. SIGTERM begins a planned stop, SIGHUP reads the cluster keys anew.',
     examples: [
       ['With a settings file', '$0 agent --settings examples/map-agent.yaml'],
       [
@@ -33,12 +36,17 @@
   async execute(): Promise<number> {
     const { target, listen, admin, backend } = this;
     const overrides = { target, listen, admin, backend };
-    const loaded = loadSettings(this.settings, agentSchema, overrides);
+    const load = (): Result<AgentSettings, HallholdError> =>
+      loadSettings(this.settings, agentSchema, overrides);
+    const loaded = load();
     if (loaded.err) {
       return printError(this.context, loaded.val);
     }
-    return runUntilSignal(this.context, () =>
-      this.takeOver ? AgentProcess.startAsSuccessor(loaded.val) : AgentProcess.start(loaded.val),
+    return runUntilSignal(
+      this.context,
+      () =>
+        this.takeOver ? AgentProcess.startAsSuccessor(loaded.val) : AgentProcess.start(loaded.val),
+      (running) => reloadKeys(running, load()),
     );
   }
 }
--- a/src/cli/balancer-command.ts
+++ b/src/cli/balancer-command.ts
@@ -1,16 +1,19 @@
 /** `hallhold balancer`: runs a balancer process. */
 import { Command, Option } from 'clipanion';
+import type { Result } from 'ts-results';
+import type { HallholdError } from '../errors/hallhold-error';
 import { BalancerProcess } from '../runtime/balancer-process';
 import { loadSettings } from '../settings/load-settings';
-import { balancerSchema } from '../settings/settings-schema';
+import { balancerSchema, type BalancerSettings } from '../settings/settings-schema';
 import { printError } from './output';
-import { runUntilSignal } from './process-runner';
+import { reloadKeys, runUntilSignal } from './process-runner';
 
 export class BalancerCommand extends Command {
   static override paths = [['balancer']];
   static override usage = Command.Usage({
     description: 'Run a balancer.',
-    details: 'Settings come from a YAML file; flags override it. SIGTERM begins a planned stop.',
+    details:
+      'Settings come from a YAML file; flags override it. SIGTERM begins a planned stop, SIGHUP reads the cluster keys anew.',
     examples: [
       ['With a settings file', '$0 balancer --settings examples/map-balancer.yaml'],
       ['On another address', '$0 balancer --settings b.yaml --listen 127.0.1.9:7000 --name b-9'],
@@ -27,10 +30,16 @@
   async execute(): Promise<number> {
     const { name, zone, listen, admin, store } = this;
     const overrides = { name, zone, listen, admin, store };
-    const loaded = loadSettings(this.settings, balancerSchema, overrides);
+    const load = (): Result<BalancerSettings, HallholdError> =>
+      loadSettings(this.settings, balancerSchema, overrides);
+    const loaded = load();
     if (loaded.err) {
       return printError(this.context, loaded.val);
     }
-    return runUntilSignal(this.context, () => BalancerProcess.start(loaded.val));
+    return runUntilSignal(
+      this.context,
+      () => BalancerProcess.start(loaded.val),
+      (running) => reloadKeys(running, load()),
+    );
   }
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,6 +13,8 @@
   StandinFabricCommand,
   StandinPlatformCommand,
 } from './standin-commands';
+import { StatusCommand } from './status-command';
+import { TableDiffCommand } from './table-diff-command';
 import { TableGetCommand, TablePutCommand, TableStatusCommand } from './table-commands';
 
 const VERSION = '0.1.0';
@@ -39,6 +41,8 @@
   StandinCallerCommand,
   StandinFabricCommand,
   StandinPlatformCommand,
+  StatusCommand,
+  TableDiffCommand,
   TableGetCommand,
   TablePutCommand,
   TableStatusCommand,
--- a/src/cli/table-commands.ts
+++ b/src/cli/table-commands.ts
@@ -12,7 +12,7 @@
 const API_DESCRIPTION = "URL of a balancer's admin address";
 
 /** Options that all table commands share. */
-abstract class TableCommand extends Command {
+export abstract class TableCommand extends Command {
   api = Option.String('--api', { required: true, description: API_DESCRIPTION });
 
   protected get client(): OperatorClient {
@@ -143,7 +143,8 @@
   }
 }
 
-function readTable(file: string): Result<readonly ServiceRows[], HallholdError> {
+/** Reads and checks a CSV file. Errors 1101 and 1105. */
+export function readTable(file: string): Result<readonly ServiceRows[], HallholdError> {
   let text: string;
   try {
     text = readFileSync(file, 'utf8');
--- /dev/null
+++ b/src/cli/table-diff-command.ts
@@ -0,0 +1,43 @@
+/** `hallhold table diff FILE`: what putting a file would change. */
+import { Option } from 'clipanion';
+import { differingRows, type TableRow } from '../core/table';
+import { rowsFromViews, viewRows } from '../operator/table-rows';
+import { ExitCode, printError } from './output';
+import { readTable, TableCommand } from './table-commands';
+
+export class TableDiffCommand extends TableCommand {
+  static override paths = [['table', 'diff']];
+  static override usage = TableCommand.Usage({
+    description: 'Show which rows a CSV table would change.',
+    examples: [['Before putting it', '$0 table diff table.csv --api http://127.0.1.1:7080']],
+  });
+
+  file = Option.String();
+
+  async execute(): Promise<number> {
+    const parsed = readTable(this.file);
+    if (parsed.err) {
+      return printError(this.context, parsed.val);
+    }
+    for (const { service, rows } of parsed.val) {
+      const current = await this.client.table(service);
+      if (current.err) {
+        return printError(this.context, current.val);
+      }
+      const changes = differingRows(rowsFromViews(current.val.rows), rows);
+      this.context.stdout.write(`${service} at revision ${current.val.revision}:\n`);
+      for (const { before, after } of changes) {
+        this.writeLine(service, '-', before);
+        this.writeLine(service, '+', after);
+      }
+    }
+    return ExitCode.done;
+  }
+
+  private writeLine(service: string, sign: string, row: TableRow | undefined): void {
+    const [view] = row ? viewRows(service, [row]) : [];
+    if (view) {
+      this.context.stdout.write(`  ${sign} ${Object.values(view).join(',')}\n`);
+    }
+  }
+}
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -30,6 +30,8 @@
   processFault: event(2004, 'process-fault', 'error'),
   processHandedOver: event(2005, 'process-handed-over', 'info'),
   processTookOver: event(2006, 'process-took-over', 'info'),
+  keysReplaced: event(2007, 'keys-replaced', 'info'),
+  settingsRefused: event(2008, 'settings-refused', 'error'),
   frameNotAuthentic: event(2101, 'frame-not-authentic', 'warn'),
   frameMalformed: event(2102, 'frame-malformed', 'warn'),
   frameWrongService: event(2103, 'frame-wrong-service', 'warn'),
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -3,7 +3,10 @@
 import { request } from 'undici';
 import { failure, HallholdError, messageOf } from '../errors/hallhold-error';
 import { ResultCodes, type ResultCode } from '../errors/result-codes';
+import type { BalancerStatistics } from '../balancer/balancer-node';
 import type { AcceptedEdit } from '../balancer/table-acceptance';
+import type { MemberRecord } from '../wire/messages';
+import type { TargetView } from './status-controller';
 import type { RowView } from './table-rows';
 import type { ErrorView, TableView } from './tables-controller';
 
@@ -19,6 +22,17 @@
   readonly writeId: string;
 }
 
+/** A balancer's /status page. */
+export interface BalancerStatus {
+  readonly name: string;
+  readonly zone: string;
+  readonly ready: boolean;
+  readonly statistics: BalancerStatistics;
+  readonly members: readonly MemberRecord[];
+  /** Targets that are not simply serving. */
+  readonly targets: readonly TargetView[];
+}
+
 /** Client of one balancer's API. */
 export class OperatorClient {
   /** @param url base address, for example "http://127.0.1.1:7080" */
@@ -48,7 +62,7 @@
   }
 
   /** Figures and members of the process. */
-  status(): Promise<Result<unknown, HallholdError>> {
+  status(): Promise<Result<BalancerStatus, HallholdError>> {
     return this.call('GET', '/status');
   }
 
--- a/src/operator/table-rows.ts
+++ b/src/operator/table-rows.ts
@@ -62,6 +62,17 @@
   }));
 }
 
+/** Turns what operators see back into rows; the API has checked them. */
+export function rowsFromViews(views: readonly RowView[]): TableRow[] {
+  return views.map(({ target, address, share, slots, connections }) => ({
+    target,
+    address: parseEndpoint(address).unwrap(),
+    share,
+    slots,
+    connections,
+  }));
+}
+
 /** Checks rows given as objects; `where` names a row's place in an error, for example "line 3". */
 export function checkRows(
   values: readonly unknown[],
--- a/src/runtime/agent-process.ts
+++ b/src/runtime/agent-process.ts
@@ -3,6 +3,7 @@
 import type { AgentNodeSettings } from '../agent/agent-context';
 import { parseEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
+import type { HallholdError } from '../errors/hallhold-error';
 import { EventLog } from '../logging/event-log';
 import { Events } from '../logging/events';
 import { startAdminServer, type AdminServer } from '../operator/admin-server';
@@ -31,6 +32,7 @@
   private readonly log: EventLog;
   private readonly environment: RealEnvironment;
   private readonly backend: BackendSockets;
+  private readonly codec: FrameCodec;
   private running: AgentNode | undefined;
   private frames: UdpSocket | undefined;
   private admin: AdminServer | undefined;
@@ -49,6 +51,7 @@
     const source = `${settings.service}/${settings.target}`;
     this.log = new EventLog(source, settings.log.level, (event) => this.metrics.count(event));
     this.environment = new RealEnvironment(this.log);
+    this.codec = new FrameCodec(clusterKeys(settings.keys));
     this.backend = new BackendSockets(parseEndpoint(settings.backend).unwrap());
   }
 
@@ -87,6 +90,17 @@
     this.log.report(Events.processStopped, {});
   }
 
+  /** Notes that settings read anew were wrong; the keys in use stay. */
+  refuseSettings(error: HallholdError): void {
+    this.log.report(Events.settingsRefused, { reason: error.describe() });
+  }
+
+  /** Takes other cluster keys from now on. */
+  replaceKeys(settings: AgentSettings): void {
+    this.codec.replaceKeys(clusterKeys(settings.keys));
+    this.log.report(Events.keysReplaced, { keys: settings.keys.map((key) => key.id).join(' ') });
+  }
+
   /** Ends at once; peers are told only that it stopped. */
   async kill(): Promise<void> {
     this.node.stop();
@@ -170,7 +184,7 @@
     return new AgentNode(settings, {
       environment: this.environment,
       backend: this.backend,
-      codec: new FrameCodec(settings.keys),
+      codec: this.codec,
       transport: { send: (to, frame) => this.frames?.send(to, frame) },
     });
   }
@@ -226,6 +240,5 @@
     flowIdle: settings.flowIdleSeconds * MILLISECONDS,
     requestDeadline: settings.requestDeadlineSeconds * MILLISECONDS,
     loadPath: settings.loadPath,
-    keys: clusterKeys(settings.keys),
   };
 }
--- a/src/runtime/balancer-process.ts
+++ b/src/runtime/balancer-process.ts
@@ -1,11 +1,13 @@
 /** A balancer as a process: its sockets, its node, its admin server. */
 import { BalancerNode } from '../balancer/balancer-node';
 import { parseEndpoint } from '../core/endpoint';
+import type { HallholdError } from '../errors/hallhold-error';
 import { EventLog } from '../logging/event-log';
 import { Events } from '../logging/events';
 import { startAdminServer, type AdminServer } from '../operator/admin-server';
 import { HttpStore } from '../platform/http-store';
 import type { BalancerSettings } from '../settings/settings-schema';
+import { AgentState } from '../wire/messages';
 import { FrameCodec } from '../wire/frame-codec';
 import { clusterKeys, startIncarnation } from './process-identity';
 import { Metrics } from './metrics';
@@ -27,6 +29,7 @@
     private readonly store: HttpStore,
     readonly node: BalancerNode,
     private readonly frames: UdpSocket,
+    private readonly codec: FrameCodec,
     private admin: AdminServer | undefined,
   ) {}
 
@@ -60,6 +63,7 @@
       store,
       node,
       frames.val,
+      codec,
       undefined,
     );
     await process.open(metrics);
@@ -88,6 +92,17 @@
     this.log.report(Events.processStopped, {});
   }
 
+  /** Notes that settings read anew were wrong; the keys in use stay. */
+  refuseSettings(error: HallholdError): void {
+    this.log.report(Events.settingsRefused, { reason: error.describe() });
+  }
+
+  /** Takes other cluster keys from now on. */
+  replaceKeys(settings: BalancerSettings): void {
+    this.codec.replaceKeys(clusterKeys(settings.keys));
+    this.log.report(Events.keysReplaced, { keys: settings.keys.map((key) => key.id).join(' ') });
+  }
+
   /** Ends at once, without a word to anyone. */
   async kill(): Promise<void> {
     this.node.stop();
@@ -122,6 +137,11 @@
         ready: this.isReady,
         statistics: this.node.statistics,
         members: this.node.members(),
+        targets: this.node.leavingTargets().map(({ service, target, state }) => ({
+          service,
+          target,
+          state: state === AgentState.draining ? 'draining' : 'stopped',
+        })),
       }),
     });
     this.node.start();
--- a/src/simulation/simulated-target.ts
+++ b/src/simulation/simulated-target.ts
@@ -182,7 +182,6 @@
       flowIdle: this.surroundings.flowIdle,
       requestDeadline: REQUEST_DEADLINE,
       loadPath: this.service.protocol === 'coap' ? 'load' : '',
-      keys: this.surroundings.codec.keys,
     };
   }
 
--- a/src/wire/frame-codec.ts
+++ b/src/wire/frame-codec.ts
@@ -26,15 +26,23 @@
 
 /** Signs with the first key, accepts frames under any. */
 export class FrameCodec {
-  private readonly authenticators = new Map<number, FrameAuthenticator>();
-  private readonly signingKey: ClusterKey;
+  private authenticators = new Map<number, FrameAuthenticator>();
+  private current: readonly ClusterKey[] = [];
 
   /** @param keys one, or two while a key is being replaced; must not be empty */
-  constructor(readonly keys: readonly ClusterKey[]) {
-    this.signingKey = keys[0]!;
-    for (const key of keys) {
-      this.authenticators.set(key.id, new FrameAuthenticator(key.secret));
-    }
+  constructor(keys: readonly ClusterKey[]) {
+    this.replaceKeys(keys);
+  }
+
+  /** The keys in use; the first one signs. */
+  get keys(): readonly ClusterKey[] {
+    return this.current;
+  }
+
+  /** Takes other keys from now on. */
+  replaceKeys(keys: readonly ClusterKey[]): void {
+    this.current = keys;
+    this.authenticators = new Map(keys.map((key) => [key.id, new FrameAuthenticator(key.secret)]));
   }
 
   /** Encodes a message as one datagram. */
@@ -42,8 +50,9 @@
     const body = serialize(toDocument(message));
     const frame = Buffer.allocUnsafe(BODY_OFFSET + body.length);
     frame[0] = VERSION;
-    frame[1] = this.signingKey.id;
-    this.authenticators.get(this.signingKey.id)!.writeTag(body, frame, TAG_OFFSET);
+    const { id } = this.current[0]!;
+    frame[1] = id;
+    this.authenticators.get(id)!.writeTag(body, frame, TAG_OFFSET);
     frame.set(body, BODY_OFFSET);
     return frame;
   }
--- a/test/integration-processes.test.ts
+++ b/test/integration-processes.test.ts
@@ -1,5 +1,9 @@
 /** Separate processes behind the fault proxy: loss, duplication, reordering, a killed balancer. */
 import test from 'ava';
+import { parseEndpoint } from '../src/core/endpoint';
+import { UdpSocket } from '../src/runtime/udp-socket';
+import { FrameCodec } from '../src/wire/frame-codec';
+import { MessageType } from '../src/wire/messages';
 import { fetchJson, ProcessCluster, waitFor } from './support/process-cluster';
 
 const FAULTS = { loss: 0.05, duplication: 0.05, reordering: 0.1, reorderDelay: 30 };
@@ -64,6 +68,8 @@
       'drain.csv',
       cluster.table(3, (number) => (number === 2 ? 0 : 1)),
     );
+    const diff = await cluster.run('table', 'diff', drained, '--api', api);
+    t.regex(diff.stdout, /- live-map,target-2,.*,1,5,2000\n +\+ live-map,target-2,.*,0,5,2000/);
     const put = await cluster.run('table', 'put', drained, '--api', api);
     t.is(put.code, 0, put.stderr);
     t.regex(put.stdout, /live-map: 3 rows accepted at revision \d+, 1 copies confirmed/);
@@ -135,6 +141,54 @@
   }
 });
 
+test('keys are replaced in three steps without a stop; every role answers on its admin address', async (t) => {
+  const cluster = new ProcessCluster(3, {
+    loss: 0,
+    duplication: 0,
+    reordering: 0,
+    reorderDelay: 0,
+  });
+  const oldKey = { id: 1, secret: 'integration-test-key' };
+  const newKey = { id: 2, secret: 'another-integration-key' };
+  try {
+    await cluster.start(2, 3);
+    const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
+    const mix = ['--feeds', '6', '--reporters', '6', '--seconds', '8'];
+    const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
+    for (const keys of [[oldKey, newKey], [newKey, oldKey], [newKey]]) {
+      await new Promise((done) => setTimeout(done, 1_500));
+      cluster.replaceKeys(keys);
+    }
+    t.is(await calling.ended, 0, calling.stderr());
+    const summary = JSON.parse(calling.stdout()) as CallerSummary;
+    t.true(summary.flowsOpened >= 12, JSON.stringify(summary));
+    t.is(summary.flowsBroken + summary.unanswered + summary.wrongAnswers, 0);
+    for (const address of [cluster.address(10), cluster.address(20)]) {
+      const metrics = await (await fetch(`http://${address}:7080/metrics`)).text();
+      t.regex(metrics, /hallhold_events_total/);
+      t.regex(metrics, /hallhold_(balancer|agent)_control_bytes_sent \d+/);
+      t.regex(metrics, /hallhold_(balancer|agent)_frames_rejected 0/);
+      t.is((await fetch(`http://${address}:7080/healthz`)).status, 200);
+      t.is((await fetch(`http://${address}:7080/readyz`)).status, 200);
+    }
+    const openApi = await fetchJson(`${cluster.balancerApi(0)}/openapi.json`);
+    t.true(Object.keys(openApi.paths as object).includes('/tables/{service}'));
+
+    const wrongKey = new FrameCodec([{ id: 1, secret: Buffer.from(oldKey.secret) }]);
+    const frame = wrongKey.encode({ type: MessageType.tableRequest, haveThrough: 0 });
+    const socket = (await UdpSocket.bind('127.0.0.1', 0, () => undefined)).unwrap();
+    socket.send(parseEndpoint(`${cluster.address(10)}:7000`).unwrap(), frame);
+    socket.send(parseEndpoint(`${cluster.address(10)}:7000`).unwrap(), Buffer.from('noise'));
+    await waitFor('frames under the old key are counted', async () => {
+      const metrics = await (await fetch(`${cluster.balancerApi(0)}/metrics`)).text();
+      return /hallhold_balancer_frames_rejected 2/.test(metrics);
+    });
+    socket.close();
+  } finally {
+    await cluster.stop();
+  }
+});
+
 function flowsOf(status: Record<string, unknown>): number {
   return (status.statistics as { flows: number }).flows;
 }
--- a/test/support/process-cluster.ts
+++ b/test/support/process-cluster.ts
@@ -1,9 +1,9 @@
 /** Real processes, one a role, for integration tests; every address is this test process's own. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
-import { stringify } from 'yaml';
+import { parse, stringify } from 'yaml';
 import { parseEndpoint } from '../../src/core/endpoint';
 import type { Endpoint } from '../../src/environment';
 import { TcpFaultProxy, UdpFaultProxy, type DatagramFaults } from '../../src/standins/fault-proxy';
@@ -135,6 +135,19 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** Gives every balancer and agent other keys, as an operator does: settings, then SIGHUP. */
+  replaceKeys(keys: readonly { readonly id: number; readonly secret: string }[]): void {
+    for (const [name, child] of this.children) {
+      const [role, number] = name.split('-');
+      if (role === 'balancer' || role === 'agent') {
+        const file = `${role}-${Number(number) - 1}.yaml`;
+        const settings = parse(readFileSync(this.path(file), 'utf8')) as object;
+        this.write(file, stringify({ ...settings, keys }));
+        child.process.kill('SIGHUP');
+      }
+    }
+  }
+
   /** Writes a file into the cluster's folder and returns its path. */
   write(name: string, content: string): string {
     const path = join(this.folder, name);
