--- /dev/null
+++ b/src/agent/agent-dependencies.ts
@@ -0,0 +1,36 @@
+/** What an agent is given, and the figures it shows. */
+import type { Environment, FrameTransport } from '../environment';
+import type { FrameCodec } from '../wire/frame-codec';
+import type { BackendPort, PlacementPolicy } from './agent-context';
+import type { Safeguards } from './safeguards';
+
+/** What an agent is given by its surroundings. */
+export interface AgentDependencies {
+  readonly environment: Environment;
+  readonly transport: FrameTransport;
+  readonly codec: FrameCodec;
+  readonly backend: BackendPort;
+  readonly safeguards?: Safeguards;
+  readonly place?: PlacementPolicy;
+  readonly hostsAnyFlow?: boolean;
+}
+
+/** Figures of an agent for metrics and status. */
+export interface AgentStatistics {
+  readonly flows: number;
+  readonly flowsOpened: number;
+  readonly flowsClosed: number;
+  readonly bucketsOwned: number;
+  readonly directoryEntries: number;
+  readonly busySlots: number;
+  readonly observations: number;
+  readonly ledgerEntries: number;
+  readonly requestsAnswered: number;
+  readonly requestsRefused: number;
+  readonly requestsUnknown: number;
+  readonly requestsPassed: number;
+  readonly controlBytesSent: number;
+  readonly framesRejected: number;
+  readonly tableRevision: number;
+  readonly draining: boolean;
+}
--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -7,9 +7,9 @@
 import { chooseTarget } from '../core/placement';
 import type { ServiceTable } from '../core/table';
 import { HEARTBEAT_INTERVAL, HELLO_INTERVAL } from '../core/timing';
-import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
+import type { Endpoint, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
-import type { FrameCodec } from '../wire/frame-codec';
+import { FrameLink } from '../wire/frame-link';
 import {
   AgentState,
   MessageType,
@@ -17,12 +17,8 @@
   type HelloAnswerMessage,
   type Message,
 } from '../wire/messages';
-import type {
-  AgentContext,
-  AgentNodeSettings,
-  BackendPort,
-  PlacementPolicy,
-} from './agent-context';
+import type { AgentContext, AgentNodeSettings } from './agent-context';
+import type { AgentDependencies, AgentStatistics } from './agent-dependencies';
 import type { AgentSnapshot } from './agent-snapshot';
 import { BackendMonitor } from './backend-monitor';
 import { BackendRequests } from './backend-requests';
@@ -45,40 +41,10 @@
 /** Least time between two hellos that a newer table revision in a frame prompts. */
 const PROMPTED_HELLO_PAUSE = 100;
 
-/** What an agent is given by its surroundings. */
-export interface AgentDependencies {
-  readonly environment: Environment;
-  readonly transport: FrameTransport;
-  readonly codec: FrameCodec;
-  readonly backend: BackendPort;
-  readonly safeguards?: Safeguards;
-  readonly place?: PlacementPolicy;
-  readonly hostsAnyFlow?: boolean;
-}
-
-/** Figures of an agent for metrics and status. */
-export interface AgentStatistics {
-  readonly flows: number;
-  readonly flowsOpened: number;
-  readonly flowsClosed: number;
-  readonly bucketsOwned: number;
-  readonly directoryEntries: number;
-  readonly busySlots: number;
-  readonly observations: number;
-  readonly ledgerEntries: number;
-  readonly requestsAnswered: number;
-  readonly requestsRefused: number;
-  readonly requestsUnknown: number;
-  readonly requestsPassed: number;
-  readonly controlBytesSent: number;
-  readonly framesRejected: number;
-  readonly tableRevision: number;
-  readonly draining: boolean;
-}
-
 /** The agent of one target. */
 export class AgentNode {
   private readonly context: AgentContext;
+  private readonly link: FrameLink;
   private readonly membership: GroupMembership;
   private readonly directory: BucketDirectory;
   private readonly flows: FlowTable;
@@ -91,8 +57,6 @@
   private readonly guard: RequestGuard;
   private readonly monitor: BackendMonitor;
   private readonly drain: DrainState;
-  private controlBytesSent = 0;
-  private framesRejected = 0;
   private flowsOpened = 0;
   private flowsClosed = 0;
   private lastHello = -Infinity;
@@ -104,6 +68,8 @@
     private readonly settings: AgentNodeSettings,
     private readonly dependencies: AgentDependencies,
   ) {
+    const { environment, codec, transport } = dependencies;
+    this.link = new FrameLink(codec, transport, environment);
     this.context = this.createContext();
     const { context } = this;
     this.drain = new DrainState(dependencies.environment, context.safeguards.has('drain'), () =>
@@ -245,8 +211,8 @@
       requestsRefused: this.guard.counts.refused,
       requestsUnknown: this.guard.counts.unknown,
       requestsPassed: this.guard.counts.passed,
-      controlBytesSent: this.controlBytesSent,
-      framesRejected: this.framesRejected,
+      controlBytesSent: this.link.controlBytesSent,
+      framesRejected: this.link.framesRejected,
       tableRevision: this.membership.tableRevision,
       draining: this.drain.state !== AgentState.serving,
     };
@@ -254,15 +220,10 @@
 
   /** Takes a datagram that arrived at the agent's frame address. */
   receiveFrame(frame: Buffer, from: Endpoint): void {
-    const decoded = this.dependencies.codec.decode(frame);
-    if (decoded.err) {
-      this.framesRejected++;
-      const malformed = decoded.val.resultCode.name === 'frame-malformed';
-      const event = malformed ? Events.frameMalformed : Events.frameNotAuthentic;
-      this.dependencies.environment.report(event, { reason: decoded.val.message });
-      return;
+    const message = this.link.receive(frame);
+    if (message) {
+      this.receive(message, from);
     }
-    this.receive(decoded.val, from);
   }
 
   /** Takes a datagram from the back end of a coap service. */
@@ -291,24 +252,18 @@
   }
 
   private createContext(): AgentContext {
-    const { environment, transport, codec, backend, safeguards, place } = this.dependencies;
+    const { environment, codec, backend, safeguards, place, hostsAnyFlow } = this.dependencies;
     const seed = serviceSeed(this.settings.service);
     return {
       settings: this.settings,
       environment,
-      safeguards: safeguards ?? new Safeguards(),
       backend,
+      safeguards: safeguards ?? new Safeguards(),
       place: place ?? chooseTarget,
-      hostsAnyFlow: this.dependencies.hostsAnyFlow ?? false,
+      hostsAnyFlow: hostsAnyFlow ?? false,
       keys: () => codec.keys,
       bucketOf: (caller) => bucketOf(caller, seed),
-      send: (to, message) => {
-        const frame = codec.encode(message);
-        if (message.type !== MessageType.forward && message.type !== MessageType.reply) {
-          this.controlBytesSent += frame.length;
-        }
-        transport.send(to, frame);
-      },
+      send: (to, message) => this.link.send(to, message),
     };
   }
 
--- a/src/balancer/balancer-node.ts
+++ b/src/balancer/balancer-node.ts
@@ -9,6 +9,7 @@
 import { Events } from '../logging/events';
 import type { MachineRecord, StorePort } from '../platform/store-port';
 import type { FrameCodec } from '../wire/frame-codec';
+import { FrameLink } from '../wire/frame-link';
 import {
   AgentState,
   MessageType,
@@ -71,22 +72,22 @@
   readonly distribution: TableDistribution;
   readonly acceptance: TableAcceptance;
   private readonly context: BalancerContext;
+  private readonly link: FrameLink;
   private readonly reader: StoreReader;
   private readonly states = new TargetStates();
   private readonly routings = new Map<string, FlowRouting>();
   private datagramsForwarded = 0;
   private datagramsDropped = 0;
   private repliesSent = 0;
-  private controlBytesSent = 0;
-  private framesRejected = 0;
   private lastDatagramAt = -Infinity;
 
   constructor(
     private readonly settings: BalancerNodeSettings,
     private readonly dependencies: BalancerDependencies,
   ) {
-    const { environment, store } = dependencies;
-    this.context = { settings, environment, send: (to, message) => this.send(to, message) };
+    const { environment, store, codec, transport } = dependencies;
+    this.link = new FrameLink(codec, transport, environment);
+    this.context = { settings, environment, send: (to, message) => this.link.send(to, message) };
     this.distribution = new TableDistribution(this.context, {
       sample: (count) => this.membership.sample(count),
       active: () => this.membership.active(),
@@ -145,8 +146,8 @@
       datagramsForwarded: this.datagramsForwarded,
       datagramsDropped: this.datagramsDropped,
       repliesSent: this.repliesSent,
-      controlBytesSent: this.controlBytesSent,
-      framesRejected: this.framesRejected,
+      controlBytesSent: this.link.controlBytesSent,
+      framesRejected: this.link.framesRejected,
       knownFlows,
       tableRevision: this.distribution.cache.revision,
       members: this.membership.live().length + 1,
@@ -174,7 +175,7 @@
       return;
     }
     this.datagramsForwarded++;
-    this.send(host.endpoint, {
+    this.link.send(host.endpoint, {
       type: MessageType.forward,
       service,
       target: host.target,
@@ -189,15 +190,10 @@
 
   /** Takes a datagram that arrived at the balancer's frame address. */
   receiveFrame(frame: Buffer, from: Endpoint): void {
-    const decoded = this.dependencies.codec.decode(frame);
-    if (decoded.err) {
-      this.framesRejected++;
-      const malformed = decoded.val.resultCode.name === 'frame-malformed';
-      const event = malformed ? Events.frameMalformed : Events.frameNotAuthentic;
-      this.dependencies.environment.report(event, { reason: decoded.val.message });
-      return;
+    const message = this.link.receive(frame);
+    if (message) {
+      this.receive(message, from);
     }
-    this.receive(decoded.val, from);
   }
 
   private receive(message: Message, from: Endpoint): void {
@@ -264,7 +260,7 @@
     const table = this.distribution.cache.get(service);
     const isNewer = table !== undefined && table.revision > message.tableRevision;
     const others = this.membership.sample(BALANCERS_PER_HELLO_ANSWER);
-    this.send(from, {
+    this.link.send(from, {
       type: MessageType.helloAnswer,
       service,
       tables: isNewer ? [table] : [],
@@ -326,17 +322,9 @@
     for (const { service, rows } of this.distribution.cache.all()) {
       for (const { target, address } of rows) {
         if (leaving.has(endpointAddress(address))) {
-          this.send(address, { type: MessageType.drainNotice, service, target });
+          this.link.send(address, { type: MessageType.drainNotice, service, target });
         }
       }
     }
   }
-
-  private send(to: Endpoint, message: Message): void {
-    const frame = this.dependencies.codec.encode(message);
-    if (message.type !== MessageType.forward && message.type !== MessageType.reply) {
-      this.controlBytesSent += frame.length;
-    }
-    this.dependencies.transport.send(to, frame);
-  }
 }
--- a/src/bench/datapath.ts
+++ b/src/bench/datapath.ts
@@ -11,10 +11,10 @@
 import { BalancerNode } from '../balancer/balancer-node';
 import { packEndpoint } from '../core/endpoint';
 import type { Endpoint, Environment, TimerHandle } from '../environment';
-import type { StorePort } from '../platform/store-port';
 import { BackendSockets } from '../runtime/backend-sockets';
 import { UdpSocket } from '../runtime/udp-socket';
 import { FrameCodec } from '../wire/frame-codec';
+import { SILENT_STORE } from './silent-store';
 import { bytesInUse } from './collect-garbage';
 import type { LoadOrder, LoadResult } from './datapath-load';
 import { UdpRelay } from './udp-relay';
@@ -86,14 +86,6 @@
   }
 }
 
-const SILENT_STORE: StorePort = {
-  list: () => undefined,
-  watch: () => ({ close: () => undefined }),
-  read: () => undefined,
-  write: () => undefined,
-  machines: () => undefined,
-};
-
 /** Our balancer and agent on real sockets in this thread. */
 class HallholdPath {
   private readonly environment = new BenchEnvironment();
--- a/src/bench/hollow-cluster.ts
+++ b/src/bench/hollow-cluster.ts
@@ -9,12 +9,12 @@
 import { packEndpoint } from '../core/endpoint';
 import type { ServiceTable, TableRow } from '../core/table';
 import type { Endpoint } from '../environment';
-import type { StorePort } from '../platform/store-port';
 import { SeededRandom } from '../simulation/seeded-random';
 import { SimulatedNetwork } from '../simulation/simulated-network';
 import { SimulatedProcess } from '../simulation/simulated-process';
 import { VirtualClock } from '../simulation/virtual-clock';
 import { FrameCodec } from '../wire/frame-codec';
+import { SILENT_STORE } from './silent-store';
 import { MemberState, MessageType, type MemberRecord } from '../wire/messages';
 
 /** The planned size: 1,300 balancers before 9,700 targets behind 1,600 addresses. */
@@ -29,13 +29,6 @@
 const FLOW_IDLE = 1e9;
 const SEEDS_NAMED = 5;
 const KEY = { id: 1, secret: Buffer.from('hollow-cluster-secret') };
-const SILENT_STORE: StorePort = {
-  list: () => undefined,
-  watch: () => ({ close: () => undefined }),
-  read: () => undefined,
-  write: () => undefined,
-  machines: () => undefined,
-};
 
 /** A node with its place. */
 interface HollowNode {
--- /dev/null
+++ b/src/bench/silent-store.ts
@@ -0,0 +1,10 @@
+/** A store that never answers, for benches whose tables are put in directly. */
+import type { StorePort } from '../platform/store-port';
+
+export const SILENT_STORE: StorePort = {
+  list: () => undefined,
+  watch: () => ({ close: () => undefined }),
+  read: () => undefined,
+  write: () => undefined,
+  machines: () => undefined,
+};
--- a/src/simulation/simulated-world.ts
+++ b/src/simulation/simulated-world.ts
@@ -10,14 +10,11 @@
 import type { PlacementPolicy } from '../agent/agent-context';
 import { Safeguards, type SafeguardName } from '../agent/safeguards';
 import { CallerStatistics } from '../standins/caller-statistics';
-import {
-  DatagramCaller,
-  FeedCaller,
-  ReportCaller,
-  TransferCaller,
-  type Caller,
-  type CallerSurroundings,
-} from '../standins/callers';
+import type { Caller, CallerSurroundings } from '../standins/caller';
+import { DatagramCaller } from '../standins/datagram-caller';
+import { FeedCaller } from '../standins/feed-caller';
+import { ReportCaller } from '../standins/report-caller';
+import { TransferCaller } from '../standins/transfer-caller';
 import { targetName, type Deployment, type DeployedService } from '../standins/deployments';
 import { RunRecord } from '../standins/run-record';
 import { FrameCodec } from '../wire/frame-codec';
--- a/src/standins/caller-fleet.ts
+++ b/src/standins/caller-fleet.ts
@@ -2,14 +2,11 @@
 import { endpointAddress } from '../core/endpoint';
 import type { Endpoint, Environment } from '../environment';
 import { UdpSocket } from '../runtime/udp-socket';
-import {
-  DatagramCaller,
-  FeedCaller,
-  ReportCaller,
-  TransferCaller,
-  type Caller,
-  type CallerSurroundings,
-} from './callers';
+import type { Caller, CallerSurroundings } from './caller';
+import { DatagramCaller } from './datagram-caller';
+import { FeedCaller } from './feed-caller';
+import { ReportCaller } from './report-caller';
+import { TransferCaller } from './transfer-caller';
 import { CallerStatistics } from './caller-statistics';
 import { RunRecord } from './run-record';
 
--- a/test/hard-cases.test.ts
+++ b/test/hard-cases.test.ts
@@ -8,7 +8,7 @@
 import { SIMULATION_KEY } from '../src/simulation/simulated-world';
 import { FrameCodec } from '../src/wire/frame-codec';
 import { MessageType } from '../src/wire/messages';
-import { TransferCaller } from '../src/standins/callers';
+import { TransferCaller } from '../src/standins/transfer-caller';
 import { quietWorld, RawCaller } from './support/raw-caller';
 
 const SERVICE = 'live-map';
