--- a/test/hard-cases.test.ts
+++ b/test/hard-cases.test.ts
@@ -1,11 +1,11 @@
 /** The hard cases, each brought about on purpose in the simulation. */
 import test from 'ava';
 import { SimulatedTarget } from '../src/simulation/simulated-target';
-import type { SimulatedWorld } from '../src/simulation/simulated-world';
 import type { SafeguardName } from '../src/agent/safeguards';
 import { packEndpoint } from '../src/core/endpoint';
 import type { TableRow } from '../src/core/table';
-import { SIMULATION_KEY } from '../src/simulation/simulated-world';
+import { SIMULATION_KEY, SimulatedWorld } from '../src/simulation/simulated-world';
+import { DEPLOYMENTS } from '../src/standins/deployments';
 import { FrameCodec } from '../src/wire/frame-codec';
 import { MessageType } from '../src/wire/messages';
 import { TransferCaller } from '../src/standins/transfer-caller';
@@ -262,6 +262,35 @@
   }
 });
 
+test("a balancer that joins while the store is away serves with its peers' tables", (t) => {
+  const world = quietWorld();
+  world.store.setDown(true);
+  const joining = world.balancers[2]!;
+  joining.process.kill();
+  world.withdraw(joining, false);
+  edit(world, SERVICE, (row) => ({ ...row, share: 2 }));
+  world.startBalancer(joining);
+  t.false(joining.node.isReady, 'not before it has a table');
+  world.runUntil(world.clock.now + 3_000);
+  t.true(joining.node.isReady);
+  const peer = world.balancers[0]!.node.distribution.cache;
+  t.is(joining.node.distribution.cache.revision, peer.revision);
+  t.deepEqual(joining.node.distribution.cache.get(SERVICE), peer.get(SERVICE));
+});
+
+test('three balancers at most watch the store, and others take over from dead ones', (t) => {
+  const deployment = DEPLOYMENTS.porting;
+  const world = new SimulatedWorld({ deployment, seed: 1, design: 'hallhold', without: [] });
+  world.start();
+  t.is(world.store.watchers.size, 3);
+  const [reader] = world.store.watchers.keys();
+  const dead = world.balancers.find((balancer) => balancer.name === reader)!;
+  dead.process.kill();
+  world.runUntil(world.clock.now + 12_000);
+  const live = [...world.store.watchers.keys()].filter((name) => name !== dead.name);
+  t.is(live.length, 3);
+});
+
 /** Two operators edit at once; returns what each was told. */
 function race(first: string, second: string): string[] {
   const world = quietWorld();
