--- a/src/operator/admin-server.ts
+++ b/src/operator/admin-server.ts
@@ -3,7 +3,6 @@
 import { Module, type DynamicModule, type Type } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
-import { DocumentBuilder, SwaggerModule } from '@nestjs/swagger';
 import { endpointAddress, endpointPort, packEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { HallholdError, messageOf } from '../errors/hallhold-error';
@@ -57,7 +56,9 @@
     adapter,
     { logger: false },
   );
-  serveOpenApi(application);
+  if (options.balancer) {
+    await serveOpenApi(application);
+  }
   try {
     await application.listen(endpointPort(options.listen), endpointAddress(options.listen));
   } catch (error) {
@@ -70,7 +71,9 @@
   };
 }
 
-function serveOpenApi(application: NestFastifyApplication): void {
+/** Loaded only here: agents have no API to describe, and the library takes memory. */
+async function serveOpenApi(application: NestFastifyApplication): Promise<void> {
+  const { DocumentBuilder, SwaggerModule } = await import('@nestjs/swagger');
   const configuration = new DocumentBuilder()
     .setTitle('hallhold')
     .setDescription('Health, metrics, status and tables of a hallhold process')
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -5,13 +5,19 @@
 /** A snapshot of figures by name; numbers and booleans. */
 export type Figures = Readonly<Record<string, number | boolean>>;
 
+/** Milliseconds between samples of the event loop's delay; the default of 10 wakes an idle process. */
+const EVENT_LOOP_SAMPLE_INTERVAL = 200;
+
 /** Registry of one process. */
 export class Metrics {
   readonly registry = new Registry();
   private readonly events: Counter<'event'>;
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL,
+    });
     this.events = new Counter({
       name: 'hallhold_events_total',
       help: 'Numbered events, also those whose log line was suppressed',
