--- a/src/balancer/balancer-membership.ts
+++ b/src/balancer/balancer-membership.ts
@@ -34,13 +34,15 @@
 
 /** Told of what gossip brings. */
 export interface GossipListener {
-  /** A peer has all tables through this revision. */
-  peerHasThrough(revision: number, from: Endpoint): void;
+  /** A peer has all tables through this revision, and `beyond` sums up what it has after that. */
+  peerHasThrough(revision: number, beyond: number, from: Endpoint): void;
   /** News of a target; returns true when it was news here. */
   targetRumour(rumour: TargetRumour): boolean;
   membersChanged(): void;
   /** Revision through which this balancer has all tables. */
   haveThrough(): number;
+  /** Digest of the tables that it has beyond that. */
+  beyond(): number;
   allTargetRumours(): TargetRumour[];
 }
 
@@ -180,7 +182,7 @@
         targets: targets.slice(part * targetsPerPart, (part + 1) * targetsPerPart),
       });
     }
-    this.listener.peerHasThrough(message.haveThrough, from);
+    this.listener.peerHasThrough(message.haveThrough, 0, from);
   }
 
   receiveMemberList(message: MemberListMessage): void {
@@ -305,6 +307,7 @@
       sequence,
       sender: this.own,
       haveThrough: this.listener.haveThrough(),
+      beyond: this.listener.beyond(),
       members: this.memberRumours.take(RUMOURS_PER_MESSAGE, transmissions),
       targets: this.targetRumours.take(RUMOURS_PER_MESSAGE, transmissions),
     };
@@ -318,7 +321,7 @@
         this.spread(rumour);
       }
     }
-    this.listener.peerHasThrough(message.haveThrough, from);
+    this.listener.peerHasThrough(message.haveThrough, message.beyond, from);
   }
 
   private takeMember(record: MemberRecord): void {
--- a/src/balancer/balancer-node.ts
+++ b/src/balancer/balancer-node.ts
@@ -94,10 +94,12 @@
       changed: (tables) => this.tablesChanged(tables),
     });
     this.membership = new BalancerMembership(this.context, {
-      peerHasThrough: (revision, from) => this.distribution.peerHasThrough(revision, from),
+      peerHasThrough: (revision, beyond, from) =>
+        this.distribution.peerHasThrough(revision, beyond, from),
       targetRumour: (rumour) => this.applyNotice(rumour.service, rumour),
       membersChanged: () => undefined,
       haveThrough: () => this.distribution.cache.revision,
+      beyond: () => this.distribution.cache.beyondDigest,
       allTargetRumours: () => this.states.all(),
     });
     this.reader = new StoreReader(this.context, store, {
--- a/src/balancer/table-distribution.ts
+++ b/src/balancer/table-distribution.ts
@@ -72,11 +72,16 @@
     this.surroundings.changed(changed);
   }
 
-  /** A peer has all through `revision`: ask it if that is more than this node has. */
-  peerHasThrough(revision: number, from: Endpoint): void {
-    if (revision > this.cache.revision) {
+  /**
+   * A peer has all through `revision`, and `beyond` sums up what it has after that:
+   * asks it if it has anything that this node may lack.
+   */
+  peerHasThrough(revision: number, beyond: number, from: Endpoint): void {
+    const hasOthers = beyond !== 0 && beyond !== this.cache.beyondDigest;
+    if (revision > this.cache.revision || hasOthers) {
       this.request(from);
-    } else if (revision > 0 || this.cache.revision > 0) {
+    }
+    if (revision <= this.cache.revision && this.cache.revision > 0) {
       this.caughtUp = true;
     }
   }
--- a/src/core/hashing.ts
+++ b/src/core/hashing.ts
@@ -8,9 +8,14 @@
 const ENDPOINT_BYTES = 6;
 const scratch = Buffer.alloc(ENDPOINT_BYTES);
 
+/** A 32-bit hash of a text. */
+export function hashText(text: string): number {
+  return murmurhash.v3(Buffer.from(text));
+}
+
 /** The seed that {@link bucketOf} takes for a service; compute it once per service. */
 export function serviceSeed(service: string): number {
-  return murmurhash.v3(Buffer.from(service));
+  return hashText(service);
 }
 
 /** The bucket of a caller's flow: hash(caller, service) mod 256. */
@@ -21,7 +26,7 @@
 
 /** Rendezvous score of a candidate for a key; the highest score wins. */
 export function rendezvousScore(key: string, candidate: string): number {
-  return murmurhash.v3(Buffer.from(`${key}\n${candidate}`));
+  return hashText(`${key}\n${candidate}`);
 }
 
 /** The candidates ordered from the best rendezvous score to the worst. */
--- a/src/core/table-cache.ts
+++ b/src/core/table-cache.ts
@@ -4,6 +4,7 @@
  * Pure state: a table is replaced only by one of a higher revision, so a late or
  * repeated delta can never take an accepted table back.
  */
+import { hashText } from './hashing';
 import type { ServiceTable } from './table';
 
 /** Tables changed after `fromRevision`, complete through `throughRevision`. */
@@ -21,6 +22,8 @@
   readonly gap: boolean;
 }
 
+const DIGEST_RANGE = 2 ** 32;
+
 /** Deltas kept that arrived before the one they follow. */
 const EARLY_DELTAS_KEPT = 256;
 
@@ -34,6 +37,7 @@
 export class TableCache {
   private readonly tables = new Map<string, ServiceTable>();
   private completeThrough = 0;
+  private digest: number | undefined;
   /** Stretches known beyond a gap: parts of one transfer overtake each other on the way. */
   private early: KnownStretch[] = [];
 
@@ -47,6 +51,16 @@
     return this.tables.get(service);
   }
 
+  /**
+   * Sums up the tables held beyond {@link revision}, such as one just accepted while the
+   * store cannot tell what came before it; 0 when there are none. Two nodes with the
+   * same revision and different digests have tables to tell each other.
+   */
+  get beyondDigest(): number {
+    this.digest ??= this.computeDigest();
+    return this.digest;
+  }
+
   /** All tables in force. */
   all(): Iterable<ServiceTable> {
     return this.tables.values();
@@ -55,6 +69,7 @@
   /** Applies the newer tables of a delta; advances the revision only without a gap. */
   apply(delta: TableDelta): AppliedDelta {
     const changed = delta.tables.filter((table) => this.applyOne(table));
+    this.digest = undefined;
     const gap = delta.fromRevision > this.completeThrough;
     if (gap) {
       const { fromRevision, throughRevision } = delta;
@@ -81,6 +96,14 @@
     }
   }
 
+  private computeDigest(): number {
+    const beyond = [...this.tables.values()].filter(
+      (table) => table.revision > this.completeThrough,
+    );
+    const hashes = beyond.map(({ service, revision }) => hashText(`${service}/${revision}`));
+    return hashes.reduce((sum, hash) => (sum + hash) % DIGEST_RANGE, 0);
+  }
+
   private applyOne(table: ServiceTable): boolean {
     const known = this.tables.get(table.service);
     if (known && known.revision >= table.revision) {
--- a/src/wire/message-schema.ts
+++ b/src/wire/message-schema.ts
@@ -186,7 +186,8 @@
 const notices = field('notices', 'o', listOf(unpackNotice), packList(packNotice));
 const claimId = field('claimId', 'd', integer);
 const passId = field('passId', 'd', integer);
-const gossip = [sequence, sender, haveThrough, members, targets];
+const beyond = field('beyond', 'b', integer);
+const gossip = [sequence, sender, haveThrough, beyond, members, targets];
 
 /** The fields of each message type. */
 export const MESSAGE_FIELDS: ReadonlyMap<number, readonly FieldCodec[]> = new Map<
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -195,7 +195,10 @@
 export interface GossipFields {
   readonly sequence: number;
   readonly sender: MemberRecord;
+  /** The sender has all tables through this revision. */
   readonly haveThrough: number;
+  /** Digest of the tables it has beyond that; 0 for none. */
+  readonly beyond: number;
   readonly members: readonly MemberRecord[];
   readonly targets: readonly TargetRumour[];
 }
--- a/test/hard-cases.test.ts
+++ b/test/hard-cases.test.ts
@@ -262,6 +262,29 @@
   }
 });
 
+test('an accepted table reaches a balancer that was cut off, though its acceptor and the store die', (t) => {
+  // Found in everything, porting seed 75: a table beyond the revision that the store had
+  // confirmed was pushed once and never told again.
+  const world = quietWorld();
+  const [acceptor, copy, apart] = world.balancers;
+  const cuts = [acceptor, copy].flatMap((other) => [
+    { from: other!.name, to: apart!.name },
+    { from: apart!.name, to: other!.name },
+  ]);
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.store.objects.subscribe(() => world.store.setDown(true));
+  const revisionBefore = apart!.node.distribution.cache.get(SERVICE)!.revision;
+  world.watcher.onNextAcceptance(() => acceptor!.process.kill());
+  const change = (rows: readonly TableRow[]): TableRow[] =>
+    rows.map((row) => ({ ...row, share: 2 }));
+  world.edit(SERVICE, change, acceptor!, 'last-words');
+  world.runUntil(world.clock.now + 3_000);
+  t.is(apart!.node.distribution.cache.get(SERVICE)!.revision, revisionBefore);
+  cuts.forEach((cut) => world.network.heal(cut));
+  world.runUntil(world.clock.now + 4_000);
+  t.is(apart!.node.distribution.cache.get(SERVICE)!.rows[0]!.share, 2);
+});
+
 test("a balancer that joins while the store is away serves with its peers' tables", (t) => {
   const world = quietWorld();
   world.store.setDown(true);
