--- a/src/balancer/balancer-context.ts
+++ b/src/balancer/balancer-context.ts
@@ -12,7 +12,7 @@
   readonly peers: readonly Endpoint[];
   /** Rises with each start of the balancer. */
   readonly incarnation: number;
-  /** Flows whose host is remembered, per service. */
+  /** Flows whose host is remembered, over all services. */
   readonly learntFlows: number;
 }
 
--- a/src/balancer/balancer-node.ts
+++ b/src/balancer/balancer-node.ts
@@ -23,6 +23,7 @@
 import type { BalancerContext, BalancerNodeSettings } from './balancer-context';
 import { BalancerMembership } from './balancer-membership';
 import { DirectoryRouting, type FlowRouting } from './flow-routing';
+import { LearntBudget } from './learnt-hosts';
 import { StoreReader } from './store-reader';
 import { TableAcceptance } from './table-acceptance';
 import { TableDistribution } from './table-distribution';
@@ -40,7 +41,7 @@
 export type RoutingFactory = (
   service: string,
   states: TargetStates,
-  learntFlows: number,
+  budget: LearntBudget,
 ) => FlowRouting;
 
 /** What a balancer is given by its surroundings. */
@@ -75,6 +76,7 @@
   private readonly link: FrameLink;
   private readonly reader: StoreReader;
   private readonly states = new TargetStates();
+  private readonly learntBudget: LearntBudget;
   private readonly routings = new Map<string, FlowRouting>();
   private datagramsForwarded = 0;
   private datagramsDropped = 0;
@@ -86,6 +88,7 @@
     private readonly dependencies: BalancerDependencies,
   ) {
     const { environment, store, codec, transport } = dependencies;
+    this.learntBudget = new LearntBudget(settings.learntFlows);
     this.link = new FrameLink(codec, transport, environment);
     this.context = { settings, environment, send: (to, message) => this.link.send(to, message) };
     this.distribution = new TableDistribution(this.context, {
@@ -301,11 +304,10 @@
   }
 
   private createRouting(service: string): FlowRouting {
-    const { learntFlows } = this.settings;
     const factory = this.dependencies.routing;
     return factory
-      ? factory(service, this.states, learntFlows)
-      : new DirectoryRouting(service, this.states, learntFlows);
+      ? factory(service, this.states, this.learntBudget)
+      : new DirectoryRouting(service, this.states, this.learntBudget);
   }
 
   private distribute(table: ServiceTable, copies: number, done: (confirmed: number) => void): void {
--- a/src/balancer/flow-routing.ts
+++ b/src/balancer/flow-routing.ts
@@ -3,7 +3,7 @@
 import { bucketOf, serviceSeed } from '../core/hashing';
 import { computeOwners } from '../core/ownership';
 import type { ServiceTable } from '../core/table';
-import { LearntHosts, type LearntHost } from './learnt-hosts';
+import { LearntHosts, type LearntBudget, type LearntHost } from './learnt-hosts';
 import type { TargetStates } from './target-states';
 
 /** The seam at which ways of routing differ; the simulator's baselines implement it too. */
@@ -27,13 +27,13 @@
   private owners: readonly (LearntHost | undefined)[] | undefined;
   private table: ServiceTable | undefined;
 
-  /** @param learntFlows flows whose host is remembered */
+  /** @param budget bounds the flows whose host is remembered, over all services */
   constructor(
     private readonly service: string,
     private readonly states: TargetStates,
-    learntFlows: number,
+    budget: LearntBudget,
   ) {
-    this.learnt = new LearntHosts(learntFlows);
+    this.learnt = new LearntHosts(budget);
     this.seed = serviceSeed(service);
   }
 
--- a/src/bench/capacity-unit-costs.ts
+++ b/src/bench/capacity-unit-costs.ts
@@ -1,6 +1,7 @@
 /** Memory per flow, target, service and peer; processor time per packet, flow and table change. */
 import { bucketOf, serviceSeed } from '../core/hashing';
 import { DirectoryRouting } from '../balancer/flow-routing';
+import { LearntBudget } from '../balancer/learnt-hosts';
 import { MemberList } from '../balancer/member-list';
 import { TargetStates } from '../balancer/target-states';
 import { TableCache } from '../core/table-cache';
@@ -124,7 +125,7 @@
 }
 
 function routingFor(service: string, learntFlows: number): DirectoryRouting {
-  const routing = new DirectoryRouting(service, new TargetStates(), learntFlows);
+  const routing = new DirectoryRouting(service, new TargetStates(), new LearntBudget(learntFlows));
   routing.invalidate(tableOf(0, ROWS_PER_SERVICE, 1));
   return routing;
 }
@@ -224,7 +225,8 @@
 function ownershipCost(targets: number): number {
   const seed = serviceSeed('live-map');
   return timed(REPEATS / 200, (index) => {
-    const routing = new DirectoryRouting(`service-${targets}-${index}`, new TargetStates(), 1_000);
+    const budget = new LearntBudget(1_000);
+    const routing = new DirectoryRouting(`service-${targets}-${index}`, new TargetStates(), budget);
     routing.invalidate(tableOf(0, targets, 1));
     routing.route(bucketOf(index, seed));
   });
