--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -85,8 +85,15 @@
     });
     this.flows = new FlowTable(context);
     this.contacts = new BalancerContacts(context);
-    this.directory = new BucketDirectory(context, this.membership, this.flows, () =>
-      this.router.retryParked(),
+    this.directory = new BucketDirectory(
+      context,
+      this.membership,
+      {
+        callersIn: (buckets) => this.flows.callersIn(buckets),
+        hosts: (caller) => this.flows.get(caller) !== undefined,
+        end: (caller) => this.endFlow(caller),
+      },
+      () => this.router.retryParked(),
     );
     this.router = new FlowRouter(
       context,
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -53,6 +53,10 @@
 export interface HostedFlowSource {
   /** Callers of hosted flows whose bucket is in the set. */
   callersIn(buckets: BucketSet): Endpoint[];
+  /** Whether a flow is hosted here. */
+  hosts(caller: Endpoint): boolean;
+  /** Ends a flow hosted here, in favour of another host. */
+  end(caller: Endpoint): void;
 }
 
 /** Bucket phases, directory entries and the claim hand-shake of one agent. */
@@ -302,9 +306,9 @@
   }
 
   /**
-   * Takes a peer's entries. A flow that another live agent hosts already, as happens
-   * when the peer counted as dead for a while, is ended at the peer: two hosts of one
-   * flow would each keep the balancers that learnt of it.
+   * Takes a peer's entries. A flow with two live hosts, as after one of them counted as
+   * dead for a while, keeps one: two hosts would each keep the balancers that learnt of
+   * them. Usually the peer's copy ends; this agent's own does if it was the one away.
    */
   private mergeEntries(claim: Claim, message: ClaimAnswerMessage): void {
     const evicted: Endpoint[] = [];
@@ -313,16 +317,26 @@
       if (!claim.buckets.has(bucket) || this.phases[bucket] === 'none') {
         continue;
       }
-      const known = this.hostOf(bucket, caller);
+      const hostsItself = host === message.target;
+      if (hostsItself && this.yieldsOwnCopy(caller)) {
+        this.hosted.end(caller);
+      }
+      const known = this.hosted.hosts(caller)
+        ? this.context.settings.target
+        : this.hostOf(bucket, caller);
       if (known === undefined) {
         this.takeEntry(bucket, caller, host);
-      } else if (host === message.target && host !== known) {
+      } else if (hostsItself && host !== known) {
         evicted.push(caller);
       }
     }
     this.evict(message.target, evicted);
   }
 
+  private yieldsOwnCopy(caller: Endpoint): boolean {
+    return this.hosted.hosts(caller) && this.membership.wasAwayLately;
+  }
+
   private takeEntry(bucket: number, caller: Endpoint, host: string): void {
     if (!this.membership.peer(host)?.dead) {
       this.setHost(bucket, caller, host);
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -24,6 +24,8 @@
 
 const SENT_TIMES_KEPT = 16;
 const LOAD_SCALE = 1_000;
+/** Longer than an agent needs to claim its buckets again after it was away. */
+const AWAY_REMEMBERED_FOR = 10_000;
 const SMALLEST_GROUP_WITH_QUORUM = 3;
 
 /** One other agent of the service. */
@@ -92,11 +94,15 @@
   private sequence = 0;
   private current: ServiceTable | undefined;
   private hadQuorum = true;
+  private awayAt = -Infinity;
+  private lastHeartbeatAt: number;
 
   constructor(
     private readonly context: AgentContext,
     private readonly listener: MembershipListener,
-  ) {}
+  ) {
+    this.lastHeartbeatAt = context.environment.now();
+  }
 
   /** The service's table in force here. */
   get table(): ServiceTable | undefined {
@@ -185,8 +191,14 @@
     return held;
   }
 
+  /** Whether this agent was lately out of touch with its group: cut off, or frozen. */
+  get wasAwayLately(): boolean {
+    return this.context.environment.now() - this.awayAt < AWAY_REMEMBERED_FOR;
+  }
+
   /** Sends a heartbeat to every peer that is not known to have stopped. */
   heartbeat(): void {
+    this.noticeFreeze();
     this.nextSequence();
     for (const peer of this.peers.values()) {
       if (peer.row !== undefined || peer.state !== AgentState.stopped) {
@@ -320,6 +332,15 @@
     }
   }
 
+  /** A long pause between own heartbeats means that this process stood still. */
+  private noticeFreeze(): void {
+    const now = this.context.environment.now();
+    if (now - this.lastHeartbeatAt > OWNER_LEASE) {
+      this.awayAt = now;
+    }
+    this.lastHeartbeatAt = now;
+  }
+
   private nextSequence(): void {
     this.sequence++;
     this.sentTimes.set(this.sequence, this.context.environment.now());
@@ -401,6 +422,9 @@
   }
 
   private reportQuorum(held: boolean): void {
+    if (!held) {
+      this.awayAt = this.context.environment.now();
+    }
     if (held !== this.hadQuorum) {
       this.hadQuorum = held;
       this.context.environment.report(held ? Events.quorumRegained : Events.quorumLost, {});
--- a/test/bucket-directory.test.ts
+++ b/test/bucket-directory.test.ts
@@ -35,7 +35,7 @@
     peersToAsk: () => [],
     peer: () => undefined,
   } as unknown as GroupMembership;
-  const hosted = { callersIn: () => [] };
+  const hosted = { callersIn: () => [], hosts: () => false, end: () => undefined };
   const directory = new BucketDirectory(context, membership, hosted, () => undefined);
   return { directory, sent };
 }
