--- a/src/balancer/balancer-membership.ts
+++ b/src/balancer/balancer-membership.ts
@@ -29,7 +29,7 @@
 /** Multiplies log2 of the group's size: how often a rumour is sent before it is dropped. */
 const RUMOUR_FACTOR = 3;
 /** Every so many probes one goes to a dead member or a seed, to find the other side of a cut. */
-const RECONNECT_EVERY = 5;
+const RECONNECT_EVERY = 3;
 const FORGET_EVERY = 60;
 
 /** Told of what gossip brings. */
@@ -141,7 +141,9 @@
 
   receivePing(message: PingMessage, from: Endpoint): void {
     this.takeGossip(message, from);
-    this.context.send(from, { type: MessageType.pingAnswer, ...this.gossip(message.sequence) });
+    const gossip = this.gossip(message.sequence);
+    const members = [...this.doubtsAbout(message.sender), ...gossip.members];
+    this.context.send(from, { type: MessageType.pingAnswer, ...gossip, members });
   }
 
   receivePingAnswer(message: PingAnswerMessage, from: Endpoint): void {
@@ -191,6 +193,12 @@
     message.targets.forEach((rumour) => this.listener.targetRumour(rumour));
   }
 
+  /** What a prober must hear to refute it: that it counts as suspect or dead here. */
+  private doubtsAbout(sender: MemberRecord): MemberRecord[] {
+    const believed = this.list.get(sender.name);
+    return believed && believed.state !== sender.state ? [believed] : [];
+  }
+
   private seeds(): Endpoint[] {
     const { peers, endpoint } = this.context.settings;
     return peers.filter((peer) => peer !== endpoint);
--- a/test/hard-cases.test.ts
+++ b/test/hard-cases.test.ts
@@ -285,6 +285,26 @@
   t.is(apart!.node.distribution.cache.get(SERVICE)!.rows[0]!.share, 2);
 });
 
+test('balancers that called each other dead during a cut know each other seconds after it', (t) => {
+  // Found in everything, porting seed 75: eight seconds after a cut had healed, one side
+  // still held the other for dead, and a new table went past it.
+  const world = quietWorld();
+  const apart = world.balancers[2]!;
+  const others = world.balancers.filter((balancer) => balancer !== apart);
+  const cuts = others.flatMap((other) => [
+    { from: other.name, to: apart.name },
+    { from: apart.name, to: other.name },
+  ]);
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.runUntil(world.clock.now + 20_000);
+  t.is(apart.node.membership.live().length, 0);
+  cuts.forEach((cut) => world.network.heal(cut));
+  world.runUntil(world.clock.now + 6_000);
+  for (const balancer of world.balancers) {
+    t.is(balancer.node.membership.live().length, 2, balancer.name);
+  }
+});
+
 test("a balancer that joins while the store is away serves with its peers' tables", (t) => {
   const world = quietWorld();
   world.store.setDown(true);
