--- a/test/integration-processes.test.ts
+++ b/test/integration-processes.test.ts
@@ -26,7 +26,7 @@
     const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
     const mix = ['--feeds', '6', '--reporters', '6', '--transfers', '2', '--seconds', '12'];
     const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
-    await new Promise((done) => setTimeout(done, 4_000));
+    await cluster.waitForFlows(12);
     cluster.children.get('balancer-2')!.process.kill('SIGKILL');
     t.is(await calling.ended, 0, calling.stderr());
 
@@ -117,9 +117,9 @@
   try {
     await cluster.start(2, 3);
     const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
-    const mix = ['--feeds', '9', '--reporters', '9', '--seconds', '10'];
+    const mix = ['--feeds', '9', '--reporters', '9', '--seconds', '14'];
     const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
-    await new Promise((done) => setTimeout(done, 3_000));
+    await cluster.waitForFlows(18);
     const settings = cluster.path('agent-0.yaml');
     const before = await fetchJson(cluster.agentStatus(0));
     cluster.spawn('successor', ['agent', '--settings', settings, '--take-over']);
@@ -153,11 +153,11 @@
   try {
     await cluster.start(2, 3);
     const to = ['--to', cluster.serviceAddress, '--service', 'live-map'];
-    const mix = ['--feeds', '6', '--reporters', '6', '--seconds', '8'];
+    const mix = ['--feeds', '6', '--reporters', '6', '--seconds', '12'];
     const calling = cluster.spawn('caller', ['standin', 'caller', ...to, ...mix]);
+    await cluster.waitForFlows(12);
     for (const keys of [[oldKey, newKey], [newKey, oldKey], [newKey]]) {
-      await new Promise((done) => setTimeout(done, 1_500));
-      cluster.replaceKeys(keys);
+      await cluster.replaceKeys(keys);
     }
     t.is(await calling.ended, 0, calling.stderr());
     const summary = JSON.parse(calling.stdout()) as CallerSummary;
--- a/test/support/process-cluster.ts
+++ b/test/support/process-cluster.ts
@@ -45,6 +45,7 @@
   readonly children = new Map<string, Child>();
   readonly proxies: UdpFaultProxy[] = [];
   storeProxy: TcpFaultProxy | undefined;
+  private keyRounds = 0;
   private readonly folder = mkdtempSync(join(tmpdir(), 'hallhold-test-'));
 
   /** @param group keeps addresses of clusters in one test process apart */
@@ -135,19 +136,47 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  /** Gives every balancer and agent other keys, as an operator does: settings, then SIGHUP. */
-  replaceKeys(keys: readonly { readonly id: number; readonly secret: string }[]): void {
-    for (const [name, child] of this.children) {
-      const [role, number] = name.split('-');
-      if (role === 'balancer' || role === 'agent') {
-        const file = `${role}-${Number(number) - 1}.yaml`;
+  /** Waits until the agents host at least so many flows together. */
+  async waitForFlows(count: number): Promise<void> {
+    await waitFor(`${count} flows are hosted`, async () => {
+      const all = this.running('agent').map((index) => fetchJson(this.agentStatus(index)));
+      const flows = (await Promise.all(all)).map(
+        (status) => (status.statistics as { flows: number }).flows,
+      );
+      return flows.reduce((sum, one) => sum + one, 0) >= count;
+    });
+  }
+
+  /** Gives every balancer and agent other keys, as an operator does; waits until all have them. */
+  async replaceKeys(
+    keys: readonly { readonly id: number; readonly secret: string }[],
+  ): Promise<void> {
+    this.keyRounds++;
+    const roles = [
+      { role: 'balancer', host: 10 },
+      { role: 'agent', host: 20 },
+    ] as const;
+    for (const { role, host } of roles) {
+      for (const index of this.running(role)) {
+        const file = `${role}-${index}.yaml`;
         const settings = parse(readFileSync(this.path(file), 'utf8')) as object;
         this.write(file, stringify({ ...settings, keys }));
-        child.process.kill('SIGHUP');
+        this.children.get(`${role}-${index + 1}`)!.process.kill('SIGHUP');
+        const metrics = `http://${this.address(host + index)}:7080/metrics`;
+        const expected = `hallhold_events_total{event="keys-replaced"} ${this.keyRounds}`;
+        await waitFor(`${role} ${index} has the keys`, async () =>
+          (await (await fetch(metrics)).text()).includes(expected),
+        );
       }
     }
   }
 
+  /** Indexes from 0 of the processes of a role. */
+  private running(role: 'balancer' | 'agent'): number[] {
+    const names = [...this.children.keys()].filter((name) => name.startsWith(`${role}-`));
+    return names.map((name) => Number(name.slice(role.length + 1)) - 1);
+  }
+
   /** Writes a file into the cluster's folder and returns its path. */
   write(name: string, content: string): string {
     const path = join(this.folder, name);
