--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -374,6 +374,7 @@
     this.endIdleFlows();
     this.membership.heartbeat();
     this.directory.claimMissing();
+    this.directory.checkStrays();
     const { environment } = this.dependencies;
     this.heartbeatTimer = environment.startTimer(HEARTBEAT_INTERVAL, () => this.heartbeat());
   }
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -157,6 +157,28 @@
     }
   }
 
+  /**
+   * Asks the rightful owner about buckets that this agent owns although its view names
+   * another: an owner that holds them too refuses, and this agent gives them up.
+   */
+  checkStrays(): void {
+    const strays = new Map<string, BucketSet>();
+    this.phases.forEach((phase, bucket) => {
+      const owner = this.owners[bucket];
+      if (phase === 'owned' && owner !== undefined && owner !== this.context.settings.target) {
+        const buckets = strays.get(owner) ?? BucketSet.empty();
+        buckets.add(bucket);
+        strays.set(owner, buckets);
+      }
+    });
+    for (const [owner, buckets] of strays) {
+      const peer = this.membership.peer(owner);
+      if (peer) {
+        this.startClaim(buckets, [peer]);
+      }
+    }
+  }
+
   /** Claims the buckets that this agent should own and does not. */
   claimMissing(): void {
     const now = this.context.environment.now();
@@ -179,6 +201,8 @@
 
   /** Answers a peer's claim; releases what this agent does not keep. */
   answerClaim(message: ClaimMessage, from: Endpoint): void {
+    // Before anything is released: who claims lives, and must be asked by later claims here.
+    this.membership.noteAlive(message.target);
     const key = `${message.target}/${message.claimId}`;
     const previous = this.sentAnswers.get(key);
     if (previous) {
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -234,6 +234,16 @@
     }
   }
 
+  /** A message other than a heartbeat shows that a peer lives. */
+  noteAlive(target: string): void {
+    const peer = this.peers.get(target);
+    if (peer?.dead) {
+      peer.dead = false;
+      peer.lastHeard = this.context.environment.now();
+      this.listener.membersChanged();
+    }
+  }
+
   /** Peers whose state balancers should know of. */
   notices(): TargetNotice[] {
     return [...this.peers.values()]
--- a/test/bucket-directory.test.ts
+++ b/test/bucket-directory.test.ts
@@ -15,8 +15,13 @@
 const CLAIMER_ENDPOINT = 7;
 
 /** A directory on its own, with what it sends. */
-function createDirectory(target: string): { directory: BucketDirectory; sent: Message[] } {
+function createDirectory(
+  target: string,
+  eligible: readonly string[] = ['target-1', 'target-2'],
+): { directory: BucketDirectory; sent: Message[]; alive: string[]; eligible: string[] } {
   const sent: Message[] = [];
+  const alive: string[] = [];
+  const current = [...eligible];
   const context = {
     settings: { service: 'live-map', target, incarnation: 100 },
     environment: {
@@ -31,13 +36,14 @@
   } as unknown as AgentContext;
   const membership = {
     tableRevision: 1,
-    eligibleTargets: () => ['target-1', 'target-2'],
+    eligibleTargets: () => current,
     peersToAsk: () => [],
-    peer: () => undefined,
+    peer: (target: string) => ({ target, endpoint: CLAIMER_ENDPOINT, dead: false }),
+    noteAlive: (target: string) => alive.push(target),
   } as unknown as GroupMembership;
   const hosted = { callersIn: () => [], hosts: () => false, end: () => undefined };
   const directory = new BucketDirectory(context, membership, hosted, () => undefined);
-  return { directory, sent };
+  return { directory, sent, alive, eligible: current };
 }
 
 function claim(claimId: number, buckets: readonly number[]): ClaimMessage {
@@ -96,3 +102,32 @@
   t.deepEqual(BucketSet.decode(answersIn(sent)[0]!.refused).members(), owned);
   t.true(owned.every((bucket) => directory.phaseOf(bucket) === 'owned'));
 });
+
+test('a claim shows that its sender lives, and a stray owner gives way to the rightful one', (t) => {
+  // Found by the storm "rack" on 100 balancers: two agents of one service that restarted
+  // together left six buckets with two owners each.
+  const { directory, sent, alive, eligible } = createDirectory('target-1', ['target-1']);
+  directory.reconcile();
+  t.is(directory.ownedCount(), 256);
+  directory.answerClaim({ ...claim(1, [1]), tableRevision: 0 }, CLAIMER_ENDPOINT);
+  t.deepEqual(alive, ['target-2']);
+
+  eligible.push('target-2');
+  directory.reconcile();
+  directory.checkStrays();
+  const asked = sent.find((message) => message.type === MessageType.claim)!;
+  const strays = BucketSet.decode(asked.buckets).members();
+  t.true(strays.length > 0 && strays.every((bucket) => directory.ownerOf(bucket) === 'target-2'));
+  directory.receiveAnswer({
+    type: MessageType.claimAnswer,
+    service: 'live-map',
+    target: 'target-2',
+    claimId: asked.claimId,
+    refused: asked.buckets,
+    part: 0,
+    parts: 1,
+    hosts: [],
+    entries: Buffer.alloc(0),
+  });
+  t.is(directory.ownedCount(), 256 - strays.length);
+});
