--- a/src/agent/flow-router.ts
+++ b/src/agent/flow-router.ts
@@ -208,7 +208,9 @@
       this.refuse(message);
       return;
     }
-    this.parked.push({ message, parkedAt: this.context.environment.now() });
+    // A placement that could not count now must not count later: another may host the flow.
+    const unplaced = { ...message, placedBy: '' };
+    this.parked.push({ message: unplaced, parkedAt: this.context.environment.now() });
     this.context.environment.startTimer(PARKED_FRAME_LIFETIME, () => this.refuseOverdue());
   }
 
--- a/src/simulation/world-watcher.ts
+++ b/src/simulation/world-watcher.ts
@@ -128,13 +128,19 @@
         this.returned(target);
       }
     }
-    return () => {
-      for (const [label, since] of before) {
-        if (label.startsWith(`${service}/`) && !this.leavingSince.has(label)) {
-          this.leavingSince.set(label, since);
-        }
+    return () => this.restoreLeaving(service, before);
+  }
+
+  /** After a refused edit: targets that the store's table does not serve are leaving as before. */
+  private restoreLeaving(service: string, before: ReadonlyMap<string, number>): void {
+    const rows = this.world.store.read(service)?.table.rows ?? [];
+    for (const target of this.world.targetsOf(service)) {
+      const since = before.get(target.label);
+      const serves = rows.some((row) => row.target === target.name && row.share > 0);
+      if (since !== undefined && !serves && !this.leavingSince.has(target.label)) {
+        this.leavingSince.set(target.label, since);
       }
-    };
+    }
   }
 
   tableAccepted(service: string, revision: number, rows: readonly TableRow[]): void {
