--- a/src/agent/agent-node.ts
+++ b/src/agent/agent-node.ts
@@ -79,6 +79,7 @@
       membersChanged: () => this.directory.reconcile(),
       peerAppeared: (peer) => this.directory.refreshFrom(peer),
       peerLost: (peer) => this.peerLost(peer),
+      wasAway: () => this.directory.reclaimOwned(),
       flowsClosed: (peer, closed) => this.router.flowsClosed(peer, closed),
       takeClosedFor: (target) => this.takeClosedFor(target),
       ownStatus: () => this.ownStatus(),
--- a/src/agent/bucket-directory.ts
+++ b/src/agent/bucket-directory.ts
@@ -150,6 +150,23 @@
     this.claimMissing();
   }
 
+  /**
+   * Claims everything owned here anew, after this agent was out of touch for longer than
+   * its lease: others may own the buckets by now and know other hosts.
+   */
+  reclaimOwned(): void {
+    const buckets = this.ownedBuckets();
+    if (this.ownedCount() === 0 || !this.context.safeguards.has('handshake')) {
+      return;
+    }
+    for (const bucket of buckets.members()) {
+      this.surrender(bucket);
+      this.entries.delete(bucket);
+      this.phases[bucket] = 'claiming';
+    }
+    this.startClaim(buckets, this.membership.peersToAsk());
+  }
+
   /** Asks one peer for its flows in the buckets owned here, without giving up admission. */
   refreshFrom(peer: Peer): void {
     if (this.ownedCount() > 0) {
--- a/src/agent/group-membership.ts
+++ b/src/agent/group-membership.ts
@@ -80,6 +80,8 @@
   peerAppeared(peer: Peer): void;
   /** A peer is dead, stopped or runs anew: the flows it hosted are gone. */
   peerLost(peer: Peer): void;
+  /** This agent was out of touch: others may have taken over what it owned. */
+  wasAway(): void;
   /** Flows that ended at a peer. */
   flowsClosed(peer: Peer, closed: Buffer): void;
   /** Flows that ended here, for the peer that owns their buckets. */
@@ -241,6 +243,7 @@
       peer.dead = false;
       peer.lastHeard = this.context.environment.now();
       this.listener.membersChanged();
+      this.listener.peerAppeared(peer);
     }
   }
 
@@ -342,11 +345,16 @@
     }
   }
 
+  private noteAway(): void {
+    this.awayAt = this.context.environment.now();
+    this.listener.wasAway();
+  }
+
   /** A long pause between own heartbeats means that this process stood still. */
   private noticeFreeze(): void {
     const now = this.context.environment.now();
     if (now - this.lastHeartbeatAt > OWNER_LEASE) {
-      this.awayAt = now;
+      this.noteAway();
     }
     this.lastHeartbeatAt = now;
   }
@@ -433,7 +441,7 @@
 
   private reportQuorum(held: boolean): void {
     if (!held) {
-      this.awayAt = this.context.environment.now();
+      this.noteAway();
     }
     if (held !== this.hadQuorum) {
       this.hadQuorum = held;
