--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,7 +20,14 @@
   },
   {
     files: ['**/*.js', '**/*.mjs'],
-    languageOptions: { globals: { require: 'readonly', process: 'readonly', module: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: {
+        require: 'readonly',
+        process: 'readonly',
+        module: 'readonly',
+        console: 'readonly',
+      },
+    },
     rules: { '@typescript-eslint/no-require-imports': 'off' },
   },
 );
