--- a/src/balancer/balancer-node.ts
+++ b/src/balancer/balancer-node.ts
@@ -7,7 +7,7 @@
 import type { ServiceTable } from '../core/table';
 import type { Endpoint, Environment, FrameTransport } from '../environment';
 import { Events } from '../logging/events';
-import type { MachineRecord, StorePort } from '../platform/store-port';
+import type { MachineRecord, StorePort } from '../table-store/store-port';
 import type { FrameCodec } from '../wire/frame-codec';
 import { FrameLink } from '../wire/frame-link';
 import {
--- a/src/balancer/store-reader.ts
+++ b/src/balancer/store-reader.ts
@@ -9,7 +9,7 @@
 import type { TableDelta } from '../core/table-cache';
 import { STORE_READERS } from '../core/timing';
 import { Events } from '../logging/events';
-import type { MachineRecord, StorePort, WatchHandle } from '../platform/store-port';
+import type { MachineRecord, StorePort, WatchHandle } from '../table-store/store-port';
 import type { HallholdError } from '../errors/hallhold-error';
 import type { BalancerContext } from './balancer-context';
 
--- a/src/balancer/table-acceptance.ts
+++ b/src/balancer/table-acceptance.ts
@@ -11,7 +11,7 @@
 import { HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { Events } from '../logging/events';
-import type { StorePort, StoredTable } from '../platform/store-port';
+import type { StorePort, StoredTable } from '../table-store/store-port';
 import type { BalancerContext } from './balancer-context';
 
 /** Copies at peers, besides the store and this node, before an edit counts as accepted. */
--- a/src/bench/silent-store.ts
+++ b/src/bench/silent-store.ts
@@ -1,5 +1,5 @@
 /** A store that never answers, for benches whose tables are put in directly. */
-import type { StorePort } from '../platform/store-port';
+import type { StorePort } from '../table-store/store-port';
 
 export const SILENT_STORE: StorePort = {
   list: () => undefined,
--- a/src/runtime/balancer-process.ts
+++ b/src/runtime/balancer-process.ts
@@ -5,7 +5,7 @@
 import { EventLog } from '../logging/event-log';
 import { Events } from '../logging/events';
 import { startAdminServer, type AdminServer } from '../operator/admin-server';
-import { HttpStore } from '../platform/http-store';
+import { HttpStore } from '../table-store/http-store';
 import type { BalancerSettings } from '../settings/settings-schema';
 import { AgentState } from '../wire/messages';
 import { FrameCodec } from '../wire/frame-codec';
--- a/src/simulation/simulated-store.ts
+++ b/src/simulation/simulated-store.ts
@@ -10,8 +10,8 @@
   StorePort,
   TableWrite,
   WatchHandle,
-} from '../platform/store-port';
-import { tableResource, toResource, toStoredTable, toTable } from '../platform/store-resources';
+} from '../table-store/store-port';
+import { tableResource, toResource, toStoredTable, toTable } from '../table-store/store-resources';
 import { ObjectStore, type StoredObject, type StoreEvent } from '../standins/object-store';
 import type { SeededRandom } from './seeded-random';
 import type { SimulatedProcess } from './simulated-process';
--- a/src/standins/platform-server.ts
+++ b/src/standins/platform-server.ts
@@ -2,7 +2,7 @@
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { endpointAddress, endpointPort } from '../core/endpoint';
 import type { Endpoint } from '../environment';
-import { NODES_PATH, TABLES_PATH } from '../platform/store-resources';
+import { NODES_PATH, TABLES_PATH } from '../table-store/store-resources';
 import { ObjectStore, type StoredObject, type StoreEvent, type WriteResult } from './object-store';
 
 /** Ways in which the stand-in misbehaves. */
--- a/src/wire/frame-codec.ts
+++ b/src/wire/frame-codec.ts
@@ -9,7 +9,8 @@
 import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { FrameAuthenticator, TAG_BYTES } from './frame-authenticator';
-import { MESSAGE_FIELDS, type FieldCodec } from './message-schema';
+import type { FieldCodec } from './field-codecs';
+import { MESSAGE_FIELDS } from './message-schema';
 import type { Message } from './messages';
 
 const VERSION = 1;
@@ -24,13 +25,22 @@
   readonly secret: Buffer;
 }
 
+/** Fields of every message type of one protocol, by numeric type. */
+export type MessageSchema = ReadonlyMap<number, readonly FieldCodec[]>;
+
 /** Signs with the first key, accepts frames under any. */
-export class FrameCodec {
+export class FrameCodec<M extends { readonly type: number } = Message> {
   private authenticators = new Map<number, FrameAuthenticator>();
   private current: readonly ClusterKey[] = [];
 
-  /** @param keys one, or two while a key is being replaced; must not be empty */
-  constructor(keys: readonly ClusterKey[]) {
+  /**
+   * @param keys one, or two while a key is being replaced; must not be empty
+   * @param schema the protocol; by default the one of balancers and agents
+   */
+  constructor(
+    keys: readonly ClusterKey[],
+    private readonly schema: MessageSchema = MESSAGE_FIELDS,
+  ) {
     this.replaceKeys(keys);
   }
 
@@ -46,8 +56,8 @@
   }
 
   /** Encodes a message as one datagram. */
-  encode(message: Message): Buffer {
-    const body = serialize(toDocument(message));
+  encode(message: M): Buffer {
+    const body = serialize(toDocument(message, this.schema.get(message.type)!));
     const frame = Buffer.allocUnsafe(BODY_OFFSET + body.length);
     frame[0] = VERSION;
     const { id } = this.current[0]!;
@@ -58,7 +68,7 @@
   }
 
   /** Authenticates and checks a received datagram. Errors 1301 to 1303. */
-  decode(frame: Buffer): Result<Message, HallholdError> {
+  decode(frame: Buffer): Result<M, HallholdError> {
     if (frame.length <= BODY_OFFSET) {
       return failure(ResultCodes.frameTooShort, `${frame.length} bytes`);
     }
@@ -70,42 +80,45 @@
     if (!key.accepts(body, frame.subarray(TAG_OFFSET, BODY_OFFSET))) {
       return failure(ResultCodes.frameNotAuthentic, 'the authentication tag is wrong');
     }
-    return fromBody(body);
+    return fromBody<M>(body, this.schema);
   }
 }
 
-function toDocument(message: Message): Record<string, unknown> {
+function toDocument(
+  message: { readonly type: number },
+  fields: readonly FieldCodec[],
+): Record<string, unknown> {
   const source = message as unknown as Record<string, unknown>;
   const document: Record<string, unknown> = { [TYPE_KEY]: message.type };
-  for (const { key, property, pack } of MESSAGE_FIELDS.get(message.type)!) {
+  for (const { key, property, pack } of fields) {
     const value = source[property];
     document[key] = pack ? pack(value as never) : value;
   }
   return document;
 }
 
-function fromBody(body: Buffer): Result<Message, HallholdError> {
+function fromBody<M>(body: Buffer, schema: MessageSchema): Result<M, HallholdError> {
   try {
     const document = deserialize(body, { promoteBuffers: true });
     const type: unknown = document[TYPE_KEY];
-    const fields = typeof type === 'number' ? MESSAGE_FIELDS.get(type) : undefined;
+    const fields = typeof type === 'number' ? schema.get(type) : undefined;
     if (!fields) {
       return failure(ResultCodes.frameMalformed, 'unknown message type');
     }
-    return new Ok(toMessage(type as number, fields, document));
+    return new Ok(toMessage<M>(type as number, fields, document));
   } catch (error) {
     return failure(ResultCodes.frameMalformed, messageOf(error));
   }
 }
 
-function toMessage(
+function toMessage<M>(
   type: number,
   fields: readonly FieldCodec[],
   document: Record<string, unknown>,
-): Message {
+): M {
   const message: Record<string, unknown> = { type };
   for (const { key, property, unpack } of fields) {
     message[property] = unpack(document[key]);
   }
-  return message as unknown as Message;
+  return message as unknown as M;
 }
--- a/src/wire/message-schema.ts
+++ b/src/wire/message-schema.ts
@@ -5,52 +5,19 @@
  */
 import { BUCKET_SET_BYTES } from '../core/bucket-set';
 import type { ServiceTable, TableRow } from '../core/table';
+import {
+  binary,
+  FieldError,
+  integer,
+  listOf,
+  oneOf,
+  positive,
+  text,
+  tuple,
+  type FieldCodec,
+} from './field-codecs';
 import { MessageType, type MemberRecord, type TargetNotice, type TargetRumour } from './messages';
 
-/** A value that does not have the form its field asks for. */
-export class FieldError extends Error {}
-
-/** Converts one field between its typed and its sent form. */
-export interface FieldCodec {
-  readonly key: string;
-  readonly property: string;
-  /** Typed value to bson value; absent when they are the same. */
-  readonly pack?: (value: never) => unknown;
-  /** Checks a received bson value and returns the typed value, or throws {@link FieldError}. */
-  readonly unpack: (value: unknown) => unknown;
-}
-
-const MAXIMUM_TEXT = 255;
-const MAXIMUM_LIST = 20_000;
-
-function text(value: unknown): string {
-  if (typeof value !== 'string' || value.length > MAXIMUM_TEXT) {
-    throw new FieldError('not a short text');
-  }
-  return value;
-}
-
-function integer(value: unknown): number {
-  if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < 0) {
-    throw new FieldError('not a non-negative integer');
-  }
-  return value;
-}
-
-function positive(value: unknown): number {
-  if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
-    throw new FieldError('not a non-negative number');
-  }
-  return value;
-}
-
-function binary(value: unknown): Buffer {
-  if (!Buffer.isBuffer(value)) {
-    throw new FieldError('not binary');
-  }
-  return value;
-}
-
 function bitmap(value: unknown): Buffer {
   const bytes = binary(value);
   if (bytes.length !== BUCKET_SET_BYTES) {
@@ -59,31 +26,6 @@
   return bytes;
 }
 
-function oneOf(...allowed: readonly number[]): (value: unknown) => number {
-  return (value) => {
-    if (typeof value !== 'number' || !allowed.includes(value)) {
-      throw new FieldError('not an allowed state');
-    }
-    return value;
-  };
-}
-
-function listOf<T>(item: (value: unknown) => T): (value: unknown) => T[] {
-  return (value) => {
-    if (!Array.isArray(value) || value.length > MAXIMUM_LIST) {
-      throw new FieldError('not a list');
-    }
-    return value.map(item);
-  };
-}
-
-function tuple(value: unknown, length: number): unknown[] {
-  if (!Array.isArray(value) || value.length !== length) {
-    throw new FieldError('not a tuple');
-  }
-  return value;
-}
-
 const agentState = oneOf(1, 2, 3);
 const memberState = oneOf(1, 2, 3, 4);
 
