--- a/src/errors/result-codes.ts
+++ b/src/errors/result-codes.ts
@@ -46,6 +46,7 @@
   addressInvalid: code(1401, 'address-invalid', 'never'),
   addressInUse: code(1402, 'address-in-use', 'safe'),
   handoverFailed: code(1403, 'handover-failed', 'safe'),
+  peerUnreachable: code(1404, 'peer-unreachable', 'safe'),
   operatorApiUnreachable: code(1501, 'operator-api-unreachable', 'safe'),
   waitTimedOut: code(1502, 'wait-timed-out', 'safe'),
   scenarioUnknown: code(1601, 'scenario-unknown', 'never'),
--- /dev/null
+++ b/src/packets/agent-directory.ts
@@ -0,0 +1,116 @@
+/**
+ * What a balancer knows of the agents: those the registry lists and those it has heard.
+ *
+ * The directory is complete once it has taken a whole listing of the registry, or the
+ * entries of a balancer whose directory is complete. Completeness is what allows a
+ * balancer to conclude that no target holds a flow.
+ */
+import type { Endpoint } from '../environment';
+import { TargetState, type AgentRecord, type ReportMessage } from './packet-messages';
+
+/** Milliseconds without a report after which an agent counts as silent. */
+export const SILENCE_LIMIT = 700;
+
+/**
+ * Milliseconds between sending an opening packet and the first request of its flow at the
+ * target: a report shows the load of openings that are older than this.
+ */
+const OPENING_TIME = 10;
+
+/** One agent. */
+export interface AgentEntry extends AgentRecord {
+  /** Revision of its registration; undefined while the registry does not list it. */
+  registryRevision: number | undefined;
+  report: ReportMessage | undefined;
+  /** Time of the last report; undefined when none has come. */
+  heardAt: number | undefined;
+  /** Time at which this balancer learnt of it. */
+  readonly knownSince: number;
+  /** When this balancer sent it opening packets that no report shows yet; rising. */
+  recentOpenings: number[];
+}
+
+/** The agents by address. */
+export class AgentDirectory {
+  private readonly entries = new Map<Endpoint, AgentEntry>();
+  private complete = false;
+
+  /** Whether every registered agent is known. */
+  get isComplete(): boolean {
+    return this.complete;
+  }
+
+  all(): Iterable<AgentEntry> {
+    return this.entries.values();
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  find(address: Endpoint): AgentEntry | undefined {
+    return this.entries.get(address);
+  }
+
+  /** The agents of some services, in no particular order. */
+  ofServices(services: readonly string[]): AgentEntry[] {
+    return [...this.entries.values()].filter(({ service }) => services.includes(service));
+  }
+
+  /** Whether an agent has been heard lately. */
+  isHeard(entry: AgentEntry, now: number): boolean {
+    return entry.heardAt !== undefined && now - entry.heardAt <= SILENCE_LIMIT;
+  }
+
+  /** Takes an agent from the registry, or a peer when `revision` is undefined. */
+  learn(record: AgentRecord, revision: number | undefined, now: number): AgentEntry {
+    const known = this.entries.get(record.address);
+    if (known && known.service === record.service && known.zone === record.zone) {
+      known.registryRevision = revision ?? known.registryRevision;
+      return known;
+    }
+    const entry: AgentEntry = {
+      ...record,
+      registryRevision: revision,
+      report: undefined,
+      heardAt: undefined,
+      knownSince: now,
+      recentOpenings: [],
+    };
+    this.entries.set(record.address, entry);
+    return entry;
+  }
+
+  /** Takes a report; the sender becomes known by it. */
+  hear(address: Endpoint, report: ReportMessage, now: number): AgentEntry {
+    const { service, zone } = report;
+    const revision = this.entries.get(address)?.registryRevision;
+    const entry = this.learn({ address, service, zone }, revision, now);
+    entry.report = report;
+    entry.heardAt = now;
+    entry.recentOpenings = entry.recentOpenings.filter((at) => at > now - OPENING_TIME);
+    return entry;
+  }
+
+  /** The registry no longer lists an agent: it stays only while it is heard. */
+  unregister(address: Endpoint, now: number): void {
+    const entry = this.entries.get(address);
+    if (!entry) {
+      return;
+    }
+    entry.registryRevision = undefined;
+    const gone = entry.report?.state === TargetState.gone;
+    if (gone || !this.isHeard(entry, now)) {
+      this.entries.delete(address);
+    }
+  }
+
+  /** Drops an agent that is neither registered nor heard. */
+  forget(address: Endpoint): void {
+    this.entries.delete(address);
+  }
+
+  markComplete(): void {
+    this.complete = true;
+  }
+}
--- /dev/null
+++ b/src/packets/agent-selection.ts
@@ -0,0 +1,82 @@
+/** Chooses the agent for a new flow: the one whose target will be least loaded. */
+import type { AgentEntry } from './agent-directory';
+import { TargetState } from './packet-messages';
+
+/** Slots assumed for a target that has not said how many it has. */
+const DEFAULT_SLOTS = 4;
+/** Added to the load of a target in another zone: sending across zones costs. */
+const OTHER_ZONE_PENALTY = 0.15;
+/** Added while the target is slow after its start. */
+const COLD_PENALTY = 0.5;
+/** Added while no heartbeat has confirmed that the target is ready. */
+const UNKNOWN_STATE_PENALTY = 1;
+/** Added while the agent is not heard. */
+const SILENT_PENALTY = 5;
+
+/** What the choice depends on besides the agents. */
+export interface SelectionContext {
+  /** Zone of the balancer. */
+  readonly zone: string;
+  isHeard(entry: AgentEntry): boolean;
+}
+
+/** Whether an agent may be offered a new flow. */
+export function acceptsNewFlows(entry: AgentEntry): boolean {
+  const state = entry.report?.state ?? TargetState.unknown;
+  return state === TargetState.ready || state === TargetState.unknown;
+}
+
+/** Mean number of busy requests for each open flow of a service. */
+function busyPerFlow(entries: readonly AgentEntry[]): number {
+  let busy = 0;
+  let flows = 0;
+  for (const { report } of entries) {
+    busy += report?.busyRequests ?? 0;
+    flows += report?.openFlows ?? 0;
+  }
+  return flows > 0 ? busy / flows : 0;
+}
+
+/** Busy slots to be expected at an agent's target, for each of its slots. */
+function expectedUse(entry: AgentEntry, perFlow: number): number {
+  const openings = entry.recentOpenings.length;
+  if (!entry.report) {
+    return openings / DEFAULT_SLOTS;
+  }
+  const { busyRequests, openFlows, slots } = entry.report;
+  const busy = busyRequests + openFlows * perFlow + openings;
+  return busy / (slots || DEFAULT_SLOTS);
+}
+
+/** Load of an agent's target for each of its slots, with what speaks against it; lower is better. */
+function loadOf(entry: AgentEntry, perFlow: number, context: SelectionContext): number {
+  const isCold = entry.report !== undefined && entry.report.coldLeft > 0;
+  const isReady = entry.report?.state === TargetState.ready;
+  let load = expectedUse(entry, perFlow);
+  load += entry.zone === context.zone ? 0 : OTHER_ZONE_PENALTY;
+  load += isCold ? COLD_PENALTY : 0;
+  load += isReady ? 0 : UNKNOWN_STATE_PENALTY;
+  load += context.isHeard(entry) ? 0 : SILENT_PENALTY;
+  return load;
+}
+
+/** The least loaded of the agents that take new flows; undefined when none does. */
+export function selectAgent(
+  entries: readonly AgentEntry[],
+  context: SelectionContext,
+): AgentEntry | undefined {
+  const perFlow = busyPerFlow(entries);
+  let best: AgentEntry | undefined;
+  let bestLoad = Infinity;
+  for (const entry of entries) {
+    if (!acceptsNewFlows(entry)) {
+      continue;
+    }
+    const load = loadOf(entry, perFlow, context);
+    if (load < bestLoad) {
+      best = entry;
+      bestLoad = load;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/packets/flow-router.ts
@@ -0,0 +1,293 @@
+/**
+ * The balancer's decisions about clients' packets: which agent a new flow goes to, how
+ * the agent of a known flow is found, and when a client is told that its flow is dead.
+ *
+ * Only the target holds a flow. Everything here is a short cut to it and can be lost:
+ * a packet of an unknown flow is offered to every agent of its route in turn.
+ */
+import { formatEndpoint } from '../core/endpoint';
+import { rankByRendezvous } from '../core/hashing';
+import type { Endpoint, Environment } from '../environment';
+import type { EventFields, EventKind } from '../logging/events';
+import { Events } from '../logging/events';
+import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { selectAgent, type SelectionContext } from './agent-selection';
+import type { CachedFlow, FlowCache } from './flow-cache';
+import type { FlowPacket, PacketFormat } from './flow-packet';
+import { FlowSearches, type FlowSearch } from './flow-search';
+import { PacketMessageType } from './packet-messages';
+import type { NotHeldMessage } from './packet-messages';
+import type { PacketLink } from './packet-link';
+import type { Route, RoutingTable } from './routing-table';
+import { ServiceRotation } from './service-rotation';
+
+const SEARCH_LIFETIME = 2_000;
+
+/** Counters of what became of clients' packets. */
+export interface RoutingCounters {
+  packetsReceived: number;
+  packetsMalformed: number;
+  packetsWithoutRoute: number;
+  packetsDropped: number;
+  flowsPlaced: number;
+  flowsFound: number;
+  searchesStarted: number;
+  resetsSent: number;
+}
+
+/** What the router works with. */
+export interface FlowRouterDependencies {
+  readonly environment: Environment;
+  readonly zone: string;
+  readonly format: PacketFormat;
+  readonly directory: AgentDirectory;
+  readonly cache: FlowCache;
+  readonly link: PacketLink;
+  /** Sends a reset to a client. */
+  sendToClient(client: Endpoint, packet: Buffer): void;
+}
+
+/** Routes packets by the routing table in force. */
+export class FlowRouter {
+  readonly counters: RoutingCounters = {
+    packetsReceived: 0,
+    packetsMalformed: 0,
+    packetsWithoutRoute: 0,
+    packetsDropped: 0,
+    flowsPlaced: 0,
+    flowsFound: 0,
+    searchesStarted: 0,
+    resetsSent: 0,
+  };
+  private readonly searches = new FlowSearches(SEARCH_LIFETIME);
+  private readonly rotation = new ServiceRotation();
+  private routes: ReadonlyMap<Endpoint, Route> | undefined;
+  private routingVersion = 0;
+
+  constructor(private readonly dependencies: FlowRouterDependencies) {}
+
+  /** Puts a routing table in force. */
+  apply(table: RoutingTable): void {
+    this.routes = new Map(table.routes.map((route) => [route.destination, route]));
+    this.routingVersion = table.version;
+    this.rotation.reset();
+  }
+
+  /** Routes one datagram of a client. */
+  route(bytes: Buffer): void {
+    this.counters.packetsReceived++;
+    const packet = this.dependencies.format.decodeFromClient(bytes);
+    if (!packet) {
+      this.counters.packetsMalformed++;
+      this.dependencies.environment.report(Events.packetMalformed, { length: bytes.length });
+      return;
+    }
+    const route = this.routes?.get(packet.destination);
+    if (!route) {
+      this.refuseWithoutRoute(packet);
+    } else if (packet.opens) {
+      this.openFlow(packet, route);
+    } else {
+      this.continueFlow(packet, route);
+    }
+  }
+
+  /** An agent's target did not take a packet: offers it to the next agent. */
+  refused(agent: Endpoint, message: NotHeldMessage): void {
+    const { format, cache } = this.dependencies;
+    const packet = format.decodeFromClient(message.payload);
+    const route = packet && this.routes?.get(packet.destination);
+    if (!packet || !route) {
+      return;
+    }
+    cache.deny(packet.flow, agent);
+    const search = this.searches.find(message.searchId) ?? this.beginSearch(packet, route);
+    search.refusedBy.add(agent);
+    if (packet.opens) {
+      this.offerOpening(packet, search);
+    } else {
+      this.offerNext(packet, search);
+    }
+  }
+
+  /** Drops what is too old to matter. */
+  expire(now: number): void {
+    this.searches.expire(now);
+    this.dependencies.cache.expire(now);
+  }
+
+  private refuseWithoutRoute(packet: FlowPacket): void {
+    this.counters.packetsWithoutRoute++;
+    if (this.routes && !packet.resets) {
+      this.reset(packet, 'no route');
+    } else {
+      this.drop(packet, 'no routing table');
+    }
+  }
+
+  private openFlow(packet: FlowPacket, route: Route): void {
+    const { cache, environment } = this.dependencies;
+    const known = cache.use(packet.flow, environment.now());
+    if (known?.confirmed) {
+      this.deliver(packet, route, known.agent, 0);
+      return;
+    }
+    const service = known?.service ?? this.rotation.next(route);
+    const search = this.searches.begin(route, [service], environment.now());
+    known?.offered.forEach((agent) => search.refusedBy.add(agent));
+    this.offerOpening(packet, search);
+  }
+
+  private offerOpening(packet: FlowPacket, search: FlowSearch): void {
+    const { directory, environment, cache } = this.dependencies;
+    const now = environment.now();
+    const [service] = search.services;
+    const candidates = directory.ofServices(search.services);
+    const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
+    const chosen = selectAgent(untried, this.selectionContext(now));
+    if (!chosen) {
+      this.refuseOpening(packet, search, candidates);
+      return;
+    }
+    chosen.recentOpenings.push(now);
+    cache.noteOpening(packet.flow, chosen.address, service!, now);
+    this.counters.flowsPlaced++;
+    this.report(Events.flowPlaced, packet, {
+      agent: formatEndpoint(chosen.address),
+      service,
+      copy: packet.openingCopy,
+      refusals: search.refusedBy.size,
+      busy: chosen.report?.busyRequests,
+      flows: chosen.report?.openFlows,
+      reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
+    });
+    this.deliver(packet, search.route, chosen.address, search.id, search.services);
+  }
+
+  /**
+   * No agent takes a new flow. The client is told at once, unless an earlier copy may
+   * have opened the flow somewhere or agents are missing from this balancer's view.
+   */
+  private refuseOpening(
+    packet: FlowPacket,
+    search: FlowSearch,
+    candidates: readonly AgentEntry[],
+  ): void {
+    const { cache, directory, environment } = this.dependencies;
+    const known = cache.use(packet.flow, environment.now());
+    const firstCopy = packet.openingCopy === 0 && (known?.offered.size ?? 0) === 0;
+    const everyoneHeard = candidates.every(({ report }) => report !== undefined);
+    this.searches.end(search);
+    if (firstCopy && everyoneHeard && directory.isComplete) {
+      this.reset(packet, 'no agent takes the flow');
+    } else {
+      this.drop(packet, 'no agent known to take the flow');
+    }
+  }
+
+  private continueFlow(packet: FlowPacket, route: Route): void {
+    const { cache, directory, environment } = this.dependencies;
+    const known = cache.use(packet.flow, environment.now());
+    if (known && directory.find(known.agent)) {
+      this.deliver(packet, route, known.agent, 0);
+      return;
+    }
+    this.counters.searchesStarted++;
+    this.offerNext(packet, this.beginSearch(packet, route), known);
+  }
+
+  private beginSearch(packet: FlowPacket, route: Route): FlowSearch {
+    const services = route.services.map(({ service }) => service);
+    const { cache, environment } = this.dependencies;
+    const now = environment.now();
+    const opened = packet.opens ? cache.use(packet.flow, now)?.service : undefined;
+    const allowed = opened === undefined || !services.includes(opened) ? services : [opened];
+    return this.searches.begin(route, packet.opens ? allowed.slice(0, 1) : services, now);
+  }
+
+  /** Offers a packet of a flow that is open somewhere to the next agent. */
+  private offerNext(packet: FlowPacket, search: FlowSearch, known?: CachedFlow): void {
+    const next = this.nextCandidate(packet, search, known);
+    if (next) {
+      this.deliver(packet, search.route, next.address, search.id, search.services);
+      return;
+    }
+    this.searches.end(search);
+    this.conclude(packet, search);
+  }
+
+  /** Agents heard lately come first, in rendezvous order; silent ones may hold the flow too. */
+  private nextCandidate(
+    packet: FlowPacket,
+    search: FlowSearch,
+    known: CachedFlow | undefined,
+  ): AgentEntry | undefined {
+    const { directory, environment, cache } = this.dependencies;
+    const now = environment.now();
+    const untried = directory
+      .ofServices(search.services)
+      .filter(({ address }) => !search.refusedBy.has(address));
+    const offered = (known ?? cache.use(packet.flow, now))?.offered;
+    const likely = untried.find(({ address }) => offered?.has(address));
+    if (likely) {
+      return likely;
+    }
+    const heard = untried.filter((entry) => directory.isHeard(entry, now));
+    const pool = heard.length > 0 ? heard : untried;
+    const byName = new Map(pool.map((entry) => [String(entry.address), entry]));
+    const [best] = rankByRendezvous(packet.flow, [...byName.keys()]);
+    return best === undefined ? undefined : byName.get(best);
+  }
+
+  /** Every agent known has refused the packet: the flow is dead if every agent is known. */
+  private conclude(packet: FlowPacket, search: FlowSearch): void {
+    if (packet.resets) {
+      return;
+    }
+    if (search.refusedBy.size > 0 && this.dependencies.directory.isComplete) {
+      this.reset(packet, 'no agent holds the flow', search.refusedBy.size);
+    } else {
+      this.drop(packet, 'holder unknown');
+    }
+  }
+
+  private deliver(
+    packet: FlowPacket,
+    route: Route,
+    agent: Endpoint,
+    searchId: number,
+    services: readonly string[] = route.services.map(({ service }) => service),
+  ): void {
+    this.dependencies.link.send(agent, {
+      type: PacketMessageType.deliver,
+      searchId,
+      services,
+      payload: packet.bytes,
+    });
+  }
+
+  private reset(packet: FlowPacket, reason: string, refusals = 0): void {
+    this.counters.resetsSent++;
+    this.report(Events.flowReset, packet, { reason, refusals, version: this.routingVersion });
+    const { format, sendToClient } = this.dependencies;
+    sendToClient(packet.client, format.createReset(packet));
+  }
+
+  private drop(packet: FlowPacket, reason: string): void {
+    this.counters.packetsDropped++;
+    this.report(Events.packetDropped, packet, { reason, opens: packet.opens });
+  }
+
+  private report(event: EventKind, packet: FlowPacket, fields: EventFields): void {
+    this.dependencies.environment.report(event, {
+      client: formatEndpoint(packet.client),
+      destination: formatEndpoint(packet.destination),
+      ...fields,
+    });
+  }
+
+  private selectionContext(now: number): SelectionContext {
+    const { directory, zone } = this.dependencies;
+    return { zone, isHeard: (entry) => directory.isHeard(entry, now) };
+  }
+}
--- /dev/null
+++ b/src/packets/flow-tracker.ts
@@ -0,0 +1,155 @@
+/**
+ * The flows of one target as its agent sees them in passing: how many are open, which
+ * have a request under way, and which balancer last sent a packet of each.
+ */
+import type { Endpoint } from '../environment';
+import type { FlowKey, FlowPacket } from './flow-packet';
+
+/** Flows tracked at once; the least recently used one is dropped beyond that. */
+const MAXIMUM_FLOWS = 20_000;
+
+/** One flow. */
+interface TrackedFlow {
+  /** The balancer that sent its latest packet; undefined before the first. */
+  balancer: Endpoint | undefined;
+  /** The balancer that was last told that the target holds the flow. */
+  told: Endpoint | undefined;
+  /** The target has sent something that only the holder of an open flow sends. */
+  held: boolean;
+  /** The target has ended the flow; its last packets may still pass. */
+  ended: boolean;
+  /** A request has been delivered and its answer has not begun. */
+  busy: boolean;
+  /** Highest sequence number of data delivered, to tell repeats; undefined before any. */
+  lastSequence: number | undefined;
+  usedAt: number;
+}
+
+/** Flows of one target. */
+export class FlowTracker {
+  private readonly flows = new Map<FlowKey, TrackedFlow>();
+  private busy = 0;
+  private held = 0;
+
+  /** Requests that the target works on or has waiting. */
+  get busyRequests(): number {
+    return this.busy;
+  }
+
+  /** Flows that the target is known to hold. */
+  get openFlows(): number {
+    return this.held;
+  }
+
+  /** A client's packet is about to be delivered. */
+  delivered(packet: FlowPacket, balancer: Endpoint, now: number): void {
+    const flow = this.flowOf(packet.flow, now);
+    flow.balancer = balancer;
+    flow.ended = flow.ended && !packet.opens;
+    if (packet.resets) {
+      this.remove(packet.flow);
+    } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
+      flow.lastSequence = packet.sequence;
+      this.setBusy(flow, true);
+    }
+  }
+
+  /**
+   * The target has sent a packet of its own.
+   * @returns the balancer that must be told that the flow is held here, if any
+   */
+  sent(packet: FlowPacket, now: number): Endpoint | undefined {
+    const flow = this.flowOf(packet.flow, now);
+    if (packet.payloadLength > 0) {
+      this.setBusy(flow, false);
+    }
+    if (packet.resets || packet.ends) {
+      this.setHeld(flow, false);
+      flow.ended = true;
+      return undefined;
+    }
+    if (!packet.opens && !flow.ended) {
+      this.setHeld(flow, true);
+    }
+    if (!flow.held || flow.balancer === undefined || flow.told === flow.balancer) {
+      return undefined;
+    }
+    flow.told = flow.balancer;
+    return flow.balancer;
+  }
+
+  /** The target returned a packet of a flow: it does not hold it. */
+  returned(packet: FlowPacket): void {
+    this.remove(packet.flow);
+  }
+
+  /** The target was replaced: no flow is left. */
+  clear(): void {
+    this.flows.clear();
+    this.busy = 0;
+    this.held = 0;
+  }
+
+  /** Drops flows that have rested longer than `lifetime` milliseconds. */
+  expire(lifetime: number, now: number): void {
+    for (const [key, flow] of this.flows) {
+      if (now - flow.usedAt <= lifetime) {
+        return;
+      }
+      this.remove(key);
+    }
+  }
+
+  private flowOf(key: FlowKey, now: number): TrackedFlow {
+    const known = this.flows.get(key);
+    if (known) {
+      this.flows.delete(key);
+      known.usedAt = now;
+      this.flows.set(key, known);
+      return known;
+    }
+    const flow: TrackedFlow = {
+      balancer: undefined,
+      told: undefined,
+      held: false,
+      ended: false,
+      busy: false,
+      lastSequence: undefined,
+      usedAt: now,
+    };
+    this.flows.set(key, flow);
+    if (this.flows.size > MAXIMUM_FLOWS) {
+      const [oldest] = this.flows.keys();
+      this.remove(oldest!);
+    }
+    return flow;
+  }
+
+  private setBusy(flow: TrackedFlow, busy: boolean): void {
+    if (flow.busy !== busy) {
+      flow.busy = busy;
+      this.busy += busy ? 1 : -1;
+    }
+  }
+
+  private setHeld(flow: TrackedFlow, held: boolean): void {
+    if (flow.held !== held) {
+      flow.held = held;
+      this.held += held ? 1 : -1;
+    }
+  }
+
+  private remove(key: FlowKey): void {
+    const flow = this.flows.get(key);
+    if (flow) {
+      this.flows.delete(key);
+      this.setBusy(flow, false);
+      this.setHeld(flow, false);
+    }
+  }
+}
+
+/** Whether a 32-bit sequence number lies after another, allowing for its wrapping. */
+function isNewer(sequence: number, previous: number | undefined): boolean {
+  return previous === undefined || ((sequence - previous) | 0) > 0;
+}
--- /dev/null
+++ b/src/packets/packet-agent.ts
@@ -0,0 +1,359 @@
+/**
+ * An agent of the packet interface: the only process that hands packets to its target.
+ *
+ * It therefore has the last word on what the target receives: it checks the service and
+ * refuses new flows once its target drains. Answers go from here straight to the client.
+ */
+import { formatEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
+import { Events } from '../logging/events';
+import type { FrameCodec } from '../wire/frame-codec';
+import type { AgentRegistryPort } from './collection-port';
+import type { FlowPacket, PacketFormat } from './flow-packet';
+import { FlowTracker } from './flow-tracker';
+import { PacketLink } from './packet-link';
+import {
+  PacketMessageType,
+  RefusalReason,
+  TargetState,
+  type AgentRecord,
+  type DeliverMessage,
+  type RefusalReasonValue,
+  type ReportMessage,
+  type TargetStateValue,
+} from './packet-messages';
+import type { PacketMessage } from './packet-messages';
+import { PendingDeliveries } from './pending-deliveries';
+import { Subscribers } from './subscribers';
+import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
+
+const REPORT_INTERVAL = 250;
+/** Milliseconds after a change of state at which the report is repeated, against loss. */
+const REPORT_REPEATS = [15, 60] as const;
+const EXPIRY_INTERVAL = 1_000;
+const REGISTRATION_RETRY = 500;
+const LONGEST_REGISTRATION_RETRY = 4_000;
+/** Balancers named in a report, so that balancers find each other. */
+const BALANCERS_IN_REPORT = 4;
+const TOKEN_RANGE = 2 ** 32;
+
+/** Settings of a packet agent. */
+export interface PacketAgentSettings {
+  readonly zone: string;
+  /** Where other nodes reach this agent. */
+  readonly address: Endpoint;
+  readonly service: string;
+  /** Balancers that may be running; may be out of date. */
+  readonly seeds: readonly Endpoint[];
+  /** Milliseconds for which a flow may rest. */
+  readonly flowLifetime: number;
+}
+
+/** What a packet agent needs from its process. */
+export interface PacketAgentDependencies {
+  readonly environment: Environment;
+  readonly codec: FrameCodec<PacketMessage>;
+  readonly transport: FrameTransport;
+  readonly format: PacketFormat;
+  readonly registry: AgentRegistryPort;
+  sendToClient(client: Endpoint, packet: Buffer): void;
+  sendToTarget(packet: Buffer): void;
+}
+
+/** Counters of a packet agent. */
+export interface PacketAgentCounters {
+  packetsDelivered: number;
+  packetsSent: number;
+  packetsReturned: number;
+  packetsRefused: number;
+  packetsMalformed: number;
+  heartbeats: number;
+}
+
+/** One packet agent. */
+export class PacketAgent {
+  readonly counters: PacketAgentCounters = {
+    packetsDelivered: 0,
+    packetsSent: 0,
+    packetsReturned: 0,
+    packetsRefused: 0,
+    packetsMalformed: 0,
+    heartbeats: 0,
+  };
+  private readonly link: PacketLink;
+  private readonly target: TargetLifecycle;
+  private readonly tracker = new FlowTracker();
+  private readonly subscribers = new Subscribers();
+  private readonly pending: PendingDeliveries;
+  private readonly timers = new Set<TimerHandle>();
+  private restarting = false;
+
+  constructor(
+    private readonly settings: PacketAgentSettings,
+    private readonly dependencies: PacketAgentDependencies,
+  ) {
+    const { environment, codec, transport } = dependencies;
+    this.link = new PacketLink(codec, transport, environment);
+    this.target = new TargetLifecycle(settings.service);
+    this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
+  }
+
+  start(): void {
+    const { environment } = this.dependencies;
+    this.sendReports(this.settings.seeds);
+    this.repeat(REPORT_INTERVAL, () =>
+      this.sendReports(this.subscribers.present(environment.now())),
+    );
+    this.repeat(EXPIRY_INTERVAL, () =>
+      this.tracker.expire(this.settings.flowLifetime, environment.now()),
+    );
+    this.register(REGISTRATION_RETRY);
+  }
+
+  /** Ends all timers. */
+  stop(): void {
+    this.timers.forEach((timer) => timer.cancel());
+    this.timers.clear();
+  }
+
+  /**
+   * Prepares a planned end: balancers learn at once that this agent goes, and the
+   * registry entry of a target that has ended is removed.
+   * @param done called when nothing is left to do
+   */
+  beginStop(done: () => void): void {
+    this.restarting = true;
+    this.announce();
+    if (this.target.state === TargetState.gone) {
+      this.dependencies.registry.remove(this.record, undefined, done);
+    } else {
+      done();
+    }
+  }
+
+  get state(): TargetStateValue {
+    const { state } = this.target;
+    return this.restarting && state !== TargetState.gone ? TargetState.agentRestarting : state;
+  }
+
+  get figures(): { readonly busyRequests: number; readonly openFlows: number } {
+    const { busyRequests, openFlows } = this.tracker;
+    return { busyRequests, openFlows };
+  }
+
+  /** A heartbeat of the target; its acknowledgement is up to the caller, and due at once. */
+  heartbeat(heartbeat: TargetHeartbeat): void {
+    this.counters.heartbeats++;
+    const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
+    if (change === 'incarnation') {
+      this.tracker.clear();
+    }
+    if (change !== 'none') {
+      this.reportTarget();
+      this.announce();
+    }
+  }
+
+  /** The target says that it leaves. */
+  targetLeaves(incarnation: string): void {
+    if (this.target.leave(incarnation) !== 'none') {
+      this.reportTarget();
+      this.announce();
+    }
+  }
+
+  /** A frame of another node. */
+  frame(bytes: Buffer, from: Endpoint): void {
+    const message = this.link.receive(bytes);
+    if (message?.type === PacketMessageType.deliver) {
+      this.deliver(message, from);
+    } else if (message?.type === PacketMessageType.subscribe) {
+      this.subscribe(from);
+    } else if (message) {
+      this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
+    }
+  }
+
+  /** A datagram that the target sent or returned. */
+  targetDatagram(bytes: Buffer): void {
+    const { environment, format, sendToClient } = this.dependencies;
+    const packet = format.decodeFromTarget(bytes);
+    if (!packet) {
+      this.counters.packetsMalformed++;
+      environment.report(Events.packetMalformed, { length: bytes.length });
+      return;
+    }
+    if (packet.refused) {
+      this.returnPacket(packet);
+      return;
+    }
+    this.counters.packetsSent++;
+    sendToClient(packet.client, bytes);
+    const balancer = this.tracker.sent(packet, environment.now());
+    if (balancer !== undefined) {
+      const flow = Buffer.from(packet.flow, 'latin1');
+      this.link.send(balancer, { type: PacketMessageType.held, flow });
+    }
+  }
+
+  private get record(): AgentRecord {
+    const { address, zone } = this.settings;
+    return { address, zone, service: this.target.service };
+  }
+
+  private subscribe(balancer: Endpoint): void {
+    if (this.subscribers.renew(balancer, this.dependencies.environment.now())) {
+      this.sendReports([balancer]);
+    }
+  }
+
+  private deliver(message: DeliverMessage, balancer: Endpoint): void {
+    const { environment, format, sendToTarget } = this.dependencies;
+    const packet = format.decodeFromClient(message.payload);
+    if (!packet) {
+      this.counters.packetsMalformed++;
+      environment.report(Events.packetMalformed, { length: message.payload.length });
+      return;
+    }
+    this.subscribe(balancer);
+    const refusal = this.refusalOf(packet, message.services);
+    if (refusal !== undefined) {
+      this.refuse(packet, message.searchId, balancer, refusal);
+      return;
+    }
+    this.counters.packetsDelivered++;
+    this.tracker.delivered(packet, balancer, environment.now());
+    this.reportRequest(packet, balancer);
+    format.writeToken(packet.bytes, this.pending.add(balancer, message.searchId));
+    sendToTarget(packet.bytes);
+  }
+
+  private reportRequest(packet: FlowPacket, balancer: Endpoint): void {
+    const request = this.dependencies.format.requestId(packet);
+    if (request !== undefined) {
+      this.dependencies.environment.report(Events.requestDelivered, {
+        request,
+        client: formatEndpoint(packet.client),
+        destination: formatEndpoint(packet.destination),
+        balancer: formatEndpoint(balancer),
+        state: this.state,
+        busy: this.tracker.busyRequests,
+      });
+    }
+  }
+
+  /** Why the target must not get a packet; undefined when it may. */
+  private refusalOf(
+    packet: FlowPacket,
+    services: readonly string[],
+  ): RefusalReasonValue | undefined {
+    if (!services.includes(this.target.service)) {
+      return RefusalReason.otherService;
+    }
+    if (!packet.opens) {
+      return undefined;
+    }
+    if (this.target.state === TargetState.gone) {
+      return RefusalReason.noTarget;
+    }
+    return this.target.state === TargetState.draining ? RefusalReason.draining : undefined;
+  }
+
+  private returnPacket(packet: FlowPacket): void {
+    const { format } = this.dependencies;
+    this.counters.packetsReturned++;
+    this.tracker.returned(packet);
+    const delivery = this.pending.take(format.readToken(packet.bytes));
+    if (delivery) {
+      format.restoreClientForm(packet.bytes);
+      const { searchId, balancer } = delivery;
+      this.refuse(packet, searchId, balancer, RefusalReason.returnedByTarget);
+    }
+  }
+
+  private refuse(
+    packet: FlowPacket,
+    searchId: number,
+    balancer: Endpoint,
+    reason: RefusalReasonValue,
+  ): void {
+    this.counters.packetsRefused++;
+    this.dependencies.environment.report(Events.packetRefused, {
+      client: formatEndpoint(packet.client),
+      destination: formatEndpoint(packet.destination),
+      opens: packet.opens,
+      reason,
+      state: this.state,
+      busy: this.tracker.busyRequests,
+    });
+    const { bytes: payload } = packet;
+    this.link.send(balancer, { type: PacketMessageType.notHeld, searchId, reason, payload });
+  }
+
+  /** Tells every balancer of a change at once, and again shortly after. */
+  private announce(): void {
+    const { environment } = this.dependencies;
+    const send = (): void => this.sendReports(this.subscribers.present(environment.now()));
+    send();
+    REPORT_REPEATS.forEach((delay) => environment.startTimer(delay, send));
+  }
+
+  private sendReports(balancers: readonly Endpoint[]): void {
+    const report = this.createReport(balancers);
+    balancers.forEach((balancer) => this.link.send(balancer, report));
+  }
+
+  private createReport(balancers: readonly Endpoint[]): ReportMessage {
+    const { environment } = this.dependencies;
+    const { busyRequests, openFlows } = this.tracker;
+    return {
+      type: PacketMessageType.report,
+      service: this.target.service,
+      zone: this.settings.zone,
+      state: this.state,
+      slots: this.target.slots,
+      busyRequests,
+      openFlows,
+      coldLeft: this.target.coldLeft(environment.now()),
+      balancers: balancers.slice(0, BALANCERS_IN_REPORT),
+    };
+  }
+
+  private reportTarget(): void {
+    this.dependencies.environment.report(Events.targetStateChanged, {
+      incarnation: this.target.incarnation,
+      service: this.target.service,
+      state: this.target.state,
+      slots: this.target.slots,
+      openFlows: this.tracker.openFlows,
+    });
+  }
+
+  /** Registers this agent, again and again until the registry has it. */
+  private register(delay: number): void {
+    const { environment, registry } = this.dependencies;
+    registry.register(this.record, (result) => {
+      if (result.ok) {
+        environment.report(Events.agentRegistered, { service: this.target.service });
+        return;
+      }
+      const next = Math.min(delay * 2, LONGEST_REGISTRATION_RETRY);
+      this.once(delay * (0.5 + environment.random()), () => this.register(next));
+    });
+  }
+
+  private once(delay: number, action: () => void): void {
+    const handle = this.dependencies.environment.startTimer(delay, () => {
+      this.timers.delete(handle);
+      action();
+    });
+    this.timers.add(handle);
+  }
+
+  private repeat(interval: number, action: () => void): void {
+    this.once(interval, () => {
+      this.repeat(interval, action);
+      action();
+    });
+  }
+}
--- /dev/null
+++ b/src/packets/packet-balancer.ts
@@ -0,0 +1,374 @@
+/**
+ * A balancer of the packet interface: receives clients' packets and sends each to the
+ * agent beside the target that holds, or will hold, its flow.
+ */
+import { formatEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
+import { Events } from '../logging/events';
+import type { FrameCodec } from '../wire/frame-codec';
+import { AgentDirectory, type AgentEntry } from './agent-directory';
+import { CollectionFollower } from './collection-follower';
+import type { AgentRegistryPort, Changes, CollectionPort, Listing } from './collection-port';
+import { FlowCache } from './flow-cache';
+import type { PacketFormat } from './flow-packet';
+import { FlowRouter } from './flow-router';
+import { PacketLink } from './packet-link';
+import {
+  PacketMessageType,
+  TargetState,
+  type AgentRecord,
+  type PacketMessage,
+  type ReportMessage,
+  type SubscribeMessage,
+} from './packet-messages';
+import { PeerExchange, type SnapshotPort } from './peer-exchange';
+import type { PeerSnapshot } from './peer-snapshot';
+import { RegistryUpkeep } from './registry-upkeep';
+import type { RoutingTable } from './routing-table';
+
+/** Milliseconds between subscriptions at an agent that is heard. */
+const SUBSCRIPTION_INTERVAL = 1_000;
+/** Milliseconds between subscriptions at an agent that is silent. */
+const KNOCK_INTERVAL = 100;
+/** A long silent agent is asked at the slower pace again. */
+const KNOCK_TIME = 10_000;
+const CACHED_FLOWS = 500_000;
+const UPKEEP_INTERVAL = 1_000;
+
+/** Settings of a packet balancer. */
+export interface PacketBalancerSettings {
+  readonly zone: string;
+  /** Where other nodes reach this balancer. */
+  readonly address: Endpoint;
+  /** Other balancers that may be running; may be out of date. */
+  readonly seeds: readonly Endpoint[];
+  /** Milliseconds for which a flow may rest. */
+  readonly flowLifetime: number;
+}
+
+/** What a packet balancer needs from its process. */
+export interface PacketBalancerDependencies {
+  readonly environment: Environment;
+  readonly codec: FrameCodec<PacketMessage>;
+  readonly transport: FrameTransport;
+  readonly format: PacketFormat;
+  readonly routingTables: CollectionPort<RoutingTable>;
+  readonly registry: AgentRegistryPort;
+  readonly snapshots: SnapshotPort;
+  sendToClient(client: Endpoint, packet: Buffer): void;
+}
+
+/** Figures of a packet balancer. */
+export interface PacketBalancerFigures {
+  readonly routingVersion: number;
+  readonly agentsKnown: number;
+  readonly agentsHeard: number;
+  readonly flowsCached: number;
+  readonly framesRejected: number;
+  readonly ready: boolean;
+}
+
+/** One packet balancer. */
+export class PacketBalancer {
+  readonly directory = new AgentDirectory();
+  readonly router: FlowRouter;
+  private readonly cache: FlowCache;
+  private readonly link: PacketLink;
+  private readonly peers: PeerExchange;
+  private readonly upkeep: RegistryUpkeep;
+  private readonly followers: readonly CollectionFollower<never>[];
+  private readonly timers = new Set<TimerHandle>();
+  private readonly subscribedAt = new Map<Endpoint, number>();
+  private table: RoutingTable | undefined;
+  private stopping = false;
+  private wasReady = false;
+
+  constructor(
+    private readonly settings: PacketBalancerSettings,
+    private readonly dependencies: PacketBalancerDependencies,
+  ) {
+    const { environment, codec, transport, format, registry, routingTables } = dependencies;
+    this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
+    this.link = new PacketLink(codec, transport, environment);
+    this.router = new FlowRouter({
+      environment,
+      zone: settings.zone,
+      format,
+      directory: this.directory,
+      cache: this.cache,
+      link: this.link,
+      sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
+    });
+    this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
+    this.peers = this.createPeerExchange();
+    this.followers = [
+      new CollectionFollower('routing', routingTables, environment, {
+        listed: (listing) => listing.items.forEach(({ item }) => this.takeTable(item, 'store')),
+        changed: ({ changes }) => changes.forEach((one) => this.takeChangedTable(one)),
+      }),
+      new CollectionFollower('agents', registry, environment, {
+        listed: (listing) => this.takeListing(listing),
+        changed: (changes) => this.takeChanges(changes),
+      }),
+    ] as unknown as readonly CollectionFollower<never>[];
+  }
+
+  start(): void {
+    this.followers.forEach((follower) => follower.start());
+    this.peers.start();
+    this.repeat(KNOCK_INTERVAL, () => this.subscribe());
+    this.repeat(UPKEEP_INTERVAL, () => this.maintain());
+  }
+
+  /** Takes no new part of the traffic from now on; packets that still come are served. */
+  beginStop(): void {
+    this.stopping = true;
+    this.updateReadiness();
+  }
+
+  /** Ends all timers and calls. */
+  stop(): void {
+    this.stopping = true;
+    this.followers.forEach((follower) => follower.stop());
+    this.peers.stop();
+    this.timers.forEach((timer) => timer.cancel());
+  }
+
+  /** Whether this balancer can serve any flow: it has a table, all agents, and hears some. */
+  get isReady(): boolean {
+    if (this.stopping || !this.table || !this.directory.isComplete) {
+      return false;
+    }
+    return this.directory.size === 0 || this.countHeard() > 0;
+  }
+
+  get figures(): PacketBalancerFigures {
+    return {
+      routingVersion: this.table?.version ?? 0,
+      agentsKnown: this.directory.size,
+      agentsHeard: this.countHeard(),
+      flowsCached: this.cache.size,
+      framesRejected: this.link.framesRejected,
+      ready: this.isReady,
+    };
+  }
+
+  /** What a peer may take over. */
+  get snapshot(): PeerSnapshot {
+    return {
+      routingTable: this.table,
+      viewComplete: this.directory.isComplete,
+      agents: [...this.directory.all()],
+    };
+  }
+
+  /** A datagram of a client. */
+  clientDatagram(bytes: Buffer): void {
+    this.router.route(bytes);
+  }
+
+  /** A frame of another node. */
+  frame(bytes: Buffer, from: Endpoint): void {
+    const message = this.link.receive(bytes);
+    if (message) {
+      this.take(message, from);
+    }
+  }
+
+  private take(message: PacketMessage, from: Endpoint): void {
+    const { environment } = this.dependencies;
+    if (message.type === PacketMessageType.notHeld) {
+      this.router.refused(from, message);
+    } else if (message.type === PacketMessageType.held) {
+      this.cache.confirm(message.flow.toString('latin1'), from, environment.now());
+      this.router.counters.flowsFound++;
+    } else if (message.type === PacketMessageType.report) {
+      this.takeReport(from, message);
+    } else if (message.type === PacketMessageType.peerStatus) {
+      this.peers.receive(from, message);
+    } else {
+      environment.report(Events.frameUnexpected, { type: message.type });
+    }
+  }
+
+  private takeReport(from: Endpoint, report: ReportMessage): void {
+    const { environment } = this.dependencies;
+    const now = environment.now();
+    const known = this.directory.find(from);
+    const before = known?.report?.state;
+    const wasHeard = known !== undefined && this.directory.isHeard(known, now);
+    const entry = this.directory.hear(from, report, now);
+    report.balancers.forEach((peer) => this.peers.learnPeer(peer));
+    if (before !== report.state || !wasHeard) {
+      this.reportAgent(entry, report, wasHeard);
+    }
+    if (report.state === TargetState.gone && entry.registryRevision === undefined) {
+      this.directory.forget(from);
+    }
+    this.updateReadiness();
+  }
+
+  private reportAgent(entry: AgentEntry, report: ReportMessage, wasHeard: boolean): void {
+    this.dependencies.environment.report(Events.agentStateSeen, {
+      agent: formatEndpoint(entry.address),
+      service: entry.service,
+      state: report.state,
+      slots: report.slots,
+      wasHeard,
+    });
+  }
+
+  private createPeerExchange(): PeerExchange {
+    const { environment, snapshots } = this.dependencies;
+    return new PeerExchange({
+      environment,
+      self: this.settings.address,
+      seeds: this.settings.seeds,
+      directory: this.directory,
+      link: this.link,
+      snapshots,
+      routingVersion: () => this.table?.version ?? 0,
+      snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
+      agentsReceived: (agents) => this.learnAgents(agents),
+    });
+  }
+
+  private takeSnapshot(peer: Endpoint, snapshot: PeerSnapshot): void {
+    if (snapshot.routingTable) {
+      this.takeTable(snapshot.routingTable, formatEndpoint(peer));
+    }
+    this.learnAgents(snapshot.agents);
+    if (snapshot.viewComplete) {
+      this.markComplete(formatEndpoint(peer));
+    }
+  }
+
+  private takeChangedTable(change: {
+    readonly removed: boolean;
+    readonly item: RoutingTable;
+  }): void {
+    if (!change.removed) {
+      this.takeTable(change.item, 'store');
+    }
+  }
+
+  /** Puts a table in force if it is newer than the present one. */
+  private takeTable(table: RoutingTable, source: string): void {
+    if (this.table && table.version <= this.table.version) {
+      return;
+    }
+    this.table = table;
+    this.router.apply(table);
+    const { version, routes } = table;
+    this.dependencies.environment.report(Events.routingApplied, {
+      version,
+      routes: routes.length,
+      source,
+    });
+    this.updateReadiness();
+  }
+
+  private takeListing(listing: Listing<AgentRecord>): void {
+    const now = this.dependencies.environment.now();
+    const listed = new Set(listing.items.map(({ item }) => item.address));
+    for (const { address, registryRevision } of [...this.directory.all()]) {
+      if (registryRevision !== undefined && !listed.has(address)) {
+        this.directory.unregister(address, now);
+      }
+    }
+    listing.items.forEach(({ item, revision }) => this.directory.learn(item, revision, now));
+    this.markComplete('store');
+    this.subscribe();
+  }
+
+  private takeChanges(changes: Changes<AgentRecord>): void {
+    const now = this.dependencies.environment.now();
+    for (const { item, revision, removed } of changes.changes) {
+      if (removed) {
+        this.directory.unregister(item.address, now);
+      } else {
+        this.directory.learn(item, revision, now);
+      }
+    }
+    this.subscribe();
+  }
+
+  private learnAgents(agents: readonly AgentRecord[]): void {
+    const now = this.dependencies.environment.now();
+    agents.forEach((agent) => this.directory.learn(agent, undefined, now));
+    this.subscribe();
+  }
+
+  private markComplete(source: string): void {
+    if (!this.directory.isComplete) {
+      this.directory.markComplete();
+      const agents = this.directory.size;
+      this.dependencies.environment.report(Events.viewComplete, { source, agents });
+    }
+    this.updateReadiness();
+  }
+
+  /** Asks agents for reports: often while they are silent, else once a second. */
+  private subscribe(): void {
+    const now = this.dependencies.environment.now();
+    const { zone } = this.settings;
+    const message: SubscribeMessage = { type: PacketMessageType.subscribe, zone };
+    for (const entry of this.directory.all()) {
+      const last = this.subscribedAt.get(entry.address) ?? -Infinity;
+      if (now - last >= this.subscriptionInterval(entry, now) - 1) {
+        this.subscribedAt.set(entry.address, now);
+        this.link.send(entry.address, message);
+      }
+    }
+  }
+
+  private subscriptionInterval(entry: AgentEntry, now: number): number {
+    const silence = now - (entry.heardAt ?? entry.knownSince);
+    const knocking = !this.directory.isHeard(entry, now) && silence < KNOCK_TIME;
+    return knocking ? KNOCK_INTERVAL : SUBSCRIPTION_INTERVAL;
+  }
+
+  private maintain(): void {
+    this.router.expire(this.dependencies.environment.now());
+    this.upkeep.run();
+    for (const address of [...this.subscribedAt.keys()]) {
+      if (!this.directory.find(address)) {
+        this.subscribedAt.delete(address);
+      }
+    }
+    this.updateReadiness();
+  }
+
+  private updateReadiness(): void {
+    const ready = this.isReady;
+    if (ready !== this.wasReady) {
+      this.wasReady = ready;
+      const { routingVersion, agentsKnown, agentsHeard } = this.figures;
+      this.dependencies.environment.report(Events.readinessChanged, {
+        ready,
+        stopping: this.stopping,
+        routingVersion,
+        agentsKnown,
+        agentsHeard,
+      });
+    }
+  }
+
+  private countHeard(): number {
+    const now = this.dependencies.environment.now();
+    let heard = 0;
+    for (const entry of this.directory.all()) {
+      heard += this.directory.isHeard(entry, now) ? 1 : 0;
+    }
+    return heard;
+  }
+
+  private repeat(interval: number, action: () => void): void {
+    const handle = this.dependencies.environment.startTimer(interval, () => {
+      this.timers.delete(handle);
+      this.repeat(interval, action);
+      action();
+    });
+    this.timers.add(handle);
+  }
+}
--- /dev/null
+++ b/src/packets/packet-messages.ts
@@ -0,0 +1,167 @@
+/** The messages between balancers and agents of the packet interface (docs/PACKETS.md). */
+import type { Endpoint } from '../environment';
+import type { MessageSchema } from '../wire/frame-codec';
+import { binary, integer, listOf, oneOf, text, tuple, type FieldCodec } from '../wire/field-codecs';
+
+/** Numeric message types as sent. */
+export const PacketMessageType = {
+  deliver: 101,
+  notHeld: 102,
+  held: 103,
+  subscribe: 104,
+  report: 105,
+  peerStatus: 106,
+} as const;
+
+/** What an agent knows of its target. */
+export const TargetState = {
+  /** No heartbeat has reached this run of the agent yet. */
+  unknown: 1,
+  ready: 2,
+  /** Takes no new flows; keeps those it has. */
+  draining: 3,
+  /** Has said that it leaves. */
+  gone: 4,
+  /** The agent itself is being restarted; its target goes on. */
+  agentRestarting: 5,
+} as const;
+export type TargetStateValue = (typeof TargetState)[keyof typeof TargetState];
+
+/** Why a target did not take a packet. */
+export const RefusalReason = {
+  /** The target returned it: it does not hold the flow, or cannot take one more. */
+  returnedByTarget: 1,
+  draining: 2,
+  /** The target has ended. */
+  noTarget: 3,
+  /** The target belongs to a service that the route does not allow. */
+  otherService: 4,
+} as const;
+export type RefusalReasonValue = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+/** Balancer to agent: a client's packet for the agent's target. */
+export interface DeliverMessage {
+  readonly type: typeof PacketMessageType.deliver;
+  /** The search that this packet belongs to; 0 when the balancer knows the flow's agent. */
+  readonly searchId: number;
+  /** Services that may receive it. */
+  readonly services: readonly string[];
+  readonly payload: Buffer;
+}
+
+/** Agent to balancer: the target does not hold the packet's flow, or did not open it. */
+export interface NotHeldMessage {
+  readonly type: typeof PacketMessageType.notHeld;
+  readonly searchId: number;
+  readonly reason: RefusalReasonValue;
+  readonly payload: Buffer;
+}
+
+/** Agent to balancer: the target holds this flow. */
+export interface HeldMessage {
+  readonly type: typeof PacketMessageType.held;
+  readonly flow: Buffer;
+}
+
+/** Balancer to agent: send me reports for some seconds. */
+export interface SubscribeMessage {
+  readonly type: typeof PacketMessageType.subscribe;
+  readonly zone: string;
+}
+
+/** Agent to balancer: state and load of the target. */
+export interface ReportMessage {
+  readonly type: typeof PacketMessageType.report;
+  readonly service: string;
+  readonly zone: string;
+  readonly state: TargetStateValue;
+  /** Requests that the target works on at a time; 0 while unknown. */
+  readonly slots: number;
+  /** Requests under way or waiting at the target. */
+  readonly busyRequests: number;
+  readonly openFlows: number;
+  /** Milliseconds for which the target is still slow after its start. */
+  readonly coldLeft: number;
+  /** Some of the balancers that the agent reports to. */
+  readonly balancers: readonly Endpoint[];
+}
+
+/** An agent's entry as balancers tell it each other. */
+export interface AgentRecord {
+  readonly address: Endpoint;
+  readonly service: string;
+  readonly zone: string;
+}
+
+/** Balancer to balancer: what the sender knows, so that the receiver can ask for what it lacks. */
+export interface PeerStatusMessage {
+  readonly type: typeof PacketMessageType.peerStatus;
+  /** Version of the sender's routing table; 0 for none. */
+  readonly routingVersion: number;
+  /** 1 when the sender knows every agent. */
+  readonly viewComplete: number;
+  /** Agents heard of that the registry does not list yet. */
+  readonly unregistered: readonly AgentRecord[];
+}
+
+/** Any message of the packet interface. */
+export type PacketMessage =
+  | DeliverMessage
+  | NotHeldMessage
+  | HeldMessage
+  | SubscribeMessage
+  | ReportMessage
+  | PeerStatusMessage;
+
+function field(
+  property: string,
+  key: string,
+  unpack: FieldCodec['unpack'],
+  pack?: FieldCodec['pack'],
+): FieldCodec {
+  return pack ? { property, key, unpack, pack } : { property, key, unpack };
+}
+
+function packAgents(agents: readonly AgentRecord[]): unknown[] {
+  return agents.map(({ address, service, zone }) => [address, service, zone]);
+}
+
+function unpackAgent(value: unknown): AgentRecord {
+  const [address, service, zone] = tuple(value, 3);
+  return { address: integer(address), service: text(service), zone: text(zone) };
+}
+
+const searchId = field('searchId', 'i', integer);
+const payload = field('payload', 'p', binary);
+
+/** Fields of every message type. */
+export const PACKET_MESSAGE_FIELDS: MessageSchema = new Map<number, readonly FieldCodec[]>([
+  [PacketMessageType.deliver, [searchId, field('services', 's', listOf(text)), payload]],
+  [
+    PacketMessageType.notHeld,
+    [searchId, field('reason', 'r', oneOf(...Object.values(RefusalReason))), payload],
+  ],
+  [PacketMessageType.held, [field('flow', 'f', binary)]],
+  [PacketMessageType.subscribe, [field('zone', 'z', text)]],
+  [
+    PacketMessageType.report,
+    [
+      field('service', 's', text),
+      field('zone', 'z', text),
+      field('state', 'a', oneOf(...Object.values(TargetState))),
+      field('slots', 'l', integer),
+      field('busyRequests', 'b', integer),
+      field('openFlows', 'o', integer),
+      field('coldLeft', 'c', integer),
+      field('balancers', 'm', listOf(integer)),
+    ],
+  ],
+  [
+    PacketMessageType.peerStatus,
+    [
+      field('routingVersion', 'v', integer),
+      field('viewComplete', 'w', oneOf(0, 1)),
+      field('unregistered', 'u', listOf(unpackAgent), packAgents),
+    ],
+  ],
+]);
--- /dev/null
+++ b/src/packets/packet-settings.ts
@@ -0,0 +1,157 @@
+/** Settings of the processes of the packet interface, and their check. */
+import { Ok, type Result } from 'ts-results';
+import { parseEndpoint } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import { failure, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+
+const DEFAULT_FLOW_LIFETIME = 60_000;
+const DEFAULT_STOP_TIME = 5_000;
+
+/** Settings of a packet balancer or packet agent, checked. */
+export interface PacketSettings {
+  readonly name: string;
+  readonly zone: string;
+  /** Where other nodes reach this process, over UDP and TCP. */
+  readonly address: Endpoint;
+  /** Where clients' packets arrive (balancer). */
+  readonly packetAddress: Endpoint | undefined;
+  /** Where the target sends its packets (agent). */
+  readonly targetOutbound: Endpoint | undefined;
+  /** Where the target takes packets (agent). */
+  readonly targetAddress: Endpoint | undefined;
+  /** UDP port at which every client receives. */
+  readonly clientPort: number;
+  /** The service of the target beside an agent. */
+  readonly service: string | undefined;
+  readonly readyAddress: Endpoint | undefined;
+  /** Where the target's heartbeats arrive (agent). */
+  readonly controlAddress: Endpoint | undefined;
+  readonly storeAddress: Endpoint;
+  readonly seeds: readonly Endpoint[];
+  /** Milliseconds for which a flow may rest before it is forgotten. */
+  readonly flowLifetime: number;
+  /** Milliseconds that a planned stop may take. */
+  readonly stopTime: number;
+  /** Port and path of the metrics page; undefined for none. */
+  readonly metrics: string | undefined;
+}
+
+/** Reads the fields of one settings document and collects everything that is wrong. */
+class SettingsReader {
+  readonly problems: string[] = [];
+
+  constructor(private readonly document: Readonly<Record<string, unknown>>) {}
+
+  text(key: string): string {
+    return this.optionalText(key) ?? this.missing(key, '');
+  }
+
+  optionalText(key: string): string | undefined {
+    const value = this.given(key);
+    if (value === undefined) {
+      return undefined;
+    }
+    if (typeof value !== 'string') {
+      this.problems.push(`${key}: must be a text`);
+      return undefined;
+    }
+    return value;
+  }
+
+  endpoint(key: string): Endpoint {
+    return this.optionalEndpoint(key) ?? this.missing(key, 0);
+  }
+
+  optionalEndpoint(key: string): Endpoint | undefined {
+    const value = this.given(key);
+    return value === undefined ? undefined : this.parse(key, value);
+  }
+
+  endpoints(key: string): Endpoint[] {
+    const value = this.given(key) ?? [];
+    if (!Array.isArray(value)) {
+      this.problems.push(`${key}: must be a list of addresses`);
+      return [];
+    }
+    return value.map((one, index) => this.parse(`${key}.${index}`, one));
+  }
+
+  milliseconds(key: string, fallback: number): number {
+    const value = this.given(key) ?? fallback;
+    if (typeof value !== 'number' || !(value > 0)) {
+      this.problems.push(`${key}: must be a number above 0`);
+      return fallback;
+    }
+    return value;
+  }
+
+  port(key: string): number {
+    const value = this.given(key);
+    if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
+      this.problems.push(`${key}: must be a port`);
+      return 0;
+    }
+    return value;
+  }
+
+  private parse(key: string, value: unknown): Endpoint {
+    const parsed = typeof value === 'string' ? parseEndpoint(value) : undefined;
+    if (!parsed?.ok) {
+      this.problems.push(`${key}: must be of the form a.b.c.d:port`);
+      return 0;
+    }
+    return parsed.val;
+  }
+
+  private given(key: string): unknown {
+    const value = this.document[key];
+    return value === '' || value === null ? undefined : value;
+  }
+
+  private missing<T>(key: string, fallback: T): T {
+    if (!this.problems.some((problem) => problem.startsWith(`${key}:`))) {
+      this.problems.push(`${key}: is missing`);
+    }
+    return fallback;
+  }
+}
+
+/**
+ * Checks a settings document; unknown keys are left alone.
+ * Error 1002 with one detail line for each wrong or missing key.
+ */
+export function checkPacketSettings(
+  source: string,
+  document: unknown,
+): Result<PacketSettings, HallholdError> {
+  if (typeof document !== 'object' || document === null) {
+    return failure(ResultCodes.settingsInvalid, `${source} is not a table of settings`);
+  }
+  const reader = new SettingsReader(document as Record<string, unknown>);
+  const settings = readSettings(reader);
+  const { problems } = reader;
+  return problems.length === 0
+    ? new Ok(settings)
+    : failure(ResultCodes.settingsInvalid, `${source} has ${problems.length} wrong keys`, problems);
+}
+
+function readSettings(reader: SettingsReader): PacketSettings {
+  return {
+    name: reader.text('name'),
+    zone: reader.text('zone'),
+    address: reader.endpoint('address'),
+    packetAddress: reader.optionalEndpoint('packetAddress'),
+    targetOutbound: reader.optionalEndpoint('targetOutbound'),
+    targetAddress: reader.optionalEndpoint('targetAddress'),
+    clientPort: reader.port('clientPort'),
+    service: reader.optionalText('service'),
+    readyAddress: reader.optionalEndpoint('readyAddress'),
+    controlAddress: reader.optionalEndpoint('controlAddress'),
+    storeAddress: reader.endpoint('storeAddress'),
+    seeds: reader.endpoints('seeds'),
+    flowLifetime: reader.milliseconds('flowLifetime', DEFAULT_FLOW_LIFETIME),
+    stopTime: reader.milliseconds('stopTime', DEFAULT_STOP_TIME),
+    metrics: reader.optionalText('metrics'),
+  };
+}
--- /dev/null
+++ b/src/packets/routing-table.ts
@@ -0,0 +1,25 @@
+/** Which services serve which addresses: the operators' configuration of packet flows. */
+import type { Endpoint } from '../environment';
+
+/** One service of a route and its part of the new flows. */
+export interface WeightedService {
+  readonly service: string;
+  /** 0 or more, relative to the route's other services. */
+  readonly weight: number;
+}
+
+/** Where flows to one address go. */
+export interface Route {
+  readonly name: string;
+  readonly destination: Endpoint;
+  /** At least one. */
+  readonly services: readonly WeightedService[];
+}
+
+/** One version of the configuration; a higher version replaces a lower one whole. */
+export interface RoutingTable {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  /** Milliseconds after which a flow at rest may be forgotten. */
+  readonly idleTimeout: number;
+}
--- /dev/null
+++ b/src/runtime/packet-processes.ts
@@ -0,0 +1,173 @@
+/** The processes of the packet interface: node classes with real sockets and timers. */
+import type { Endpoint } from '../environment';
+import type { AgentRegistryPort, CollectionPort } from '../packets/collection-port';
+import type { PacketFormat } from '../packets/flow-packet';
+import { PacketAgent } from '../packets/packet-agent';
+import { PacketBalancer } from '../packets/packet-balancer';
+import { PACKET_MESSAGE_FIELDS, type PacketMessage } from '../packets/packet-messages';
+import type { PacketSettings } from '../packets/packet-settings';
+import type { RoutingTable } from '../packets/routing-table';
+import { FrameCodec, type ClusterKey } from '../wire/frame-codec';
+import { HallholdError, messageOf } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import { RealEnvironment, type EventReporter } from './real-environment';
+import { HttpSnapshots, serveSnapshots } from './snapshot-exchange';
+import { UdpSocket, type DatagramHandler } from './udp-socket';
+
+/** A balancer that goes has forwarded nothing for so long before it ends. */
+const QUIET_TIME = 700;
+/** It stays at least so long, since routers let go of it only after some probes. */
+const SHORTEST_STOP = 1_200;
+const STOP_POLL = 100;
+/** Milliseconds for the last datagrams to leave before a process exits. */
+const FLUSH_TIME = 20;
+
+/** What a packet process gets from the adapter that starts it. */
+export interface PacketProcessPorts {
+  readonly format: PacketFormat;
+  readonly registry: AgentRegistryPort;
+  readonly routingTables: CollectionPort<RoutingTable>;
+  /** Where a client receives datagrams. */
+  clientSocket(client: Endpoint, port: number): Endpoint;
+}
+
+/** What both kinds of packet process offer to the adapter. */
+export interface PacketProcess {
+  /** Ends as planned; `done` is called when the process may exit. */
+  beginStop(done: () => void): void;
+}
+
+async function bind(endpoint: Endpoint, handler: DatagramHandler): Promise<UdpSocket> {
+  const bound = await UdpSocket.bindEndpoint(endpoint, handler);
+  if (bound.err) {
+    throw bound.val;
+  }
+  return bound.val;
+}
+
+/** The value of a setting that this role cannot do without; error 1002 when it is missing. */
+export function requireSetting<T>(value: T | undefined, key: string): T {
+  if (value === undefined) {
+    const detail = `${key}: is missing`;
+    throw new HallholdError(ResultCodes.settingsInvalid, 'settings lack a key', [detail]);
+  }
+  return value;
+}
+
+/** A balancer process. */
+export class PacketBalancerProcess implements PacketProcess {
+  private lastPacketAt = 0;
+
+  private constructor(
+    readonly node: PacketBalancer,
+    private readonly environment: RealEnvironment,
+    private readonly settings: PacketSettings,
+  ) {}
+
+  /** Binds everything and starts; throws a {@link HallholdError} when an address is taken. */
+  static async start(
+    settings: PacketSettings,
+    keys: readonly ClusterKey[],
+    ports: PacketProcessPorts,
+    log: EventReporter,
+  ): Promise<PacketBalancerProcess> {
+    const environment = new RealEnvironment(log);
+    const started: { process?: PacketBalancerProcess } = {};
+    const packetAddress = requireSetting(settings.packetAddress, 'packetAddress');
+    const clients = await bind(packetAddress, (bytes) => started.process?.clientDatagram(bytes));
+    const frames = await bind(settings.address, (bytes, from) =>
+      started.process?.node.frame(bytes, from),
+    );
+    const node = new PacketBalancer(settings, {
+      environment,
+      codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
+      transport: frames,
+      format: ports.format,
+      routingTables: ports.routingTables,
+      registry: ports.registry,
+      snapshots: new HttpSnapshots(),
+      sendToClient: (client, packet) =>
+        clients.send(ports.clientSocket(client, settings.clientPort), packet),
+    });
+    const running = new PacketBalancerProcess(node, environment, settings);
+    started.process = running;
+    serveSnapshots(settings.address, () => node.snapshot, failListening);
+    node.start();
+    return running;
+  }
+
+  /** Serves on until routers have let go of this balancer, or the time for it is over. */
+  beginStop(done: () => void): void {
+    const startedAt = this.environment.now();
+    const end = startedAt + this.settings.stopTime;
+    this.node.beginStop();
+    const poll = (): void => {
+      const now = this.environment.now();
+      const quiet = now - Math.max(this.lastPacketAt, startedAt) > QUIET_TIME;
+      if (now >= end || (quiet && now - startedAt > SHORTEST_STOP)) {
+        this.node.stop();
+        done();
+        return;
+      }
+      this.environment.startTimer(STOP_POLL, poll);
+    };
+    poll();
+  }
+
+  private clientDatagram(bytes: Buffer): void {
+    this.lastPacketAt = this.environment.now();
+    this.node.clientDatagram(bytes);
+  }
+}
+
+/** An agent process. */
+export class PacketAgentProcess implements PacketProcess {
+  private constructor(
+    readonly node: PacketAgent,
+    private readonly environment: RealEnvironment,
+  ) {}
+
+  /** Binds everything and starts; throws a {@link HallholdError} when an address is taken. */
+  static async start(
+    settings: PacketSettings,
+    keys: readonly ClusterKey[],
+    ports: PacketProcessPorts,
+    log: EventReporter,
+  ): Promise<PacketAgentProcess> {
+    const environment = new RealEnvironment(log);
+    const started: { node?: PacketAgent } = {};
+    const target = requireSetting(settings.targetAddress, 'targetAddress');
+    const outbound = requireSetting(settings.targetOutbound, 'targetOutbound');
+    const service = requireSetting(settings.service, 'service');
+    const packets = await bind(outbound, (bytes) => started.node?.targetDatagram(bytes));
+    const frames = await bind(settings.address, (bytes, from) => started.node?.frame(bytes, from));
+    const node = new PacketAgent(
+      { ...settings, service },
+      {
+        environment,
+        codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
+        transport: frames,
+        format: ports.format,
+        registry: ports.registry,
+        sendToClient: (client, packet) =>
+          packets.send(ports.clientSocket(client, settings.clientPort), packet),
+        sendToTarget: (packet) => packets.send(target, packet),
+      },
+    );
+    started.node = node;
+    node.start();
+    return new PacketAgentProcess(node, environment);
+  }
+
+  beginStop(done: () => void): void {
+    this.node.beginStop(() => {
+      this.node.stop();
+      this.environment.startTimer(FLUSH_TIME, done);
+    });
+  }
+}
+
+/** A listener that cannot listen ends the process with a numbered error. */
+function failListening(error: Error): void {
+  throw new HallholdError(ResultCodes.addressInUse, messageOf(error));
+}
--- a/src/runtime/real-environment.ts
+++ b/src/runtime/real-environment.ts
@@ -1,6 +1,5 @@
 /** The environment of a real process: its monotonic clock, timers, random source and log. */
 import type { Environment, TimerHandle } from '../environment';
-import type { EventLog } from '../logging/event-log';
 import type { EventFields, EventKind } from '../logging/events';
 
 /**
@@ -9,11 +8,16 @@
  */
 const MACHINE_CLOCK_OFFSET = Number(process.hrtime.bigint()) / 1e6 - performance.now();
 
+/** Takes numbered events; the log of a process. */
+export interface EventReporter {
+  report(event: EventKind, fields: EventFields): void;
+}
+
 /** Environment over Node's own clock and timers. */
 export class RealEnvironment implements Environment {
   private readonly timers = new Set<NodeJS.Timeout>();
 
-  constructor(private readonly log: EventLog) {}
+  constructor(private readonly log: EventReporter) {}
 
   now(): number {
     return performance.now() + MACHINE_CLOCK_OFFSET;
