--- a/src/logging/line-log.ts
+++ b/src/logging/line-log.ts
@@ -13,6 +13,8 @@
 const ONE_SECOND = 1_000;
 /** Bytes that wait for the reader at most. */
 const MAXIMUM_BACKLOG = 1_048_576;
+/** Milliseconds for which lines are gathered. */
+const GATHER_TIME = 100;
 
 /** Settings of a line log. */
 export interface LineLogOptions {
@@ -86,9 +88,13 @@
   }
 }
 
-/** Lines to a file descriptor in the background, with a bounded backlog. */
+/**
+ * Lines to a file descriptor in the background, with a bounded backlog. Lines are
+ * gathered for a moment: each write costs a hand-over to another thread.
+ */
 export class DescriptorOutput implements LineOutput {
   private readonly stream: SonicBoom;
+  private gathered = '';
   private droppedLines = 0;
 
   constructor(descriptor: number) {
@@ -97,12 +103,29 @@
     this.stream.on('error', () => this.droppedLines++);
   }
 
-  /** Lines that the reader did not take. */
+  /** Batches that the reader did not take. */
   get dropped(): number {
     return this.droppedLines;
   }
 
   write(line: string): void {
-    this.stream.write(line);
+    if (this.gathered === '') {
+      setTimeout(() => this.flush(), GATHER_TIME).unref();
+    }
+    this.gathered += line;
+  }
+
+  /** Hands over what has been gathered. */
+  flush(): void {
+    if (this.gathered !== '') {
+      this.stream.write(this.gathered);
+      this.gathered = '';
+    }
+  }
+
+  /** Writes what is left before the process ends; the one moment that may block. */
+  close(): void {
+    this.flush();
+    this.stream.flushSync();
   }
 }
