--- /dev/null
+++ b/src/simulation/packets/model-client.ts
@@ -0,0 +1,119 @@
+/**
+ * A client in the simulation: opens one flow, sends requests over it one after the other,
+ * repeats what is not answered, and notes how the flow ends.
+ */
+import type { Endpoint } from '../../environment';
+import type { FlowPacket } from '../../packets/flow-packet';
+import type { VirtualClock } from '../virtual-clock';
+import { encodeModelPacket, ModelFlag, modelPacketFormat } from './model-packet-format';
+
+const OPENING_COPIES = [0, 200, 600] as const;
+const OPENING_TIME = 1_400;
+const FIRST_REPEAT = 200;
+const LONGEST_REPEAT = 1_600;
+
+/** How a client's flow stands. */
+export type ClientState = 'opening' | 'open' | 'failed' | 'reset' | 'done';
+
+/** What a client does. */
+export interface ModelClientPlan {
+  readonly client: Endpoint;
+  readonly destination: Endpoint;
+  readonly requests: number;
+  /** Milliseconds between an answer and the next request. */
+  readonly pause: number;
+}
+
+/** One flow of one client. */
+export class ModelClient {
+  state: ClientState = 'opening';
+  answers = 0;
+  /** Time at which each answer came. */
+  readonly answeredAt: number[] = [];
+  private sequence = 1;
+  private acknowledged = 0;
+
+  constructor(
+    readonly plan: ModelClientPlan,
+    private readonly clock: VirtualClock,
+    private readonly send: (packet: Buffer) => void,
+    private readonly wasReset: (client: ModelClient, packet: FlowPacket) => void,
+  ) {}
+
+  start(): void {
+    OPENING_COPIES.forEach((delay, copy) => {
+      this.clock.schedule(delay, () => {
+        if (this.state === 'opening') {
+          this.emit(ModelFlag.opens, this.sequence, copy, '');
+        }
+      });
+    });
+    this.clock.schedule(OPENING_TIME, () => {
+      if (this.state === 'opening') {
+        this.state = 'failed';
+      }
+    });
+  }
+
+  /** A datagram of the system for this client. */
+  receive(bytes: Buffer): void {
+    const packet = modelPacketFormat.decodeFromTarget(bytes);
+    if (!packet || this.state === 'done' || this.state === 'failed') {
+      return;
+    }
+    if (packet.resets) {
+      this.wasReset(this, packet);
+      this.state = 'reset';
+    } else if (packet.opens) {
+      this.opened(packet);
+    } else if (packet.payloadLength > 0 && packet.acknowledgement === this.sequence) {
+      this.answered(packet);
+    }
+  }
+
+  private opened(packet: FlowPacket): void {
+    if (this.state !== 'opening') {
+      return;
+    }
+    this.state = 'open';
+    this.acknowledged = packet.sequence;
+    this.emit(0, this.sequence, this.acknowledged, '');
+    this.request();
+  }
+
+  private answered(packet: FlowPacket): void {
+    this.answers++;
+    this.answeredAt.push(this.clock.now);
+    const over = this.answers >= this.plan.requests;
+    if (packet.ends || over) {
+      this.state = 'done';
+      this.emit(ModelFlag.ends, this.sequence + 1, this.acknowledged, '');
+      return;
+    }
+    this.clock.schedule(this.plan.pause, () => this.request());
+  }
+
+  private request(): void {
+    if (this.state !== 'open') {
+      return;
+    }
+    this.sequence++;
+    this.repeat(this.sequence, FIRST_REPEAT);
+  }
+
+  private repeat(sequence: number, delay: number): void {
+    const answersBefore = this.answers;
+    this.emit(0, sequence, this.acknowledged, `${this.plan.client}/${sequence}`);
+    this.clock.schedule(delay, () => {
+      if (this.state === 'open' && this.answers === answersBefore) {
+        this.repeat(sequence, Math.min(delay * 2, LONGEST_REPEAT));
+      }
+    });
+  }
+
+  private emit(flags: number, sequence: number, acknowledgement: number, payload: string): void {
+    const { client, destination } = this.plan;
+    const fields = { client, destination, flags, sequence, acknowledgement, payload };
+    this.send(encodeModelPacket(fields));
+  }
+}
--- /dev/null
+++ b/src/simulation/packets/model-store.ts
@@ -0,0 +1,178 @@
+/** The store of the packet interface in the simulation, with its faults. */
+import { Ok, type Result } from 'ts-results';
+import { failure, type HallholdError } from '../../errors/hallhold-error';
+import { ResultCodes } from '../../errors/result-codes';
+import type {
+  AgentRegistryPort,
+  Answer,
+  Change,
+  Changes,
+  CollectionPort,
+  Listing,
+} from '../../packets/collection-port';
+import type { AgentRecord } from '../../packets/packet-messages';
+import type { RoutingTable } from '../../packets/routing-table';
+import type { SimulatedProcess } from '../simulated-process';
+import type { VirtualClock } from '../virtual-clock';
+
+const ANSWER_TIME = 4;
+const WATCH_TIME = 10_000;
+const CALL_TIMEOUT = 1_500;
+
+interface Watcher {
+  readonly after: number;
+  notify(): void;
+}
+
+/** One collection with its history. */
+class ModelCollection<T> {
+  readonly items = new Map<string, Change<T>>();
+  history: Change<T>[] = [];
+  oldest = 0;
+  watchers: Watcher[] = [];
+}
+
+/** All collections under one revision counter. */
+export class ModelStore {
+  readonly routing = new ModelCollection<RoutingTable>();
+  readonly agents = new ModelCollection<AgentRecord>();
+  /** The store answers nobody. */
+  down = false;
+  /** Machines whose calls are refused at once. */
+  readonly refused = new Set<string>();
+  private revision = 1;
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  /** The operator writes a routing table. */
+  writeRouting(table: RoutingTable): void {
+    this.change(this.routing, 'main', table, false);
+  }
+
+  /** Forgets all history. */
+  compact(): void {
+    for (const collection of [this.routing, this.agents]) {
+      collection.history = [];
+      collection.oldest = this.revision;
+    }
+  }
+
+  /** The routing collection as one process reaches it. */
+  routingPort(process: SimulatedProcess): CollectionPort<RoutingTable> {
+    return this.port(this.routing, process);
+  }
+
+  /** The registry as one process reaches it. */
+  registryPort(process: SimulatedProcess): AgentRegistryPort {
+    return {
+      ...this.port(this.agents, process),
+      register: (agent, answer) =>
+        this.call(process, answer, () => {
+          const known = this.agents.items.get(String(agent.address));
+          if (known?.item.service !== agent.service || known.item.zone !== agent.zone) {
+            this.change(this.agents, String(agent.address), agent, false);
+          }
+          return new Ok(undefined);
+        }),
+      remove: (agent, revision, answer) =>
+        this.call(process, answer, () => {
+          const known = this.agents.items.get(String(agent.address));
+          if (known && revision !== undefined && known.revision !== revision) {
+            return failure(ResultCodes.storeConflict, 'another revision');
+          }
+          if (known) {
+            this.change(this.agents, known.name, known.item, true);
+          }
+          return new Ok(undefined);
+        }),
+    };
+  }
+
+  private port<T>(collection: ModelCollection<T>, process: SimulatedProcess): CollectionPort<T> {
+    return {
+      list: (answer: Answer<Listing<T>>) =>
+        this.call(process, answer, () => {
+          const items = [...collection.items.values()];
+          return new Ok({ items, revision: this.revision });
+        }),
+      awaitChanges: (after, answer) => this.watch(collection, process, after, answer),
+    };
+  }
+
+  private watch<T>(
+    collection: ModelCollection<T>,
+    process: SimulatedProcess,
+    after: number,
+    answer: Answer<Changes<T>>,
+  ): void {
+    this.call(process, answer, () => undefined);
+    if (!this.reaches(process)) {
+      return;
+    }
+    let over = false;
+    const finish = (): void => {
+      if (over) {
+        return;
+      }
+      over = true;
+      collection.watchers = collection.watchers.filter((one) => one !== watcher);
+      this.call(process, answer, () => this.changesAfter(collection, after));
+    };
+    const watcher: Watcher = { after, notify: finish };
+    collection.watchers.push(watcher);
+    const behind = after < collection.oldest || collection.history.some((c) => c.revision > after);
+    if (behind) {
+      finish();
+    }
+    this.clock.schedule(WATCH_TIME, finish);
+  }
+
+  private changesAfter<T>(
+    collection: ModelCollection<T>,
+    after: number,
+  ): Result<Changes<T>, HallholdError> {
+    if (after < collection.oldest) {
+      return failure(ResultCodes.storeWatchExpired, 'history gone');
+    }
+    const changes = collection.history.filter(({ revision }) => revision > after);
+    return new Ok({ changes, revision: this.revision });
+  }
+
+  private change<T>(collection: ModelCollection<T>, name: string, item: T, removed: boolean): void {
+    const change: Change<T> = { name, revision: ++this.revision, item, removed };
+    if (removed) {
+      collection.items.delete(name);
+    } else {
+      collection.items.set(name, change);
+    }
+    collection.history.push(change);
+    [...collection.watchers].forEach((watcher) => watcher.notify());
+  }
+
+  private reaches(process: SimulatedProcess): boolean {
+    return !this.down && !this.refused.has(process.name);
+  }
+
+  /** Runs a call after the store's answer time; `act` answers undefined to say nothing yet. */
+  private call<T>(
+    process: SimulatedProcess,
+    answer: Answer<T>,
+    act: () => Result<T, HallholdError> | undefined,
+  ): void {
+    const respond = (result: Result<T, HallholdError>): void => process.run(() => answer(result));
+    if (this.refused.has(process.name)) {
+      const refusal = failure(ResultCodes.storeUnavailable, 'refused');
+      this.clock.schedule(ANSWER_TIME, () => respond(refusal));
+    } else if (this.down) {
+      const silence = failure(ResultCodes.storeUnavailable, 'no answer in time');
+      this.clock.schedule(CALL_TIMEOUT, () => respond(silence));
+    } else {
+      this.clock.schedule(ANSWER_TIME, () => {
+        const result = act();
+        if (result) {
+          respond(result);
+        }
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/simulation/packets/packet-world.ts
@@ -0,0 +1,333 @@
+/**
+ * Balancers, agents, targets, routers, clients and the store of the packet interface in
+ * virtual time, with the real node classes. Faults act on it; what clients and targets
+ * see is judged as it happens.
+ */
+import { packEndpoint } from '../../core/endpoint';
+import { rendezvousScore } from '../../core/hashing';
+import type { Endpoint } from '../../environment';
+import type { Answer } from '../../packets/collection-port';
+import type { FlowKey } from '../../packets/flow-packet';
+import { PacketAgent } from '../../packets/packet-agent';
+import { PacketBalancer } from '../../packets/packet-balancer';
+import { PACKET_MESSAGE_FIELDS, type PacketMessage } from '../../packets/packet-messages';
+import { decodeSnapshot, encodeSnapshot, type PeerSnapshot } from '../../packets/peer-snapshot';
+import { failure } from '../../errors/hallhold-error';
+import { ResultCodes } from '../../errors/result-codes';
+import { FrameCodec } from '../../wire/frame-codec';
+import { SeededRandom } from '../seeded-random';
+import { CALLER_ZONE, SimulatedNetwork } from '../simulated-network';
+import { SimulatedProcess, type EventSink } from '../simulated-process';
+import { VirtualClock } from '../virtual-clock';
+import { ModelClient } from './model-client';
+import { modelPacketFormat } from './model-packet-format';
+import { ModelStore } from './model-store';
+import { ModelTarget } from './model-target';
+
+const FRAME_PORT = 7_000;
+const PACKET_PORT = 7_001;
+const OUTBOUND_PORT = 7_002;
+const CLIENT_PORT = 40_000;
+const PROBE_INTERVAL = 500;
+const MISSES_ALLOWED = 2;
+const HEARTBEAT_INTERVAL = 1_100;
+const SNAPSHOT_TIME = 3;
+const FLOW_LIFETIME = 60_000;
+const WORK_TIME = 20;
+const SLOTS = 5;
+const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
+
+/** A balancer of the world. */
+export interface WorldBalancer {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: Endpoint;
+  node: PacketBalancer;
+  process: SimulatedProcess;
+  misses: number;
+}
+
+/** An agent of the world, with the target beside it. */
+export interface WorldAgent {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: Endpoint;
+  readonly service: string;
+  node: PacketAgent;
+  process: SimulatedProcess;
+  target: ModelTarget;
+  heartbeats: boolean;
+}
+
+/** Promises that a run has seen broken. */
+export interface WorldViolations {
+  /** A client's open flow was reset while its target held it. */
+  flowsReset: string[];
+  /** A request ran more than once. */
+  doubled: string[];
+  /** A request ran at a service that its route does not name. */
+  misrouted: string[];
+}
+
+/** One deployment in virtual time. */
+export class PacketWorld {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly network: SimulatedNetwork;
+  readonly store = new ModelStore(this.clock);
+  readonly balancers: WorldBalancer[] = [];
+  readonly agents: WorldAgent[] = [];
+  readonly clients: ModelClient[] = [];
+  readonly violations: WorldViolations = { flowsReset: [], doubled: [], misrouted: [] };
+  /** Seeds that starting processes are given; by default the first two balancers. */
+  seeds: Endpoint[] | undefined;
+  private readonly codec = new FrameCodec<PacketMessage>([KEY], PACKET_MESSAGE_FIELDS);
+  private readonly ran = new Map<string, string>();
+  private readonly serviceOf = new Map<Endpoint, readonly string[]>();
+  private nextAddress = 1;
+  private nextClient = 1;
+  private nextIncarnation = 1;
+
+  constructor(
+    seed: number,
+    private readonly events: EventSink = () => undefined,
+  ) {
+    this.random = new SeededRandom(seed);
+    const delays = { zoneDelay: 1.4, callerDelay: 1 };
+    this.network = new SimulatedNetwork(this.clock, this.random, delays, () => undefined);
+    this.probe();
+  }
+
+  /** Puts a routing table into the store: service names by destination. */
+  configure(version: number, routes: ReadonlyMap<Endpoint, readonly string[]>): void {
+    routes.forEach((services, destination) => this.serviceOf.set(destination, services));
+    this.store.writeRouting({
+      version,
+      idleTimeout: FLOW_LIFETIME,
+      routes: [...routes].map(([destination, services]) => ({
+        name: `route-${destination}`,
+        destination,
+        services: services.map((service) => ({ service, weight: 1 })),
+      })),
+    });
+  }
+
+  runFor(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  addBalancer(zone: string): WorldBalancer {
+    const address = this.createAddress(FRAME_PORT);
+    const name = `balancer-${this.balancers.length}`;
+    const balancer = { name, zone, address, misses: MISSES_ALLOWED } as WorldBalancer;
+    this.balancers.push(balancer);
+    this.startBalancer(balancer);
+    return balancer;
+  }
+
+  addAgent(service: string, zone: string): WorldAgent {
+    const address = this.createAddress(FRAME_PORT);
+    const name = `agent-${this.agents.length}`;
+    const agent = { name, zone, address, service, heartbeats: true } as WorldAgent;
+    this.agents.push(agent);
+    this.startAgent(agent);
+    this.startTarget(agent);
+    return agent;
+  }
+
+  /** Starts a balancer's process with nothing in it. */
+  startBalancer(balancer: WorldBalancer): void {
+    balancer.process?.kill();
+    const { name, zone, address } = balancer;
+    const process = this.createProcess(name, zone);
+    const node = new PacketBalancer(
+      { zone, address, seeds: this.currentSeeds(), flowLifetime: FLOW_LIFETIME },
+      {
+        environment: process,
+        codec: this.codec,
+        transport: { send: (to, frame) => this.network.send(process, address, to, frame) },
+        format: modelPacketFormat,
+        routingTables: this.store.routingPort(process),
+        registry: this.store.registryPort(process),
+        snapshots: { fetch: (peer, answer) => this.fetchSnapshot(process, peer, answer) },
+        sendToClient: (client, packet) => this.network.send(process, address, client, packet),
+      },
+    );
+    balancer.process = process;
+    balancer.node = node;
+    this.network.bind(address, process, (frame, from) => node.frame(Buffer.from(frame), from));
+    this.network.bind(samePlace(address, PACKET_PORT), process, (bytes) =>
+      node.clientDatagram(Buffer.from(bytes)),
+    );
+    node.start();
+  }
+
+  /** Starts an agent's process with nothing in it; the target goes on. */
+  startAgent(agent: WorldAgent): void {
+    agent.process?.kill();
+    const { name, zone, address, service } = agent;
+    const process = this.createProcess(name, zone);
+    const outbound = samePlace(address, OUTBOUND_PORT);
+    const node = new PacketAgent(
+      { zone, address, service, seeds: this.currentSeeds(), flowLifetime: FLOW_LIFETIME },
+      {
+        environment: process,
+        codec: this.codec,
+        transport: { send: (to, frame) => this.network.send(process, address, to, frame) },
+        format: modelPacketFormat,
+        registry: this.store.registryPort(process),
+        sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
+        sendToTarget: (packet) => agent.target?.receive(Buffer.from(packet)),
+      },
+    );
+    agent.process = process;
+    agent.node = node;
+    this.network.bind(address, process, (frame, from) => node.frame(Buffer.from(frame), from));
+    node.start();
+  }
+
+  /** Starts a new incarnation of the target beside an agent; its flows are gone. */
+  startTarget(agent: WorldAgent, service = agent.service): ModelTarget {
+    if (agent.target) {
+      agent.target.alive = false;
+    }
+    const incarnation = `incarnation-${this.nextIncarnation++}`;
+    const output = (packet: Buffer): void =>
+      agent.process.run(() => agent.node.targetDatagram(packet));
+    const target = new ModelTarget(incarnation, service, WORK_TIME, this.clock, output, {
+      opened: () => undefined,
+      ran: (by, request) => this.judgeRun(by, request),
+    });
+    agent.target = target;
+    this.beat(agent, target, 1);
+    return target;
+  }
+
+  /** The target says that it drains; the agent acknowledges at once. */
+  drain(agent: WorldAgent): void {
+    agent.target.draining = true;
+    this.sendHeartbeat(agent, agent.target, 1_000_000);
+  }
+
+  /** Opens a flow through the routers. */
+  openFlow(destination: Endpoint, requests: number, pause: number): ModelClient {
+    const client = packEndpoint('10.200.0.1', CLIENT_PORT + this.nextClient++);
+    const process = this.createProcess(`client-${client}`, CALLER_ZONE);
+    const flow = new ModelClient(
+      { client, destination, requests, pause },
+      this.clock,
+      (packet) => this.route(process, client, packet),
+      (one) => this.judgeReset(one),
+    );
+    this.network.bind(client, process, (bytes) => flow.receive(Buffer.from(bytes)));
+    this.clients.push(flow);
+    flow.start();
+    return flow;
+  }
+
+  /** The agent whose target holds a client's flow. */
+  holderOf(client: ModelClient): WorldAgent | undefined {
+    return this.agents.find(({ target }) => target.holds(flowKeyOf(client)));
+  }
+
+  /** Routers send to a balancer of their choice that they hold for ready. */
+  private route(process: SimulatedProcess, client: Endpoint, packet: Buffer): void {
+    const inUse = this.balancers.filter(({ misses }) => misses < MISSES_ALLOWED);
+    const pool = inUse.length > 0 ? inUse : this.balancers;
+    const key = modelPacketFormat.decodeFromClient(packet)!.flow;
+    let best: WorldBalancer | undefined;
+    for (const one of pool) {
+      const better = !best || rendezvousScore(key, one.name) > rendezvousScore(key, best.name);
+      best = better ? one : best;
+    }
+    if (best) {
+      this.network.send(process, client, samePlace(best.address, PACKET_PORT), packet);
+    }
+  }
+
+  private probe(): void {
+    for (const balancer of this.balancers) {
+      const ready = balancer.process.isRunning && balancer.node.isReady;
+      balancer.misses = ready ? 0 : balancer.misses + 1;
+    }
+    this.clock.schedule(PROBE_INTERVAL, () => this.probe());
+  }
+
+  private beat(agent: WorldAgent, target: ModelTarget, sequence: number): void {
+    if (!target.alive || agent.target !== target) {
+      return;
+    }
+    if (agent.heartbeats) {
+      this.sendHeartbeat(agent, target, sequence);
+    }
+    this.clock.schedule(HEARTBEAT_INTERVAL, () => this.beat(agent, target, sequence + 1));
+  }
+
+  private sendHeartbeat(agent: WorldAgent, target: ModelTarget, sequence: number): void {
+    const { incarnation, service, draining } = target;
+    const heartbeat = { incarnation, service, draining, slots: SLOTS, coldLeft: 0, sequence };
+    agent.process.run(() => agent.node.heartbeat(heartbeat));
+  }
+
+  private judgeRun(target: ModelTarget, request: string): void {
+    const before = this.ran.get(request);
+    if (before !== undefined) {
+      this.violations.doubled.push(`${request} at ${before} and ${target.incarnation}`);
+    }
+    this.ran.set(request, target.incarnation);
+    const client = this.clients.find(({ plan }) => request.startsWith(`${plan.client}/`));
+    const allowed = client ? this.serviceOf.get(client.plan.destination) : undefined;
+    if (!allowed?.includes(target.service)) {
+      this.violations.misrouted.push(`${request} at ${target.service}`);
+    }
+  }
+
+  private judgeReset(client: ModelClient): void {
+    if (client.state === 'open' && this.holderOf(client)) {
+      this.violations.flowsReset.push(`${client.plan.client} at ${this.clock.now}`);
+    }
+  }
+
+  private fetchSnapshot(
+    process: SimulatedProcess,
+    peer: Endpoint,
+    answer: Answer<PeerSnapshot>,
+  ): void {
+    const balancer = this.balancers.find(({ address }) => address === peer);
+    const reachable = balancer?.process.isRunning && !this.network.isCut(process, balancer.process);
+    this.clock.schedule(SNAPSHOT_TIME, () =>
+      process.run(() =>
+        answer(
+          reachable
+            ? decodeSnapshot(encodeSnapshot(balancer.node.snapshot))
+            : failure(ResultCodes.peerUnreachable, 'cut'),
+        ),
+      ),
+    );
+  }
+
+  private currentSeeds(): Endpoint[] {
+    return this.seeds ?? this.balancers.slice(0, 2).map(({ address }) => address);
+  }
+
+  private createProcess(name: string, zone: string): SimulatedProcess {
+    return new SimulatedProcess(name, zone, name, this.clock, this.random, this.events);
+  }
+
+  private createAddress(port: number): Endpoint {
+    return packEndpoint(`10.1.0.${this.nextAddress++}`, port);
+  }
+}
+
+const PORT_RANGE = 65_536;
+
+function samePlace(address: Endpoint, port: number): Endpoint {
+  return Math.floor(address / PORT_RANGE) * PORT_RANGE + port;
+}
+
+function flowKeyOf(client: ModelClient): FlowKey {
+  const bytes = Buffer.alloc(12);
+  bytes.writeUIntBE(client.plan.client, 0, 6);
+  bytes.writeUIntBE(client.plan.destination, 6, 6);
+  return bytes.toString('latin1');
+}
--- /dev/null
+++ b/test/packet-world.test.ts
@@ -0,0 +1,301 @@
+/** The packet interface in virtual time: what holds while processes, targets and store fail. */
+import test from 'ava';
+import { packEndpoint } from '../src/core/endpoint';
+import { Events } from '../src/logging/events';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+
+const MAP = packEndpoint('198.18.0.1', 8_443);
+const TILES = packEndpoint('198.18.0.2', 8_443);
+const ROUTES = new Map([
+  [MAP, ['map']],
+  [TILES, ['tiles']],
+]);
+const ZONES = ['north', 'south', 'east'];
+const SETTLING = 3_000;
+
+/** A running deployment: balancers in three zones, four map targets, two tile targets. */
+function startWorld(seed = 1, balancers = 3): PacketWorld {
+  const world = new PacketWorld(seed);
+  world.configure(1, ROUTES);
+  for (let index = 0; index < balancers; index++) {
+    world.addBalancer(ZONES[index % ZONES.length]!);
+  }
+  for (let index = 0; index < 4; index++) {
+    world.addAgent('map', ZONES[index % ZONES.length]!);
+  }
+  world.addAgent('tiles', 'north');
+  world.addAgent('tiles', 'south');
+  world.runFor(SETTLING);
+  return world;
+}
+
+function openFlows(world: PacketWorld, count: number, requests = 20, pause = 300): void {
+  for (let index = 0; index < count; index++) {
+    world.openFlow(index % 4 === 0 ? TILES : MAP, requests, pause);
+  }
+}
+
+function countIn(world: PacketWorld, state: string): number {
+  return world.clients.filter((client) => client.state === state).length;
+}
+
+const NO_VIOLATIONS = { flowsReset: [], doubled: [], misrouted: [] };
+
+test('a calm deployment serves every flow and balances them', (t) => {
+  const world = startWorld();
+  openFlows(world, 60);
+  world.runFor(2_000);
+  const maps = world.agents.filter(({ service }) => service === 'map');
+  const flows = maps.map(({ target }) => target.flows.size);
+  t.true(Math.max(...flows) - Math.min(...flows) <= 6, `flows by target: ${flows.join(', ')}`);
+  world.runFor(10_000);
+  t.is(countIn(world, 'done'), 60);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+});
+
+test('flows of a killed balancer go on through the others', (t) => {
+  const world = startWorld();
+  openFlows(world, 40);
+  world.runFor(1_000);
+  world.balancers[0]!.process.kill();
+  world.runFor(12_000);
+  t.is(countIn(world, 'done'), 40);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+});
+
+test('a restarted balancer finds flows that it has never seen', (t) => {
+  const world = startWorld(2, 1);
+  openFlows(world, 30);
+  world.runFor(1_000);
+  world.startBalancer(world.balancers[0]!);
+  world.runFor(12_000);
+  t.is(countIn(world, 'done'), 30);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+});
+
+test('a balancer without a whole view of the agents never resets a flow', (t) => {
+  const world = startWorld(3, 1);
+  openFlows(world, 30, 40);
+  world.runFor(1_000);
+  world.store.down = true;
+  const [balancer] = world.balancers;
+  const [agent] = world.agents;
+  // One target is out of reach when the balancer comes back knowing nothing.
+  const cuts = [
+    { from: agent!.name, to: balancer!.name },
+    { from: balancer!.name, to: agent!.name },
+  ];
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.startBalancer(balancer!);
+  balancer!.node.router.apply({
+    version: 1,
+    idleTimeout: 1,
+    routes: [
+      { name: 'map', destination: MAP, services: [{ service: 'map', weight: 1 }] },
+      { name: 'tiles', destination: TILES, services: [{ service: 'tiles', weight: 1 }] },
+    ],
+  });
+  world.runFor(1_000);
+  cuts.forEach((cut) => world.network.heal(cut));
+  world.runFor(4_000);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.is(balancer!.node.router.counters.resetsSent, 0);
+  world.store.down = false;
+  world.runFor(20_000);
+  t.is(countIn(world, 'done'), 30);
+});
+
+test('a balancer that the store refuses takes table and view from a peer', (t) => {
+  const world = startWorld(4, 2);
+  world.store.refused.add('balancer-2');
+  const late = world.addBalancer('east');
+  world.runFor(2_000);
+  t.true(late.node.isReady);
+  t.is(late.node.figures.agentsKnown, 6);
+  world.configure(5, ROUTES);
+  world.runFor(2_500);
+  t.is(late.node.figures.routingVersion, 5);
+});
+
+test('a routing table never goes back', (t) => {
+  const world = startWorld(5, 2);
+  world.configure(9, ROUTES);
+  world.runFor(500);
+  world.store.compact();
+  world.configure(7, ROUTES);
+  world.runFor(4_000);
+  world.balancers.forEach(({ node }) => t.is(node.figures.routingVersion, 9));
+});
+
+test('forgotten history leads to a new listing', (t) => {
+  const world = startWorld(6, 2);
+  world.store.down = true;
+  world.runFor(15_000);
+  world.configure(3, ROUTES);
+  world.store.compact();
+  world.store.down = false;
+  world.runFor(5_000);
+  world.balancers.forEach(({ node }) => t.is(node.figures.routingVersion, 3));
+});
+
+test('flows outlive the restart of the agent beside their target', (t) => {
+  const world = startWorld(7);
+  openFlows(world, 40);
+  world.runFor(1_000);
+  for (const agent of world.agents) {
+    agent.node.beginStop(() => undefined);
+    agent.process.kill();
+    world.runFor(300);
+    world.startAgent(agent);
+    world.runFor(700);
+  }
+  world.runFor(12_000);
+  t.is(countIn(world, 'done'), 40);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+});
+
+test('a draining target gets no new flow, also from a balancer that does not know', (t) => {
+  const world = startWorld(8);
+  const draining = world.agents[0]!;
+  const cuts = world.balancers.map(({ name }) => ({ from: draining.name, to: name }));
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.drain(draining);
+  const before = draining.target.flows.size;
+  openFlows(world, 40);
+  world.runFor(400);
+  t.is(draining.target.flows.size, before);
+  cuts.forEach((cut) => world.network.heal(cut));
+  world.runFor(15_000);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.is(countIn(world, 'done'), 40);
+});
+
+test('a full target passes a new flow on to one that has room', (t) => {
+  const world = startWorld(9);
+  world.agents[0]!.target.full = true;
+  world.agents[1]!.target.full = true;
+  openFlows(world, 24, 3, 100);
+  world.runFor(5_000);
+  t.is(countIn(world, 'done'), 24);
+});
+
+test('a new flow that no target takes is refused at once', (t) => {
+  const world = startWorld(10);
+  world.agents.forEach(({ target }) => (target.full = true));
+  const client = world.openFlow(MAP, 1, 100);
+  world.runFor(100);
+  t.is(client.state, 'reset');
+});
+
+test('after all machines lose power, clients are told at once that their flows are dead', (t) => {
+  const world = startWorld(11);
+  openFlows(world, 40, 100, 100);
+  world.runFor(1_000);
+  [...world.balancers, ...world.agents].forEach(({ process }) => process.kill());
+  world.agents.forEach(({ target }) => (target.alive = false));
+  world.runFor(800);
+  world.balancers.forEach((balancer) => world.startBalancer(balancer));
+  world.agents.forEach((agent) => {
+    world.startAgent(agent);
+    world.startTarget(agent);
+  });
+  // A client repeats after at most 1.6 s; the answer to its packet is the reset.
+  world.runFor(1_900);
+  t.is(countIn(world, 'reset'), 40);
+});
+
+test('an agent that is gone for good leaves the registry, and its dead flows are reset', (t) => {
+  const world = startWorld(12);
+  openFlows(world, 20, 200, 300);
+  world.runFor(1_000);
+  const lost = world.agents[0]!;
+  lost.process.kill();
+  lost.target.alive = false;
+  world.runFor(20_000);
+  t.false(world.store.agents.items.has(String(lost.address)));
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.is(countIn(world, 'open') + countIn(world, 'reset'), 20);
+  t.true(countIn(world, 'reset') > 0);
+});
+
+test('an agent that the store refuses is registered by a balancer', (t) => {
+  const world = startWorld(13);
+  world.store.refused.add('agent-6');
+  const late = world.addAgent('map', 'north');
+  world.runFor(6_000);
+  t.true(world.store.agents.items.has(String(late.address)));
+});
+
+test('a target that leaves takes its entry with it', (t) => {
+  const world = startWorld(14);
+  const leaving = world.agents[0]!;
+  world.drain(leaving);
+  leaving.node.targetLeaves(leaving.target.incarnation);
+  leaving.target.alive = false;
+  leaving.node.beginStop(() => leaving.process.kill());
+  world.runFor(500);
+  t.false(world.store.agents.items.has(String(leaving.address)));
+});
+
+test('a forged or broken frame changes nothing and is counted', (t) => {
+  const reported: string[] = [];
+  const world = new PacketWorld(15, (_process, event) => reported.push(event.name));
+  world.configure(1, ROUTES);
+  const balancer = world.addBalancer('north');
+  world.runFor(1_000);
+  balancer.node.frame(Buffer.from('not a frame'), 1);
+  balancer.node.frame(Buffer.alloc(64, 1), 1);
+  balancer.node.clientDatagram(Buffer.from('short'));
+  t.is(balancer.node.figures.framesRejected, 2);
+  t.is(balancer.node.router.counters.packetsMalformed, 1);
+  t.true(reported.includes(Events.packetMalformed.name));
+  t.true(reported.includes(Events.frameNotAuthentic.name));
+});
+
+/** One fault drawn at random; it heals by itself. */
+function disturb(world: PacketWorld): void {
+  const { random } = world;
+  const balancer = random.pick(world.balancers);
+  const agent = random.pick(world.agents);
+  const kind = Math.floor(random.next() * 8);
+  const back = random.between(200, 2_500);
+  if (kind === 0) {
+    balancer.process.kill();
+    world.clock.schedule(back, () => world.startBalancer(balancer));
+  } else if (kind === 1) {
+    agent.process.kill();
+    world.clock.schedule(back, () => world.startAgent(agent));
+  } else if (kind === 2) {
+    balancer.process.freeze();
+    world.clock.schedule(back, () => balancer.process.wake());
+  } else if (kind === 3) {
+    const cut = { from: agent.name, to: balancer.name };
+    world.network.cut(cut);
+    world.clock.schedule(back, () => world.network.heal(cut));
+  } else if (kind === 4) {
+    world.store.down = true;
+    world.clock.schedule(back, () => (world.store.down = false));
+  } else if (kind === 5) {
+    world.store.compact();
+  } else if (kind === 6) {
+    world.startTarget(agent);
+  } else {
+    world.configure(Math.ceil(world.clock.now), ROUTES);
+  }
+}
+
+for (const seed of [101, 102, 103, 104, 105, 106, 107, 108]) {
+  test(`random faults break no promise, seed ${seed}`, (t) => {
+    const world = startWorld(seed);
+    world.network.quality.loss = 0.005;
+    for (let round = 0; round < 20; round++) {
+      openFlows(world, 6, 12, 250);
+      disturb(world);
+      world.runFor(700);
+    }
+    world.runFor(20_000);
+    t.deepEqual(world.violations, NO_VIOLATIONS);
+    const served = countIn(world, 'done') / world.clients.length;
+    t.true(served > 0.6, `served ${served}`);
+  });
+}
