--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -8,8 +8,6 @@
 
 /** What a target shows to the world. */
 export interface ModelTargetObserver {
-  /** An opening packet arrived that the target took. */
-  opened(target: ModelTarget, packet: FlowPacket): void;
   /** A request began to run. */
   ran(target: ModelTarget, request: string): void;
 }
@@ -31,11 +29,15 @@
   draining = false;
   /** Refuses new flows, as one whose queue is full. */
   full = false;
-  private nextSequence = 1_000;
 
+  /**
+   * @param nextSequence the first sequence number of the target's own; differs by target
+   * @param workTime milliseconds for a request
+   */
   constructor(
     readonly incarnation: string,
     readonly service: string,
+    private nextSequence: number,
     private readonly workTime: number,
     private readonly clock: VirtualClock,
     private readonly output: TargetOutput,
@@ -76,9 +78,6 @@
     }
     const flow = known ?? { sequence: this.nextSequence++, open: false, answered: new Map() };
     this.flows.set(packet.flow, flow);
-    if (!known) {
-      this.observer.opened(this, packet);
-    }
     this.send(packet, ModelFlag.opens, flow.sequence, packet.sequence, '');
   }
 
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -35,6 +35,7 @@
 const FLOW_LIFETIME = 60_000;
 const WORK_TIME = 20;
 const SLOTS = 5;
+const SEQUENCE_RANGE = 2 ** 31;
 const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
 /** A balancer of the world. */
@@ -194,10 +195,16 @@
     const incarnation = `incarnation-${this.nextIncarnation++}`;
     const output = (packet: Buffer): void =>
       agent.process.run(() => agent.node.targetDatagram(packet));
-    const target = new ModelTarget(incarnation, service, WORK_TIME, this.clock, output, {
-      opened: () => undefined,
-      ran: (by, request) => this.judgeRun(by, request),
-    });
+    const firstSequence = Math.floor(this.random.next() * SEQUENCE_RANGE);
+    const target = new ModelTarget(
+      incarnation,
+      service,
+      firstSequence,
+      WORK_TIME,
+      this.clock,
+      output,
+      { ran: (by, request) => this.judgeRun(by, request) },
+    );
     agent.target = target;
     this.beat(agent, target, 1);
     return target;
