--- a/src/logging/line-log.ts
+++ b/src/logging/line-log.ts
@@ -24,7 +24,7 @@
   /** Lines of one kind of event in a second; the rest are counted. */
   readonly linesPerSecond: number;
   /** Receives every event, also those whose line is left out. */
-  readonly observer: (event: EventKind) => void;
+  readonly observer: (event: EventKind, fields: EventFields) => void;
 }
 
 /** Where lines go. */
@@ -52,7 +52,7 @@
   /** Writes one event. */
   report(event: EventKind, fields: EventFields): void {
     const { observer, level, linesPerSecond, source } = this.options;
-    observer(event);
+    observer(event, fields);
     if (LEVELS.indexOf(event.level) < LEVELS.indexOf(level)) {
       return;
     }
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -10,6 +10,7 @@
 import { FrameCodec, type ClusterKey } from '../wire/frame-codec';
 import { HallholdError, messageOf } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
+import type { Figures } from './metrics';
 import { RealEnvironment, type EventReporter } from './real-environment';
 import { HttpSnapshots, serveSnapshots } from './snapshot-exchange';
 import { UdpSocket, type DatagramHandler } from './udp-socket';
@@ -31,10 +32,17 @@
   clientSocket(client: Endpoint, port: number): Endpoint;
 }
 
+/** Receives the time in milliseconds that handling one packet took. */
+export type PacketObserver = (milliseconds: number) => void;
+
 /** What both kinds of packet process offer to the adapter. */
 export interface PacketProcess {
   /** Ends as planned; `done` is called when the process may exit. */
   beginStop(done: () => void): void;
+  /** Figures for the metrics page. */
+  readonly figures: Figures;
+  /** Told how many milliseconds each packet took; set by whoever measures. */
+  packetObserver: PacketObserver | undefined;
 }
 
 async function bind(endpoint: Endpoint, handler: DatagramHandler): Promise<UdpSocket> {
@@ -56,6 +64,7 @@
 
 /** A balancer process. */
 export class PacketBalancerProcess implements PacketProcess {
+  packetObserver: PacketObserver | undefined;
   private lastPacketAt = 0;
 
   private constructor(
@@ -114,14 +123,21 @@
     poll();
   }
 
+  get figures(): Figures {
+    return { ...this.node.figures, ...this.node.router.counters };
+  }
+
   private clientDatagram(bytes: Buffer): void {
     this.lastPacketAt = this.environment.now();
     this.node.clientDatagram(bytes);
+    this.packetObserver?.(this.environment.now() - this.lastPacketAt);
   }
 }
 
 /** An agent process. */
 export class PacketAgentProcess implements PacketProcess {
+  packetObserver: PacketObserver | undefined;
+
   private constructor(
     readonly node: PacketAgent,
     private readonly environment: RealEnvironment,
@@ -135,12 +151,14 @@
     log: EventReporter,
   ): Promise<PacketAgentProcess> {
     const environment = new RealEnvironment(log);
-    const started: { node?: PacketAgent } = {};
+    const started: { process?: PacketAgentProcess } = {};
     const target = requireSetting(settings.targetAddress, 'targetAddress');
     const outbound = requireSetting(settings.targetOutbound, 'targetOutbound');
     const service = requireSetting(settings.service, 'service');
-    const packets = await bind(outbound, (bytes) => started.node?.targetDatagram(bytes));
-    const frames = await bind(settings.address, (bytes, from) => started.node?.frame(bytes, from));
+    const packets = await bind(outbound, (bytes) => started.process?.targetDatagram(bytes));
+    const frames = await bind(settings.address, (bytes, from) =>
+      started.process?.node.frame(bytes, from),
+    );
     const node = new PacketAgent(
       { ...settings, service },
       {
@@ -154,9 +172,14 @@
         sendToTarget: (packet) => packets.send(target, packet),
       },
     );
-    started.node = node;
+    const running = new PacketAgentProcess(node, environment);
+    started.process = running;
     node.start();
-    return new PacketAgentProcess(node, environment);
+    return running;
+  }
+
+  get figures(): Figures {
+    return { ...this.node.figures, ...this.node.counters };
   }
 
   beginStop(done: () => void): void {
@@ -165,6 +188,12 @@
       this.environment.startTimer(FLUSH_TIME, done);
     });
   }
+
+  private targetDatagram(bytes: Buffer): void {
+    const before = this.environment.now();
+    this.node.targetDatagram(bytes);
+    this.packetObserver?.(this.environment.now() - before);
+  }
 }
 
 /** A listener that cannot listen ends the process with a numbered error. */
