--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -22,6 +22,8 @@
   /** Revision of its registration; undefined while the registry does not list it. */
   registryRevision: number | undefined;
   report: ReportMessage | undefined;
+  /** The run of the agent before the present one, whose late reports are void. */
+  previousRun: number | undefined;
   /** Time of the last report; undefined when none has come. */
   heardAt: number | undefined;
   /** Time at which this balancer learnt of it. */
@@ -57,9 +59,12 @@
     return [...this.entries.values()].filter(({ service }) => services.includes(service));
   }
 
-  /** Whether an agent has been heard lately. */
+  /** Whether an agent has been heard lately and has not said that it goes away. */
   isHeard(entry: AgentEntry, now: number): boolean {
-    return entry.heardAt !== undefined && now - entry.heardAt <= SILENCE_LIMIT;
+    if (entry.heardAt === undefined || entry.report?.state === TargetState.agentRestarting) {
+      return false;
+    }
+    return now - entry.heardAt <= SILENCE_LIMIT;
   }
 
   /** Takes an agent from the registry, or a peer when `revision` is undefined. */
@@ -73,6 +78,7 @@
       ...record,
       registryRevision: revision,
       report: undefined,
+      previousRun: undefined,
       heardAt: undefined,
       knownSince: now,
       recentOpenings: [],
@@ -81,11 +87,20 @@
     return entry;
   }
 
-  /** Takes a report; the sender becomes known by it. */
-  hear(address: Endpoint, report: ReportMessage, now: number): AgentEntry {
+  /**
+   * Takes a report; the sender becomes known by it.
+   * @returns the agent's entry, or undefined for a report that a later one has overtaken
+   */
+  hear(address: Endpoint, report: ReportMessage, now: number): AgentEntry | undefined {
     const { service, zone } = report;
     const revision = this.entries.get(address)?.registryRevision;
     const entry = this.learn({ address, service, zone }, revision, now);
+    if (isOvertaken(entry, report)) {
+      return undefined;
+    }
+    if (entry.report && entry.report.run !== report.run) {
+      entry.previousRun = entry.report.run;
+    }
     entry.report = report;
     entry.heardAt = now;
     entry.recentOpenings = entry.recentOpenings.filter((at) => at > now - OPENING_TIME);
@@ -114,3 +129,10 @@
     this.complete = true;
   }
 }
+
+function isOvertaken({ report: known, previousRun }: AgentEntry, report: ReportMessage): boolean {
+  if (known?.run === report.run) {
+    return report.sequence <= known.sequence;
+  }
+  return report.run === previousRun;
+}
--- /dev/null
+++ b/src/packets/delayed-deliveries.ts
@@ -0,0 +1,48 @@
+/**
+ * Packets for agents that are away for a moment, kept so that they reach the target as
+ * soon as the agent is back instead of with the client's next copy. Bounded in number
+ * and age; what is dropped here the client repeats anyway.
+ */
+import type { Endpoint } from '../environment';
+import type { DeliverMessage } from './packet-messages';
+
+const MAXIMUM_PER_AGENT = 256;
+/** Milliseconds: clients repeat at the latest after so long. */
+const LONGEST_WAIT = 1_600;
+
+interface DelayedDelivery {
+  readonly message: DeliverMessage;
+  readonly since: number;
+}
+
+/** Packets by the agent they wait for. */
+export class DelayedDeliveries {
+  private readonly waiting = new Map<Endpoint, DelayedDelivery[]>();
+
+  /** Keeps a packet; the oldest one of the agent is dropped when there are too many. */
+  add(agent: Endpoint, message: DeliverMessage, now: number): void {
+    const list = this.waiting.get(agent) ?? [];
+    this.waiting.set(agent, list);
+    list.push({ message, since: now });
+    if (list.length > MAXIMUM_PER_AGENT) {
+      list.shift();
+    }
+  }
+
+  /** Takes out what waits for an agent and is not too old. */
+  take(agent: Endpoint, now: number): DeliverMessage[] {
+    const list = this.waiting.get(agent) ?? [];
+    this.waiting.delete(agent);
+    return list.filter(({ since }) => now - since <= LONGEST_WAIT).map(({ message }) => message);
+  }
+
+  /** Drops what is too old. */
+  expire(now: number): void {
+    for (const [agent, list] of this.waiting) {
+      const newest = list.at(-1);
+      if (!newest || now - newest.since > LONGEST_WAIT) {
+        this.waiting.delete(agent);
+      }
+    }
+  }
+}
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -11,17 +11,18 @@
 import type { EventFields, EventKind } from '../logging/events';
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { DelayedDeliveries } from './delayed-deliveries';
 import { selectAgent, type SelectionContext } from './agent-selection';
 import type { CachedFlow, FlowCache } from './flow-cache';
-import type { FlowPacket, PacketFormat } from './flow-packet';
+import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
 import { FlowSearches, type FlowSearch } from './flow-search';
-import { PacketMessageType } from './packet-messages';
-import type { NotHeldMessage } from './packet-messages';
+import { PacketMessageType, type DeliverMessage, type NotHeldMessage } from './packet-messages';
 import type { PacketLink } from './packet-link';
 import type { Route, RoutingTable } from './routing-table';
 import { ServiceRotation } from './service-rotation';
 
-const SEARCH_LIFETIME = 2_000;
+/** Milliseconds for which it is remembered who has refused a flow. */
+const SEARCH_LIFETIME = 10_000;
 
 /** Counters of what became of clients' packets. */
 export interface RoutingCounters {
@@ -60,6 +61,7 @@
     resetsSent: 0,
   };
   private readonly searches = new FlowSearches(SEARCH_LIFETIME);
+  private readonly delayed = new DelayedDeliveries();
   private readonly rotation = new ServiceRotation();
   private routes: ReadonlyMap<Endpoint, Route> | undefined;
   private routingVersion = 0;
@@ -94,14 +96,15 @@
 
   /** An agent's target did not take a packet: offers it to the next agent. */
   refused(agent: Endpoint, message: NotHeldMessage): void {
-    const { format, cache } = this.dependencies;
+    const { format, cache, environment } = this.dependencies;
     const packet = format.decodeFromClient(message.payload);
     const route = packet && this.routes?.get(packet.destination);
     if (!packet || !route) {
       return;
     }
     cache.deny(packet.flow, agent);
-    const search = this.searches.find(message.searchId) ?? this.beginSearch(packet, route);
+    const known = this.searches.find(message.searchId, environment.now());
+    const search = known ?? this.beginSearch(packet, route);
     search.refusedBy.add(agent);
     if (packet.opens) {
       this.offerOpening(packet, search);
@@ -110,9 +113,24 @@
     }
   }
 
+  /** An agent's target holds a flow. */
+  confirmed(flow: FlowKey, agent: Endpoint): void {
+    this.counters.flowsFound++;
+    this.searches.forgetFlow(flow);
+    this.dependencies.cache.confirm(flow, agent, this.dependencies.environment.now());
+  }
+
+  /** An agent that was away is back: hands it what has waited for it. */
+  agentReturned(agent: Endpoint): void {
+    const now = this.dependencies.environment.now();
+    const messages = this.delayed.take(agent, now);
+    messages.forEach((message) => this.dependencies.link.send(agent, message));
+  }
+
   /** Drops what is too old to matter. */
   expire(now: number): void {
     this.searches.expire(now);
+    this.delayed.expire(now);
     this.dependencies.cache.expire(now);
   }
 
@@ -133,7 +151,7 @@
       return;
     }
     const service = known?.service ?? this.rotation.next(route);
-    const search = this.searches.begin(route, [service], environment.now());
+    const search = this.searches.beginOpening(packet.flow, route, [service], environment.now());
     known?.offered.forEach((agent) => search.refusedBy.add(agent));
     this.offerOpening(packet, search);
   }
@@ -200,9 +218,12 @@
     const services = route.services.map(({ service }) => service);
     const { cache, environment } = this.dependencies;
     const now = environment.now();
-    const opened = packet.opens ? cache.use(packet.flow, now)?.service : undefined;
-    const allowed = opened === undefined || !services.includes(opened) ? services : [opened];
-    return this.searches.begin(route, packet.opens ? allowed.slice(0, 1) : services, now);
+    if (!packet.opens) {
+      return this.searches.forHolder(packet.flow, route, services, now);
+    }
+    const opened = cache.use(packet.flow, now)?.service;
+    const service = opened !== undefined && services.includes(opened) ? opened : services[0]!;
+    return this.searches.beginOpening(packet.flow, route, [service], now);
   }
 
   /** Offers a packet of a flow that is open somewhere to the next agent. */
@@ -258,12 +279,19 @@
     searchId: number,
     services: readonly string[] = route.services.map(({ service }) => service),
   ): void {
-    this.dependencies.link.send(agent, {
+    const { directory, environment, link } = this.dependencies;
+    const message: DeliverMessage = {
       type: PacketMessageType.deliver,
       searchId,
       services,
       payload: packet.bytes,
-    });
+    };
+    const now = environment.now();
+    const entry = directory.find(agent);
+    if (entry && !packet.opens && !directory.isHeard(entry, now)) {
+      this.delayed.add(agent, message, now);
+    }
+    link.send(agent, message);
   }
 
   private reset(packet: FlowPacket, reason: string, refusals = 0): void {
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -2,32 +2,37 @@
  * The search for the agent whose target holds a flow, or takes a new one: a packet is
  * offered to one agent after the other until one keeps it.
  *
- * A search is only a note of who has refused the packet. When a packet or an answer is
- * lost the search ends unresolved, and the client's next copy begins another.
+ * A search notes who has refused. For a flow that is open a refusal holds for good: a
+ * target that does not hold it never will. So the note outlives the packet, and the
+ * client's next copy goes only to agents that have not refused yet.
  */
 import type { Endpoint } from '../environment';
+import type { FlowKey } from './flow-packet';
 import type { Route } from './routing-table';
 
-/** Searches noted at once; the oldest is dropped beyond that. */
+/** Searches noted at once; the least recently used is dropped beyond that. */
 const MAXIMUM_SEARCHES = 8_192;
 
 /** One search. */
 export interface FlowSearch {
   readonly id: number;
+  readonly flow: FlowKey;
   readonly route: Route;
   /** The service that may take the packet when it opens a flow; else all of the route's. */
   readonly services: readonly string[];
-  readonly startedAt: number;
   readonly refusedBy: Set<Endpoint>;
+  usedAt: number;
 }
 
 /** The searches under way. */
 export class FlowSearches {
   private readonly searches = new Map<number, FlowSearch>();
+  /** Searches for the holders of open flows. */
+  private readonly byFlow = new Map<FlowKey, FlowSearch>();
   private nextId = 1;
 
   constructor(
-    /** Milliseconds after which an unanswered search is dropped. */
+    /** Milliseconds after its last use at which a search is dropped. */
     private readonly lifetime: number,
   ) {}
 
@@ -35,31 +40,68 @@
     return this.searches.size;
   }
 
-  begin(route: Route, services: readonly string[], now: number): FlowSearch {
-    const id = this.nextId++;
-    const search: FlowSearch = { id, route, services, startedAt: now, refusedBy: new Set() };
-    this.searches.set(id, search);
-    if (this.searches.size > MAXIMUM_SEARCHES) {
-      const [oldest] = this.searches.keys();
-      this.searches.delete(oldest!);
+  /** Begins a search for a target that takes a new flow; earlier notes on it are void. */
+  beginOpening(flow: FlowKey, route: Route, services: readonly string[], now: number): FlowSearch {
+    this.forgetFlow(flow);
+    return this.begin(flow, route, services, now);
+  }
+
+  /** The search for the holder of an open flow, begun now unless one is noted. */
+  forHolder(flow: FlowKey, route: Route, services: readonly string[], now: number): FlowSearch {
+    const known = this.byFlow.get(flow);
+    if (known) {
+      return this.use(known, now);
     }
+    const search = this.begin(flow, route, services, now);
+    this.byFlow.set(flow, search);
     return search;
   }
 
-  find(id: number): FlowSearch | undefined {
-    return this.searches.get(id);
+  /** The search of an id, which counts as used now. */
+  find(id: number, now: number): FlowSearch | undefined {
+    const search = this.searches.get(id);
+    return search && this.use(search, now);
   }
 
   end(search: FlowSearch): void {
     this.searches.delete(search.id);
+    if (this.byFlow.get(search.flow) === search) {
+      this.byFlow.delete(search.flow);
+    }
+  }
+
+  /** The holder of a flow is known, or the flow is a new one. */
+  forgetFlow(flow: FlowKey): void {
+    const search = this.byFlow.get(flow);
+    if (search) {
+      this.end(search);
+    }
   }
 
   expire(now: number): void {
-    for (const [id, { startedAt }] of this.searches) {
-      if (now - startedAt <= this.lifetime) {
+    for (const search of this.searches.values()) {
+      if (now - search.usedAt <= this.lifetime) {
         return;
       }
-      this.searches.delete(id);
+      this.end(search);
+    }
+  }
+
+  private begin(flow: FlowKey, route: Route, services: readonly string[], now: number): FlowSearch {
+    const id = this.nextId++;
+    const search: FlowSearch = { id, flow, route, services, refusedBy: new Set(), usedAt: now };
+    this.searches.set(id, search);
+    if (this.searches.size > MAXIMUM_SEARCHES) {
+      const [oldest] = this.searches.values();
+      this.end(oldest!);
     }
+    return search;
+  }
+
+  private use(search: FlowSearch, now: number): FlowSearch {
+    search.usedAt = now;
+    this.searches.delete(search.id);
+    this.searches.set(search.id, search);
+    return search;
   }
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -36,6 +36,7 @@
 /** Balancers named in a report, so that balancers find each other. */
 const BALANCERS_IN_REPORT = 4;
 const TOKEN_RANGE = 2 ** 32;
+const RUN_RANGE = 2 ** 48;
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -86,6 +87,8 @@
   private readonly subscribers = new Subscribers();
   private readonly pending: PendingDeliveries;
   private readonly timers = new Set<TimerHandle>();
+  private readonly run: number;
+  private reportsSent = 0;
   private restarting = false;
 
   constructor(
@@ -95,6 +98,7 @@
     const { environment, codec, transport } = dependencies;
     this.link = new PacketLink(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
+    this.run = Math.floor(environment.random() * RUN_RANGE);
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
 
@@ -308,6 +312,8 @@
     const { busyRequests, openFlows } = this.tracker;
     return {
       type: PacketMessageType.report,
+      run: this.run,
+      sequence: ++this.reportsSent,
       service: this.target.service,
       zone: this.settings.zone,
       state: this.state,
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -180,8 +180,7 @@
     if (message.type === PacketMessageType.notHeld) {
       this.router.refused(from, message);
     } else if (message.type === PacketMessageType.held) {
-      this.cache.confirm(message.flow.toString('latin1'), from, environment.now());
-      this.router.counters.flowsFound++;
+      this.router.confirmed(message.flow.toString('latin1'), from);
     } else if (message.type === PacketMessageType.report) {
       this.takeReport(from, message);
     } else if (message.type === PacketMessageType.peerStatus) {
@@ -198,10 +197,16 @@
     const before = known?.report?.state;
     const wasHeard = known !== undefined && this.directory.isHeard(known, now);
     const entry = this.directory.hear(from, report, now);
+    if (!entry) {
+      return;
+    }
     report.balancers.forEach((peer) => this.peers.learnPeer(peer));
     if (before !== report.state || !wasHeard) {
       this.reportAgent(entry, report, wasHeard);
     }
+    if (!wasHeard && this.directory.isHeard(entry, now)) {
+      this.router.agentReturned(from);
+    }
     if (report.state === TargetState.gone && entry.registryRevision === undefined) {
       this.directory.forget(from);
     }
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -72,6 +72,10 @@
 /** Agent to balancer: state and load of the target. */
 export interface ReportMessage {
   readonly type: typeof PacketMessageType.report;
+  /** Differs from run to run of the agent. */
+  readonly run: number;
+  /** Rises with each report of a run, so that one overtaken by a later one is known. */
+  readonly sequence: number;
   readonly service: string;
   readonly zone: string;
   readonly state: TargetStateValue;
@@ -148,6 +152,8 @@
     [
       field('service', 's', text),
       field('zone', 'z', text),
+      field('run', 'r', integer),
+      field('sequence', 'q', integer),
       field('state', 'a', oneOf(...Object.values(TargetState))),
       field('slots', 'l', integer),
       field('busyRequests', 'b', integer),
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -35,6 +35,9 @@
 const FLOW_LIFETIME = 60_000;
 const WORK_TIME = 20;
 const SLOTS = 5;
+const STRAYS_ALLOWED = 3;
+const STRAY_TIME = 2_000;
+const CONTACT_TIME = 4_000;
 const SEQUENCE_RANGE = 2 ** 31;
 const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
@@ -64,6 +67,8 @@
 export interface WorldViolations {
   /** A client's open flow was reset while its target held it. */
   flowsReset: string[];
+  /** For two seconds only other targets got the packets of a flow whose target held it. */
+  strayed: string[];
   /** A request ran more than once. */
   doubled: string[];
   /** A request ran at a service that its route does not name. */
@@ -79,12 +84,19 @@
   readonly balancers: WorldBalancer[] = [];
   readonly agents: WorldAgent[] = [];
   readonly clients: ModelClient[] = [];
-  readonly violations: WorldViolations = { flowsReset: [], doubled: [], misrouted: [] };
+  readonly violations: WorldViolations = {
+    flowsReset: [],
+    strayed: [],
+    doubled: [],
+    misrouted: [],
+  };
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
   private readonly codec = new FrameCodec<PacketMessage>([KEY], PACKET_MESSAGE_FIELDS);
   private readonly ran = new Map<string, string>();
   private readonly serviceOf = new Map<Endpoint, readonly string[]>();
+  private readonly disturbedAt = new Map<string, number>();
+  private readonly strays = new Map<FlowKey, number[]>();
   private nextAddress = 1;
   private nextClient = 1;
   private nextIncarnation = 1;
@@ -136,6 +148,11 @@
     return agent;
   }
 
+  /** Notes that an unplanned fault begins or ends at a process. */
+  noteFault(name: string): void {
+    this.disturbedAt.set(name, this.clock.now);
+  }
+
   /** Starts a balancer's process with nothing in it. */
   startBalancer(balancer: WorldBalancer): void {
     balancer.process?.kill();
@@ -178,7 +195,7 @@
         format: modelPacketFormat,
         registry: this.store.registryPort(process),
         sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
-        sendToTarget: (packet) => agent.target?.receive(Buffer.from(packet)),
+        sendToTarget: (packet) => this.deliverToTarget(agent, Buffer.from(packet)),
       },
     );
     agent.process = process;
@@ -276,6 +293,36 @@
     agent.process.run(() => agent.node.heartbeat(heartbeat));
   }
 
+  private deliverToTarget(agent: WorldAgent, bytes: Buffer): void {
+    const packet = modelPacketFormat.decodeFromClient(bytes);
+    if (packet && !packet.opens && agent.target) {
+      this.judgeStray(agent.target, packet.flow);
+    }
+    agent.target?.receive(bytes);
+  }
+
+  private judgeStray(target: ModelTarget, flow: FlowKey): void {
+    const holder = this.agents.find((one) => one.target.holds(flow));
+    if (!holder || holder.target === target || this.outOfTouch(holder)) {
+      this.strays.delete(flow);
+      return;
+    }
+    const times = [...(this.strays.get(flow) ?? []), this.clock.now];
+    this.strays.set(flow, times);
+    const lasted = this.clock.now - times[0]!;
+    if (times.length >= STRAYS_ALLOWED && lasted >= STRAY_TIME) {
+      this.violations.strayed.push(`${times.length} packets in ${lasted} ms`);
+      this.strays.delete(flow);
+    }
+  }
+
+  /** Unplanned faults excuse strays for a while; planned work does not. */
+  private outOfTouch(holder: WorldAgent): boolean {
+    const names = [holder.name, ...this.balancers.map(({ name }) => name)];
+    const recent = this.clock.now - CONTACT_TIME;
+    return names.some((name) => (this.disturbedAt.get(name) ?? -Infinity) > recent);
+  }
+
   private judgeRun(target: ModelTarget, request: string): void {
     const before = this.ran.get(request);
     if (before !== undefined) {
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -2,6 +2,13 @@
 import test from 'ava';
 import { packEndpoint } from '../src/core/endpoint';
 import { Events } from '../src/logging/events';
+import { AgentDirectory } from '../src/packets/agent-directory';
+import {
+  PacketMessageType,
+  TargetState,
+  type ReportMessage,
+  type TargetStateValue,
+} from '../src/packets/packet-messages';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 
 const MAP = packEndpoint('198.18.0.1', 8_443);
@@ -39,7 +46,7 @@
   return world.clients.filter((client) => client.state === state).length;
 }
 
-const NO_VIOLATIONS = { flowsReset: [], doubled: [], misrouted: [] };
+const NO_VIOLATIONS = { flowsReset: [], strayed: [], doubled: [], misrouted: [] };
 
 test('a calm deployment serves every flow and balances them', (t) => {
   const world = startWorld();
@@ -154,6 +161,48 @@
   t.deepEqual(world.violations, NO_VIOLATIONS);
 });
 
+test('a search does not offer packets to the same targets while the holder is away', (t) => {
+  const world = startWorld(16, 1);
+  for (let index = 0; index < 20; index++) {
+    world.openFlow(MAP, 5, 2_500);
+  }
+  world.runFor(1_000);
+  const away = world.agents[0]!;
+  const held = [...away.target.flows.keys()].length;
+  t.true(held > 0);
+  // The flows rest; the balancer is replaced and has never seen them; an agent is away.
+  world.startBalancer(world.balancers[0]!);
+  world.runFor(1_000);
+  away.node.beginStop(() => away.process.kill());
+  world.runFor(3_500);
+  world.startAgent(away);
+  world.runFor(15_000);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.is(countIn(world, 'done'), 20);
+});
+
+test('packets for an agent that is away are delivered as soon as it is back', (t) => {
+  const world = startWorld(17, 1);
+  openFlows(world, 24, 40, 100);
+  world.runFor(1_000);
+  const away = world.agents[0]!;
+  away.node.beginStop(() => away.process.kill());
+  world.runFor(900);
+  world.startAgent(away);
+  const before = world.clock.now;
+  world.runFor(250);
+  const waiting = world.clients.filter(
+    (client) => world.holderOf(client) === away && !client.answeredAt.some((at) => at > before),
+  );
+  t.deepEqual(
+    waiting.map(({ state, answers, plan }) => ({ state, answers, client: plan.client })),
+    [],
+  );
+  world.runFor(20_000);
+  t.is(countIn(world, 'done'), 24);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+});
+
 test('a draining target gets no new flow, also from a balancer that does not know', (t) => {
   const world = startWorld(8);
   const draining = world.agents[0]!;
@@ -252,6 +301,29 @@
   t.true(reported.includes(Events.frameNotAuthentic.name));
 });
 
+test('a report that a later one has overtaken is void', (t) => {
+  const directory = new AgentDirectory();
+  const report = (run: number, sequence: number, state: TargetStateValue): ReportMessage => ({
+    type: PacketMessageType.report,
+    run,
+    sequence,
+    service: 'map',
+    zone: 'north',
+    state,
+    slots: 5,
+    busyRequests: 0,
+    openFlows: 0,
+    coldLeft: 0,
+    balancers: [],
+  });
+  t.truthy(directory.hear(1, report(7, 1, TargetState.ready), 10));
+  t.truthy(directory.hear(1, report(7, 3, TargetState.agentRestarting), 11));
+  t.is(directory.hear(1, report(7, 2, TargetState.ready), 12), undefined);
+  t.is(directory.find(1)!.report!.state, TargetState.agentRestarting);
+  t.truthy(directory.hear(1, report(8, 1, TargetState.unknown), 500));
+  t.is(directory.hear(1, report(7, 4, TargetState.ready), 501), undefined);
+});
+
 /** One fault drawn at random; it heals by itself. */
 function disturb(world: PacketWorld): void {
   const { random } = world;
@@ -259,6 +331,9 @@
   const agent = random.pick(world.agents);
   const kind = Math.floor(random.next() * 8);
   const back = random.between(200, 2_500);
+  const noteFaults = (): void => [balancer, agent].forEach(({ name }) => world.noteFault(name));
+  noteFaults();
+  world.clock.schedule(back, noteFaults);
   if (kind === 0) {
     balancer.process.kill();
     world.clock.schedule(back, () => world.startBalancer(balancer));
--- /dev/null
+++ b/test/platform-adapter.test.ts
@@ -0,0 +1,277 @@
+/** The adapter translates the platform's forms and nothing else. */
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { request } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import fc from 'fast-check';
+import test from 'ava';
+import type { Result } from 'ts-results';
+import { AgentObjects } from '../platform/agent-objects';
+import { readLocalSettings } from '../platform/local-settings';
+import { ObjectApi } from '../platform/object-api';
+import { packetFormat } from '../platform/packet-head';
+import { readRoutingTable, routingTables } from '../platform/routing-document';
+import { readHeartbeat, serveHeartbeats, serveReadiness } from '../platform/target-calls';
+import { formatEndpoint, packEndpoint, parseEndpoint } from '../src/core/endpoint';
+import type { HallholdError } from '../src/errors/hallhold-error';
+import type { Answer } from '../src/packets/collection-port';
+import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
+import { ObjectApiStandin, type Spoiler } from './support/object-api-standin';
+
+const SYN = Buffer.from(
+  '9c4164400007 01bbc6120001 0000 00000000 a1b2c3d5 11223344 00000000 10'.replaceAll(' ', ''),
+  'hex',
+);
+const RESET = Buffer.from(
+  '01bbc6120001 9c4164400007 0000 00000000 00000000 00000000 00000000 04'.replaceAll(' ', ''),
+  'hex',
+);
+
+function answerOf<T>(call: (answer: Answer<T>) => void): Promise<Result<T, HallholdError>> {
+  return new Promise((resolve) => call(resolve));
+}
+
+test('a head is read as the protocol page shows it, and answered with its reset', (t) => {
+  const packet = packetFormat.decodeFromClient(Buffer.from(SYN))!;
+  t.is(formatEndpoint(packet.client), '100.64.0.7:40001');
+  t.is(formatEndpoint(packet.destination), '198.18.0.1:443');
+  t.true(packet.opens);
+  t.is(packet.sequence, 0x11223344);
+  t.deepEqual(packetFormat.createReset(packet), RESET);
+});
+
+test('token and refusal leave everything that the sum covers as it was', (t) => {
+  const bytes = Buffer.from(SYN);
+  packetFormat.writeToken(bytes, 0xcafe);
+  bytes[30]! |= 8;
+  const returned = packetFormat.decodeFromTarget(bytes)!;
+  t.true(returned.refused);
+  t.is(packetFormat.readToken(bytes), 0xcafe);
+  t.is(returned.flow, packetFormat.decodeFromClient(Buffer.from(SYN))!.flow);
+  packetFormat.restoreClientForm(bytes);
+  t.deepEqual(bytes, SYN);
+});
+
+test('both directions of a flow have one key', (t) => {
+  const answer = Buffer.from(SYN);
+  SYN.copy(answer, 0, 6, 12);
+  SYN.copy(answer, 6, 0, 6);
+  const fromTarget = packetFormat.decodeFromTarget(answer)!;
+  const fromClient = packetFormat.decodeFromClient(Buffer.from(SYN))!;
+  t.is(fromTarget.flow, fromClient.flow);
+  t.is(fromTarget.client, fromClient.client);
+  t.is(fromTarget.destination, fromClient.destination);
+});
+
+test('no bytes make the decoder throw, and a wrong length is no packet', (t) => {
+  const property = fc.property(fc.uint8Array({ maxLength: 80 }), (data) => {
+    const bytes = Buffer.from(data);
+    const packet = packetFormat.decodeFromClient(bytes);
+    packetFormat.decodeFromTarget(bytes);
+    return packet === undefined || packet.payloadLength === bytes.length - 31;
+  });
+  fc.assert(property, { seed: 20_261_202, numRuns: 500 });
+  t.is(packetFormat.decodeFromClient(SYN.subarray(0, 30)), undefined);
+  t.is(packetFormat.decodeFromClient(Buffer.concat([SYN, Buffer.from('x')])), undefined);
+});
+
+test('the id of a request is found where its head begins in a packet', (t) => {
+  const data = Buffer.from('GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: abc-1\r\n\r\n');
+  const bytes = Buffer.concat([SYN, data]);
+  bytes.writeUInt16BE(data.length, 12);
+  t.is(packetFormat.requestId(packetFormat.decodeFromClient(bytes)!), 'abc-1');
+  t.is(packetFormat.requestId(packetFormat.decodeFromClient(Buffer.from(SYN))!), undefined);
+});
+
+test('a configuration becomes a routing table, with weights', (t) => {
+  const table = readRoutingTable({
+    name: 'main',
+    revision: 3,
+    spec: {
+      version: 7,
+      routes: [
+        {
+          name: 'a',
+          host: '198.18.0.1',
+          'path-prefix': '/8443/',
+          backends: [
+            { service: 'x', weight: 90 },
+            { service: 'y', weight: 10 },
+          ],
+        },
+        { name: 'b', host: '198.18.0.2', 'path-prefix': '/80/', service: 'y' },
+        { name: 'broken', host: 'not an address', 'path-prefix': '/80/', service: 'y' },
+      ],
+      limits: { 'idle-timeout-ms': 9_000 },
+    },
+  })!;
+  t.is(table.version, 7);
+  t.is(table.idleTimeout, 9_000);
+  t.deepEqual(
+    table.routes.map(({ destination, services }) => [formatEndpoint(destination), services.length]),
+    [
+      ['198.18.0.1:8443', 2],
+      ['198.18.0.2:80', 1],
+    ],
+  );
+  t.is(
+    readRoutingTable({ name: 'other', revision: 1, spec: { version: 1, routes: [] } }),
+    undefined,
+  );
+  t.is(readRoutingTable({ name: 'main', revision: 1, spec: null }), undefined);
+});
+
+const AGENT = { address: packEndpoint('10.0.0.1', 7_720), service: 'map', zone: 'north' };
+
+test('an agent registers once, is replaced when it differs, and is removed', async (t) => {
+  const standin = new ObjectApiStandin();
+  const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+  const registry = new AgentObjects(api);
+  t.teardown(() => (api.close(), standin.stop()));
+  t.true((await answerOf<void>((answer) => registry.register(AGENT, answer))).ok);
+  t.true((await answerOf<void>((answer) => registry.register(AGENT, answer))).ok);
+  const other = { ...AGENT, service: 'tiles' };
+  t.true((await answerOf<void>((answer) => registry.register(other, answer))).ok);
+  const listed = (
+    await answerOf((answer: Answer<never>) => registry.list(answer as never))
+  ).unwrap();
+  t.deepEqual(
+    (listed as { items: { item: unknown }[] }).items.map(({ item }) => item),
+    [other],
+  );
+  t.true((await answerOf<void>((answer) => registry.remove(other, undefined, answer))).ok);
+  t.true((await answerOf<void>((answer) => registry.remove(other, undefined, answer))).ok);
+  t.is(standin.get('agents', '10-0-0-1'), undefined);
+});
+
+const SPOILED: readonly [string, Spoiler, string][] = [
+  ['429', (_call, response) => (response.writeHead(429).end('{}'), true), 'store-unavailable'],
+  ['503', (_call, response) => (response.writeHead(503).end('{}'), true), 'store-unavailable'],
+  ['410', (_call, response) => (response.writeHead(410).end('{}'), true), 'store-watch-expired'],
+  ['cut', (_call, response) => (response.destroy(), true), 'store-unavailable'],
+  ['silence', () => true, 'store-unavailable'],
+  ['no JSON', (_call, response) => (response.end('{"items":['), true), 'store-answer-invalid'],
+  [
+    'other types',
+    (_call, response) => (response.end('{"items":7,"at":"x"}'), true),
+    'store-answer-invalid',
+  ],
+  [
+    'ten megabytes',
+    (_call, response) => (response.end(JSON.stringify('x'.repeat(10_000_000))), true),
+    'store-unavailable',
+  ],
+  [
+    'half an answer',
+    (_call, response) => {
+      response.writeHead(200, { 'Content-Length': 100 });
+      response.write('{"items":[');
+      setTimeout(() => response.destroy(), 20);
+      return true;
+    },
+    'store-unavailable',
+  ],
+];
+
+for (const [name, spoiler, expected] of SPOILED) {
+  test(`a bad answer of the store is one numbered error: ${name}`, async (t) => {
+    const standin = new ObjectApiStandin();
+    standin.spoiler = spoiler;
+    const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+    t.teardown(() => (api.close(), standin.stop()));
+    const result = await answerOf((answer: Answer<never>) =>
+      routingTables(api).list(answer as never),
+    );
+    t.is(result.err && result.val.resultCode.name, expected);
+  });
+}
+
+function call(port: number, method: string, path: string, body = ''): Promise<number> {
+  return new Promise((done, fail) => {
+    const sent = request({ port, host: '127.0.0.1', method, path, agent: false }, (response) => {
+      response.resume();
+      response.on('end', () => done(response.statusCode ?? 0));
+    });
+    sent.on('error', fail);
+    sent.end(body);
+  });
+}
+
+test('heartbeats and leaving are acknowledged, anything else is refused', async (t) => {
+  const beats: TargetHeartbeat[] = [];
+  const left: string[] = [];
+  const server = serveHeartbeats(
+    packEndpoint('127.0.0.1', 0),
+    { heartbeat: (beat) => beats.push(beat), targetLeaves: (id) => left.push(id) },
+    (error) => t.fail(error.message),
+  );
+  t.teardown(() => server.close());
+  await new Promise((done) => server.once('listening', done));
+  const { port } = server.address() as AddressInfo;
+  const body = { service: 's', slots: 4, state: 'draining', 'cold-left-ms': 5, seq: 2 };
+  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', JSON.stringify(body)), 200);
+  t.deepEqual(beats, [
+    { incarnation: 'i-1', service: 's', slots: 4, draining: true, coldLeft: 5, sequence: 2 },
+  ]);
+  t.is(await call(port, 'DELETE', '/hallhold/instances/i-1'), 200);
+  t.deepEqual(left, ['i-1']);
+  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', '{"service":'), 400);
+  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', '{"service":1,"slots":"x"}'), 400);
+  t.is(await call(port, 'PUT', '/hallhold/instances/%zz', JSON.stringify(body)), 404);
+  t.is(await call(port, 'GET', '/'), 404);
+  t.is(beats.length, 1);
+});
+
+test('no heartbeat body makes the reader throw', (t) => {
+  fc.assert(
+    fc.property(fc.json(), (body) => {
+      readHeartbeat('i', body);
+      readHeartbeat('i', body.slice(1));
+      return true;
+    }),
+    { seed: 20_261_202, numRuns: 300 },
+  );
+  t.pass();
+});
+
+test('readiness is answered by status', async (t) => {
+  let ready = false;
+  const server = serveReadiness(
+    packEndpoint('127.0.0.1', 0),
+    () => ready,
+    (error) => t.fail(error.message),
+  );
+  t.teardown(() => server.close());
+  await new Promise((done) => server.once('listening', done));
+  const { port } = server.address() as AddressInfo;
+  t.is(await call(port, 'GET', '/hallhold/ready'), 503);
+  ready = true;
+  t.is(await call(port, 'GET', '/hallhold/ready'), 200);
+});
+
+test('wrong settings are refused with every wrong key named', (t) => {
+  const path = join(mkdtempSync(join(tmpdir(), 'hallhold-')), 'settings.json');
+  writeFileSync(path, JSON.stringify({ name: 7, zone: 'z', address: 'nowhere', seeds: 'x:1,' }));
+  const result = readLocalSettings(path);
+  t.true(result.err);
+  const { resultCode, details } = result.val as HallholdError;
+  t.is(resultCode.number, 1002);
+  t.deepEqual(
+    details.map((detail) => detail.split(':')[0]),
+    ['name', 'address', 'clientPort', 'storeAddress', 'seeds.0'],
+  );
+  writeFileSync(path, '{"name"');
+  t.is((readLocalSettings(path).val as HallholdError).resultCode.number, 1001);
+});
+
+test('nothing outside of the adapter knows the platform', (t) => {
+  const root = resolve(__dirname, '../..');
+  const names = /hallhold\/(objects|instances|ready)|packet-addr|path-prefix|beat-addr|cold-left/;
+  const files = readdirSync(join(root, 'src'), { recursive: true, encoding: 'utf8' });
+  for (const file of files.filter((one) => one.endsWith('.ts'))) {
+    const text = readFileSync(join(root, 'src', file), 'utf8');
+    t.false(names.test(text), `${file} names something of the platform`);
+    t.false(/from '(\.\.\/)+platform\//.test(text), `${file} imports the adapter`);
+  }
+});
--- /dev/null
+++ b/test/support/object-api-standin.ts
@@ -0,0 +1,154 @@
+/** A small stand-in of the platform's object API over HTTP, with answers that can be spoilt. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface Stored {
+  readonly meta: { readonly name: string; readonly rev: number };
+  readonly spec: unknown;
+}
+
+interface Event {
+  readonly kind: string;
+  readonly rev: number;
+  readonly object: Stored;
+  readonly gone: boolean;
+}
+
+type Send = (status: number, body: unknown) => void;
+
+/** Spoils an answer; returns true when it has answered itself. */
+export type Spoiler = (call: IncomingMessage, response: ServerResponse) => boolean;
+
+/** The stand-in. */
+export class ObjectApiStandin {
+  spoiler: Spoiler | undefined;
+  readonly calls: string[] = [];
+  private readonly objects = new Map<string, Map<string, Stored>>();
+  private readonly events: Event[] = [];
+  private readonly waiting = new Set<() => void>();
+  private revision = 1;
+  private server: Server | undefined;
+
+  async start(): Promise<string> {
+    const server = createServer((call, response) => this.take(call, response));
+    this.server = server;
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.server?.closeAllConnections();
+    this.server?.close();
+  }
+
+  /** Writes an object as its owner. */
+  put(kind: string, name: string, spec: unknown): void {
+    const object = { meta: { name, rev: ++this.revision }, spec };
+    this.kind(kind).set(name, object);
+    this.publish({ kind, rev: this.revision, object, gone: false });
+  }
+
+  get(kind: string, name: string): unknown {
+    return this.kind(kind).get(name)?.spec;
+  }
+
+  private kind(kind: string): Map<string, Stored> {
+    const known = this.objects.get(kind) ?? new Map<string, Stored>();
+    this.objects.set(kind, known);
+    return known;
+  }
+
+  private publish(event: Event): void {
+    this.events.push(event);
+    this.waiting.forEach((wake) => wake());
+  }
+
+  private take(call: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    call.on('data', (chunk: Buffer) => chunks.push(chunk));
+    call.on('end', () => {
+      this.calls.push(`${call.method} ${call.url}`);
+      if (!this.spoiler?.(call, response)) {
+        this.answer(call, response, Buffer.concat(chunks).toString());
+      }
+    });
+  }
+
+  private answer(call: IncomingMessage, response: ServerResponse, text: string): void {
+    const url = new URL(call.url ?? '/', 'http://standin');
+    const [kind = '', name] = url.pathname.replace('/hallhold/objects/', '').split('/');
+    const send: Send = (status, body) => {
+      response.writeHead(status, { 'Content-Type': 'application/json' });
+      response.end(JSON.stringify(body));
+    };
+    if (call.method === 'GET') {
+      this.read(kind, name, url.searchParams, send);
+    } else {
+      this.write(call.method ?? '', kind, name, text, send);
+    }
+  }
+
+  private read(kind: string, name: string | undefined, query: URLSearchParams, send: Send): void {
+    const watch = query.get('watch');
+    if (watch !== null) {
+      this.watch(kind, Number(watch), Number(query.get('wait-ms')), send);
+    } else if (name === undefined) {
+      const items = [...this.kind(kind).values()];
+      send(200, { items, more: false, at: this.revision });
+    } else {
+      const known = this.kind(kind).get(name);
+      send(known ? 200 : 404, known ?? {});
+    }
+  }
+
+  private write(
+    method: string,
+    kind: string,
+    name: string | undefined,
+    text: string,
+    send: Send,
+  ): void {
+    const body = (text === '' ? {} : JSON.parse(text)) as {
+      meta?: { name: string };
+      spec?: unknown;
+    };
+    const target = name ?? body.meta?.name ?? '';
+    const known = this.kind(kind).get(target);
+    if (method === 'POST' && known) {
+      send(409, known);
+    } else if (method === 'POST' || (method === 'PUT' && known)) {
+      this.put(kind, target, body.spec);
+      send(200, this.kind(kind).get(target));
+    } else if (method === 'DELETE' && known) {
+      this.kind(kind).delete(target);
+      this.publish({ kind, rev: ++this.revision, object: known, gone: true });
+      send(200, {});
+    } else {
+      send(404, {});
+    }
+  }
+
+  private watch(kind: string, after: number, wait: number, send: Send): void {
+    const finish = (): void => {
+      clearTimeout(timer);
+      this.waiting.delete(wake);
+      const events = this.changes(kind, after);
+      send(200, { events, at: this.revision });
+    };
+    const wake = (): void => {
+      if (this.changes(kind, after).length > 0) {
+        finish();
+      }
+    };
+    const timer = setTimeout(finish, wait);
+    timer.unref();
+    this.waiting.add(wake);
+    wake();
+  }
+
+  private changes(kind: string, after: number): { object: Stored; gone: boolean }[] {
+    return this.events
+      .filter((event) => event.kind === kind && event.rev > after)
+      .map(({ object, gone }) => ({ object, gone }));
+  }
+}
