--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,55 @@
+/** `hallhold explain`: what became of a request or flow, by the logs of all processes. */
+import { readFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { failure, messageOf } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import { explain, type Explanation } from '../explain/explanation';
+import { parseLog, type LogRecord } from '../explain/log-reader';
+import { printError } from './output';
+
+const STANDARD_INPUT = 0;
+
+export class ExplainCommand extends Command {
+  static override paths = [['explain']];
+  static override usage = Command.Usage({
+    description: 'Explain what became of a request or flow.',
+    details:
+      'Reads the log files of any number of processes, or standard input, and prints in order what they decided about one request id or one client "address:port", and the likely cause of a failure.',
+    examples: [
+      ['A request id', '$0 explain bcebcdc4a9731f35 front.log side.log'],
+      ['A flow, as JSON', '$0 explain 100.65.0.20:1046 --json < all.log'],
+    ],
+  });
+
+  id = Option.String({ required: true });
+  files = Option.Rest();
+  json = Option.Boolean('--json', false, { description: 'Print one JSON object' });
+
+  async execute(): Promise<number> {
+    let text: string;
+    try {
+      text = this.readAll();
+    } catch (error) {
+      return printError(this.context, failure(ResultCodes.logUnreadable, messageOf(error)).val);
+    }
+    const explanation = explain(parseLog(text), this.id);
+    this.context.stdout.write(this.json ? `${JSON.stringify(explanation)}\n` : render(explanation));
+    return explanation.client === undefined ? 1 : 0;
+  }
+
+  private readAll(): string {
+    const sources = this.files.length > 0 ? this.files : [STANDARD_INPUT];
+    return sources.map((source) => readFileSync(source, 'utf8')).join('\n');
+  }
+}
+
+function render({ story, cause }: Explanation): string {
+  const start = story[0]?.time ?? 0;
+  const lines = story.map((record) => renderRecord(record, start));
+  return [...lines, `likely cause: ${cause}`, ''].join('\n');
+}
+
+function renderRecord({ time, source, message, fields }: LogRecord, start: number): string {
+  const offset = `+${time - start}`.padStart(7);
+  return `${offset} ms  ${source}  ${message}  ${JSON.stringify(fields)}`;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand } from './bench-commands';
 import { BalancerCommand } from './balancer-command';
 import { DemoCommand } from './demo-command';
+import { ExplainCommand } from './explain-command';
 import { SettingsCheckCommand } from './settings-check-command';
 import { SoakCommand } from './soak-command';
 import { SimulateCommand } from './simulate-command';
@@ -34,6 +35,7 @@
   BenchCapacityCommand,
   BenchDatapathCommand,
   DemoCommand,
+  ExplainCommand,
   SettingsCheckCommand,
   SimulateCommand,
   SoakCommand,
--- a/src/errors/result-codes.ts
+++ b/src/errors/result-codes.ts
@@ -49,6 +49,7 @@
   peerUnreachable: code(1404, 'peer-unreachable', 'safe'),
   operatorApiUnreachable: code(1501, 'operator-api-unreachable', 'safe'),
   waitTimedOut: code(1502, 'wait-timed-out', 'safe'),
+  logUnreadable: code(1503, 'log-unreadable', 'never'),
   scenarioUnknown: code(1601, 'scenario-unknown', 'never'),
   violationsFound: code(1602, 'violations-found', 'never'),
 } as const satisfies Record<string, ResultCode>;
--- /dev/null
+++ b/src/explain/explanation.ts
@@ -0,0 +1,105 @@
+/**
+ * The story of one request or flow, told from the logs of all processes.
+ *
+ * Clocks of machines differ, so records of one process keep their order, and records of
+ * different ones are merged by time with the differences that the logs themselves show.
+ */
+import { Events, type EventKind } from '../logging/events';
+import type { LogRecord } from './log-reader';
+
+/** Milliseconds around the flow's own records within which changes of belief are told. */
+const SURROUNDINGS = 3_000;
+
+/** What was found. */
+export interface Explanation {
+  /** The client's end of the flow; undefined when nothing was found. */
+  readonly client: string | undefined;
+  /** Records of the flow and of what changed around it, in order. */
+  readonly story: readonly LogRecord[];
+  readonly cause: string;
+}
+
+/** Explains a request id or a client's end "address:port". */
+export function explain(records: readonly LogRecord[], id: string): Explanation {
+  const delivered = records.find(({ fields }) => fields['request'] === id);
+  const client = delivered ? String(delivered.fields['client']) : id;
+  const own = records.filter(({ fields }) => fields['client'] === client);
+  if (own.length === 0) {
+    const cause = 'no process logged it: it never reached a balancer, or its lines were left out';
+    return { client: undefined, story: [], cause };
+  }
+  const merged = mergeByTime(own.concat(surroundings(records, own)));
+  return { client, story: merged, cause: likelyCause(own, merged) };
+}
+
+/** Changes of belief at the processes and agents that the flow's records name. */
+function surroundings(records: readonly LogRecord[], own: readonly LogRecord[]): LogRecord[] {
+  const first = Math.min(...own.map(({ time }) => time)) - SURROUNDINGS;
+  const last = Math.max(...own.map(({ time }) => time)) + SURROUNDINGS;
+  const sources = new Set(own.map(({ source }) => source));
+  const agents = new Set(own.map(({ fields }) => fields['agent']));
+  const kinds = new Set(BELIEFS.map(({ number }) => number));
+  return records.filter(
+    ({ time, event, source, fields }) =>
+      kinds.has(event) &&
+      time >= first &&
+      time <= last &&
+      (sources.has(source) || agents.has(fields['agent'])),
+  );
+}
+
+const BELIEFS: readonly EventKind[] = [
+  Events.processStarted,
+  Events.processStopping,
+  Events.processStopped,
+  Events.processFault,
+  Events.routingApplied,
+  Events.storeUnavailable,
+  Events.storeRegained,
+  Events.viewComplete,
+  Events.readinessChanged,
+  Events.agentStateSeen,
+  Events.agentRemoved,
+  Events.targetStateChanged,
+];
+
+/** Sorts by time; equal times keep the order in which they were read. */
+function mergeByTime(records: readonly LogRecord[]): LogRecord[] {
+  return records
+    .map((record, order) => ({ record, order }))
+    .sort((a, b) => a.record.time - b.record.time || a.order - b.order)
+    .map(({ record }) => record);
+}
+
+function has(records: readonly LogRecord[], kind: EventKind): boolean {
+  return records.some(({ event }) => event === kind.number);
+}
+
+function likelyCause(own: readonly LogRecord[], story: readonly LogRecord[]): string {
+  const last = (kind: EventKind): LogRecord | undefined =>
+    own.filter(({ event }) => event === kind.number).at(-1);
+  const reset = last(Events.flowReset);
+  if (reset) {
+    return `reset by ${reset.source}: ${String(reset.fields['reason'])}, after ${String(reset.fields['refusals'])} refusals${restartNote(story)}`;
+  }
+  const dropped = last(Events.packetDropped);
+  if (dropped) {
+    return `packets dropped by ${dropped.source}: ${String(dropped.fields['reason'])}`;
+  }
+  if (!has(own, Events.requestDelivered)) {
+    return `placed, but no request reached a target: the opening was lost${restartNote(story)}`;
+  }
+  const delivered = last(Events.requestDelivered)!;
+  const restart = restartNote(story);
+  const busy = String(delivered.fields['busy']);
+  return restart === ''
+    ? `delivered by ${delivered.source} with ${busy} requests at its target: what is late or missing is the target's`
+    : `delivered by ${delivered.source}${restart}`;
+}
+
+/** Names processes of the story that started or stopped in it. */
+function restartNote(story: readonly LogRecord[]): string {
+  const restarted = story.filter(({ event }) => event === Events.processStarted.number);
+  const sources = [...new Set(restarted.map(({ source }) => source))];
+  return sources.length === 0 ? '' : `; started meanwhile: ${sources.join(', ')}`;
+}
--- /dev/null
+++ b/src/explain/log-reader.ts
@@ -0,0 +1,45 @@
+/** Reads the JSON log lines of many processes, also behind a prefix that a collector added. */
+
+/** One line of a log. */
+export interface LogRecord {
+  /** Milliseconds since 1970 by the clock of the process that wrote it. */
+  readonly time: number;
+  readonly source: string;
+  readonly event: number;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** The record in a line; undefined for a line that holds none. */
+export function parseLogLine(line: string): LogRecord | undefined {
+  const start = line.indexOf('{');
+  if (start < 0) {
+    return undefined;
+  }
+  try {
+    return toRecord(JSON.parse(line.slice(start)) as Record<string, unknown>);
+  } catch {
+    return undefined;
+  }
+}
+
+function toRecord(document: Record<string, unknown>): LogRecord | undefined {
+  const { event, message, source, timestamp, ...fields } = document;
+  const time = typeof timestamp === 'string' ? Date.parse(timestamp) : NaN;
+  if (typeof event !== 'number' || typeof message !== 'string' || Number.isNaN(time)) {
+    return undefined;
+  }
+  return { time, source: String(source), event, message, fields };
+}
+
+/** Every record of a text. */
+export function parseLog(text: string): LogRecord[] {
+  const records: LogRecord[] = [];
+  for (const line of text.split('\n')) {
+    const record = parseLogLine(line);
+    if (record) {
+      records.push(record);
+    }
+  }
+  return records;
+}
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -258,7 +258,7 @@
   }
 
   /** Puts a table in force if it is newer than the present one. */
-  private takeTable(table: RoutingTable, source: string): void {
+  private takeTable(table: RoutingTable, origin: string): void {
     if (this.table && table.version <= this.table.version) {
       return;
     }
@@ -268,7 +268,7 @@
     this.dependencies.environment.report(Events.routingApplied, {
       version,
       routes: routes.length,
-      source,
+      origin,
     });
     this.updateReadiness();
   }
@@ -304,11 +304,11 @@
     this.subscribe();
   }
 
-  private markComplete(source: string): void {
+  private markComplete(origin: string): void {
     if (!this.directory.isComplete) {
       this.directory.markComplete();
       const agents = this.directory.size;
-      this.dependencies.environment.report(Events.viewComplete, { source, agents });
+      this.dependencies.environment.report(Events.viewComplete, { origin, agents });
     }
     this.updateReadiness();
   }
--- a/test/packet-processes.test.ts
+++ b/test/packet-processes.test.ts
@@ -10,7 +10,7 @@
   waitFor,
 } from './support/packet-cluster';
 
-/** Seconds of strays: 100 lines of about 250 bytes in each, against a pipe of 64 KB. */
+/** Seconds of strays: 100 lines of about 200 bytes in each, against a pipe of 64 KB. */
 const LOG_ROUNDS = 5;
 const ROUTE = ['198.18.0.1', 8_443] as const;
 const CONFIGURATION = {
