--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { ExplainCommand } from './explain-command';
 import { SettingsCheckCommand } from './settings-check-command';
 import { SoakCommand } from './soak-command';
+import { SoakPacketsCommand } from './soak-packets-command';
 import { SimulateCommand } from './simulate-command';
 import {
   StandinBackendCommand,
@@ -39,6 +40,7 @@
   SettingsCheckCommand,
   SimulateCommand,
   SoakCommand,
+  SoakPacketsCommand,
   StandinBackendCommand,
   StandinCallerCommand,
   StandinFabricCommand,
--- /dev/null
+++ b/src/packets/agent-subscriptions.ts
@@ -0,0 +1,55 @@
+/** A balancer's requests for reports: often at agents that are silent, else once a second. */
+import type { Endpoint } from '../environment';
+import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { PacketMessageType, type SubscribeMessage } from './packet-messages';
+
+/** Milliseconds between subscriptions at an agent that is heard. */
+const SUBSCRIPTION_INTERVAL = 1_000;
+/** A long silent agent is asked at the slower pace again. */
+const KNOCK_TIME = 10_000;
+/** Timers fire a little early or late. */
+const TOLERANCE = 1;
+
+/** Milliseconds between subscriptions at an agent that is silent; how often to call `run`. */
+export const KNOCK_INTERVAL = 100;
+
+/** Sends one subscription. */
+export type SubscriptionSender = (agent: Endpoint, message: SubscribeMessage) => void;
+
+/** Subscriptions of one balancer. */
+export class AgentSubscriptions {
+  private readonly subscribedAt = new Map<Endpoint, number>();
+
+  constructor(
+    private readonly zone: string,
+    private readonly directory: AgentDirectory,
+    private readonly send: SubscriptionSender,
+  ) {}
+
+  /** Subscribes wherever it is due. */
+  run(now: number): void {
+    const message: SubscribeMessage = { type: PacketMessageType.subscribe, zone: this.zone };
+    for (const entry of this.directory.all()) {
+      const last = this.subscribedAt.get(entry.address) ?? -Infinity;
+      if (now - last >= this.intervalOf(entry, now) - TOLERANCE) {
+        this.subscribedAt.set(entry.address, now);
+        this.send(entry.address, message);
+      }
+    }
+  }
+
+  /** Drops what is noted of agents that are no longer known. */
+  expire(): void {
+    for (const address of this.subscribedAt.keys()) {
+      if (!this.directory.find(address)) {
+        this.subscribedAt.delete(address);
+      }
+    }
+  }
+
+  private intervalOf(entry: AgentEntry, now: number): number {
+    const silence = now - (entry.heardAt ?? entry.knownSince);
+    const knocking = !this.directory.isHeard(entry, now) && silence < KNOCK_TIME;
+    return knocking ? KNOCK_INTERVAL : SUBSCRIPTION_INTERVAL;
+  }
+}
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -16,8 +16,13 @@
 import type { CachedFlow, FlowCache } from './flow-cache';
 import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
 import { FlowSearches, type FlowSearch } from './flow-search';
-import { PacketMessageType, type DeliverMessage, type NotHeldMessage } from './packet-messages';
-import type { PacketLink } from './packet-link';
+import {
+  PacketMessageType,
+  type DeliverMessage,
+  type NotHeldMessage,
+  type PacketMessage,
+} from './packet-messages';
+import type { MessageLink } from '../wire/message-link';
 import type { Route, RoutingTable } from './routing-table';
 import { ServiceRotation } from './service-rotation';
 
@@ -43,7 +48,7 @@
   readonly format: PacketFormat;
   readonly directory: AgentDirectory;
   readonly cache: FlowCache;
-  readonly link: PacketLink;
+  readonly link: MessageLink<PacketMessage>;
   /** Sends a reset to a client. */
   sendToClient(client: Endpoint, packet: Buffer): void;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -11,7 +11,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
-import { PacketLink } from './packet-link';
+import { MessageLink } from '../wire/message-link';
 import {
   PacketMessageType,
   RefusalReason,
@@ -81,7 +81,7 @@
     packetsMalformed: 0,
     heartbeats: 0,
   };
-  private readonly link: PacketLink;
+  private readonly link: MessageLink<PacketMessage>;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly subscribers = new Subscribers();
@@ -96,7 +96,7 @@
     private readonly dependencies: PacketAgentDependencies,
   ) {
     const { environment, codec, transport } = dependencies;
-    this.link = new PacketLink(codec, transport, environment);
+    this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
     this.run = Math.floor(environment.random() * RUN_RANGE);
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
@@ -114,6 +114,11 @@
     this.register(REGISTRATION_RETRY);
   }
 
+  /** Takes other seeds, which the settings name now, and makes itself known there. */
+  replaceSeeds(seeds: readonly Endpoint[]): void {
+    this.sendReports(seeds);
+  }
+
   /** Ends all timers. */
   stop(): void {
     this.timers.forEach((timer) => timer.cancel());
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -7,31 +7,25 @@
 import { Events } from '../logging/events';
 import type { FrameCodec } from '../wire/frame-codec';
 import { AgentDirectory, type AgentEntry } from './agent-directory';
+import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
 import { CollectionFollower } from './collection-follower';
 import type { AgentRegistryPort, Changes, CollectionPort, Listing } from './collection-port';
 import { FlowCache } from './flow-cache';
 import type { PacketFormat } from './flow-packet';
 import { FlowRouter } from './flow-router';
-import { PacketLink } from './packet-link';
+import { MessageLink } from '../wire/message-link';
 import {
   PacketMessageType,
   TargetState,
   type AgentRecord,
   type PacketMessage,
   type ReportMessage,
-  type SubscribeMessage,
 } from './packet-messages';
 import { PeerExchange, type SnapshotPort } from './peer-exchange';
 import type { PeerSnapshot } from './peer-snapshot';
 import { RegistryUpkeep } from './registry-upkeep';
 import type { RoutingTable } from './routing-table';
 
-/** Milliseconds between subscriptions at an agent that is heard. */
-const SUBSCRIPTION_INTERVAL = 1_000;
-/** Milliseconds between subscriptions at an agent that is silent. */
-const KNOCK_INTERVAL = 100;
-/** A long silent agent is asked at the slower pace again. */
-const KNOCK_TIME = 10_000;
 const CACHED_FLOWS = 500_000;
 const UPKEEP_INTERVAL = 1_000;
 
@@ -73,12 +67,12 @@
   readonly directory = new AgentDirectory();
   readonly router: FlowRouter;
   private readonly cache: FlowCache;
-  private readonly link: PacketLink;
+  private readonly link: MessageLink<PacketMessage>;
   private readonly peers: PeerExchange;
   private readonly upkeep: RegistryUpkeep;
+  private readonly subscriptions: AgentSubscriptions;
   private readonly followers: readonly CollectionFollower<never>[];
   private readonly timers = new Set<TimerHandle>();
-  private readonly subscribedAt = new Map<Endpoint, number>();
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
@@ -89,7 +83,7 @@
   ) {
     const { environment, codec, transport, format, registry, routingTables } = dependencies;
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
-    this.link = new PacketLink(codec, transport, environment);
+    this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
@@ -100,6 +94,9 @@
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
     });
     this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
+    this.subscriptions = new AgentSubscriptions(settings.zone, this.directory, (agent, message) =>
+      this.link.send(agent, message),
+    );
     this.peers = this.createPeerExchange();
     this.followers = [
       new CollectionFollower('routing', routingTables, environment, {
@@ -126,6 +123,11 @@
     this.updateReadiness();
   }
 
+  /** Takes other seeds, which the settings name now. */
+  replaceSeeds(seeds: readonly Endpoint[]): void {
+    seeds.forEach((seed) => this.peers.learnPeer(seed));
+  }
+
   /** Ends all timers and calls. */
   stop(): void {
     this.stopping = true;
@@ -313,34 +315,14 @@
     this.updateReadiness();
   }
 
-  /** Asks agents for reports: often while they are silent, else once a second. */
   private subscribe(): void {
-    const now = this.dependencies.environment.now();
-    const { zone } = this.settings;
-    const message: SubscribeMessage = { type: PacketMessageType.subscribe, zone };
-    for (const entry of this.directory.all()) {
-      const last = this.subscribedAt.get(entry.address) ?? -Infinity;
-      if (now - last >= this.subscriptionInterval(entry, now) - 1) {
-        this.subscribedAt.set(entry.address, now);
-        this.link.send(entry.address, message);
-      }
-    }
-  }
-
-  private subscriptionInterval(entry: AgentEntry, now: number): number {
-    const silence = now - (entry.heardAt ?? entry.knownSince);
-    const knocking = !this.directory.isHeard(entry, now) && silence < KNOCK_TIME;
-    return knocking ? KNOCK_INTERVAL : SUBSCRIPTION_INTERVAL;
+    this.subscriptions.run(this.dependencies.environment.now());
   }
 
   private maintain(): void {
     this.router.expire(this.dependencies.environment.now());
     this.upkeep.run();
-    for (const address of [...this.subscribedAt.keys()]) {
-      if (!this.directory.find(address)) {
-        this.subscribedAt.delete(address);
-      }
-    }
+    this.subscriptions.expire();
     this.updateReadiness();
   }
 
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -126,11 +126,13 @@
   return pack ? { property, key, unpack, pack } : { property, key, unpack };
 }
 
-function packAgents(agents: readonly AgentRecord[]): unknown[] {
+/** Agents in the form in which they are sent. */
+export function packAgents(agents: readonly AgentRecord[]): unknown[] {
   return agents.map(({ address, service, zone }) => [address, service, zone]);
 }
 
-function unpackAgent(value: unknown): AgentRecord {
+/** Checks one agent as received; throws a `FieldError` for anything else. */
+export function unpackAgent(value: unknown): AgentRecord {
   const [address, service, zone] = tuple(value, 3);
   return { address: integer(address), service: text(service), zone: text(zone) };
 }
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -155,3 +155,9 @@
     metrics: reader.optionalText('metrics'),
   };
 }
+
+/** Keys whose values differ between two settings. */
+export function changedKeys(before: PacketSettings, after: PacketSettings): string[] {
+  const keys = Object.keys(after) as (keyof PacketSettings)[];
+  return keys.filter((key) => JSON.stringify(before[key]) !== JSON.stringify(after[key]));
+}
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -7,8 +7,13 @@
 import type { Endpoint, Environment, TimerHandle } from '../environment';
 import type { AgentDirectory } from './agent-directory';
 import type { Answer } from './collection-port';
-import type { PacketLink } from './packet-link';
-import { PacketMessageType, type AgentRecord, type PeerStatusMessage } from './packet-messages';
+import type { MessageLink } from '../wire/message-link';
+import {
+  PacketMessageType,
+  type AgentRecord,
+  type PacketMessage,
+  type PeerStatusMessage,
+} from './packet-messages';
 import type { PeerSnapshot } from './peer-snapshot';
 
 const STATUS_INTERVAL = 500;
@@ -28,7 +33,7 @@
   readonly self: Endpoint;
   readonly seeds: readonly Endpoint[];
   readonly directory: AgentDirectory;
-  readonly link: PacketLink;
+  readonly link: MessageLink<PacketMessage>;
   readonly snapshots: SnapshotPort;
   routingVersion(): number;
   snapshotReceived(peer: Endpoint, snapshot: PeerSnapshot): void;
@@ -53,10 +58,16 @@
     this.timer?.cancel();
   }
 
-  /** Another balancer's address, from an agent's report or a message. */
+  /** Another balancer's address; beyond a number the one named longest ago is dropped. */
   learnPeer(peer: Endpoint): void {
-    if (peer !== this.dependencies.self && this.peers.size < MAXIMUM_PEERS) {
-      this.peers.add(peer);
+    if (peer === this.dependencies.self) {
+      return;
+    }
+    this.peers.delete(peer);
+    this.peers.add(peer);
+    if (this.peers.size > MAXIMUM_PEERS) {
+      const [oldest] = this.peers;
+      this.peers.delete(oldest!);
     }
   }
 
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -4,7 +4,7 @@
 import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { FieldError, integer, listOf, oneOf, positive, text, tuple } from '../wire/field-codecs';
-import type { AgentRecord } from './packet-messages';
+import { packAgents, unpackAgent, type AgentRecord } from './packet-messages';
 import type { Route, RoutingTable, WeightedService } from './routing-table';
 
 /** State that a starting or lagging balancer can take over. */
@@ -21,7 +21,7 @@
     serialize({
       table: routingTable ? packTable(routingTable) : null,
       complete: viewComplete ? 1 : 0,
-      agents: agents.map(({ address, service, zone }) => [address, service, zone]),
+      agents: packAgents(agents),
     }),
   );
 }
@@ -71,8 +71,3 @@
   const [service, weight] = tuple(value, 2);
   return { service: text(service), weight: positive(weight) };
 }
-
-function unpackAgent(value: unknown): AgentRecord {
-  const [address, service, zone] = tuple(value, 3);
-  return { address: integer(address), service: text(service), zone: text(zone) };
-}
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -39,6 +39,8 @@
 export interface PacketProcess {
   /** Ends as planned; `done` is called when the process may exit. */
   beginStop(done: () => void): void;
+  /** Puts changed settings in force; seeds are what can change in a running process. */
+  reload(settings: PacketSettings): void;
   /** Figures for the metrics page. */
   readonly figures: Figures;
   /** Told how many milliseconds each packet took; set by whoever measures. */
@@ -123,6 +125,10 @@
     poll();
   }
 
+  reload(settings: PacketSettings): void {
+    this.node.replaceSeeds(settings.seeds);
+  }
+
   get figures(): Figures {
     return { ...this.node.figures, ...this.node.router.counters };
   }
@@ -178,6 +184,10 @@
     return running;
   }
 
+  reload(settings: PacketSettings): void {
+    this.node.replaceSeeds(settings.seeds);
+  }
+
   get figures(): Figures {
     return { ...this.node.figures, ...this.node.counters };
   }
--- a/src/packets/packet-link.ts
+++ b/src/wire/message-link.ts
@@ -1,16 +1,15 @@
-/** A packet node's way to other nodes: encodes and sends, authenticates and counts. */
+/** A node's way to and from other nodes: encodes and sends, authenticates and counts. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
 import { ResultCodes } from '../errors/result-codes';
 import { Events } from '../logging/events';
-import type { FrameCodec } from '../wire/frame-codec';
-import type { PacketMessage } from './packet-messages';
+import type { FrameCodec } from './frame-codec';
 
-/** Sends and receives the frames of one packet node. */
-export class PacketLink {
+/** Sends and receives the frames of one node in one protocol. */
+export class MessageLink<M extends { readonly type: number }> {
   private rejected = 0;
 
   constructor(
-    private readonly codec: FrameCodec<PacketMessage>,
+    readonly codec: FrameCodec<M>,
     private readonly transport: FrameTransport,
     private readonly environment: Environment,
   ) {}
@@ -20,12 +19,15 @@
     return this.rejected;
   }
 
-  send(to: Endpoint, message: PacketMessage): void {
-    this.transport.send(to, this.codec.encode(message));
+  /** Sends a message; returns the bytes of its frame. */
+  send(to: Endpoint, message: M): number {
+    const frame = this.codec.encode(message);
+    this.transport.send(to, frame);
+    return frame.length;
   }
 
   /** The message of a received frame; undefined for one that is dropped, which is reported. */
-  receive(frame: Buffer): PacketMessage | undefined {
+  receive(frame: Buffer): M | undefined {
     const decoded = this.codec.decode(frame);
     if (decoded.ok) {
       return decoded.val;
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -1,6 +1,5 @@
 /** The packet interface in virtual time: what holds while processes, targets and store fail. */
 import test from 'ava';
-import { packEndpoint } from '../src/core/endpoint';
 import { Events } from '../src/logging/events';
 import { AgentDirectory } from '../src/packets/agent-directory';
 import {
@@ -10,38 +9,26 @@
   type TargetStateValue,
 } from '../src/packets/packet-messages';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
+import {
+  MAP_DESTINATION,
+  MODEL_ROUTES,
+  openModelFlows,
+  runRandomFaults,
+  startModelDeployment,
+  TILE_DESTINATION,
+} from '../src/simulation/packets/random-faults';
 
-const MAP = packEndpoint('198.18.0.1', 8_443);
-const TILES = packEndpoint('198.18.0.2', 8_443);
-const ROUTES = new Map([
-  [MAP, ['map']],
-  [TILES, ['tiles']],
-]);
-const ZONES = ['north', 'south', 'east'];
-const SETTLING = 3_000;
+const MAP = MAP_DESTINATION;
+const TILES = TILE_DESTINATION;
+const ROUTES = MODEL_ROUTES;
+const openFlows = openModelFlows;
 
-/** A running deployment: balancers in three zones, four map targets, two tile targets. */
 function startWorld(seed = 1, balancers = 3): PacketWorld {
   const world = new PacketWorld(seed);
-  world.configure(1, ROUTES);
-  for (let index = 0; index < balancers; index++) {
-    world.addBalancer(ZONES[index % ZONES.length]!);
-  }
-  for (let index = 0; index < 4; index++) {
-    world.addAgent('map', ZONES[index % ZONES.length]!);
-  }
-  world.addAgent('tiles', 'north');
-  world.addAgent('tiles', 'south');
-  world.runFor(SETTLING);
+  startModelDeployment(world, balancers);
   return world;
 }
 
-function openFlows(world: PacketWorld, count: number, requests = 20, pause = 300): void {
-  for (let index = 0; index < count; index++) {
-    world.openFlow(index % 4 === 0 ? TILES : MAP, requests, pause);
-  }
-}
-
 function countIn(world: PacketWorld, state: string): number {
   return world.clients.filter((client) => client.state === state).length;
 }
@@ -324,51 +311,9 @@
   t.is(directory.hear(1, report(7, 4, TargetState.ready), 501), undefined);
 });
 
-/** One fault drawn at random; it heals by itself. */
-function disturb(world: PacketWorld): void {
-  const { random } = world;
-  const balancer = random.pick(world.balancers);
-  const agent = random.pick(world.agents);
-  const kind = Math.floor(random.next() * 8);
-  const back = random.between(200, 2_500);
-  const noteFaults = (): void => [balancer, agent].forEach(({ name }) => world.noteFault(name));
-  noteFaults();
-  world.clock.schedule(back, noteFaults);
-  if (kind === 0) {
-    balancer.process.kill();
-    world.clock.schedule(back, () => world.startBalancer(balancer));
-  } else if (kind === 1) {
-    agent.process.kill();
-    world.clock.schedule(back, () => world.startAgent(agent));
-  } else if (kind === 2) {
-    balancer.process.freeze();
-    world.clock.schedule(back, () => balancer.process.wake());
-  } else if (kind === 3) {
-    const cut = { from: agent.name, to: balancer.name };
-    world.network.cut(cut);
-    world.clock.schedule(back, () => world.network.heal(cut));
-  } else if (kind === 4) {
-    world.store.down = true;
-    world.clock.schedule(back, () => (world.store.down = false));
-  } else if (kind === 5) {
-    world.store.compact();
-  } else if (kind === 6) {
-    world.startTarget(agent);
-  } else {
-    world.configure(Math.ceil(world.clock.now), ROUTES);
-  }
-}
-
 for (const seed of [101, 102, 103, 104, 105, 106, 107, 108]) {
   test(`random faults break no promise, seed ${seed}`, (t) => {
-    const world = startWorld(seed);
-    world.network.quality.loss = 0.005;
-    for (let round = 0; round < 20; round++) {
-      openFlows(world, 6, 12, 250);
-      disturb(world);
-      world.runFor(700);
-    }
-    world.runFor(20_000);
+    const world = runRandomFaults(seed);
     t.deepEqual(world.violations, NO_VIOLATIONS);
     const served = countIn(world, 'done') / world.clients.length;
     t.true(served > 0.6, `served ${served}`);
