--- /dev/null
+++ b/src/packets/load-reporter.ts
@@ -0,0 +1,73 @@
+/** An agent's reports of its target's state and load to the balancers that want them. */
+import type { Endpoint, Environment } from '../environment';
+import type { MessageLink } from '../wire/message-link';
+import type { FlowTracker } from './flow-tracker';
+import {
+  PacketMessageType,
+  type PacketMessage,
+  type ReportMessage,
+  type TargetStateValue,
+} from './packet-messages';
+import { Subscribers } from './subscribers';
+import type { TargetLifecycle } from './target-lifecycle';
+
+/** Balancers named in a report, so that balancers find each other. */
+const BALANCERS_IN_REPORT = 4;
+const RUN_RANGE = 2 ** 48;
+
+/** What a reporter tells of. */
+export interface LoadReporterDependencies {
+  readonly environment: Environment;
+  readonly zone: string;
+  readonly link: MessageLink<PacketMessage>;
+  readonly target: TargetLifecycle;
+  readonly tracker: FlowTracker;
+  /** The agent's state, which may differ from its target's. */
+  state(): TargetStateValue;
+}
+
+/** Reporter of one agent. */
+export class LoadReporter {
+  private readonly subscribers = new Subscribers();
+  private readonly run: number;
+  private reportsSent = 0;
+
+  constructor(private readonly dependencies: LoadReporterDependencies) {
+    this.run = Math.floor(dependencies.environment.random() * RUN_RANGE);
+  }
+
+  /** A balancer is there: it gets reports for some seconds, the first at once. */
+  subscribe(balancer: Endpoint): void {
+    if (this.subscribers.renew(balancer, this.dependencies.environment.now())) {
+      this.reportTo([balancer]);
+    }
+  }
+
+  /** Reports to every subscriber. */
+  report(): void {
+    this.reportTo(this.subscribers.present(this.dependencies.environment.now()));
+  }
+
+  /** Reports to some balancers, subscribed or not. */
+  reportTo(balancers: readonly Endpoint[]): void {
+    const report = this.createReport(balancers);
+    balancers.forEach((balancer) => this.dependencies.link.send(balancer, report));
+  }
+
+  private createReport(balancers: readonly Endpoint[]): ReportMessage {
+    const { environment, zone, target, tracker, state } = this.dependencies;
+    return {
+      type: PacketMessageType.report,
+      run: this.run,
+      sequence: ++this.reportsSent,
+      service: target.service,
+      zone,
+      state: state(),
+      slots: target.slots,
+      busyRequests: tracker.busyRequests,
+      openFlows: tracker.openFlows,
+      coldLeft: target.coldLeft(environment.now()),
+      balancers: balancers.slice(0, BALANCERS_IN_REPORT),
+    };
+  }
+}
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -11,6 +11,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
+import { LoadReporter } from './load-reporter';
 import { MessageLink } from '../wire/message-link';
 import {
   PacketMessageType,
@@ -19,12 +20,10 @@
   type AgentRecord,
   type DeliverMessage,
   type RefusalReasonValue,
-  type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
 import type { PacketMessage } from './packet-messages';
 import { PendingDeliveries } from './pending-deliveries';
-import { Subscribers } from './subscribers';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
 const REPORT_INTERVAL = 250;
@@ -33,10 +32,7 @@
 const EXPIRY_INTERVAL = 1_000;
 const REGISTRATION_RETRY = 500;
 const LONGEST_REGISTRATION_RETRY = 4_000;
-/** Balancers named in a report, so that balancers find each other. */
-const BALANCERS_IN_REPORT = 4;
 const TOKEN_RANGE = 2 ** 32;
-const RUN_RANGE = 2 ** 48;
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -84,11 +80,9 @@
   private readonly link: MessageLink<PacketMessage>;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
-  private readonly subscribers = new Subscribers();
+  private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
   private readonly timers = new Set<TimerHandle>();
-  private readonly run: number;
-  private reportsSent = 0;
   private restarting = false;
 
   constructor(
@@ -98,16 +92,21 @@
     const { environment, codec, transport } = dependencies;
     this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
-    this.run = Math.floor(environment.random() * RUN_RANGE);
+    this.reporter = new LoadReporter({
+      environment,
+      zone: settings.zone,
+      link: this.link,
+      target: this.target,
+      tracker: this.tracker,
+      state: () => this.state,
+    });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
 
   start(): void {
     const { environment } = this.dependencies;
-    this.sendReports(this.settings.seeds);
-    this.repeat(REPORT_INTERVAL, () =>
-      this.sendReports(this.subscribers.present(environment.now())),
-    );
+    this.reporter.reportTo(this.settings.seeds);
+    this.repeat(REPORT_INTERVAL, () => this.reporter.report());
     this.repeat(EXPIRY_INTERVAL, () =>
       this.tracker.expire(this.settings.flowLifetime, environment.now()),
     );
@@ -116,7 +115,7 @@
 
   /** Takes other seeds, which the settings name now, and makes itself known there. */
   replaceSeeds(seeds: readonly Endpoint[]): void {
-    this.sendReports(seeds);
+    this.reporter.reportTo(seeds);
   }
 
   /** Ends all timers. */
@@ -177,7 +176,7 @@
     if (message?.type === PacketMessageType.deliver) {
       this.deliver(message, from);
     } else if (message?.type === PacketMessageType.subscribe) {
-      this.subscribe(from);
+      this.reporter.subscribe(from);
     } else if (message) {
       this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
@@ -210,12 +209,6 @@
     return { address, zone, service: this.target.service };
   }
 
-  private subscribe(balancer: Endpoint): void {
-    if (this.subscribers.renew(balancer, this.dependencies.environment.now())) {
-      this.sendReports([balancer]);
-    }
-  }
-
   private deliver(message: DeliverMessage, balancer: Endpoint): void {
     const { environment, format, sendToTarget } = this.dependencies;
     const packet = format.decodeFromClient(message.payload);
@@ -224,7 +217,7 @@
       environment.report(Events.packetMalformed, { length: message.payload.length });
       return;
     }
-    this.subscribe(balancer);
+    this.reporter.subscribe(balancer);
     const refusal = this.refusalOf(packet, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
@@ -301,33 +294,8 @@
 
   /** Tells every balancer of a change at once, and again shortly after. */
   private announce(): void {
-    const { environment } = this.dependencies;
-    const send = (): void => this.sendReports(this.subscribers.present(environment.now()));
-    send();
-    REPORT_REPEATS.forEach((delay) => environment.startTimer(delay, send));
-  }
-
-  private sendReports(balancers: readonly Endpoint[]): void {
-    const report = this.createReport(balancers);
-    balancers.forEach((balancer) => this.link.send(balancer, report));
-  }
-
-  private createReport(balancers: readonly Endpoint[]): ReportMessage {
-    const { environment } = this.dependencies;
-    const { busyRequests, openFlows } = this.tracker;
-    return {
-      type: PacketMessageType.report,
-      run: this.run,
-      sequence: ++this.reportsSent,
-      service: this.target.service,
-      zone: this.settings.zone,
-      state: this.state,
-      slots: this.target.slots,
-      busyRequests,
-      openFlows,
-      coldLeft: this.target.coldLeft(environment.now()),
-      balancers: balancers.slice(0, BALANCERS_IN_REPORT),
-    };
+    this.reporter.report();
+    REPORT_REPEATS.forEach((delay) => this.once(delay, () => this.reporter.report()));
   }
 
   private reportTarget(): void {
--- /dev/null
+++ b/src/packets/packet-balancer-contracts.ts
@@ -0,0 +1,41 @@
+/** Settings, needs and figures of a packet balancer. */
+import type { Endpoint, Environment, FrameTransport } from '../environment';
+import type { FrameCodec } from '../wire/frame-codec';
+import type { AgentRegistryPort, CollectionPort } from './collection-port';
+import type { PacketFormat } from './flow-packet';
+import type { PacketMessage } from './packet-messages';
+import type { SnapshotPort } from './peer-exchange';
+import type { RoutingTable } from './routing-table';
+
+/** Settings of a packet balancer. */
+export interface PacketBalancerSettings {
+  readonly zone: string;
+  /** Where other nodes reach this balancer. */
+  readonly address: Endpoint;
+  /** Other balancers that may be running; may be out of date. */
+  readonly seeds: readonly Endpoint[];
+  /** Milliseconds for which a flow may rest. */
+  readonly flowLifetime: number;
+}
+
+/** What a packet balancer needs from its process. */
+export interface PacketBalancerDependencies {
+  readonly environment: Environment;
+  readonly codec: FrameCodec<PacketMessage>;
+  readonly transport: FrameTransport;
+  readonly format: PacketFormat;
+  readonly routingTables: CollectionPort<RoutingTable>;
+  readonly registry: AgentRegistryPort;
+  readonly snapshots: SnapshotPort;
+  sendToClient(client: Endpoint, packet: Buffer): void;
+}
+
+/** Figures of a packet balancer. */
+export interface PacketBalancerFigures {
+  readonly routingVersion: number;
+  readonly agentsKnown: number;
+  readonly agentsHeard: number;
+  readonly flowsCached: number;
+  readonly framesRejected: number;
+  readonly ready: boolean;
+}
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -3,15 +3,13 @@
  * agent beside the target that holds, or will hold, its flow.
  */
 import { formatEndpoint } from '../core/endpoint';
-import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
+import type { Endpoint, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
-import type { FrameCodec } from '../wire/frame-codec';
 import { AgentDirectory, type AgentEntry } from './agent-directory';
 import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
 import { CollectionFollower } from './collection-follower';
-import type { AgentRegistryPort, Changes, CollectionPort, Listing } from './collection-port';
+import type { Changes, Listing } from './collection-port';
 import { FlowCache } from './flow-cache';
-import type { PacketFormat } from './flow-packet';
 import { FlowRouter } from './flow-router';
 import { MessageLink } from '../wire/message-link';
 import {
@@ -21,47 +19,19 @@
   type PacketMessage,
   type ReportMessage,
 } from './packet-messages';
-import { PeerExchange, type SnapshotPort } from './peer-exchange';
+import { PeerExchange } from './peer-exchange';
 import type { PeerSnapshot } from './peer-snapshot';
+import type {
+  PacketBalancerDependencies,
+  PacketBalancerFigures,
+  PacketBalancerSettings,
+} from './packet-balancer-contracts';
 import { RegistryUpkeep } from './registry-upkeep';
 import type { RoutingTable } from './routing-table';
 
 const CACHED_FLOWS = 500_000;
 const UPKEEP_INTERVAL = 1_000;
 
-/** Settings of a packet balancer. */
-export interface PacketBalancerSettings {
-  readonly zone: string;
-  /** Where other nodes reach this balancer. */
-  readonly address: Endpoint;
-  /** Other balancers that may be running; may be out of date. */
-  readonly seeds: readonly Endpoint[];
-  /** Milliseconds for which a flow may rest. */
-  readonly flowLifetime: number;
-}
-
-/** What a packet balancer needs from its process. */
-export interface PacketBalancerDependencies {
-  readonly environment: Environment;
-  readonly codec: FrameCodec<PacketMessage>;
-  readonly transport: FrameTransport;
-  readonly format: PacketFormat;
-  readonly routingTables: CollectionPort<RoutingTable>;
-  readonly registry: AgentRegistryPort;
-  readonly snapshots: SnapshotPort;
-  sendToClient(client: Endpoint, packet: Buffer): void;
-}
-
-/** Figures of a packet balancer. */
-export interface PacketBalancerFigures {
-  readonly routingVersion: number;
-  readonly agentsKnown: number;
-  readonly agentsHeard: number;
-  readonly flowsCached: number;
-  readonly framesRejected: number;
-  readonly ready: boolean;
-}
-
 /** One packet balancer. */
 export class PacketBalancer {
   readonly directory = new AgentDirectory();
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -20,7 +20,7 @@
 /** It stays at least so long, since routers let go of it only after some probes. */
 const SHORTEST_STOP = 1_200;
 const STOP_POLL = 100;
-/** Milliseconds for the last datagrams to leave before a process exits. */
+/** Milliseconds before an agent exits, in which it repeats that it goes. */
 const FLUSH_TIME = 20;
 
 /** What a packet process gets from the adapter that starts it. */
@@ -194,8 +194,10 @@
 
   beginStop(done: () => void): void {
     this.node.beginStop(() => {
-      this.node.stop();
-      this.environment.startTimer(FLUSH_TIME, done);
+      this.environment.startTimer(FLUSH_TIME, () => {
+        this.node.stop();
+        done();
+      });
     });
   }
 
