--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['build/', 'node_modules/'] },
+  { ignores: ['build/', 'node_modules/', 'target/'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- /dev/null
+++ b/test/packet-units.test.ts
@@ -0,0 +1,321 @@
+/** Single decisions of the packet interface. */
+import test from 'ava';
+import { Err, Ok } from 'ts-results';
+import type { EventKind } from '../src/logging/events';
+import type { Environment, TimerHandle } from '../src/environment';
+import { HallholdError } from '../src/errors/hallhold-error';
+import { ResultCodes, type ResultCode } from '../src/errors/result-codes';
+import { LineLog } from '../src/logging/line-log';
+import { Events } from '../src/logging/events';
+import { AgentDirectory, type AgentEntry } from '../src/packets/agent-directory';
+import { selectAgent } from '../src/packets/agent-selection';
+import { CollectionFollower } from '../src/packets/collection-follower';
+import type { CollectionPort } from '../src/packets/collection-port';
+import { DelayedDeliveries } from '../src/packets/delayed-deliveries';
+import { FlowCache } from '../src/packets/flow-cache';
+import type { FlowPacket } from '../src/packets/flow-packet';
+import { FlowSearches } from '../src/packets/flow-search';
+import { FlowTracker } from '../src/packets/flow-tracker';
+import { PacketMessageType, TargetState, type ReportMessage } from '../src/packets/packet-messages';
+import { changedKeys, checkPacketSettings } from '../src/packets/packet-settings';
+import { decodeSnapshot, encodeSnapshot } from '../src/packets/peer-snapshot';
+import { PendingDeliveries } from '../src/packets/pending-deliveries';
+import { ServiceRotation } from '../src/packets/service-rotation';
+import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
+import { parseMetricsPlace } from '../src/runtime/packet-metrics';
+
+function heartbeat(incarnation: string, sequence: number, draining = false): TargetHeartbeat {
+  return { incarnation, service: 'map', slots: 5, draining, coldLeft: 0, sequence };
+}
+
+test('a late heartbeat neither undoes a drain nor brings back a replaced incarnation', (t) => {
+  const target = new TargetLifecycle('map');
+  t.is(target.state, TargetState.unknown);
+  t.is(target.heartbeat(heartbeat('a', 5), 0), 'state');
+  t.is(target.heartbeat(heartbeat('a', 7, true), 1), 'state');
+  t.is(target.heartbeat(heartbeat('a', 6), 2), 'none');
+  t.is(target.heartbeat(heartbeat('a', 8), 3), 'none');
+  t.is(target.state, TargetState.draining);
+  t.is(target.heartbeat(heartbeat('b', 1), 4), 'incarnation');
+  t.is(target.state, TargetState.ready);
+  t.is(target.heartbeat(heartbeat('a', 9, true), 5), 'none');
+  t.is(target.leave('a'), 'none');
+  t.is(target.state, TargetState.ready);
+  t.is(target.leave('b'), 'state');
+  t.is(target.heartbeat(heartbeat('b', 2), 6), 'none');
+  t.is(target.state, TargetState.gone);
+});
+
+test('a target that leaves before its agent knows it is gone, also for late heartbeats', (t) => {
+  const target = new TargetLifecycle('map');
+  t.is(target.leave('a'), 'state');
+  t.is(target.heartbeat(heartbeat('a', 3), 1), 'none');
+  t.is(target.state, TargetState.gone);
+});
+
+const EMPTY: FlowPacket = {
+  flow: 'f',
+  client: 1,
+  destination: 2,
+  opens: false,
+  ends: false,
+  resets: false,
+  refused: false,
+  openingCopy: 0,
+  sequence: 10,
+  acknowledgement: 0,
+  payloadLength: 0,
+  bytes: Buffer.alloc(0),
+};
+
+test('a request is busy from its first packet to the first of its answer, repeats or not', (t) => {
+  const tracker = new FlowTracker();
+  const request = { ...EMPTY, payloadLength: 900 };
+  tracker.delivered(request, 7, 0);
+  t.is(tracker.busyRequests, 1);
+  t.is(tracker.sent({ ...EMPTY, payloadLength: 100 }, 1), 7);
+  t.is(tracker.busyRequests, 0);
+  tracker.delivered(request, 7, 2);
+  t.is(tracker.busyRequests, 0);
+  tracker.delivered({ ...request, sequence: 11 }, 7, 3);
+  t.is(tracker.busyRequests, 1);
+  t.is(tracker.openFlows, 1);
+  tracker.sent({ ...EMPTY, ends: true }, 4);
+  tracker.sent(EMPTY, 5);
+  t.is(tracker.openFlows, 0);
+});
+
+test('sequence numbers wrap', (t) => {
+  const tracker = new FlowTracker();
+  tracker.delivered({ ...EMPTY, payloadLength: 1, sequence: 0xffff_fffe }, 7, 0);
+  tracker.sent({ ...EMPTY, payloadLength: 1 }, 1);
+  tracker.delivered({ ...EMPTY, payloadLength: 1, sequence: 3 }, 7, 2);
+  t.is(tracker.busyRequests, 1);
+});
+
+test('each balancer is told once that a flow is held, and again when another takes over', (t) => {
+  const tracker = new FlowTracker();
+  tracker.delivered(EMPTY, 7, 0);
+  t.is(tracker.sent(EMPTY, 1), 7);
+  t.is(tracker.sent(EMPTY, 2), undefined);
+  tracker.delivered(EMPTY, 8, 3);
+  t.is(tracker.sent(EMPTY, 4), 8);
+  t.is(new FlowTracker().sent({ ...EMPTY, opens: true }, 5), undefined);
+});
+
+test('the cache keeps what is used, and falls back to another agent that was offered the flow', (t) => {
+  const cache = new FlowCache(2, 1_000);
+  cache.noteOpening('a', 1, 'map', 0);
+  cache.noteOpening('a', 2, 'map', 200);
+  t.is(cache.use('a', 201)!.agent, 2);
+  cache.deny('a', 2);
+  t.is(cache.use('a', 202)!.agent, 1);
+  cache.confirm('b', 3, 203);
+  cache.use('a', 204);
+  cache.confirm('c', 3, 205);
+  t.is(cache.use('b', 206), undefined);
+  t.truthy(cache.use('a', 207));
+  t.is(cache.use('c', 1_300), undefined);
+  cache.expire(5_000);
+  t.is(cache.size, 0);
+});
+
+const ROUTE = { name: 'r', destination: 2, services: [{ service: 'map', weight: 1 }] };
+
+test('a search of an open flow outlives its packet; a new opening voids it', (t) => {
+  const searches = new FlowSearches(1_000);
+  const search = searches.forHolder('f', ROUTE, ['map'], 0);
+  search.refusedBy.add(5);
+  t.is(searches.forHolder('f', ROUTE, ['map'], 500), search);
+  t.is(searches.find(search.id, 600), search);
+  searches.beginOpening('f', ROUTE, ['map'], 700);
+  t.is(searches.forHolder('f', ROUTE, ['map'], 800).refusedBy.size, 0);
+  searches.expire(5_000);
+  t.is(searches.size, 0);
+});
+
+test('delayed packets are bounded in number and age', (t) => {
+  const delayed = new DelayedDeliveries();
+  const message = (searchId: number) => ({
+    type: PacketMessageType.deliver,
+    searchId,
+    services: ['map'],
+    payload: Buffer.alloc(1),
+  });
+  for (let index = 0; index < 300; index++) {
+    delayed.add(1, message(index), index);
+  }
+  t.is(delayed.take(1, 300).length, 256);
+  delayed.add(1, message(1), 0);
+  t.is(delayed.take(1, 2_000).length, 0);
+});
+
+test('a token of another run or of a slot that was reused finds nothing', (t) => {
+  const pending = new PendingDeliveries(2 ** 32 - 2);
+  const first = pending.add(7, 1);
+  t.not(pending.add(7, 2), 0);
+  t.is(pending.take(first)!.searchId, 1);
+  t.is(pending.take(first), undefined);
+  const old = pending.add(8, 3);
+  for (let index = 0; index < 4_096; index++) {
+    pending.add(9, 4);
+  }
+  t.is(pending.take(old), undefined);
+});
+
+test('weights split new flows evenly mixed; a weight of 0 gets none', (t) => {
+  const rotation = new ServiceRotation();
+  const services = [
+    { service: 'a', weight: 9 },
+    { service: 'b', weight: 1 },
+    { service: 'c', weight: 0 },
+  ];
+  const route = { name: 'r', destination: 1, services };
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 100; index++) {
+    const service = rotation.next(route);
+    counts.set(service, (counts.get(service) ?? 0) + 1);
+  }
+  t.deepEqual([...counts].sort(), [
+    ['a', 90],
+    ['b', 10],
+  ]);
+});
+
+function entryWith(address: number, fields: Partial<ReportMessage>, zone = 'north'): AgentEntry {
+  const directory = new AgentDirectory();
+  const report: ReportMessage = {
+    type: PacketMessageType.report,
+    run: 1,
+    sequence: 1,
+    service: 'map',
+    zone,
+    state: TargetState.ready,
+    slots: 5,
+    busyRequests: 0,
+    openFlows: 0,
+    coldLeft: 0,
+    balancers: [],
+    ...fields,
+  };
+  return directory.hear(address, report, 0)!;
+}
+
+test('the least loaded ready target is chosen; draining ones never', (t) => {
+  const context = { zone: 'north', isHeard: () => true };
+  const busy = entryWith(1, { busyRequests: 4 });
+  const idle = entryWith(2, { busyRequests: 1 });
+  const draining = entryWith(3, { state: TargetState.draining });
+  const away = entryWith(4, { state: TargetState.agentRestarting });
+  t.is(selectAgent([busy, idle, draining, away], context), idle);
+  t.is(selectAgent([draining, away], context), undefined);
+  const cold = entryWith(5, { coldLeft: 900 });
+  t.is(selectAgent([idle, cold], context), idle);
+  const far = entryWith(6, {}, 'south');
+  const near = entryWith(7, {});
+  t.is(selectAgent([far, near], context), near);
+  near.recentOpenings.push(1, 2);
+  t.is(selectAgent([far, near], context), far);
+});
+
+test('a snapshot survives its encoding, and nothing else passes for one', (t) => {
+  const routingTable = { version: 4, idleTimeout: 9, routes: [ROUTE] };
+  const agents = [{ address: 1, service: 's', zone: 'z' }];
+  const snapshot = { routingTable, viewComplete: true, agents };
+  t.deepEqual(decodeSnapshot(encodeSnapshot(snapshot)).unwrap(), snapshot);
+  const bytes = encodeSnapshot(snapshot);
+  t.true(decodeSnapshot(bytes.subarray(0, bytes.length - 3)).err);
+  t.true(decodeSnapshot(Buffer.from('not bson')).err);
+});
+
+/** An environment whose timers run when told to. */
+class ManualEnvironment implements Environment {
+  readonly due: (() => void)[] = [];
+  readonly reported: string[] = [];
+  now(): number {
+    return 0;
+  }
+  startTimer(_delay: number, action: () => void): TimerHandle {
+    this.due.push(action);
+    return { cancel: () => undefined };
+  }
+  random(): number {
+    return 0.5;
+  }
+  report(event: EventKind): void {
+    this.reported.push(event.name);
+  }
+}
+
+test('a follower lists anew only when history is gone, and reports loss and return once', (t) => {
+  const environment = new ManualEnvironment();
+  const calls: string[] = [];
+  const errors: ResultCode[] = [
+    ResultCodes.storeUnavailable,
+    ResultCodes.storeUnavailable,
+    ResultCodes.storeWatchExpired,
+  ];
+  const port: CollectionPort<string> = {
+    list: (answer) => {
+      calls.push('list');
+      answer(new Ok({ items: [], revision: 7 }));
+    },
+    awaitChanges: (after, answer) => {
+      calls.push(`watch ${after}`);
+      const code = errors.shift();
+      if (code) {
+        answer(new Err(new HallholdError(code, 'x')));
+      }
+    },
+  };
+  const observer = { listed: () => undefined, changed: () => undefined };
+  new CollectionFollower('c', port, environment, observer).start();
+  environment.due.shift()!();
+  environment.due.shift()!();
+  environment.due.shift()!();
+  t.deepEqual(calls, ['list', 'watch 7', 'watch 7', 'watch 7', 'list', 'watch 7']);
+  t.deepEqual(environment.reported, ['store-unavailable', 'store-regained']);
+});
+
+test('log lines are bounded by kind and second, and say what was left out', (t) => {
+  const lines: string[] = [];
+  let now = 0;
+  let observed = 0;
+  const log = new LineLog(
+    { source: 's', level: 'info', linesPerSecond: 2, observer: () => observed++ },
+    { write: (line) => lines.push(line) },
+    () => now,
+  );
+  for (let index = 0; index < 5; index++) {
+    log.report(Events.flowPlaced, { index });
+  }
+  log.report(Events.callerMessageMalformed, {});
+  now = 1_001;
+  log.report(Events.flowPlaced, { index: 5 });
+  const parsed = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  t.deepEqual(
+    parsed.map(({ index, suppressed }) => [index, suppressed]),
+    [
+      [0, undefined],
+      [1, undefined],
+      [5, 3],
+    ],
+  );
+  t.is(parsed[0]!['event'], 2704);
+  t.is(observed, 7);
+});
+
+test('settings name the keys that a reload changed, and the metrics page has one form', (t) => {
+  const document = {
+    name: 'n',
+    zone: 'z',
+    address: '10.0.0.1:1',
+    clientPort: 5,
+    storeAddress: '10.0.0.9:1',
+  };
+  const before = checkPacketSettings('f', document).unwrap();
+  const after = checkPacketSettings('f', { ...document, seeds: ['10.0.0.2:1'], unknown: 1 });
+  t.deepEqual(changedKeys(before, after.unwrap()), ['seeds']);
+  t.deepEqual(parseMetricsPlace('9100/metrics'), { port: 9_100, path: '/metrics' });
+  t.is(parseMetricsPlace('metrics'), undefined);
+});
