--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -8,7 +8,9 @@
   type ReportMessage,
   type TargetStateValue,
 } from '../src/packets/packet-messages';
-import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { modelPacketFormat } from '../src/simulation/packets/model-packet-format';
+import type { ModelTarget } from '../src/simulation/packets/model-target';
+import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import {
   MAP_DESTINATION,
   MODEL_ROUTES,
@@ -190,17 +192,51 @@
   t.deepEqual(world.violations, NO_VIOLATIONS);
 });
 
+/** Cuts an agent's reports off, so that balancers go on with what they believe of it. */
+function silence(world: PacketWorld, agent: WorldAgent): () => void {
+  const cuts = world.balancers.map(({ name }) => ({ from: agent.name, to: name }));
+  cuts.forEach((cut) => world.network.cut(cut));
+  return () => cuts.forEach((cut) => world.network.heal(cut));
+}
+
+/** Counts the opening packets that reach a target from now on. */
+function countOpenings(target: ModelTarget): () => number {
+  let openings = 0;
+  const receive = target.receive.bind(target);
+  target.receive = (bytes) => {
+    openings += modelPacketFormat.decodeFromClient(bytes)?.opens ? 1 : 0;
+    receive(bytes);
+  };
+  return () => openings;
+}
+
 test('a draining target gets no new flow, also from a balancer that does not know', (t) => {
   const world = startWorld(8);
   const draining = world.agents[0]!;
-  const cuts = world.balancers.map(({ name }) => ({ from: draining.name, to: name }));
-  cuts.forEach((cut) => world.network.cut(cut));
+  const heal = silence(world, draining);
   world.drain(draining);
-  const before = draining.target.flows.size;
+  const openings = countOpenings(draining.target);
   openFlows(world, 40);
   world.runFor(400);
-  t.is(draining.target.flows.size, before);
-  cuts.forEach((cut) => world.network.heal(cut));
+  heal();
+  world.runFor(15_000);
+  t.is(openings(), 0);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.is(countIn(world, 'done'), 40);
+});
+
+test('an address that another service took over gets no packets of the old one', (t) => {
+  const world = startWorld(18);
+  const reused = world.agents[0]!;
+  const heal = silence(world, reused);
+  world.startTarget(reused, 'tiles');
+  const openings = countOpenings(reused.target);
+  for (let index = 0; index < 40; index++) {
+    world.openFlow(MAP, 10, 200);
+  }
+  world.runFor(400);
+  t.is(openings(), 0);
+  heal();
   world.runFor(15_000);
   t.deepEqual(world.violations, NO_VIOLATIONS);
   t.is(countIn(world, 'done'), 40);
