--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -9,15 +9,20 @@
 /** Added while the target is slow after its start. */
 const COLD_PENALTY = 0.5;
 /** Added while no heartbeat has confirmed that the target is ready. */
-const UNKNOWN_STATE_PENALTY = 1;
+const UNKNOWN_STATE_PENALTY = 0.2;
 /** Added while the agent is not heard. */
 const SILENT_PENALTY = 5;
 
+/** Loads closer than this count as equal; balancers then choose differently. */
+const TIE_BREAK = 0.1;
+
 /** What the choice depends on besides the agents. */
 export interface SelectionContext {
   /** Zone of the balancer. */
   readonly zone: string;
   isHeard(entry: AgentEntry): boolean;
+  /** Uniform in [0, 1). */
+  random(): number;
 }
 
 /** Whether an agent may be offered a new flow. */
@@ -37,9 +42,14 @@
   return flows > 0 ? busy / flows : 0;
 }
 
-/** Busy slots to be expected at an agent's target, for each of its slots. */
+/**
+ * Busy slots to be expected at an agent's target, for each of its slots.
+ *
+ * Balancers see the same reports and choose alike, so each opening of this balancer that
+ * no report shows yet stands for one of every balancer.
+ */
 function expectedUse(entry: AgentEntry, perFlow: number): number {
-  const openings = entry.recentOpenings.length;
+  const openings = entry.recentOpenings.length * (entry.report?.balancerCount ?? 1);
   if (!entry.report) {
     return openings / DEFAULT_SLOTS;
   }
@@ -72,7 +82,7 @@
     if (!acceptsNewFlows(entry)) {
       continue;
     }
-    const load = loadOf(entry, perFlow, context);
+    const load = loadOf(entry, perFlow, context) + context.random() * TIE_BREAK;
     if (load < bestLoad) {
       best = entry;
       bestLoad = load;
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -320,7 +320,11 @@
   }
 
   private selectionContext(now: number): SelectionContext {
-    const { directory, zone } = this.dependencies;
-    return { zone, isHeard: (entry) => directory.isHeard(entry, now) };
+    const { directory, environment, zone } = this.dependencies;
+    return {
+      zone,
+      isHeard: (entry) => directory.isHeard(entry, now),
+      random: () => environment.random(),
+    };
   }
 }
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -67,6 +67,7 @@
       busyRequests: tracker.busyRequests,
       openFlows: tracker.openFlows,
       coldLeft: target.coldLeft(environment.now()),
+      balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
   }
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -86,6 +86,8 @@
   readonly openFlows: number;
   /** Milliseconds for which the target is still slow after its start. */
   readonly coldLeft: number;
+  /** Number of balancers that the agent reports to. */
+  readonly balancerCount: number;
   /** Some of the balancers that the agent reports to. */
   readonly balancers: readonly Endpoint[];
 }
@@ -161,6 +163,7 @@
       field('busyRequests', 'b', integer),
       field('openFlows', 'o', integer),
       field('coldLeft', 'c', integer),
+      field('balancerCount', 'n', integer),
       field('balancers', 'm', listOf(integer)),
     ],
   ],
--- a/src/packets/subscribers.ts
+++ b/src/packets/subscribers.ts
@@ -18,6 +18,11 @@
     return !known;
   }
 
+  /** Subscribers noted, also those that may be gone. */
+  get count(): number {
+    return this.seenAt.size;
+  }
+
   /** The present subscribers; drops those that have not been seen for long. */
   present(now: number): Endpoint[] {
     for (const [balancer, seenAt] of this.seenAt) {
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -22,6 +22,7 @@
 import { PendingDeliveries } from '../src/packets/pending-deliveries';
 import { ServiceRotation } from '../src/packets/service-rotation';
 import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
+import { SeededRandom } from '../src/simulation/seeded-random';
 import { parseMetricsPlace } from '../src/runtime/packet-metrics';
 
 function heartbeat(incarnation: string, sequence: number, draining = false): TargetHeartbeat {
@@ -195,6 +196,7 @@
     busyRequests: 0,
     openFlows: 0,
     coldLeft: 0,
+    balancerCount: 1,
     balancers: [],
     ...fields,
   };
@@ -202,7 +204,7 @@
 }
 
 test('the least loaded ready target is chosen; draining ones never', (t) => {
-  const context = { zone: 'north', isHeard: () => true };
+  const context = { zone: 'north', isHeard: () => true, random: () => 0 };
   const busy = entryWith(1, { busyRequests: 4 });
   const idle = entryWith(2, { busyRequests: 1 });
   const draining = entryWith(3, { state: TargetState.draining });
@@ -218,6 +220,26 @@
   t.is(selectAgent([far, near], context), far);
 });
 
+test('a burst at several balancers with the same reports spreads over all targets', (t) => {
+  const random = new SeededRandom(5);
+  const taken = new Map<number, number>();
+  for (let balancer = 0; balancer < 7; balancer++) {
+    // One target is reported idle, six are busy; no report comes during the burst.
+    const entries = [0, 1, 2, 3, 4, 5, 6].map((address) =>
+      entryWith(address, { busyRequests: address === 0 ? 0 : 4, balancerCount: 7 }),
+    );
+    const context = { zone: 'north', isHeard: () => true, random: () => random.next() };
+    for (let flow = 0; flow < 20; flow++) {
+      const chosen = selectAgent(entries, context)!;
+      chosen.recentOpenings.push(flow);
+      taken.set(chosen.address, (taken.get(chosen.address) ?? 0) + 1);
+    }
+  }
+  const counts = [...taken.values()];
+  t.is(counts.length, 7);
+  t.true(Math.max(...counts) <= 28, `flows by target: ${counts.join(', ')}`);
+});
+
 test('a snapshot survives its encoding, and nothing else passes for one', (t) => {
   const routingTable = { version: 4, idleTimeout: 9, routes: [ROUTE] };
   const agents = [{ address: 1, service: 's', zone: 'z' }];
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -337,6 +337,7 @@
     busyRequests: 0,
     openFlows: 0,
     coldLeft: 0,
+    balancerCount: 1,
     balancers: [],
   });
   t.truthy(directory.hear(1, report(7, 1, TargetState.ready), 10));
