--- a/src/explain/log-reader.ts
+++ b/src/explain/log-reader.ts
@@ -24,11 +24,12 @@
 }
 
 function toRecord(document: Record<string, unknown>): LogRecord | undefined {
-  const { event, message, source, timestamp, ...fields } = document;
+  const { event, message, source, timestamp, ...rest } = document;
   const time = typeof timestamp === 'string' ? Date.parse(timestamp) : NaN;
   if (typeof event !== 'number' || typeof message !== 'string' || Number.isNaN(time)) {
     return undefined;
   }
+  const fields = Object.fromEntries(Object.entries(rest).filter(([key]) => key !== 'level'));
   return { time, source: String(source), event, message, fields };
 }
 
--- a/src/logging/line-log.ts
+++ b/src/logging/line-log.ts
@@ -13,8 +13,12 @@
 const ONE_SECOND = 1_000;
 /** Bytes that wait for the reader at most. */
 const MAXIMUM_BACKLOG = 1_048_576;
+/** Bytes of one write at most, unless a line is longer: a pipe takes so many at once or none. */
+const LONGEST_WRITE = 4_096;
 /** Milliseconds for which lines are gathered. */
 const GATHER_TIME = 100;
+/** Milliseconds that a process waits at its end for the reader. */
+const CLOSE_TIME = 100;
 
 /** Settings of a line log. */
 export interface LineLogOptions {
@@ -98,7 +102,12 @@
   private droppedLines = 0;
 
   constructor(descriptor: number) {
-    this.stream = new SonicBoom({ fd: descriptor, sync: false, maxLength: MAXIMUM_BACKLOG });
+    this.stream = new SonicBoom({
+      fd: descriptor,
+      sync: false,
+      maxLength: MAXIMUM_BACKLOG,
+      maxWrite: LONGEST_WRITE,
+    });
     this.stream.on('drop', () => this.droppedLines++);
     this.stream.on('error', () => this.droppedLines++);
   }
@@ -109,6 +118,9 @@
   }
 
   write(line: string): void {
+    if (this.gathered.length + line.length > LONGEST_WRITE) {
+      this.flush();
+    }
     if (this.gathered === '') {
       setTimeout(() => this.flush(), GATHER_TIME).unref();
     }
@@ -123,9 +135,13 @@
     }
   }
 
-  /** Writes what is left before the process ends; the one moment that may block. */
-  close(): void {
+  /** Writes what is left; `done` is called then, or soon when the reader does not take it. */
+  close(done: () => void): void {
     this.flush();
-    this.stream.flushSync();
+    const timer = setTimeout(done, CLOSE_TIME);
+    this.stream.flush(() => {
+      clearTimeout(timer);
+      done();
+    });
   }
 }
--- a/test/packet-processes.test.ts
+++ b/test/packet-processes.test.ts
@@ -125,6 +125,9 @@
     t.is(await client.ask(balancers[0]!, `n${round}`), `answer to n${round}`);
     await new Promise((done) => setTimeout(done, 1_000));
   }
+  const stopping = cluster.processes[2]!;
+  stopping.child.kill('SIGTERM');
+  t.is(await stopping.exit, 0);
 });
 
 test('wrong settings end a start with a numbered error', async (t) => {
