--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,55 +1,72 @@
-/** Entry point of the `hallhold` command line: one command a file. */
-import { Builtins, Cli } from 'clipanion';
-import { AgentCommand } from './agent-command';
-import { BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand } from './bench-commands';
-import { BalancerCommand } from './balancer-command';
-import { DemoCommand } from './demo-command';
-import { ExplainCommand } from './explain-command';
-import { SettingsCheckCommand } from './settings-check-command';
-import { SoakCommand } from './soak-command';
-import { SoakPacketsCommand } from './soak-packets-command';
-import { SimulateCommand } from './simulate-command';
-import {
-  StandinBackendCommand,
-  StandinCallerCommand,
-  StandinFabricCommand,
-  StandinPlatformCommand,
-} from './standin-commands';
-import { StatusCommand } from './status-command';
-import { TableDiffCommand } from './table-diff-command';
-import { TableGetCommand, TablePutCommand, TableStatusCommand } from './table-commands';
+/**
+ * Entry point of the `hallhold` command line.
+ *
+ * Most of a command's time to its first word is loading libraries, so only the modules of
+ * the command that was asked for are loaded; all of them for help and for unknown words.
+ */
+import { Builtins, Cli, type CommandClass } from 'clipanion';
 
 const VERSION = '0.1.0';
 
-const cli = new Cli({
-  binaryLabel: 'hallhold',
-  binaryName: 'hallhold',
-  binaryVersion: VERSION,
-});
+/** Loads the command classes that begin with one word. */
+type CommandLoader = () => Promise<readonly CommandClass[]>;
 
-[
-  Builtins.HelpCommand,
-  Builtins.VersionCommand,
-  AgentCommand,
-  BalancerCommand,
-  BenchBalanceCommand,
-  BenchCapacityCommand,
-  BenchDatapathCommand,
-  DemoCommand,
-  ExplainCommand,
-  SettingsCheckCommand,
-  SimulateCommand,
-  SoakCommand,
-  SoakPacketsCommand,
-  StandinBackendCommand,
-  StandinCallerCommand,
-  StandinFabricCommand,
-  StandinPlatformCommand,
-  StatusCommand,
-  TableDiffCommand,
-  TableGetCommand,
-  TablePutCommand,
-  TableStatusCommand,
-].forEach((command) => cli.register(command));
+/** Loaders by the first word of the command line. */
+const LOADERS: Readonly<Record<string, CommandLoader>> = {
+  agent: async () => [(await import('./agent-command')).AgentCommand],
+  balancer: async () => [(await import('./balancer-command')).BalancerCommand],
+  bench: async () => {
+    const commands = await import('./bench-commands');
+    const { BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand } = commands;
+    return [BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand];
+  },
+  demo: async () => [(await import('./demo-command')).DemoCommand],
+  explain: async () => [(await import('./explain-command')).ExplainCommand],
+  settings: async () => [(await import('./settings-check-command')).SettingsCheckCommand],
+  simulate: async () => [(await import('./simulate-command')).SimulateCommand],
+  soak: async () => [
+    (await import('./soak-command')).SoakCommand,
+    (await import('./soak-packets-command')).SoakPacketsCommand,
+  ],
+  standin: async () => {
+    const commands = await import('./standin-commands');
+    return [
+      commands.StandinBackendCommand,
+      commands.StandinCallerCommand,
+      commands.StandinFabricCommand,
+      commands.StandinPlatformCommand,
+    ];
+  },
+  status: async () => [(await import('./status-command')).StatusCommand],
+  table: async () => {
+    const { TableDiffCommand } = await import('./table-diff-command');
+    const commands = await import('./table-commands');
+    const { TableGetCommand, TablePutCommand, TableStatusCommand } = commands;
+    return [TableDiffCommand, TableGetCommand, TablePutCommand, TableStatusCommand];
+  },
+};
 
-void cli.runExit(process.argv.slice(2));
+const VERSION_WORDS: readonly string[] = ['--version', '-v'];
+
+/** The commands that a command line may mean. */
+async function loadCommands(word: string | undefined): Promise<readonly CommandClass[]> {
+  if (word !== undefined && VERSION_WORDS.includes(word)) {
+    return [];
+  }
+  const loader = word === undefined ? undefined : LOADERS[word];
+  const loaders = loader ? [loader] : Object.values(LOADERS);
+  return (await Promise.all(loaders.map((load) => load()))).flat();
+}
+
+async function main(words: string[]): Promise<void> {
+  const cli = new Cli({
+    binaryLabel: 'hallhold',
+    binaryName: 'hallhold',
+    binaryVersion: VERSION,
+  });
+  const commands = await loadCommands(words[0]);
+  [Builtins.HelpCommand, Builtins.VersionCommand, ...commands].forEach((one) => cli.register(one));
+  await cli.runExit(words);
+}
+
+void main(process.argv.slice(2));
