--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -184,13 +184,31 @@
       return;
     }
     this.world.store.setMachine({ address: target.address, leaving: true });
-    this.later(MACHINE_LIST_REACTION, () => this.world.watcher.leaving(target));
+    let listed = true;
+    this.whenReadable(0, () => {
+      if (listed) {
+        this.world.watcher.leaving(target);
+      }
+    });
     this.later(MACHINE_LIST_REACTION + duration, () => {
+      listed = false;
       this.world.watcher.returned(target);
       this.world.store.setMachine({ address: target.address, leaving: false });
     });
   }
 
+  /** Acts once the store has answered for the reaction time without a break. */
+  private whenReadable(readableFor: number, act: () => void): void {
+    if (readableFor >= MACHINE_LIST_REACTION) {
+      act();
+      return;
+    }
+    this.later(READABLE_CHECK_INTERVAL, () => {
+      const next = this.world.store.faults.down ? 0 : readableFor + READABLE_CHECK_INTERVAL;
+      this.whenReadable(next, act);
+    });
+  }
+
   lieAboutLoad(duration: number): void {
     const target = this.pickTarget();
     if (target) {
@@ -376,6 +394,7 @@
 
 /** The machine list lags, is polled, and its notice must reach the agent. */
 const MACHINE_LIST_REACTION = 5_500;
+const READABLE_CHECK_INTERVAL = 100;
 
 const FAULT_ACTIONS: Readonly<Record<FaultName, (faults: Faults, duration: number) => void>> = {
   'balancer-kill': (faults, duration) => faults.killBalancer(duration),
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -46,6 +46,12 @@
     once: 'a thawed agent hosted a stale placement',
   },
   { scenario: 'everything', office: 'porting', seed: 30, once: 'a feed was given up after 5 s' },
+  {
+    scenario: 'everything',
+    office: 'porting',
+    seed: 99_120_457,
+    once: 'the checker judged a sign of leaving in a store that was down',
+  },
 ];
 
 for (const { once, ...run } of REGRESSIONS) {
