--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -23,6 +23,7 @@
 import { modelPacketFormat } from './model-packet-format';
 import { ModelStore } from './model-store';
 import { ModelTarget } from './model-target';
+import { WorldJudge, type FlowHolder, type WorldViolations } from './world-judge';
 
 const FRAME_PORT = 7_000;
 const PACKET_PORT = 7_001;
@@ -35,9 +36,6 @@
 const FLOW_LIFETIME = 60_000;
 const WORK_TIME = 20;
 const SLOTS = 5;
-const STRAYS_ALLOWED = 3;
-const STRAY_TIME = 2_000;
-const CONTACT_TIME = 4_000;
 const SEQUENCE_RANGE = 2 ** 31;
 const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
@@ -63,18 +61,6 @@
   heartbeats: boolean;
 }
 
-/** Promises that a run has seen broken. */
-export interface WorldViolations {
-  /** A client's open flow was reset while its target held it. */
-  flowsReset: string[];
-  /** For two seconds only other targets got the packets of a flow whose target held it. */
-  strayed: string[];
-  /** A request ran more than once. */
-  doubled: string[];
-  /** A request ran at a service that its route does not name. */
-  misrouted: string[];
-}
-
 /** One deployment in virtual time. */
 export class PacketWorld {
   readonly clock = new VirtualClock();
@@ -84,19 +70,10 @@
   readonly balancers: WorldBalancer[] = [];
   readonly agents: WorldAgent[] = [];
   readonly clients: ModelClient[] = [];
-  readonly violations: WorldViolations = {
-    flowsReset: [],
-    strayed: [],
-    doubled: [],
-    misrouted: [],
-  };
+  readonly judge = new WorldJudge(this.clock);
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
   private readonly codec = new FrameCodec<PacketMessage>([KEY], PACKET_MESSAGE_FIELDS);
-  private readonly ran = new Map<string, string>();
-  private readonly serviceOf = new Map<Endpoint, readonly string[]>();
-  private readonly disturbedAt = new Map<string, number>();
-  private readonly strays = new Map<FlowKey, number[]>();
   private nextAddress = 1;
   private nextClient = 1;
   private nextIncarnation = 1;
@@ -113,7 +90,7 @@
 
   /** Puts a routing table into the store: service names by destination. */
   configure(version: number, routes: ReadonlyMap<Endpoint, readonly string[]>): void {
-    routes.forEach((services, destination) => this.serviceOf.set(destination, services));
+    routes.forEach((services, destination) => this.judge.allow(destination, services));
     this.store.writeRouting({
       version,
       idleTimeout: FLOW_LIFETIME,
@@ -148,11 +125,6 @@
     return agent;
   }
 
-  /** Notes that an unplanned fault begins or ends at a process. */
-  noteFault(name: string): void {
-    this.disturbedAt.set(name, this.clock.now);
-  }
-
   /** Starts a balancer's process with nothing in it. */
   startBalancer(balancer: WorldBalancer): void {
     balancer.process?.kill();
@@ -220,7 +192,7 @@
       WORK_TIME,
       this.clock,
       output,
-      { ran: (by, request) => this.judgeRun(by, request) },
+      { ran: (by, request) => this.judge.requestRan(by, request, this.clientOf(request)) },
     );
     agent.target = target;
     this.beat(agent, target, 1);
@@ -233,6 +205,11 @@
     this.sendHeartbeat(agent, agent.target, 1_000_000);
   }
 
+  /** Promises that this run has seen broken. */
+  get violations(): WorldViolations {
+    return this.judge.violations;
+  }
+
   /** Opens a flow through the routers. */
   openFlow(destination: Endpoint, requests: number, pause: number): ModelClient {
     const client = packEndpoint('10.200.0.1', CLIENT_PORT + this.nextClient++);
@@ -241,7 +218,7 @@
       { client, destination, requests, pause },
       this.clock,
       (packet) => this.route(process, client, packet),
-      (one) => this.judgeReset(one),
+      (one) => this.judge.clientReset(one, this.holderOf(one) !== undefined),
     );
     this.network.bind(client, process, (bytes) => flow.receive(Buffer.from(bytes)));
     this.clients.push(flow);
@@ -296,50 +273,19 @@
   private deliverToTarget(agent: WorldAgent, bytes: Buffer): void {
     const packet = modelPacketFormat.decodeFromClient(bytes);
     if (packet && !packet.opens && agent.target) {
-      this.judgeStray(agent.target, packet.flow);
+      this.judge.packetReached(agent.target, packet.flow, this.flowHolder(packet.flow));
     }
     agent.target?.receive(bytes);
   }
 
-  private judgeStray(target: ModelTarget, flow: FlowKey): void {
-    const holder = this.agents.find((one) => one.target.holds(flow));
-    if (!holder || holder.target === target || this.outOfTouch(holder)) {
-      this.strays.delete(flow);
-      return;
-    }
-    const times = [...(this.strays.get(flow) ?? []), this.clock.now];
-    this.strays.set(flow, times);
-    const lasted = this.clock.now - times[0]!;
-    if (times.length >= STRAYS_ALLOWED && lasted >= STRAY_TIME) {
-      this.violations.strayed.push(`${times.length} packets in ${lasted} ms`);
-      this.strays.delete(flow);
-    }
-  }
-
-  /** Unplanned faults excuse strays for a while; planned work does not. */
-  private outOfTouch(holder: WorldAgent): boolean {
-    const names = [holder.name, ...this.balancers.map(({ name }) => name)];
-    const recent = this.clock.now - CONTACT_TIME;
-    return names.some((name) => (this.disturbedAt.get(name) ?? -Infinity) > recent);
-  }
-
-  private judgeRun(target: ModelTarget, request: string): void {
-    const before = this.ran.get(request);
-    if (before !== undefined) {
-      this.violations.doubled.push(`${request} at ${before} and ${target.incarnation}`);
-    }
-    this.ran.set(request, target.incarnation);
-    const client = this.clients.find(({ plan }) => request.startsWith(`${plan.client}/`));
-    const allowed = client ? this.serviceOf.get(client.plan.destination) : undefined;
-    if (!allowed?.includes(target.service)) {
-      this.violations.misrouted.push(`${request} at ${target.service}`);
-    }
+  private flowHolder(flow: FlowKey): FlowHolder | undefined {
+    const holder = this.agents.find(({ target }) => target.holds(flow));
+    const processes = this.balancers.map(({ name }) => name);
+    return holder && { target: holder.target, processes: [holder.name, ...processes] };
   }
 
-  private judgeReset(client: ModelClient): void {
-    if (client.state === 'open' && this.holderOf(client)) {
-      this.violations.flowsReset.push(`${client.plan.client} at ${this.clock.now}`);
-    }
+  private clientOf(request: string): ModelClient | undefined {
+    return this.clients.find(({ plan }) => request.startsWith(`${plan.client}/`));
   }
 
   private fetchSnapshot(
--- a/src/simulation/packets/random-faults.ts
+++ b/src/simulation/packets/random-faults.ts
@@ -93,7 +93,8 @@
   const agent = random.pick(world.agents);
   const fault = random.pick(FAULTS);
   const length = random.between(SHORTEST_FAULT, LONGEST_FAULT);
-  const noteFaults = (): void => [balancer, agent].forEach(({ name }) => world.noteFault(name));
+  const noteFaults = (): void =>
+    [balancer, agent].forEach(({ name }) => world.judge.noteFault(name));
   noteFaults();
   world.clock.schedule(length, noteFaults);
   fault(world, balancer, agent, length);
