--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -23,6 +23,7 @@
 import { ServiceRotation } from '../src/packets/service-rotation';
 import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { SeededRandom } from '../src/simulation/seeded-random';
+import { createReport } from './support/reports';
 import { parseMetricsPlace } from '../src/runtime/packet-metrics';
 
 function heartbeat(incarnation: string, sequence: number, draining = false): TargetHeartbeat {
@@ -185,21 +186,7 @@
 
 function entryWith(address: number, fields: Partial<ReportMessage>, zone = 'north'): AgentEntry {
   const directory = new AgentDirectory();
-  const report: ReportMessage = {
-    type: PacketMessageType.report,
-    run: 1,
-    sequence: 1,
-    service: 'map',
-    zone,
-    state: TargetState.ready,
-    slots: 5,
-    busyRequests: 0,
-    openFlows: 0,
-    coldLeft: 0,
-    balancerCount: 1,
-    balancers: [],
-    ...fields,
-  };
+  const report = createReport({ zone, ...fields });
   return directory.hear(address, report, 0)!;
 }
 
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -3,11 +3,11 @@
 import { Events } from '../src/logging/events';
 import { AgentDirectory } from '../src/packets/agent-directory';
 import {
-  PacketMessageType,
   TargetState,
   type ReportMessage,
   type TargetStateValue,
 } from '../src/packets/packet-messages';
+import { createReport } from './support/reports';
 import { modelPacketFormat } from '../src/simulation/packets/model-packet-format';
 import type { ModelTarget } from '../src/simulation/packets/model-target';
 import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
@@ -326,20 +326,8 @@
 
 test('a report that a later one has overtaken is void', (t) => {
   const directory = new AgentDirectory();
-  const report = (run: number, sequence: number, state: TargetStateValue): ReportMessage => ({
-    type: PacketMessageType.report,
-    run,
-    sequence,
-    service: 'map',
-    zone: 'north',
-    state,
-    slots: 5,
-    busyRequests: 0,
-    openFlows: 0,
-    coldLeft: 0,
-    balancerCount: 1,
-    balancers: [],
-  });
+  const report = (run: number, sequence: number, state: TargetStateValue): ReportMessage =>
+    createReport({ run, sequence, state });
   t.truthy(directory.hear(1, report(7, 1, TargetState.ready), 10));
   t.truthy(directory.hear(1, report(7, 3, TargetState.agentRestarting), 11));
   t.is(directory.hear(1, report(7, 2, TargetState.ready), 12), undefined);
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -1,6 +1,5 @@
 /** The adapter translates the platform's forms and nothing else. */
 import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
-import { request } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
@@ -17,6 +16,7 @@
 import type { HallholdError } from '../src/errors/hallhold-error';
 import type { Answer } from '../src/packets/collection-port';
 import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
+import { callStatus } from './support/call-status';
 import { ObjectApiStandin, type Spoiler } from './support/object-api-standin';
 
 const SYN = Buffer.from(
@@ -187,16 +187,7 @@
   });
 }
 
-function call(port: number, method: string, path: string, body = ''): Promise<number> {
-  return new Promise((done, fail) => {
-    const sent = request({ port, host: '127.0.0.1', method, path, agent: false }, (response) => {
-      response.resume();
-      response.on('end', () => done(response.statusCode ?? 0));
-    });
-    sent.on('error', fail);
-    sent.end(body);
-  });
-}
+const HOST = '127.0.0.1';
 
 test('heartbeats and leaving are acknowledged, anything else is refused', async (t) => {
   const beats: TargetHeartbeat[] = [];
@@ -210,16 +201,19 @@
   await new Promise((done) => server.once('listening', done));
   const { port } = server.address() as AddressInfo;
   const body = { service: 's', slots: 4, state: 'draining', 'cold-left-ms': 5, seq: 2 };
-  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', JSON.stringify(body)), 200);
+  t.is(await callStatus(HOST, port, 'PUT', '/hallhold/instances/i-1', JSON.stringify(body)), 200);
   t.deepEqual(beats, [
     { incarnation: 'i-1', service: 's', slots: 4, draining: true, coldLeft: 5, sequence: 2 },
   ]);
-  t.is(await call(port, 'DELETE', '/hallhold/instances/i-1'), 200);
+  t.is(await callStatus(HOST, port, 'DELETE', '/hallhold/instances/i-1'), 200);
   t.deepEqual(left, ['i-1']);
-  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', '{"service":'), 400);
-  t.is(await call(port, 'PUT', '/hallhold/instances/i-1', '{"service":1,"slots":"x"}'), 400);
-  t.is(await call(port, 'PUT', '/hallhold/instances/%zz', JSON.stringify(body)), 404);
-  t.is(await call(port, 'GET', '/'), 404);
+  t.is(await callStatus(HOST, port, 'PUT', '/hallhold/instances/i-1', '{"service":'), 400);
+  t.is(
+    await callStatus(HOST, port, 'PUT', '/hallhold/instances/i-1', '{"service":1,"slots":"x"}'),
+    400,
+  );
+  t.is(await callStatus(HOST, port, 'PUT', '/hallhold/instances/%zz', JSON.stringify(body)), 404);
+  t.is(await callStatus(HOST, port, 'GET', '/'), 404);
   t.is(beats.length, 1);
 });
 
@@ -245,9 +239,9 @@
   t.teardown(() => server.close());
   await new Promise((done) => server.once('listening', done));
   const { port } = server.address() as AddressInfo;
-  t.is(await call(port, 'GET', '/hallhold/ready'), 503);
+  t.is(await callStatus(HOST, port, 'GET', '/hallhold/ready'), 503);
   ready = true;
-  t.is(await call(port, 'GET', '/hallhold/ready'), 200);
+  t.is(await callStatus(HOST, port, 'GET', '/hallhold/ready'), 200);
 });
 
 test('wrong settings are refused with every wrong key named', (t) => {
--- a/test/support/packet-cluster.ts
+++ b/test/support/packet-cluster.ts
@@ -2,10 +2,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createSocket, type Socket } from 'node:dgram';
 import { mkdtempSync, writeFileSync } from 'node:fs';
-import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { packetFormat } from '../../platform/packet-head';
+import { callStatus } from './call-status';
 import { ObjectApiStandin } from './object-api-standin';
 
 const HEAD_BYTES = 31;
@@ -254,7 +254,7 @@
   }
 
   readiness(machine: string): Promise<number> {
-    return callStatus(machine, this.ports.ready, 'GET', '/hallhold/ready', '');
+    return callStatus(machine, this.ports.ready, 'GET', '/hallhold/ready');
   }
 
   /** Waits until a balancer says that it is ready. */
@@ -277,20 +277,3 @@
 function pause(milliseconds: number): Promise<void> {
   return new Promise((done) => setTimeout(done, milliseconds));
 }
-
-function callStatus(
-  host: string,
-  port: number,
-  method: string,
-  path: string,
-  body: string,
-): Promise<number> {
-  return new Promise((done) => {
-    const call = request({ host, port, method, path, agent: false }, (response) => {
-      response.resume();
-      response.on('end', () => done(response.statusCode ?? 0));
-    });
-    call.on('error', () => done(0));
-    call.end(body);
-  });
-}
--- /dev/null
+++ b/test/support/reports.ts
@@ -0,0 +1,25 @@
+/** Reports of agents as tests need them. */
+import {
+  PacketMessageType,
+  TargetState,
+  type ReportMessage,
+} from '../../src/packets/packet-messages';
+
+/** A report of an idle, ready target of the map service, with some fields replaced. */
+export function createReport(fields: Partial<ReportMessage> = {}): ReportMessage {
+  return {
+    type: PacketMessageType.report,
+    run: 1,
+    sequence: 1,
+    service: 'map',
+    zone: 'north',
+    state: TargetState.ready,
+    slots: 5,
+    busyRequests: 0,
+    openFlows: 0,
+    coldLeft: 0,
+    balancerCount: 1,
+    balancers: [],
+    ...fields,
+  };
+}
