--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -6,7 +6,12 @@
  * balancer to conclude that no target holds a flow.
  */
 import type { Endpoint } from '../environment';
-import { TargetState, type AgentRecord, type ReportMessage } from './packet-messages';
+import {
+  TargetState,
+  type AgentRecord,
+  type ReportMessage,
+  type TargetStateValue,
+} from './packet-messages';
 
 /** Milliseconds without a report after which an agent counts as silent. */
 export const SILENCE_LIMIT = 700;
@@ -22,6 +27,8 @@
   /** Revision of its registration; undefined while the registry does not list it. */
   registryRevision: number | undefined;
   report: ReportMessage | undefined;
+  /** What the target last said of itself, also to an earlier run of the agent. */
+  lastTargetState: TargetStateValue | undefined;
   /** The run of the agent before the present one, whose late reports are void. */
   previousRun: number | undefined;
   /** Time of the last report; undefined when none has come. */
@@ -78,6 +85,7 @@
       ...record,
       registryRevision: revision,
       report: undefined,
+      lastTargetState: undefined,
       previousRun: undefined,
       heardAt: undefined,
       knownSince: now,
@@ -101,7 +109,9 @@
     if (entry.report && entry.report.run !== report.run) {
       entry.previousRun = entry.report.run;
     }
-    entry.report = report;
+    const state = stateAfter(entry.lastTargetState, report.state);
+    entry.lastTargetState = isOfTarget(state) ? state : entry.lastTargetState;
+    entry.report = { ...report, state };
     entry.heardAt = now;
     entry.recentOpenings = entry.recentOpenings.filter((at) => at > now - OPENING_TIME);
     return entry;
@@ -130,6 +140,23 @@
   }
 }
 
+/**
+ * The state to go by after a report. A restarted agent does not know its target's state
+ * until the next heartbeat; a target that was leaving before is still taken to leave.
+ */
+function stateAfter(
+  known: TargetStateValue | undefined,
+  reported: TargetStateValue,
+): TargetStateValue {
+  const wasLeaving = known === TargetState.draining || known === TargetState.gone;
+  return reported === TargetState.unknown && wasLeaving ? known : reported;
+}
+
+/** Whether a state is the target's own, not one of its agent. */
+function isOfTarget(state: TargetStateValue): boolean {
+  return state !== TargetState.unknown && state !== TargetState.agentRestarting;
+}
+
 function isOvertaken({ report: known, previousRun }: AgentEntry, report: ReportMessage): boolean {
   if (known?.run === report.run) {
     return report.sequence <= known.sequence;
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -14,6 +14,8 @@
   readonly zone: string;
   /** Where other nodes reach this process, over UDP and TCP. */
   readonly address: Endpoint;
+  /** Where this process listens for other nodes; differs from `address` behind a translation. */
+  readonly listenAddress: Endpoint;
   /** Where clients' packets arrive (balancer). */
   readonly packetAddress: Endpoint | undefined;
   /** Where the target sends its packets (agent). */
@@ -137,10 +139,12 @@
 }
 
 function readSettings(reader: SettingsReader): PacketSettings {
+  const address = reader.endpoint('address');
   return {
     name: reader.text('name'),
     zone: reader.text('zone'),
-    address: reader.endpoint('address'),
+    address,
+    listenAddress: reader.optionalEndpoint('listenAddress') ?? address,
     packetAddress: reader.optionalEndpoint('packetAddress'),
     targetOutbound: reader.optionalEndpoint('targetOutbound'),
     targetAddress: reader.optionalEndpoint('targetAddress'),
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -86,7 +86,7 @@
     const started: { process?: PacketBalancerProcess } = {};
     const packetAddress = requireSetting(settings.packetAddress, 'packetAddress');
     const clients = await bind(packetAddress, (bytes) => started.process?.clientDatagram(bytes));
-    const frames = await bind(settings.address, (bytes, from) =>
+    const frames = await bind(settings.listenAddress, (bytes, from) =>
       started.process?.node.frame(bytes, from),
     );
     const node = new PacketBalancer(settings, {
@@ -102,7 +102,7 @@
     });
     const running = new PacketBalancerProcess(node, environment, settings);
     started.process = running;
-    serveSnapshots(settings.address, () => node.snapshot, failListening);
+    serveSnapshots(settings.listenAddress, () => node.snapshot, failListening);
     node.start();
     return running;
   }
@@ -162,7 +162,7 @@
     const outbound = requireSetting(settings.targetOutbound, 'targetOutbound');
     const service = requireSetting(settings.service, 'service');
     const packets = await bind(outbound, (bytes) => started.process?.targetDatagram(bytes));
-    const frames = await bind(settings.address, (bytes, from) =>
+    const frames = await bind(settings.listenAddress, (bytes, from) =>
       started.process?.node.frame(bytes, from),
     );
     const node = new PacketAgent(
--- /dev/null
+++ b/test/packet-directory.test.ts
@@ -0,0 +1,26 @@
+/** What a balancer concludes from the reports of agents. */
+import test from 'ava';
+import { AgentDirectory } from '../src/packets/agent-directory';
+import { acceptsNewFlows } from '../src/packets/agent-selection';
+import { TargetState } from '../src/packets/packet-messages';
+import { createReport } from './support/reports';
+
+const AGENT = 0x0a00_0001_0000;
+
+test('a target that drains gets no new flow while its restarted agent does not know it', (t) => {
+  const directory = new AgentDirectory();
+  directory.hear(AGENT, createReport({ state: TargetState.draining }), 0);
+  directory.hear(AGENT, createReport({ state: TargetState.agentRestarting, sequence: 2 }), 10);
+  const entry = directory.hear(AGENT, createReport({ state: TargetState.unknown, run: 2 }), 300)!;
+  t.false(acceptsNewFlows(entry));
+  directory.hear(AGENT, createReport({ run: 2, sequence: 2 }), 600);
+  t.true(acceptsNewFlows(entry));
+});
+
+test('a target that was ready may get new flows while its restarted agent does not know it', (t) => {
+  const directory = new AgentDirectory();
+  directory.hear(AGENT, createReport(), 0);
+  directory.hear(AGENT, createReport({ state: TargetState.agentRestarting, sequence: 2 }), 10);
+  const entry = directory.hear(AGENT, createReport({ state: TargetState.unknown, run: 2 }), 300)!;
+  t.true(acceptsNewFlows(entry));
+});
--- /dev/null
+++ b/test/soak/play-soak.ts
@@ -0,0 +1,85 @@
+/** Plays one seed of the soak and tells what was seen. */
+import type { WorldViolations } from '../../src/simulation/packets/world-judge';
+import type { SoakClientState } from './soak-client';
+import { strikeAtRandom } from './soak-faults';
+import { MAP_ROUTE, PASSING_ROUTE, SoakWorld, TILES_ROUTE } from './soak-world';
+
+const SETTLING = 2_500;
+const FLOW_INTERVAL = 40;
+const FAULT_INTERVAL = 1_500;
+const RECOVERY = 7_000;
+const LAST_FLOWS = 40;
+const LAST_FLOWS_TIME = 5_000;
+/** Part of the last flows, after all faults, that must be served. */
+const SERVED_AFTERWARDS = 0.9;
+
+/** What one seed showed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly faults: readonly string[];
+  readonly flows: Readonly<Record<SoakClientState, number>>;
+  readonly violations: WorldViolations;
+  /** Ends of processes that nobody asked for. */
+  readonly ownEnds: number;
+  /** Flows served of those opened after all faults. */
+  readonly servedAfterwards: number;
+  readonly passed: boolean;
+  /** Where the processes' logs are. */
+  readonly folder: string;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((done) => setTimeout(done, milliseconds));
+}
+
+function openRandomFlow(world: SoakWorld): void {
+  const { random } = world;
+  const destination = random.pick([MAP_ROUTE, MAP_ROUTE, MAP_ROUTE, TILES_ROUTE, PASSING_ROUTE]);
+  const isKept = random.next() < 0.4;
+  world.openFlow(destination, isKept ? 12 : 1, random.between(50, 500));
+}
+
+async function playFaults(world: SoakWorld, length: number): Promise<string[]> {
+  const faults: string[] = [];
+  const traffic = setInterval(() => openRandomFlow(world), FLOW_INTERVAL);
+  const begin = performance.now();
+  while (performance.now() - begin < length) {
+    const at = Math.round(performance.now() - begin);
+    faults.push(`${at} ms ${strikeAtRandom(world)}`);
+    await pause(world.random.between(0.3, 1.7) * FAULT_INTERVAL);
+  }
+  await pause(RECOVERY);
+  clearInterval(traffic);
+  return faults;
+}
+
+async function playLastFlows(world: SoakWorld): Promise<number> {
+  const last = Array.from({ length: LAST_FLOWS }, (_, index) =>
+    world.openFlow(index % 4 === 0 ? TILES_ROUTE : MAP_ROUTE, 1, 0),
+  );
+  await pause(LAST_FLOWS_TIME);
+  return last.filter(({ state }) => state === 'done').length;
+}
+
+/**
+ * Plays one seed.
+ * @param length milliseconds with faults
+ * @param network second byte of all loopback addresses
+ */
+export async function playSoak(seed: number, length: number, network: number): Promise<SoakResult> {
+  const world = new SoakWorld(seed, network);
+  try {
+    await world.start();
+    await pause(SETTLING);
+    const faults = await playFaults(world, length);
+    const servedAfterwards = await playLastFlows(world);
+    const { ended: flows, ownEnds, folder } = world;
+    const { violations } = world.judge;
+    const broken = Object.values(violations).some((list: string[]) => list.length > 0);
+    const recovered = servedAfterwards >= SERVED_AFTERWARDS * LAST_FLOWS;
+    const passed = !broken && recovered && ownEnds === 0;
+    return { seed, faults, flows, violations, ownEnds, servedAfterwards, passed, folder };
+  } finally {
+    await world.stop();
+  }
+}
--- /dev/null
+++ b/test/soak/soak-faults.ts
@@ -0,0 +1,154 @@
+/** The faults of the soak, drawn from its seed: each strikes from outside the processes. */
+import { GOOD_LINK, type LinkQuality } from './frame-switch';
+import type { SoakAgentMachine, SoakMachine, SoakWorld } from './soak-world';
+import { GateModes } from './store-gate';
+
+const SHORTEST = 300;
+const LONGEST = 3_000;
+const DRAIN_SERVES = 3_500;
+
+/** What a fault is given to strike. */
+interface FaultScene {
+  readonly world: SoakWorld;
+  readonly balancer: SoakMachine;
+  readonly agent: SoakAgentMachine;
+  /** One of the two, or any. */
+  readonly machine: SoakMachine;
+  /** Milliseconds until it is undone. */
+  readonly length: number;
+}
+
+/** One kind of fault. */
+interface FaultKind {
+  readonly name: string;
+  /** Planned work excuses nothing. */
+  readonly isPlanned: boolean;
+  strike(scene: FaultScene): void;
+}
+
+function later(milliseconds: number, action: () => void): void {
+  setTimeout(action, milliseconds).unref();
+}
+
+function freeze({ process }: SoakMachine, length: number): void {
+  process.signal('SIGSTOP');
+  later(length, () => process.signal('SIGCONT'));
+}
+
+function disturbLink(
+  { world, length }: FaultScene,
+  from: SoakMachine,
+  to: SoakMachine,
+  quality: LinkQuality,
+): void {
+  world.frames.setLink(from.advertised, to.advertised, quality);
+  later(length, () => world.frames.setLink(from.advertised, to.advertised, GOOD_LINK));
+}
+
+function disturbAllLinks(scene: FaultScene, quality: LinkQuality): void {
+  const { world, machine } = scene;
+  for (const other of [...world.balancers, ...world.agents]) {
+    disturbLink(scene, machine, other, quality);
+    disturbLink(scene, other, machine, quality);
+  }
+}
+
+const CUT: LinkQuality = { ...GOOD_LINK, isCut: true };
+const LOSSY: LinkQuality = { isCut: false, loss: 0.1, duplication: 0.1, delay: 0 };
+const SLOW: LinkQuality = { ...GOOD_LINK, delay: 80 };
+
+const unplanned = (name: string, strike: FaultKind['strike']): FaultKind => ({
+  name,
+  isPlanned: false,
+  strike,
+});
+const planned = (name: string, strike: FaultKind['strike']): FaultKind => ({
+  name,
+  isPlanned: true,
+  strike,
+});
+
+const KINDS: readonly FaultKind[] = [
+  unplanned('kill a process', ({ machine, length }) => machine.process.kill(length)),
+  unplanned('freeze a process', ({ machine, length }) => freeze(machine, length)),
+  unplanned('kill all processes', ({ world, length }) => {
+    [...world.balancers, ...world.agents].forEach(({ process }) => process.kill(length / 3));
+  }),
+  unplanned('cut one way', (scene) => disturbLink(scene, scene.agent, scene.balancer, CUT)),
+  unplanned('cut the other way', (scene) => disturbLink(scene, scene.balancer, scene.agent, CUT)),
+  unplanned('cut off', (scene) => {
+    disturbAllLinks(scene, CUT);
+    scene.world.frames.cutStreams(scene.machine.advertised, true);
+    later(scene.length, () => scene.world.frames.cutStreams(scene.machine.advertised, false));
+  }),
+  unplanned('lossy links', (scene) => disturbAllLinks(scene, LOSSY)),
+  unplanned('slow links', (scene) => disturbAllLinks(scene, SLOW)),
+  unplanned('store fails one machine', ({ world, machine, length }) => {
+    machine.gate.setMode(world.random.pick(GateModes));
+    later(length, () => machine.gate.setMode('serving'));
+  }),
+  unplanned('store fails all', ({ world, length }) => {
+    const mode = world.random.pick(GateModes);
+    const machines = [...world.balancers, ...world.agents];
+    machines.forEach(({ gate }) => gate.setMode(mode));
+    later(length, () => machines.forEach(({ gate }) => gate.setMode('serving')));
+  }),
+  unplanned('store forgets', ({ world }) => world.store.forgetHistory()),
+  unplanned('target crashes', ({ agent, length }) => {
+    if (agent.target.alive) {
+      agent.target.crash();
+      later(length, () => void agent.target.start());
+    }
+  }),
+  unplanned('target is full', ({ agent, length }) => {
+    agent.target.full = true;
+    later(length, () => (agent.target.full = false));
+  }),
+  planned('restart a process', ({ world, machine }) => {
+    world.judge.noteRestart(machine.name);
+    machine.process.terminate();
+  }),
+  planned('reload', ({ machine }) => machine.process.signal('SIGHUP')),
+  planned('reload of a broken file', ({ machine, length }) => {
+    const { process } = machine;
+    process.writeSettings('{"name":');
+    process.signal('SIGHUP');
+    later(length / 2, () => process.writeSettings(JSON.stringify(process.settings)));
+  }),
+  planned('replace a target', ({ agent, length }) => {
+    if (agent.target.alive) {
+      agent.target.drain();
+      later(DRAIN_SERVES, () => {
+        if (agent.target.alive) {
+          agent.target.leave();
+          later(length / 3, () => void agent.target.start());
+        }
+      });
+    }
+  }),
+  planned('configure', ({ world }) => world.configure(world.random.next() < 0.5)),
+  planned('configure often', ({ world }) => {
+    for (let step = 0; step < 10; step++) {
+      later(step * 60, () => world.configure(step % 2 === 0));
+    }
+  }),
+];
+
+/** Strikes with one fault of the world's choice; returns its name and whom it strikes. */
+export function strikeAtRandom(world: SoakWorld): string {
+  const { random } = world;
+  const balancer = random.pick(world.balancers);
+  const agent = random.pick(world.agents);
+  const machine = random.pick<SoakMachine>([balancer, agent]);
+  const length = random.between(SHORTEST, LONGEST);
+  const kind = random.pick(KINDS);
+  const isForAll = kind.name.includes('all') || kind.name.includes('store');
+  const struck = isForAll ? [...world.balancers, ...world.agents] : [balancer, agent];
+  const note = (): void => struck.forEach(({ name }) => world.judge.noteFault(name));
+  if (!kind.isPlanned) {
+    note();
+    later(length, note);
+  }
+  kind.strike({ world, balancer, agent, machine, length });
+  return `${kind.name}: ${machine.name}, ${balancer.name}, ${agent.name}, ${Math.round(length)} ms`;
+}
--- /dev/null
+++ b/test/soak/soak-process.ts
@@ -0,0 +1,106 @@
+/** One real process of the soak, started again whenever it ends. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
+import { join, resolve } from 'node:path';
+
+const MAIN = resolve(__dirname, '../../platform/main.js');
+const RESTART_DELAY = 150;
+/** Milliseconds between SIGTERM and SIGKILL. */
+const GRACE = 6_000;
+
+/** Processes that run now; none outlives the soak, however it ends. */
+const RUNNING = new Set<ChildProcess>();
+process.once('exit', () => RUNNING.forEach((child) => child.kill('SIGKILL')));
+
+/** Settings document of one process. */
+export type SoakSettings = Readonly<Record<string, unknown>> & { readonly name: string };
+
+/** The process. */
+export class SoakProcess {
+  /** Ends that nobody asked for. */
+  ownEnds = 0;
+  private child: ChildProcess | undefined;
+  private expected = false;
+  private closed = false;
+  private downUntil = 0;
+  private readonly settingsPath: string;
+  private readonly log: WriteStream;
+
+  constructor(
+    readonly role: 'balancer' | 'agent',
+    readonly settings: SoakSettings,
+    folder: string,
+  ) {
+    this.settingsPath = join(folder, `${settings.name}.json`);
+    this.log = createWriteStream(join(folder, `${settings.name}.log`));
+    writeFileSync(this.settingsPath, JSON.stringify(settings));
+  }
+
+  get name(): string {
+    return this.settings.name;
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  start(): void {
+    const env = { ...process.env, HALLHOLD_CONFIG: this.settingsPath, CLUSTER_KEY: 'soak-key' };
+    const child = spawn(process.execPath, [MAIN, this.role], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env,
+    });
+    this.child = child;
+    RUNNING.add(child);
+    this.expected = false;
+    child.stdout.pipe(this.log, { end: false });
+    child.stderr.pipe(this.log, { end: false });
+    child.once('exit', () => this.ended());
+  }
+
+  /** Ends it at once; it is down for at least so many milliseconds. */
+  kill(downTime = 0): void {
+    this.expected = true;
+    this.downUntil = performance.now() + downTime;
+    this.child?.kill('SIGKILL');
+  }
+
+  /** A planned restart. */
+  terminate(): void {
+    const { child } = this;
+    this.expected = true;
+    child?.kill('SIGTERM');
+    setTimeout(() => child?.exitCode === null && child.kill('SIGKILL'), GRACE).unref();
+  }
+
+  signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    this.child?.kill(signal);
+  }
+
+  /** Replaces the settings file by something; the process is not told. */
+  writeSettings(text: string): void {
+    writeFileSync(this.settingsPath, text);
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    const { child } = this;
+    if (child) {
+      const exit = new Promise((done) => child.once('exit', done));
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+      await exit;
+    }
+    this.log.end();
+  }
+
+  private ended(): void {
+    RUNNING.delete(this.child!);
+    this.child = undefined;
+    this.ownEnds += this.expected || this.closed ? 0 : 1;
+    if (!this.closed) {
+      const delay = Math.max(RESTART_DELAY, this.downUntil - performance.now());
+      setTimeout(() => this.closed || this.start(), delay).unref();
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/soak-router.ts
@@ -0,0 +1,79 @@
+/** The routers of the soak: probe the balancers and send clients' packets to those in use. */
+import { createSocket, type Socket } from 'node:dgram';
+import { request } from 'node:http';
+import { packetFormat } from '../../platform/packet-head';
+import { rendezvousScore } from '../../src/core/hashing';
+import type { ClusterPorts } from '../support/packet-cluster';
+
+const PROBE_INTERVAL = 500;
+const PROBE_TIMEOUT = 400;
+const MISSES_ALLOWED = 2;
+
+/** Receives a datagram for the client at a port. */
+export type ClientHandler = (port: number, bytes: Buffer) => void;
+
+/** All routers, and the one socket at which all clients receive. */
+export class SoakRouter {
+  private readonly misses = new Map<string, number>();
+  private readonly socket: Socket = createSocket('udp4');
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly clientMachine: string,
+    private readonly balancers: readonly string[],
+    private readonly ports: ClusterPorts,
+    private readonly toClient: ClientHandler,
+  ) {}
+
+  async start(): Promise<void> {
+    const { socket, ports, clientMachine } = this;
+    await new Promise<void>((done) => socket.bind(ports.packets, clientMachine, done));
+    socket.on('message', (bytes) => {
+      const packet = packetFormat.decodeFromTarget(bytes);
+      if (packet) {
+        this.toClient(bytes.readUInt16BE(6), bytes);
+      }
+    });
+    this.timer = setInterval(() => this.probe(), PROBE_INTERVAL);
+    this.probe();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.socket.close();
+  }
+
+  /** Hands a client's packet to the balancer that its flow belongs to now. */
+  route(packet: Buffer): void {
+    const flow = packetFormat.decodeFromClient(packet)!.flow;
+    const inUse = this.balancers.filter((one) => (this.misses.get(one) ?? 0) < MISSES_ALLOWED);
+    const pool = inUse.length * 2 < this.balancers.length ? this.balancers : inUse;
+    const score = (one: string): number => rendezvousScore(flow, one);
+    const best = pool.reduce((a, b) => (score(a) >= score(b) ? a : b));
+    this.socket.send(packet, this.ports.packets, best);
+  }
+
+  private probe(): void {
+    for (const host of this.balancers) {
+      const { ready: port } = this.ports;
+      const path = '/hallhold/ready';
+      const settle = (ok: boolean): void => {
+        this.misses.set(host, ok ? 0 : (this.misses.get(host) ?? 0) + 1);
+      };
+      let settled = false;
+      const once = (ok: boolean): void => {
+        if (!settled) {
+          settled = true;
+          settle(ok);
+        }
+      };
+      const call = request({ host, port, path, agent: false, timeout: PROBE_TIMEOUT }, (answer) => {
+        answer.resume();
+        once(answer.statusCode === 200);
+      });
+      call.on('timeout', () => call.destroy());
+      call.on('error', () => once(false));
+      call.end();
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/soak-target.ts
@@ -0,0 +1,234 @@
+/**
+ * A target of the soak: opens flows, runs requests, returns what it does not hold, sends
+ * heartbeats, drains, crashes and is replaced at the same address.
+ */
+import { createSocket, type Socket } from 'node:dgram';
+import { request } from 'node:http';
+import { packetFormat } from '../../platform/packet-head';
+import type { FlowKey, FlowPacket } from '../../src/packets/flow-packet';
+import type { JudgedTarget } from '../../src/simulation/packets/world-judge';
+import { encodePacket, type ClusterPorts } from '../support/packet-cluster';
+
+const HEAD_BYTES = 31;
+const Flag = { fin: 1, rst: 4, bounced: 8, syn: 16, ack: 128 } as const;
+const HEARTBEAT_INTERVAL = 400;
+const HEARTBEAT_TIMEOUT = 1_000;
+const SLOTS = 5;
+const SEQUENCE_RANGE = 2 ** 31;
+const WORK_TIME = 15;
+const REQUEST_ID = /X-Request-Id: (\S+)/;
+
+type End = readonly [string, number];
+
+interface TargetFlow {
+  readonly sequence: number;
+  open: boolean;
+  /** Answers by the sequence number of their request; empty while it runs. */
+  readonly answers: Map<number, string>;
+}
+
+/** What a target tells the soak. */
+export interface SoakTargetObserver {
+  openingReached(target: JudgedTarget): void;
+  packetReached(target: JudgedTarget, flow: FlowKey): void;
+  flowOpened(target: JudgedTarget, packet: FlowPacket): void;
+  requestRan(target: JudgedTarget, text: string): void;
+  drainAcknowledged(target: JudgedTarget): void;
+}
+
+/** The targets that follow each other at one machine. */
+export class SoakTarget {
+  incarnation = '';
+  alive = false;
+  /** Takes no new flow, as one whose queue is full. */
+  full = false;
+  private draining = false;
+  private drainKnown = false;
+  private beats = 0;
+  private flows = new Map<FlowKey, TargetFlow>();
+  private socket: Socket | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private starts = 0;
+
+  constructor(
+    readonly machine: string,
+    readonly service: string,
+    private readonly ports: ClusterPorts,
+    private readonly random: () => number,
+    private readonly observer: SoakTargetObserver,
+  ) {}
+
+  /** Starts a new incarnation with no flows. */
+  async start(): Promise<void> {
+    this.incarnation = `${this.machine}-${++this.starts}`;
+    this.draining = this.drainKnown = this.full = false;
+    this.beats = 0;
+    this.flows = new Map();
+    const socket = createSocket('udp4');
+    await new Promise<void>((done) => socket.bind(this.ports.application, this.machine, done));
+    socket.on('message', (bytes) => this.take(bytes));
+    this.socket = socket;
+    this.alive = true;
+    this.timer = setInterval(() => this.beat(), HEARTBEAT_INTERVAL);
+    this.beat();
+  }
+
+  /** Ends without a word. */
+  crash(): void {
+    this.alive = false;
+    clearInterval(this.timer);
+    this.socket?.close();
+    this.socket = undefined;
+  }
+
+  drain(): void {
+    this.draining = true;
+    this.beat();
+  }
+
+  /** Ends as planned: says that it leaves, then is gone. */
+  leave(): void {
+    this.call('DELETE', '', () => undefined);
+    this.crash();
+  }
+
+  holds(flow: FlowKey): boolean {
+    return this.alive && this.flows.get(flow)?.open === true;
+  }
+
+  get judged(): JudgedTarget {
+    return { incarnation: this.incarnation, service: this.service };
+  }
+
+  private beat(): void {
+    const { judged, draining } = this;
+    const body = JSON.stringify({
+      service: this.service,
+      addr: `${this.machine}:${this.ports.application}`,
+      zone: 'z',
+      version: 'v1',
+      slots: SLOTS,
+      state: draining ? 'draining' : 'ready',
+      'cold-left-ms': 0,
+      seq: ++this.beats,
+    });
+    this.call('PUT', body, (status) => {
+      if (
+        status === 200 &&
+        draining &&
+        !this.drainKnown &&
+        judged.incarnation === this.incarnation
+      ) {
+        this.drainKnown = true;
+        this.observer.drainAcknowledged(judged);
+      }
+    });
+  }
+
+  private call(method: string, body: string, answered: (status: number) => void): void {
+    const call = request(
+      {
+        host: this.machine,
+        port: this.ports.control,
+        method,
+        path: `/hallhold/instances/${this.incarnation}`,
+        agent: false,
+        timeout: HEARTBEAT_TIMEOUT,
+      },
+      (response) => {
+        response.resume();
+        answered(response.statusCode ?? 0);
+      },
+    );
+    call.on('timeout', () => call.destroy());
+    call.on('error', () => undefined);
+    call.end(body);
+  }
+
+  private take(bytes: Buffer): void {
+    const packet = packetFormat.decodeFromClient(bytes);
+    if (!packet || !this.alive) {
+      return;
+    }
+    const flow = this.flows.get(packet.flow);
+    if (packet.opens) {
+      this.observer.openingReached(this.judged);
+      this.open(packet, flow);
+      return;
+    }
+    this.observer.packetReached(this.judged, packet.flow);
+    if (!flow || (!flow.open && packet.acknowledgement !== flow.sequence)) {
+      this.giveBack(packet);
+    } else if (packet.resets || packet.ends) {
+      this.flows.delete(packet.flow);
+    } else {
+      this.takeHeld(packet, flow);
+    }
+  }
+
+  private open(packet: FlowPacket, known: TargetFlow | undefined): void {
+    if (this.full && !known) {
+      this.giveBack(packet);
+      return;
+    }
+    const sequence = Math.floor(this.random() * SEQUENCE_RANGE);
+    const flow = known ?? { sequence, open: false, answers: new Map<number, string>() };
+    this.flows.set(packet.flow, flow);
+    this.answer(packet, Flag.syn | Flag.ack, flow.sequence, '');
+  }
+
+  private takeHeld(packet: FlowPacket, flow: TargetFlow): void {
+    if (!flow.open) {
+      flow.open = true;
+      this.observer.flowOpened(this.judged, packet);
+    }
+    if (packet.payloadLength === 0) {
+      return;
+    }
+    const known = flow.answers.get(packet.sequence);
+    if (known !== undefined) {
+      this.send(packet, flow, known);
+      return;
+    }
+    flow.answers.set(packet.sequence, '');
+    const text = packet.bytes.toString('utf8', HEAD_BYTES);
+    this.observer.requestRan(this.judged, text);
+    const { incarnation } = this;
+    setTimeout(
+      () => {
+        if (this.alive && incarnation === this.incarnation) {
+          const answer = `HTTP/1.1 200 OK\r\n\r\nanswer to ${REQUEST_ID.exec(text)?.[1] ?? ''}`;
+          flow.answers.set(packet.sequence, answer);
+          this.send(packet, flow, answer);
+        }
+      },
+      WORK_TIME * (0.5 + this.random()),
+    );
+  }
+
+  private send(packet: FlowPacket, flow: TargetFlow, text: string): void {
+    if (text === '') {
+      return;
+    }
+    this.answer(packet, Flag.ack | (this.draining ? Flag.fin : 0), flow.sequence, text);
+    if (this.draining) {
+      this.flows.delete(packet.flow);
+    }
+  }
+
+  private giveBack(packet: FlowPacket): void {
+    packet.bytes[30]! |= Flag.bounced;
+    this.output(packet.bytes);
+  }
+
+  private answer(packet: FlowPacket, flags: number, sequence: number, text: string): void {
+    const { bytes } = packet;
+    const client: End = [bytes.subarray(2, 6).join('.'), bytes.readUInt16BE(0)];
+    const route: End = [bytes.subarray(8, 12).join('.'), bytes.readUInt16BE(6)];
+    this.output(encodePacket(route, client, flags, sequence, packet.sequence, text));
+  }
+
+  private output(bytes: Buffer): void {
+    this.socket?.send(bytes, this.ports.outbound, this.machine);
+  }
+}
--- /dev/null
+++ b/test/soak/soak-world.ts
@@ -0,0 +1,249 @@
+/**
+ * A deployment of real processes on loopback with everything around them: store, routers,
+ * clients, targets, and a switch between the processes. Clients and targets are the only
+ * witnesses of what the judge judges.
+ */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { formatEndpoint, packEndpoint } from '../../src/core/endpoint';
+import type { Endpoint } from '../../src/environment';
+import type { FlowKey } from '../../src/packets/flow-packet';
+import {
+  WorldJudge,
+  type FlowHolder,
+  type JudgedTarget,
+} from '../../src/simulation/packets/world-judge';
+import { SeededRandom } from '../../src/simulation/seeded-random';
+import { ObjectApiStandin } from '../support/object-api-standin';
+import type { ClusterPorts } from '../support/packet-cluster';
+import { FrameSwitch } from './frame-switch';
+import { SoakClient, type SoakClientState } from './soak-client';
+import { SoakProcess } from './soak-process';
+import { SoakRouter } from './soak-router';
+import { SoakTarget } from './soak-target';
+import { StoreGate } from './store-gate';
+
+const BASE_PORT = 24_000;
+const STOP_TIME = 3_000;
+const CLIENT_PORTS = 20_000;
+const FIRST_CLIENT_PORT = 40_000;
+const REQUEST_ID = /X-Request-Id: (\d+)\//;
+const BALANCERS = 3;
+const SERVICES = ['map', 'map', 'map', 'map', 'tiles', 'tiles'] as const;
+const ZONES = ['north', 'south', 'east'] as const;
+const PORTS: ClusterPorts = {
+  frames: BASE_PORT,
+  packets: BASE_PORT + 1,
+  outbound: BASE_PORT + 2,
+  application: BASE_PORT + 3,
+  ready: BASE_PORT + 4,
+  control: BASE_PORT + 5,
+};
+
+/** Routes that every configuration holds: service by destination. */
+export const MAP_ROUTE = packEndpoint('198.18.0.1', 8_443);
+export const TILES_ROUTE = packEndpoint('198.18.0.2', 8_443);
+/** A route that configurations add and drop. */
+export const PASSING_ROUTE = packEndpoint('198.18.0.3', 8_443);
+
+/** A machine of the soak. */
+export interface SoakMachine {
+  readonly name: string;
+  readonly machine: string;
+  readonly advertised: Endpoint;
+  readonly process: SoakProcess;
+  readonly gate: StoreGate;
+}
+
+/** A machine with a target beside its agent. */
+export interface SoakAgentMachine extends SoakMachine {
+  readonly target: SoakTarget;
+}
+
+/** The deployment. */
+export class SoakWorld {
+  readonly random: SeededRandom;
+  readonly judge = new WorldJudge({
+    get now() {
+      return performance.now();
+    },
+  });
+  readonly folder = mkdtempSync(join(tmpdir(), 'hallhold-soak-'));
+  readonly frames: FrameSwitch;
+  readonly store = new ObjectApiStandin();
+  readonly balancers: SoakMachine[] = [];
+  readonly agents: SoakAgentMachine[] = [];
+  readonly ended: Record<SoakClientState, number> = {
+    opening: 0,
+    open: 0,
+    done: 0,
+    unopened: 0,
+    reset: 0,
+    late: 0,
+  };
+  private readonly clients = new Map<number, SoakClient>();
+  private readonly clientMachine: string;
+  private router!: SoakRouter;
+  private nextClient = 0;
+  private version = 0;
+
+  /** @param network second byte of all loopback addresses, which keeps runs apart */
+  constructor(
+    seed: number,
+    private readonly network: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.frames = new FrameSwitch(this.random);
+    this.clientMachine = `127.${network}.9.1`;
+  }
+
+  async start(): Promise<void> {
+    this.configure(false);
+    for (let index = 0; index < BALANCERS; index++) {
+      this.balancers.push(await this.createMachine('balancer', index, undefined));
+    }
+    for (const [index, service] of SERVICES.entries()) {
+      const machine = await this.createMachine('agent', index, service);
+      const target = new SoakTarget(machine.machine, service, PORTS, () => this.random.next(), {
+        openingReached: (one) => this.judge.openingReached(one, machine.name),
+        packetReached: (one, flow) => this.judge.packetReached(one, flow, this.flowHolder(flow)),
+        flowOpened: (one, packet) => this.flowOpened(one, machine.name, packet.client),
+        requestRan: (one, text) => this.requestRan(one, text),
+        drainAcknowledged: (one) => this.judge.drainAcknowledged(one),
+      });
+      this.agents.push({ ...machine, target });
+    }
+    const hosts = this.balancers.map(({ machine }) => machine);
+    this.router = new SoakRouter(this.clientMachine, hosts, PORTS, (port, bytes) =>
+      this.clients.get(port)?.receive(bytes),
+    );
+    await this.router.start();
+    [...this.balancers, ...this.agents].forEach(({ process }) => process.start());
+    await Promise.all(this.agents.map(({ target }) => target.start()));
+  }
+
+  async stop(): Promise<void> {
+    this.clients.forEach((client) => client.stop());
+    this.agents.forEach(({ target }) => target.alive && target.crash());
+    this.router.stop();
+    this.frames.stop();
+    await Promise.all([...this.balancers, ...this.agents].map(({ process }) => process.close()));
+    [...this.balancers, ...this.agents].forEach(({ gate }) => gate.stop());
+    this.store.stop();
+  }
+
+  /** Writes the next version of the configuration, with the passing route or without it. */
+  configure(withPassingRoute: boolean): void {
+    const services = new Map([
+      [MAP_ROUTE, 'map'],
+      [TILES_ROUTE, 'tiles'],
+    ]);
+    if (withPassingRoute) {
+      services.set(PASSING_ROUTE, 'map');
+    }
+    this.version += 3;
+    this.store.put('config', 'main', {
+      version: this.version,
+      routes: [...services].map(([destination, service]) => {
+        const [host, port] = formatEndpoint(destination).split(':');
+        return { name: `route-${port}`, host, 'path-prefix': `/${port}/`, service };
+      }),
+      services: [],
+      limits: {},
+    });
+    this.judge.configured(new Map([...services].map(([to, service]) => [to, [service]])));
+  }
+
+  /** Opens one flow; the returned client goes on by itself. */
+  openFlow(destination: Endpoint, requests: number, pause: number): SoakClient {
+    const port = FIRST_CLIENT_PORT + (this.nextClient++ % CLIENT_PORTS);
+    const plan = {
+      client: packEndpoint(this.clientMachine, port),
+      destination,
+      requests,
+      pause,
+    };
+    const client: SoakClient = new SoakClient(
+      plan,
+      () => performance.now(),
+      (packet) => this.router.route(packet),
+      {
+        answerCame: (_one, expected, answered) => this.judge.answerCame(expected, answered),
+        wasReset: (one) => this.clientReset(one),
+        ended: (one) => {
+          this.ended[one.state]++;
+          this.clients.delete(port);
+        },
+      },
+    );
+    this.clients.set(port, client);
+    client.start();
+    return client;
+  }
+
+  /** Ends of processes that nobody asked for. */
+  get ownEnds(): number {
+    return [...this.balancers, ...this.agents].reduce(
+      (sum, { process }) => sum + process.ownEnds,
+      0,
+    );
+  }
+
+  private async createMachine(
+    role: 'balancer' | 'agent',
+    index: number,
+    service: string | undefined,
+  ): Promise<SoakMachine> {
+    const [real, known] = role === 'balancer' ? [1, 11] : [2, 12];
+    const machine = `127.${this.network}.${real}.${index + 1}`;
+    const advertised = packEndpoint(`127.${this.network}.${known}.${index + 1}`, PORTS.frames);
+    await this.frames.connect(advertised, packEndpoint(machine, PORTS.frames));
+    const gate = new StoreGate(this.store);
+    const isAgent = role === 'agent';
+    const name = `${role}-${index + 1}`;
+    const settings = {
+      name,
+      zone: ZONES[index % ZONES.length]!,
+      address: formatEndpoint(advertised),
+      listenAddress: `${machine}:${PORTS.frames}`,
+      packetAddress: `${machine}:${PORTS.packets}`,
+      targetOutbound: isAgent ? `${machine}:${PORTS.outbound}` : '',
+      targetAddress: isAgent ? `${machine}:${PORTS.application}` : '',
+      service: service ?? '',
+      readyAddress: `${machine}:${PORTS.ready}`,
+      controlAddress: `${machine}:${PORTS.control}`,
+      storeAddress: await gate.start(),
+      seeds: `127.${this.network}.11.1:1,127.${this.network}.11.2:1`,
+      stopTime: STOP_TIME,
+    };
+    const process = new SoakProcess(role, settings, this.folder);
+    return { name, machine, advertised, process, gate };
+  }
+
+  private flowHolder(flow: FlowKey): FlowHolder | undefined {
+    const holder = this.agents.find(({ target }) => target.holds(flow));
+    const processes = [...this.balancers.map(({ name }) => name), holder?.name ?? ''];
+    return holder && { target: holder.target.judged, processes };
+  }
+
+  private flowOpened(target: JudgedTarget, agent: string, from: Endpoint): void {
+    const client = this.clients.get(from % 65_536);
+    if (client) {
+      const processes = [...this.balancers.map(({ name }) => name), agent];
+      const { destination } = client.plan;
+      this.judge.flowOpened(destination, target.service, client.startedAt, processes);
+    }
+  }
+
+  private requestRan(target: JudgedTarget, text: string): void {
+    const from = Number(REQUEST_ID.exec(text)?.[1] ?? 0);
+    const id = /X-Request-Id: (\S+)/.exec(text)?.[1] ?? text;
+    this.judge.requestRan(target, id, this.clients.get(from % 65_536));
+  }
+
+  private clientReset(client: SoakClient): void {
+    const holder = this.flowHolder(client.flow);
+    this.judge.clientReset(client, holder !== undefined, holder?.processes);
+  }
+}
--- a/test/support/object-api-standin.ts
+++ b/test/support/object-api-standin.ts
@@ -27,6 +27,7 @@
   private readonly events: Event[] = [];
   private readonly waiting = new Set<() => void>();
   private revision = 1;
+  private forgottenThrough = 0;
   private server: Server | undefined;
 
   async start(): Promise<string> {
@@ -63,7 +64,14 @@
     this.waiting.forEach((wake) => wake());
   }
 
-  private take(call: IncomingMessage, response: ServerResponse): void {
+  /** Forgets its history: watches of earlier revisions get 410 from now on. */
+  forgetHistory(): void {
+    this.forgottenThrough = this.revision;
+    this.waiting.forEach((wake) => wake());
+  }
+
+  /** Answers one call. */
+  take(call: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     call.on('data', (chunk: Buffer) => chunks.push(chunk));
     call.on('end', () => {
@@ -133,10 +141,11 @@
       clearTimeout(timer);
       this.waiting.delete(wake);
       const events = this.changes(kind, after);
-      send(200, { events, at: this.revision });
+      const isForgotten = after < this.forgottenThrough;
+      send(isForgotten ? 410 : 200, isForgotten ? {} : { events, at: this.revision });
     };
     const wake = (): void => {
-      if (this.changes(kind, after).length > 0) {
+      if (this.changes(kind, after).length > 0 || after < this.forgottenThrough) {
         finish();
       }
     };
