--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -13,6 +13,9 @@
 /** Added while the agent is not heard. */
 const SILENT_PENALTY = 5;
 
+/** Added for a target all of whose requests fail; part of it for a part of them. */
+const FAILURE_PENALTY = 4;
+
 /** Loads closer than this count as equal; balancers then choose differently. */
 const TIE_BREAK = 0.1;
 
@@ -66,6 +69,7 @@
   load += entry.zone === context.zone ? 0 : OTHER_ZONE_PENALTY;
   load += isCold ? COLD_PENALTY : 0;
   load += isReady ? 0 : UNKNOWN_STATE_PENALTY;
+  load += (FAILURE_PENALTY * (entry.report?.failurePercent ?? 0)) / 100;
   load += context.isHeard(entry) ? 0 : SILENT_PENALTY;
   return load;
 }
--- a/src/packets/flow-packet.ts
+++ b/src/packets/flow-packet.ts
@@ -50,6 +50,8 @@
   restoreClientForm(bytes: Buffer): void;
   /** The id of the request that begins in a packet's data, if one does. */
   requestId(packet: FlowPacket): string | undefined;
+  /** Whether the answer that begins in a target's packet says that the request failed. */
+  isFailure(packet: FlowPacket): boolean;
   /** A reset for the client, in answer to one of its packets. */
   createReset(packet: FlowPacket): Buffer;
 }
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -182,6 +182,7 @@
       refusals: search.refusedBy.size,
       busy: chosen.report?.busyRequests,
       flows: chosen.report?.openFlows,
+      failing: chosen.report?.failurePercent,
       reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
     });
     this.deliver(packet, search.route, chosen.address, search.id, search.services);
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -7,6 +7,8 @@
 
 /** Flows tracked at once; the least recently used one is dropped beyond that. */
 const MAXIMUM_FLOWS = 20_000;
+/** Milliseconds after which a request without an answer counts as failed. */
+const REQUEST_TIMEOUT = 1_500;
 
 /** One flow. */
 interface TrackedFlow {
@@ -20,6 +22,8 @@
   ended: boolean;
   /** A request has been delivered and its answer has not begun. */
   busy: boolean;
+  /** Time at which that request was delivered. */
+  busySince: number;
   /** Highest sequence number of data delivered, to tell repeats; undefined before any. */
   lastSequence: number | undefined;
   usedAt: number;
@@ -50,10 +54,16 @@
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
       flow.lastSequence = packet.sequence;
+      flow.busySince = now;
       this.setBusy(flow, true);
     }
   }
 
+  /** Whether a flow's request has been delivered and its answer has not begun. */
+  awaitsAnswer(flow: FlowKey): boolean {
+    return this.flows.get(flow)?.busy === true;
+  }
+
   /**
    * The target has sent a packet of its own.
    * @returns the balancer that must be told that the flow is held here, if any
@@ -90,6 +100,24 @@
     this.held = 0;
   }
 
+  /**
+   * Gives up requests that have waited too long: they no longer count as under way.
+   * @returns their number
+   */
+  giveUpRequests(now: number): number {
+    if (this.busy === 0) {
+      return 0;
+    }
+    let givenUp = 0;
+    for (const flow of this.flows.values()) {
+      if (flow.busy && now - flow.busySince > REQUEST_TIMEOUT) {
+        this.setBusy(flow, false);
+        givenUp++;
+      }
+    }
+    return givenUp;
+  }
+
   /** Drops flows that have rested longer than `lifetime` milliseconds. */
   expire(lifetime: number, now: number): void {
     for (const [key, flow] of this.flows) {
@@ -114,6 +142,7 @@
       held: false,
       ended: false,
       busy: false,
+      busySince: 0,
       lastSequence: undefined,
       usedAt: now,
     };
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -9,6 +9,7 @@
   type TargetStateValue,
 } from './packet-messages';
 import { Subscribers } from './subscribers';
+import type { TargetHealth } from './target-health';
 import type { TargetLifecycle } from './target-lifecycle';
 
 /** Balancers named in a report, so that balancers find each other. */
@@ -22,6 +23,7 @@
   readonly link: MessageLink<PacketMessage>;
   readonly target: TargetLifecycle;
   readonly tracker: FlowTracker;
+  readonly health: TargetHealth;
   /** The agent's state, which may differ from its target's. */
   state(): TargetStateValue;
 }
@@ -55,7 +57,8 @@
   }
 
   private createReport(balancers: readonly Endpoint[]): ReportMessage {
-    const { environment, zone, target, tracker, state } = this.dependencies;
+    const { environment, zone, target, tracker, health, state } = this.dependencies;
+    const now = environment.now();
     return {
       type: PacketMessageType.report,
       run: this.run,
@@ -66,7 +69,8 @@
       slots: target.slots,
       busyRequests: tracker.busyRequests,
       openFlows: tracker.openFlows,
-      coldLeft: target.coldLeft(environment.now()),
+      coldLeft: target.coldLeft(now),
+      failurePercent: Math.round(100 * health.failureShare(now)),
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -24,6 +24,7 @@
 } from './packet-messages';
 import type { PacketMessage } from './packet-messages';
 import { PendingDeliveries } from './pending-deliveries';
+import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
 const REPORT_INTERVAL = 250;
@@ -80,6 +81,7 @@
   private readonly link: MessageLink<PacketMessage>;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
+  private readonly health = new TargetHealth();
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
   private readonly timers = new Set<TimerHandle>();
@@ -98,6 +100,7 @@
       link: this.link,
       target: this.target,
       tracker: this.tracker,
+      health: this.health,
       state: () => this.state,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
@@ -106,7 +109,7 @@
   start(): void {
     const { environment } = this.dependencies;
     this.reporter.reportTo(this.settings.seeds);
-    this.repeat(REPORT_INTERVAL, () => this.reporter.report());
+    this.repeat(REPORT_INTERVAL, () => this.report());
     this.repeat(EXPIRY_INTERVAL, () =>
       this.tracker.expire(this.settings.flowLifetime, environment.now()),
     );
@@ -155,6 +158,7 @@
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
       this.tracker.clear();
+      this.health.clear();
     }
     if (change !== 'none') {
       this.reportTarget();
@@ -191,12 +195,14 @@
       environment.report(Events.packetMalformed, { length: bytes.length });
       return;
     }
+    this.health.heard();
     if (packet.refused) {
       this.returnPacket(packet);
       return;
     }
     this.counters.packetsSent++;
     sendToClient(packet.client, bytes);
+    this.judgeAnswer(packet);
     const balancer = this.tracker.sent(packet, environment.now());
     if (balancer !== undefined) {
       const flow = Buffer.from(packet.flow, 'latin1');
@@ -225,6 +231,9 @@
     }
     this.counters.packetsDelivered++;
     this.tracker.delivered(packet, balancer, environment.now());
+    if (packet.opens) {
+      this.health.openingDelivered(environment.now());
+    }
     this.reportRequest(packet, balancer);
     format.writeToken(packet.bytes, this.pending.add(balancer, message.searchId));
     sendToTarget(packet.bytes);
@@ -244,6 +253,30 @@
     }
   }
 
+  /** Notes how a request ended when the target's packet begins its answer or breaks it off. */
+  private judgeAnswer(packet: FlowPacket): void {
+    const { environment, format } = this.dependencies;
+    const endsRequest = packet.payloadLength > 0 || packet.resets;
+    if (endsRequest && this.tracker.awaitsAnswer(packet.flow)) {
+      const succeeded = !packet.resets && !format.isFailure(packet);
+      this.health.requestEnded(succeeded, environment.now());
+    }
+  }
+
+  /** Tells the balancers of the target's load and health, and looks at the clock for both. */
+  private report(): void {
+    const now = this.dependencies.environment.now();
+    const wasDown = this.health.isDown(now);
+    this.health.tick();
+    for (let left = this.tracker.giveUpRequests(now); left > 0; left--) {
+      this.health.requestEnded(false, now);
+    }
+    if (this.health.isDown(now) && !wasDown) {
+      this.reportTarget();
+    }
+    this.reporter.report();
+  }
+
   /** Why the target must not get a packet; undefined when it may. */
   private refusalOf(
     packet: FlowPacket,
@@ -252,6 +285,10 @@
     if (!services.includes(this.target.service)) {
       return RefusalReason.otherService;
     }
+    const now = this.dependencies.environment.now();
+    if (this.health.isDown(now) && !(packet.opens && this.health.isProbeDue(now))) {
+      return RefusalReason.targetDown;
+    }
     if (!packet.opens) {
       return undefined;
     }
@@ -305,6 +342,7 @@
       state: this.target.state,
       slots: this.target.slots,
       openFlows: this.tracker.openFlows,
+      isDown: this.health.isDown(this.dependencies.environment.now()),
     });
   }
 
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -36,6 +36,8 @@
   noTarget: 3,
   /** The target belongs to a service that the route does not allow. */
   otherService: 4,
+  /** The target has left every opening packet without an answer of late. */
+  targetDown: 5,
 } as const;
 export type RefusalReasonValue = (typeof RefusalReason)[keyof typeof RefusalReason];
 
@@ -86,6 +88,8 @@
   readonly openFlows: number;
   /** Milliseconds for which the target is still slow after its start. */
   readonly coldLeft: number;
+  /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
+  readonly failurePercent: number;
   /** Number of balancers that the agent reports to. */
   readonly balancerCount: number;
   /** Some of the balancers that the agent reports to. */
@@ -163,6 +167,7 @@
       field('busyRequests', 'b', integer),
       field('openFlows', 'o', integer),
       field('coldLeft', 'c', integer),
+      field('failurePercent', 'f', integer),
       field('balancerCount', 'n', integer),
       field('balancers', 'm', listOf(integer)),
     ],
--- /dev/null
+++ b/src/packets/target-health.ts
@@ -0,0 +1,98 @@
+/**
+ * How well a target does, judged by its own packets in passing (passive health checks):
+ * whether it still answers opening packets, and which part of its answers are failures.
+ * No probe is sent, and what a target says of its own health is not used.
+ */
+
+/** Milliseconds in which a target that runs answers an opening packet, with much to spare. */
+const OPENING_TIMEOUT = 150;
+/** Milliseconds of silence after which a target is taken to be down. */
+const DOWN_TIMEOUT = 400;
+/** Opening packets that must have gone unanswered before that. */
+const OPENINGS_BEFORE_DOWN = 2;
+/** Looks at the clock, with reading between them, before that: a pause of the agent is no silence. */
+const TICKS_BEFORE_DOWN = 2;
+/** Milliseconds between opening packets that a target gets while it is taken to be down. */
+const PROBE_INTERVAL = 300;
+/** Milliseconds in which the weight of an outcome falls to about a third. */
+const OUTCOME_TIME = 3_000;
+/** Good outcomes assumed, so that one failure is no verdict. */
+const ASSUMED_SUCCESSES = 3;
+
+/** Health of one target. */
+export class TargetHealth {
+  private silentOpenings = 0;
+  private silentSince: number | undefined;
+  private silentTicks = 0;
+  private probedAt = -Infinity;
+  private failures = 0;
+  private successes = 0;
+  private weighedAt = 0;
+
+  /** An opening packet is handed to the target. */
+  openingDelivered(now: number): void {
+    this.silentSince ??= now;
+    this.silentOpenings++;
+    this.probedAt = now;
+  }
+
+  /** The target has sent or returned a packet. */
+  heard(): void {
+    this.silentSince = undefined;
+    this.silentOpenings = 0;
+    this.silentTicks = 0;
+  }
+
+  /** To be called at regular intervals, with reading of the target's packets between calls. */
+  tick(): void {
+    this.silentTicks += this.silentSince === undefined ? 0 : 1;
+  }
+
+  /** A request has ended: answered well, or failed, refused or left without an answer. */
+  requestEnded(succeeded: boolean, now: number): void {
+    this.weigh(now);
+    this.successes += succeeded ? 1 : 0;
+    this.failures += succeeded ? 0 : 1;
+  }
+
+  /** Another incarnation has started: nothing is known of it. */
+  clear(): void {
+    this.heard();
+    this.failures = 0;
+    this.successes = 0;
+  }
+
+  /** Whether the target has lately left every opening packet without an answer. */
+  isDown(now: number): boolean {
+    return (
+      this.silentOpenings >= OPENINGS_BEFORE_DOWN &&
+      this.silentTicks >= TICKS_BEFORE_DOWN &&
+      this.silence(now) > DOWN_TIMEOUT
+    );
+  }
+
+  /** Whether an opening packet may be tried at a target that is taken to be down. */
+  isProbeDue(now: number): boolean {
+    return now - this.probedAt >= PROBE_INTERVAL;
+  }
+
+  /** Part of the requests that fail of late, 0 to 1; 1 for a target that says nothing. */
+  failureShare(now: number): number {
+    if (this.silence(now) > OPENING_TIMEOUT) {
+      return 1;
+    }
+    this.weigh(now);
+    return this.failures / (this.failures + this.successes + ASSUMED_SUCCESSES);
+  }
+
+  private silence(now: number): number {
+    return this.silentSince === undefined ? 0 : now - this.silentSince;
+  }
+
+  private weigh(now: number): void {
+    const weight = Math.exp((this.weighedAt - now) / OUTCOME_TIME);
+    this.failures *= weight;
+    this.successes *= weight;
+    this.weighedAt = now;
+  }
+}
--- a/src/simulation/packets/model-client.ts
+++ b/src/simulation/packets/model-client.ts
@@ -5,7 +5,13 @@
 import type { Endpoint } from '../../environment';
 import type { FlowPacket } from '../../packets/flow-packet';
 import type { VirtualClock } from '../virtual-clock';
-import { encodeModelPacket, ModelFlag, modelPacketFormat } from './model-packet-format';
+import {
+  encodeModelPacket,
+  FAILED_ANSWER,
+  ModelFlag,
+  modelPacketFormat,
+  payloadOf,
+} from './model-packet-format';
 
 const OPENING_COPIES = [0, 200, 600] as const;
 const OPENING_TIME = 1_400;
@@ -24,12 +30,21 @@
   readonly pause: number;
 }
 
+/** What a client shows to the world. */
+export interface ModelClientObserver {
+  wasReset(client: ModelClient, packet: FlowPacket): void;
+  /** An answer came to a request: the text expected and the text that came. */
+  answerCame(expected: string, answered: string): void;
+}
+
 /** One flow of one client. */
 export class ModelClient {
   state: ClientState = 'opening';
   answers = 0;
   /** Time at which each answer came. */
   readonly answeredAt: number[] = [];
+  /** Time of its first opening packet. */
+  startedAt = 0;
   private sequence = 1;
   private acknowledged = 0;
 
@@ -37,10 +52,11 @@
     readonly plan: ModelClientPlan,
     private readonly clock: VirtualClock,
     private readonly send: (packet: Buffer) => void,
-    private readonly wasReset: (client: ModelClient, packet: FlowPacket) => void,
+    private readonly observer: ModelClientObserver,
   ) {}
 
   start(): void {
+    this.startedAt = this.clock.now;
     OPENING_COPIES.forEach((delay, copy) => {
       this.clock.schedule(delay, () => {
         if (this.state === 'opening') {
@@ -62,7 +78,7 @@
       return;
     }
     if (packet.resets) {
-      this.wasReset(this, packet);
+      this.observer.wasReset(this, packet);
       this.state = 'reset';
     } else if (packet.opens) {
       this.opened(packet);
@@ -82,6 +98,9 @@
   }
 
   private answered(packet: FlowPacket): void {
+    const { client } = this.plan;
+    const text = payloadOf(packet).replace(FAILED_ANSWER, '');
+    this.observer.answerCame(`answer to ${client}/${this.sequence}`, text);
     this.answers++;
     this.answeredAt.push(this.clock.now);
     const over = this.answers >= this.plan.requests;
--- a/src/simulation/packets/model-packet-format.ts
+++ b/src/simulation/packets/model-packet-format.ts
@@ -13,6 +13,9 @@
 } as const;
 const END_BYTES = 6;
 
+/** How an answer begins that says that its request failed. */
+export const FAILED_ANSWER = 'failed: ';
+
 /** Flags of a model packet. */
 export const ModelFlag = { opens: 1, ends: 2, resets: 4, refused: 8 } as const;
 
@@ -78,6 +81,7 @@
     bytes[Offset.flags]! &= ~ModelFlag.refused;
   },
   requestId: () => undefined,
+  isFailure: (packet) => payloadOf(packet).startsWith(FAILED_ANSWER),
   createReset: ({ client, destination }) =>
     encodeModelPacket({
       client,
--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -4,10 +4,18 @@
  */
 import type { FlowKey, FlowPacket } from '../../packets/flow-packet';
 import type { VirtualClock } from '../virtual-clock';
-import { encodeModelPacket, ModelFlag, modelPacketFormat, payloadOf } from './model-packet-format';
+import {
+  encodeModelPacket,
+  FAILED_ANSWER,
+  ModelFlag,
+  modelPacketFormat,
+  payloadOf,
+} from './model-packet-format';
 
 /** What a target shows to the world. */
 export interface ModelTargetObserver {
+  /** A flow opened: the client's next packet has come. */
+  opened(target: ModelTarget, packet: FlowPacket): void;
   /** A request began to run. */
   ran(target: ModelTarget, request: string): void;
 }
@@ -25,8 +33,12 @@
 /** One start of one target. */
 export class ModelTarget {
   readonly flows = new Map<FlowKey, ModelFlow>();
+  /** Requests run, repeats not counted. */
+  requestsRun = 0;
   alive = true;
   draining = false;
+  /** Answers every request with a failure, at once. */
+  failing = false;
   /** Refuses new flows, as one whose queue is full. */
   full = false;
 
@@ -66,7 +78,10 @@
     } else if (packet.resets || packet.ends) {
       this.flows.delete(packet.flow);
     } else {
-      flow.open = true;
+      if (!flow.open) {
+        flow.open = true;
+        this.observer.opened(this, packet);
+      }
       this.takeData(packet, flow);
     }
   }
@@ -92,10 +107,12 @@
     }
     const request = payloadOf(packet);
     flow.answered.set(packet.sequence, '');
+    this.requestsRun++;
     this.observer.ran(this, request);
-    this.clock.schedule(this.workTime, () => {
-      flow.answered.set(packet.sequence, `answer to ${request}`);
-      this.answer(packet, flow, `answer to ${request}`);
+    const answer = `${this.failing ? FAILED_ANSWER : ''}answer to ${request}`;
+    this.clock.schedule(this.failing ? 0 : this.workTime, () => {
+      flow.answered.set(packet.sequence, answer);
+      this.answer(packet, flow, answer);
     });
   }
 
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -90,7 +90,7 @@
 
   /** Puts a routing table into the store: service names by destination. */
   configure(version: number, routes: ReadonlyMap<Endpoint, readonly string[]>): void {
-    routes.forEach((services, destination) => this.judge.allow(destination, services));
+    this.judge.configured(routes);
     this.store.writeRouting({
       version,
       idleTimeout: FLOW_LIFETIME,
@@ -192,7 +192,10 @@
       WORK_TIME,
       this.clock,
       output,
-      { ran: (by, request) => this.judge.requestRan(by, request, this.clientOf(request)) },
+      {
+        opened: (by, packet) => this.flowOpened(by, agent, packet.client),
+        ran: (by, request) => this.judge.requestRan(by, request, this.clientOf(request)),
+      },
     );
     agent.target = target;
     this.beat(agent, target, 1);
@@ -203,6 +206,9 @@
   drain(agent: WorldAgent): void {
     agent.target.draining = true;
     this.sendHeartbeat(agent, agent.target, 1_000_000);
+    if (agent.process.isRunning) {
+      this.judge.drainAcknowledged(agent.target);
+    }
   }
 
   /** Promises that this run has seen broken. */
@@ -218,7 +224,10 @@
       { client, destination, requests, pause },
       this.clock,
       (packet) => this.route(process, client, packet),
-      (one) => this.judge.clientReset(one, this.holderOf(one) !== undefined),
+      {
+        wasReset: (one) => this.judge.clientReset(one, this.holderOf(one) !== undefined),
+        answerCame: (expected, answered) => this.judge.answerCame(expected, answered),
+      },
     );
     this.network.bind(client, process, (bytes) => flow.receive(Buffer.from(bytes)));
     this.clients.push(flow);
@@ -272,7 +281,9 @@
 
   private deliverToTarget(agent: WorldAgent, bytes: Buffer): void {
     const packet = modelPacketFormat.decodeFromClient(bytes);
-    if (packet && !packet.opens && agent.target) {
+    if (packet?.opens && agent.target) {
+      this.judge.openingReached(agent.target, agent.name);
+    } else if (packet && agent.target) {
       this.judge.packetReached(agent.target, packet.flow, this.flowHolder(packet.flow));
     }
     agent.target?.receive(bytes);
@@ -284,6 +295,15 @@
     return holder && { target: holder.target, processes: [holder.name, ...processes] };
   }
 
+  private flowOpened(target: ModelTarget, agent: WorldAgent, from: Endpoint): void {
+    const client = this.clients.find(({ plan }) => plan.client === from);
+    if (client) {
+      const processes = [agent.name, ...this.balancers.map(({ name }) => name)];
+      const { destination } = client.plan;
+      this.judge.flowOpened(destination, target.service, client.startedAt, processes);
+    }
+  }
+
   private clientOf(request: string): ModelClient | undefined {
     return this.clients.find(({ plan }) => request.startsWith(`${plan.client}/`));
   }
--- /dev/null
+++ b/test/packet-health.test.ts
@@ -0,0 +1,98 @@
+/** Targets that are down or fail: what agents conclude, and where new flows go then. */
+import test from 'ava';
+import { TargetHealth } from '../src/packets/target-health';
+import {
+  MAP_DESTINATION,
+  openModelFlows,
+  startModelDeployment,
+} from '../src/simulation/packets/random-faults';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+
+const OPENING_COPY_DELAY = 200;
+
+test('a target that answers no opening packet is down, and is tried now and then', (t) => {
+  const health = new TargetHealth();
+  health.openingDelivered(0);
+  health.openingDelivered(100);
+  health.tick();
+  t.false(health.isDown(450));
+  health.tick();
+  t.true(health.isDown(450));
+  t.true(health.isProbeDue(450));
+  t.is(health.failureShare(450), 1);
+  health.heard();
+  t.false(health.isDown(451));
+  t.is(health.failureShare(451), 0);
+});
+
+test('a pause of the agent is not taken for silence of its target', (t) => {
+  const health = new TargetHealth();
+  health.openingDelivered(0);
+  health.openingDelivered(10);
+  // Frozen for four seconds; the answers wait in the socket when the first timer fires.
+  health.tick();
+  t.false(health.isDown(4_000));
+});
+
+test('failures weigh by their share and are forgotten with time', (t) => {
+  const health = new TargetHealth();
+  health.requestEnded(false, 0);
+  t.true(health.failureShare(0) < 0.3);
+  for (let request = 0; request < 20; request++) {
+    health.requestEnded(false, 10);
+  }
+  t.true(health.failureShare(10) > 0.8);
+  t.true(health.failureShare(20_000) < 0.05);
+});
+
+function startWorld(): PacketWorld {
+  const world = new PacketWorld(5);
+  startModelDeployment(world);
+  return world;
+}
+
+/** Opens a flow of one request every 40 ms and returns those whose answer took long. */
+function countSlowFlows(world: PacketWorld, flows: number): number {
+  const clients = [];
+  for (let index = 0; index < flows; index++) {
+    clients.push(world.openFlow(MAP_DESTINATION, 1, 0));
+    world.runFor(40);
+  }
+  world.runFor(2_000);
+  return clients.filter(
+    ({ startedAt, answeredAt: [at] }) => at === undefined || at - startedAt >= OPENING_COPY_DELAY,
+  ).length;
+}
+
+test('a target that has gone dark draws no new flows', (t) => {
+  const world = startWorld();
+  openModelFlows(world, 40, 100);
+  world.runFor(2_000);
+  world.agents[0]!.target.alive = false;
+  const slow = countSlowFlows(world, 100);
+  t.true(slow <= 12, `${slow} of 100 flows had to be opened twice`);
+});
+
+test('clients of a target that has gone dark are told soon, not at their deadline', (t) => {
+  const world = startWorld();
+  openModelFlows(world, 40, 100, 100);
+  world.runFor(2_000);
+  const dark = world.agents[0]!;
+  const clients = world.clients.filter((client) => world.holderOf(client) === dark);
+  t.true(clients.length > 3);
+  dark.target.alive = false;
+  countSlowFlows(world, 40);
+  t.true(clients.every(({ state }) => state === 'reset'));
+});
+
+test('a target whose answers fail draws few new flows', (t) => {
+  const world = startWorld();
+  const failing = world.agents[0]!;
+  failing.target.failing = true;
+  for (let index = 0; index < 100; index++) {
+    world.openFlow(MAP_DESTINATION, 1, 0);
+    world.runFor(40);
+  }
+  const ran = failing.target.requestsRun;
+  t.true(ran <= 12, `${ran} of 100 requests ran at the failing target`);
+});
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -35,7 +35,15 @@
   return world.clients.filter((client) => client.state === state).length;
 }
 
-const NO_VIOLATIONS = { flowsReset: [], strayed: [], doubled: [], misrouted: [] };
+const NO_VIOLATIONS = {
+  flowsReset: [],
+  strayed: [],
+  doubled: [],
+  misrouted: [],
+  mixed: [],
+  drained: [],
+  outdated: [],
+};
 
 test('a calm deployment serves every flow and balances them', (t) => {
   const world = startWorld();
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -18,6 +18,7 @@
     busyRequests: 0,
     openFlows: 0,
     coldLeft: 0,
+    failurePercent: 0,
     balancerCount: 1,
     balancers: [],
     ...fields,
