--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -6,6 +6,7 @@
  * balancer to conclude that no target holds a flow.
  */
 import type { Endpoint } from '../environment';
+import { silenceLimit } from './report-interval';
 import {
   TargetState,
   type AgentRecord,
@@ -13,9 +14,6 @@
   type TargetStateValue,
 } from './packet-messages';
 
-/** Milliseconds without a report after which an agent counts as silent. */
-export const SILENCE_LIMIT = 700;
-
 /**
  * Milliseconds between sending an opening packet and the first request of its flow at the
  * target: a report shows the load of openings that are older than this.
@@ -71,7 +69,17 @@
     if (entry.heardAt === undefined || entry.report?.state === TargetState.agentRestarting) {
       return false;
     }
-    return now - entry.heardAt <= SILENCE_LIMIT;
+    return now - entry.heardAt <= silenceLimit(this.size);
+  }
+
+  /** Whether any agent has been heard lately. */
+  hearsAny(now: number): boolean {
+    for (const entry of this.entries.values()) {
+      if (this.isHeard(entry, now)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Takes an agent from the registry, or a peer when `revision` is undefined. */
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -1,10 +1,11 @@
-/** A balancer's requests for reports: often at agents that are silent, else once a second. */
+/** A balancer's requests for reports: often at agents that are silent, else now and then. */
 import type { Endpoint } from '../environment';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { PacketMessageType, type SubscribeMessage } from './packet-messages';
+import { reportInterval } from './report-interval';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
-const SUBSCRIPTION_INTERVAL = 1_000;
+const SUBSCRIPTION_INTERVAL = 2_000;
 /** A long silent agent is asked at the slower pace again. */
 const KNOCK_TIME = 10_000;
 /** Timers fire a little early or late. */
@@ -28,7 +29,11 @@
 
   /** Subscribes wherever it is due. */
   run(now: number): void {
-    const message: SubscribeMessage = { type: PacketMessageType.subscribe, zone: this.zone };
+    const message: SubscribeMessage = {
+      type: PacketMessageType.subscribe,
+      zone: this.zone,
+      interval: reportInterval(this.directory.size),
+    };
     for (const entry of this.directory.all()) {
       const last = this.subscribedAt.get(entry.address) ?? -Infinity;
       if (now - last >= this.intervalOf(entry, now) - TOLERANCE) {
--- /dev/null
+++ b/src/packets/flow-locator.ts
@@ -0,0 +1,76 @@
+/**
+ * Asks all agents of a route at once who holds a flow. Only its holder answers, so packets
+ * reach no other target; what nobody answers in time is looked for by offering the packet
+ * to one agent after the other.
+ */
+import type { FlowKey, FlowPacket } from './flow-packet';
+import type { Route } from './routing-table';
+
+/** Packets of one flow that wait for its answer; the client repeats the others. */
+const MAXIMUM_PER_FLOW = 16;
+const MAXIMUM_FLOWS = 4_096;
+
+/** Milliseconds in which the holder of a flow answers. */
+export const LOCATE_TIMEOUT = 40;
+
+/** A packet that waits for its flow's holder. */
+export interface WaitingPacket {
+  readonly packet: FlowPacket;
+  readonly route: Route;
+}
+
+interface Question {
+  readonly askedAt: number;
+  readonly waiting: WaitingPacket[];
+}
+
+/** Questions under way, by flow, oldest first. */
+export class FlowLocator {
+  private readonly questions = new Map<FlowKey, Question>();
+
+  get size(): number {
+    return this.questions.size;
+  }
+
+  /** Whether the holder of a flow is being asked for. */
+  isAsked(flow: FlowKey): boolean {
+    return this.questions.has(flow);
+  }
+
+  /** Keeps the first packet of a question; false when too many are under way. */
+  ask(waiting: WaitingPacket, now: number): boolean {
+    if (this.questions.size >= MAXIMUM_FLOWS) {
+      return false;
+    }
+    this.questions.set(waiting.packet.flow, { askedAt: now, waiting: [waiting] });
+    return true;
+  }
+
+  /** Keeps another packet of a flow that is asked for. */
+  wait(waiting: WaitingPacket): void {
+    const question = this.questions.get(waiting.packet.flow);
+    if (question && question.waiting.length < MAXIMUM_PER_FLOW) {
+      question.waiting.push(waiting);
+    }
+  }
+
+  /** The holder is known, or need not be: takes out what waits for it. */
+  take(flow: FlowKey): readonly WaitingPacket[] {
+    const question = this.questions.get(flow);
+    this.questions.delete(flow);
+    return question?.waiting ?? [];
+  }
+
+  /** Takes out what has waited too long for an answer. */
+  takeOverdue(now: number): WaitingPacket[] {
+    const overdue: WaitingPacket[] = [];
+    for (const [flow, { askedAt, waiting }] of this.questions) {
+      if (now - askedAt < LOCATE_TIMEOUT) {
+        break;
+      }
+      this.questions.delete(flow);
+      overdue.push(...waiting);
+    }
+    return overdue;
+  }
+}
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -7,13 +7,14 @@
  */
 import { formatEndpoint } from '../core/endpoint';
 import { rankByRendezvous } from '../core/hashing';
-import type { Endpoint, Environment } from '../environment';
+import type { Endpoint, Environment, TimerHandle } from '../environment';
 import type { EventFields, EventKind } from '../logging/events';
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { DelayedDeliveries } from './delayed-deliveries';
 import { selectAgent, type SelectionContext } from './agent-selection';
 import type { CachedFlow, FlowCache } from './flow-cache';
+import { FlowLocator, LOCATE_TIMEOUT } from './flow-locator';
 import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
 import { FlowSearches, type FlowSearch } from './flow-search';
 import {
@@ -67,6 +68,8 @@
   };
   private readonly searches = new FlowSearches(SEARCH_LIFETIME);
   private readonly delayed = new DelayedDeliveries();
+  private readonly locator = new FlowLocator();
+  private locateTimer: TimerHandle | undefined;
   private readonly rotation = new ServiceRotation();
   private routes: ReadonlyMap<Endpoint, Route> | undefined;
   private routingVersion = 0;
@@ -123,6 +126,14 @@
     this.counters.flowsFound++;
     this.searches.forgetFlow(flow);
     this.dependencies.cache.confirm(flow, agent, this.dependencies.environment.now());
+    for (const { packet, route } of this.locator.take(flow)) {
+      this.deliver(packet, route, agent, 0);
+    }
+  }
+
+  /** Ends the timer. */
+  stop(): void {
+    this.locateTimer?.cancel();
   }
 
   /** An agent that was away is back: hands it what has waited for it. */
@@ -216,8 +227,42 @@
       this.deliver(packet, route, known.agent, 0);
       return;
     }
+    if (this.locator.isAsked(packet.flow)) {
+      this.locator.wait({ packet, route });
+      return;
+    }
     this.counters.searchesStarted++;
-    this.offerNext(packet, this.beginSearch(packet, route), known);
+    const search = this.beginSearch(packet, route);
+    if (search.isLocated || known !== undefined || !this.locate(packet, search)) {
+      this.offerNext(packet, search, known);
+    }
+  }
+
+  /** Asks all agents of the route who holds a flow; false when that cannot be done now. */
+  private locate(packet: FlowPacket, search: FlowSearch): boolean {
+    const { directory, environment, link } = this.dependencies;
+    const { route } = search;
+    if (!this.locator.ask({ packet, route }, environment.now())) {
+      return false;
+    }
+    search.isLocated = true;
+    const agents = directory.ofServices(search.services).map(({ address }) => address);
+    const flow = Buffer.from(packet.flow, 'latin1');
+    link.sendToAll(agents, { type: PacketMessageType.locate, flow });
+    this.locateTimer ??= environment.startTimer(LOCATE_TIMEOUT, () => this.endLocating());
+    return true;
+  }
+
+  /** Offers packets whose holder has not answered to one agent after the other. */
+  private endLocating(): void {
+    const { environment } = this.dependencies;
+    this.locateTimer = undefined;
+    for (const { packet, route } of this.locator.takeOverdue(environment.now())) {
+      this.offerNext(packet, this.beginSearch(packet, route));
+    }
+    if (this.locator.size > 0) {
+      this.locateTimer = environment.startTimer(LOCATE_TIMEOUT, () => this.endLocating());
+    }
   }
 
   private beginSearch(packet: FlowPacket, route: Route): FlowSearch {
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -21,6 +21,8 @@
   /** The service that may take the packet when it opens a flow; else all of the route's. */
   readonly services: readonly string[];
   readonly refusedBy: Set<Endpoint>;
+  /** All agents have been asked for the holder at once. */
+  isLocated: boolean;
   usedAt: number;
 }
 
@@ -89,7 +91,15 @@
 
   private begin(flow: FlowKey, route: Route, services: readonly string[], now: number): FlowSearch {
     const id = this.nextId++;
-    const search: FlowSearch = { id, flow, route, services, refusedBy: new Set(), usedAt: now };
+    const search: FlowSearch = {
+      id,
+      flow,
+      route,
+      services,
+      refusedBy: new Set(),
+      isLocated: false,
+      usedAt: now,
+    };
     this.searches.set(id, search);
     if (this.searches.size > MAXIMUM_SEARCHES) {
       const [oldest] = this.searches.values();
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -88,6 +88,20 @@
     return flow.balancer;
   }
 
+  /**
+   * A balancer asks who holds a flow; it counts as told when the target does.
+   * @returns whether the target is known to hold it
+   */
+  isHeldFor(key: FlowKey, balancer: Endpoint): boolean {
+    const flow = this.flows.get(key);
+    if (!flow?.held) {
+      return false;
+    }
+    flow.balancer = balancer;
+    flow.told = balancer;
+    return true;
+  }
+
   /** The target returned a packet of a flow: it does not hold it. */
   returned(packet: FlowPacket): void {
     this.remove(packet.flow);
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -38,9 +38,12 @@
     this.run = Math.floor(dependencies.environment.random() * RUN_RANGE);
   }
 
-  /** A balancer is there: it gets reports for some seconds, the first at once. */
-  subscribe(balancer: Endpoint): void {
-    if (this.subscribers.renew(balancer, this.dependencies.environment.now())) {
+  /**
+   * A balancer is there: it gets reports for some seconds, the first at once.
+   * @param interval milliseconds between reports that it wants; as before when undefined
+   */
+  subscribe(balancer: Endpoint, interval?: number): void {
+    if (this.subscribers.renew(balancer, this.dependencies.environment.now(), interval)) {
       this.reportTo([balancer]);
     }
   }
@@ -50,10 +53,16 @@
     this.reportTo(this.subscribers.present(this.dependencies.environment.now()));
   }
 
+  /** Reports to the subscribers that are due for it. */
+  reportWhereDue(): void {
+    this.reportTo(this.subscribers.takeDue(this.dependencies.environment.now()));
+  }
+
   /** Reports to some balancers, subscribed or not. */
   reportTo(balancers: readonly Endpoint[]): void {
-    const report = this.createReport(balancers);
-    balancers.forEach((balancer) => this.dependencies.link.send(balancer, report));
+    if (balancers.length > 0) {
+      this.dependencies.link.sendToAll(balancers, this.createReport(balancers));
+    }
   }
 
   private createReport(balancers: readonly Endpoint[]): ReportMessage {
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -24,10 +24,10 @@
 } from './packet-messages';
 import type { PacketMessage } from './packet-messages';
 import { PendingDeliveries } from './pending-deliveries';
+import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
-const REPORT_INTERVAL = 250;
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
 const EXPIRY_INTERVAL = 1_000;
@@ -109,7 +109,7 @@
   start(): void {
     const { environment } = this.dependencies;
     this.reporter.reportTo(this.settings.seeds);
-    this.repeat(REPORT_INTERVAL, () => this.report());
+    this.repeat(SHORTEST_REPORT_INTERVAL, () => this.report());
     this.repeat(EXPIRY_INTERVAL, () =>
       this.tracker.expire(this.settings.flowLifetime, environment.now()),
     );
@@ -179,13 +179,22 @@
     const message = this.link.receive(bytes);
     if (message?.type === PacketMessageType.deliver) {
       this.deliver(message, from);
+    } else if (message?.type === PacketMessageType.locate) {
+      this.answerLocate(message.flow, from);
     } else if (message?.type === PacketMessageType.subscribe) {
-      this.reporter.subscribe(from);
+      this.reporter.subscribe(from, message.interval);
     } else if (message) {
       this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
   }
 
+  /** Tells a balancer that the target holds a flow, if it does; says nothing else. */
+  private answerLocate(flow: Buffer, balancer: Endpoint): void {
+    if (this.tracker.isHeldFor(flow.toString('latin1'), balancer)) {
+      this.link.send(balancer, { type: PacketMessageType.held, flow });
+    }
+  }
+
   /** A datagram that the target sent or returned. */
   targetDatagram(bytes: Buffer): void {
     const { environment, format, sendToClient } = this.dependencies;
@@ -274,7 +283,7 @@
     if (this.health.isDown(now) && !wasDown) {
       this.reportTarget();
     }
-    this.reporter.report();
+    this.reporter.reportWhereDue();
   }
 
   /** Why the target must not get a packet; undefined when it may. */
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -12,6 +12,10 @@
   readonly zone: string;
   /** Where other nodes reach this balancer. */
   readonly address: Endpoint;
+  /** Where clients' packets arrive. */
+  readonly packetAddress: Endpoint;
+  /** Processors that this balancer may use. */
+  readonly capacity: number;
   /** Other balancers that may be running; may be out of date. */
   readonly seeds: readonly Endpoint[];
   /** Milliseconds for which a flow may rest. */
@@ -28,6 +32,8 @@
   readonly registry: AgentRegistryPort;
   readonly snapshots: SnapshotPort;
   sendToClient(client: Endpoint, packet: Buffer): void;
+  /** Hands a client's packet on to where another balancer takes clients' packets. */
+  relay(packetAddress: Endpoint, packet: Buffer): void;
 }
 
 /** Figures of a packet balancer. */
@@ -37,5 +43,6 @@
   readonly agentsHeard: number;
   readonly flowsCached: number;
   readonly framesRejected: number;
+  readonly packetsRelayed: number;
   readonly ready: boolean;
 }
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -28,6 +28,7 @@
 } from './packet-balancer-contracts';
 import { RegistryUpkeep } from './registry-upkeep';
 import type { RoutingTable } from './routing-table';
+import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 
 const CACHED_FLOWS = 500_000;
 const UPKEEP_INTERVAL = 1_000;
@@ -36,6 +37,7 @@
 export class PacketBalancer {
   readonly directory = new AgentDirectory();
   readonly router: FlowRouter;
+  private readonly relay: TrafficRelay;
   private readonly cache: FlowCache;
   private readonly link: MessageLink<PacketMessage>;
   private readonly peers: PeerExchange;
@@ -46,12 +48,14 @@
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
+  private packetsRelayed = 0;
 
   constructor(
     private readonly settings: PacketBalancerSettings,
     private readonly dependencies: PacketBalancerDependencies,
   ) {
     const { environment, codec, transport, format, registry, routingTables } = dependencies;
+    this.relay = new TrafficRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.router = new FlowRouter({
@@ -91,6 +95,7 @@
   beginStop(): void {
     this.stopping = true;
     this.updateReadiness();
+    this.peers.announce();
   }
 
   /** Takes other seeds, which the settings name now. */
@@ -103,15 +108,20 @@
     this.stopping = true;
     this.followers.forEach((follower) => follower.stop());
     this.peers.stop();
+    this.router.stop();
     this.timers.forEach((timer) => timer.cancel());
   }
 
   /** Whether this balancer can serve any flow: it has a table, all agents, and hears some. */
   get isReady(): boolean {
+    const now = this.dependencies.environment.now();
     if (this.stopping || !this.table || !this.directory.isComplete) {
       return false;
     }
-    return this.directory.size === 0 || this.countHeard() > 0;
+    if (this.relay.isPossible(now)) {
+      return true;
+    }
+    return this.directory.size === 0 || this.directory.hearsAny(now);
   }
 
   get figures(): PacketBalancerFigures {
@@ -121,6 +131,7 @@
       agentsHeard: this.countHeard(),
       flowsCached: this.cache.size,
       framesRejected: this.link.framesRejected,
+      packetsRelayed: this.packetsRelayed,
       ready: this.isReady,
     };
   }
@@ -136,7 +147,13 @@
 
   /** A datagram of a client. */
   clientDatagram(bytes: Buffer): void {
-    this.router.route(bytes);
+    const destination = this.relay.isWanted ? this.relayDestination(bytes) : undefined;
+    if (destination === undefined) {
+      this.router.route(bytes);
+      return;
+    }
+    this.packetsRelayed++;
+    this.dependencies.relay(destination, bytes);
   }
 
   /** A frame of another node. */
@@ -147,6 +164,12 @@
     }
   }
 
+  private relayDestination(bytes: Buffer): Endpoint | undefined {
+    const { environment, format } = this.dependencies;
+    const packet = format.decodeFromClient(bytes);
+    return packet && this.relay.destinationOf(packet.flow, environment.now());
+  }
+
   private take(message: PacketMessage, from: Endpoint): void {
     const { environment } = this.dependencies;
     if (message.type === PacketMessageType.notHeld) {
@@ -182,7 +205,9 @@
     if (report.state === TargetState.gone && entry.registryRevision === undefined) {
       this.directory.forget(from);
     }
-    this.updateReadiness();
+    if (!wasHeard) {
+      this.updateReadiness();
+    }
   }
 
   private reportAgent(entry: AgentEntry, report: ReportMessage, wasHeard: boolean): void {
@@ -204,12 +229,19 @@
       directory: this.directory,
       link: this.link,
       snapshots,
+      relay: this.relay,
       routingVersion: () => this.table?.version ?? 0,
+      ownStatus: () => this.ownStatus,
       snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
       agentsReceived: (agents) => this.learnAgents(agents),
     });
   }
 
+  private get ownStatus(): BalancerStatus {
+    const { zone, packetAddress, capacity } = this.settings;
+    return { zone, packetAddress, capacity, isReady: this.isReady };
+  }
+
   private takeSnapshot(peer: Endpoint, snapshot: PeerSnapshot): void {
     if (snapshot.routingTable) {
       this.takeTable(snapshot.routingTable, formatEndpoint(peer));
@@ -285,8 +317,12 @@
     this.updateReadiness();
   }
 
+  /** A balancer that relays needs no reports. */
   private subscribe(): void {
-    this.subscriptions.run(this.dependencies.environment.now());
+    const now = this.dependencies.environment.now();
+    if (!this.relay.isPossible(now)) {
+      this.subscriptions.run(now);
+    }
   }
 
   private maintain(): void {
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -1,7 +1,16 @@
 /** The messages between balancers and agents of the packet interface (docs/PACKETS.md). */
 import type { Endpoint } from '../environment';
 import type { MessageSchema } from '../wire/frame-codec';
-import { binary, integer, listOf, oneOf, text, tuple, type FieldCodec } from '../wire/field-codecs';
+import {
+  binary,
+  integer,
+  listOf,
+  oneOf,
+  positive,
+  text,
+  tuple,
+  type FieldCodec,
+} from '../wire/field-codecs';
 
 /** Numeric message types as sent. */
 export const PacketMessageType = {
@@ -11,6 +20,7 @@
   subscribe: 104,
   report: 105,
   peerStatus: 106,
+  locate: 107,
 } as const;
 
 /** What an agent knows of its target. */
@@ -65,10 +75,18 @@
   readonly flow: Buffer;
 }
 
+/** Balancer to agent: does your target hold this flow? Only an agent that knows it does answers. */
+export interface LocateMessage {
+  readonly type: typeof PacketMessageType.locate;
+  readonly flow: Buffer;
+}
+
 /** Balancer to agent: send me reports for some seconds. */
 export interface SubscribeMessage {
   readonly type: typeof PacketMessageType.subscribe;
   readonly zone: string;
+  /** Milliseconds between reports that the balancer wants. */
+  readonly interval: number;
 }
 
 /** Agent to balancer: state and load of the target. */
@@ -110,6 +128,15 @@
   readonly routingVersion: number;
   /** 1 when the sender knows every agent. */
   readonly viewComplete: number;
+  readonly zone: string;
+  /** Where the sender takes clients' packets. */
+  readonly packetAddress: Endpoint;
+  /** Thousandths of a processor that the sender may use. */
+  readonly capacity: number;
+  /** 1 when the sender takes traffic. */
+  readonly ready: number;
+  /** 1 when the sender wants the receiver's status at once. */
+  readonly replyWanted: number;
   /** Agents heard of that the registry does not list yet. */
   readonly unregistered: readonly AgentRecord[];
 }
@@ -119,6 +146,7 @@
   | DeliverMessage
   | NotHeldMessage
   | HeldMessage
+  | LocateMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
@@ -154,7 +182,8 @@
     [searchId, field('reason', 'r', oneOf(...Object.values(RefusalReason))), payload],
   ],
   [PacketMessageType.held, [field('flow', 'f', binary)]],
-  [PacketMessageType.subscribe, [field('zone', 'z', text)]],
+  [PacketMessageType.locate, [field('flow', 'f', binary)]],
+  [PacketMessageType.subscribe, [field('zone', 'z', text), field('interval', 'i', positive)]],
   [
     PacketMessageType.report,
     [
@@ -177,6 +206,11 @@
     [
       field('routingVersion', 'v', integer),
       field('viewComplete', 'w', oneOf(0, 1)),
+      field('zone', 'z', text),
+      field('packetAddress', 'p', integer),
+      field('capacity', 'c', integer),
+      field('ready', 'r', oneOf(0, 1)),
+      field('replyWanted', 'y', oneOf(0, 1)),
       field('unregistered', 'u', listOf(unpackAgent), packAgents),
     ],
   ],
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -7,6 +7,7 @@
 
 const DEFAULT_FLOW_LIFETIME = 60_000;
 const DEFAULT_STOP_TIME = 5_000;
+const DEFAULT_CAPACITY = 1;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -35,6 +36,8 @@
   readonly flowLifetime: number;
   /** Milliseconds that a planned stop may take. */
   readonly stopTime: number;
+  /** Processors that this process may use; may be a part of one. */
+  readonly capacity: number;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -79,7 +82,7 @@
     return value.map((one, index) => this.parse(`${key}.${index}`, one));
   }
 
-  milliseconds(key: string, fallback: number): number {
+  positive(key: string, fallback: number): number {
     const value = this.given(key) ?? fallback;
     if (typeof value !== 'number' || !(value > 0)) {
       this.problems.push(`${key}: must be a number above 0`);
@@ -139,10 +142,12 @@
 }
 
 function readSettings(reader: SettingsReader): PacketSettings {
+  const name = reader.text('name');
+  const zone = reader.text('zone');
   const address = reader.endpoint('address');
   return {
-    name: reader.text('name'),
-    zone: reader.text('zone'),
+    name,
+    zone,
     address,
     listenAddress: reader.optionalEndpoint('listenAddress') ?? address,
     packetAddress: reader.optionalEndpoint('packetAddress'),
@@ -154,8 +159,9 @@
     controlAddress: reader.optionalEndpoint('controlAddress'),
     storeAddress: reader.endpoint('storeAddress'),
     seeds: reader.endpoints('seeds'),
-    flowLifetime: reader.milliseconds('flowLifetime', DEFAULT_FLOW_LIFETIME),
-    stopTime: reader.milliseconds('stopTime', DEFAULT_STOP_TIME),
+    flowLifetime: reader.positive('flowLifetime', DEFAULT_FLOW_LIFETIME),
+    stopTime: reader.positive('stopTime', DEFAULT_STOP_TIME),
+    capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     metrics: reader.optionalText('metrics'),
   };
 }
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -15,10 +15,14 @@
   type PeerStatusMessage,
 } from './packet-messages';
 import type { PeerSnapshot } from './peer-snapshot';
+import type { BalancerStatus, TrafficRelay } from './traffic-relay';
 
 const STATUS_INTERVAL = 500;
+/** Milliseconds between statuses that are asked of the balancers that packets are relayed to. */
+const RELAY_STATUS_INTERVAL = 300;
 /** Peers told in one round: a version spreads over n balancers in about log4(n) rounds. */
 const PEERS_PER_ROUND = 3;
+const MILLI = 1_000;
 const MAXIMUM_PEERS = 64;
 const MAXIMUM_UNREGISTERED = 32;
 
@@ -35,7 +39,10 @@
   readonly directory: AgentDirectory;
   readonly link: MessageLink<PacketMessage>;
   readonly snapshots: SnapshotPort;
+  readonly relay: TrafficRelay;
   routingVersion(): number;
+  /** What this balancer tells of itself. */
+  ownStatus(): BalancerStatus;
   snapshotReceived(peer: Endpoint, snapshot: PeerSnapshot): void;
   agentsReceived(agents: readonly AgentRecord[]): void;
 }
@@ -45,6 +52,7 @@
   private readonly peers = new Set<Endpoint>();
   private fetching = false;
   private timer: TimerHandle | undefined;
+  private relayTimer: TimerHandle | undefined;
 
   constructor(private readonly dependencies: PeerExchangeDependencies) {
     dependencies.seeds.forEach((seed) => this.learnPeer(seed));
@@ -52,10 +60,14 @@
 
   start(): void {
     this.sendRound();
+    if (this.dependencies.relay.isWanted) {
+      this.askRelays();
+    }
   }
 
   stop(): void {
     this.timer?.cancel();
+    this.relayTimer?.cancel();
   }
 
   /** Another balancer's address; beyond a number the one named longest ago is dropped. */
@@ -74,6 +86,10 @@
   /** Takes a peer's status and fetches from it what this balancer lacks. */
   receive(peer: Endpoint, status: PeerStatusMessage): void {
     this.learnPeer(peer);
+    this.learnStatus(peer, status);
+    if (status.replyWanted === 1) {
+      this.dependencies.link.send(peer, this.status(false));
+    }
     this.dependencies.agentsReceived(status.unregistered);
     const { directory, routingVersion } = this.dependencies;
     const newer = status.routingVersion > routingVersion();
@@ -83,6 +99,18 @@
     }
   }
 
+  /** Tells every balancer known how things stand now. */
+  announce(): void {
+    this.dependencies.link.sendToAll([...this.peers], this.status(false));
+  }
+
+  private learnStatus(peer: Endpoint, status: PeerStatusMessage): void {
+    const { relay, environment } = this.dependencies;
+    const { zone, packetAddress, capacity, ready } = status;
+    const told = { zone, packetAddress, capacity: capacity / MILLI, isReady: ready === 1 };
+    relay.learn(peer, told, environment.now());
+  }
+
   private fetch(peer: Endpoint): void {
     this.fetching = true;
     this.dependencies.snapshots.fetch(peer, (result) => {
@@ -94,12 +122,18 @@
   }
 
   private sendRound(): void {
-    const { environment } = this.dependencies;
-    const status = this.status();
-    this.choosePeers().forEach((peer) => this.dependencies.link.send(peer, status));
+    const { environment, link } = this.dependencies;
+    link.sendToAll(this.choosePeers(), this.status(false));
     this.timer = environment.startTimer(STATUS_INTERVAL, () => this.sendRound());
   }
 
+  /** Asks the balancers that packets are relayed to how they are; those known for it, or any. */
+  private askRelays(): void {
+    const { environment, link, relay } = this.dependencies;
+    link.sendToAll([...relay.known, ...this.choosePeers()], this.status(true));
+    this.relayTimer = environment.startTimer(RELAY_STATUS_INTERVAL, () => this.askRelays());
+  }
+
   private choosePeers(): Endpoint[] {
     const rest = [...this.peers];
     const chosen: Endpoint[] = [];
@@ -110,8 +144,9 @@
     return chosen;
   }
 
-  private status(): PeerStatusMessage {
-    const { directory, routingVersion } = this.dependencies;
+  private status(isReplyWanted: boolean): PeerStatusMessage {
+    const { directory, routingVersion, ownStatus } = this.dependencies;
+    const { zone, packetAddress, capacity, isReady } = ownStatus();
     const unregistered: AgentRecord[] = [];
     for (const { address, service, zone, registryRevision } of directory.all()) {
       if (registryRevision === undefined && unregistered.length < MAXIMUM_UNREGISTERED) {
@@ -122,6 +157,11 @@
       type: PacketMessageType.peerStatus,
       routingVersion: routingVersion(),
       viewComplete: directory.isComplete ? 1 : 0,
+      zone,
+      packetAddress,
+      capacity: Math.round(capacity * MILLI),
+      ready: isReady ? 1 : 0,
+      replyWanted: isReplyWanted ? 1 : 0,
       unregistered,
     };
   }
--- a/src/packets/registry-upkeep.ts
+++ b/src/packets/registry-upkeep.ts
@@ -39,23 +39,13 @@
     const listed = entry.registryRevision !== undefined;
     if (!listed && silence > FORGET_TIME) {
       this.directory.forget(entry.address);
-    } else if (listed && silence > REMOVAL_TIME && this.someoneIsHeard(now)) {
-      this.remove(entry, silence);
+    } else if (listed && silence > REMOVAL_TIME) {
+      this.remove(entry, silence, now);
     } else if (!listed && this.needsRegistration(entry, now)) {
       this.register(entry);
     }
   }
 
-  /** Silence proves little when nobody is heard: then this balancer is the one cut off. */
-  private someoneIsHeard(now: number): boolean {
-    for (const entry of this.directory.all()) {
-      if (this.directory.isHeard(entry, now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private needsRegistration(entry: AgentEntry, now: number): boolean {
     const present = this.directory.isHeard(entry, now);
     const leaving = entry.report?.state === TargetState.gone;
@@ -70,8 +60,9 @@
     this.registry.register(entry, () => (this.calling = false));
   }
 
-  private remove(entry: AgentEntry, silence: number): void {
-    if (this.calling) {
+  /** Silence proves little when nobody is heard: then this balancer is the one cut off. */
+  private remove(entry: AgentEntry, silence: number, now: number): void {
+    if (this.calling || !this.directory.hearsAny(now)) {
       return;
     }
     this.calling = true;
--- a/src/packets/subscribers.ts
+++ b/src/packets/subscribers.ts
@@ -1,35 +1,62 @@
 /** The balancers that an agent reports to: those that asked for it or sent packets lately. */
 import type { Endpoint } from '../environment';
+import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 
 /** Milliseconds for which one subscription holds. */
 const SUBSCRIPTION_LIFETIME = 5_000;
 const MAXIMUM_SUBSCRIBERS = 2_000;
+/** Timers fire a little early or late. */
+const TOLERANCE = 20;
+
+interface Subscriber {
+  seenAt: number;
+  /** Milliseconds between reports that it wants. */
+  interval: number;
+  reportedAt: number;
+}
 
 /** Subscribers of one agent. */
 export class Subscribers {
-  private readonly seenAt = new Map<Endpoint, number>();
+  private readonly subscribers = new Map<Endpoint, Subscriber>();
 
-  /** @returns whether the balancer is new here */
-  renew(balancer: Endpoint, now: number): boolean {
-    const known = this.seenAt.has(balancer);
-    if (known || this.seenAt.size < MAXIMUM_SUBSCRIBERS) {
-      this.seenAt.set(balancer, now);
+  /**
+   * @param interval milliseconds between reports; as before, or the shortest, when undefined
+   * @returns whether the balancer is new here
+   */
+  renew(balancer: Endpoint, now: number, interval?: number): boolean {
+    const known = this.subscribers.get(balancer);
+    if (known) {
+      known.seenAt = now;
+      known.interval = interval ?? known.interval;
+    } else if (this.subscribers.size < MAXIMUM_SUBSCRIBERS) {
+      const wanted = interval ?? SHORTEST_REPORT_INTERVAL;
+      this.subscribers.set(balancer, { seenAt: now, interval: wanted, reportedAt: now });
     }
     return !known;
   }
 
   /** Subscribers noted, also those that may be gone. */
   get count(): number {
-    return this.seenAt.size;
+    return this.subscribers.size;
   }
 
   /** The present subscribers; drops those that have not been seen for long. */
   present(now: number): Endpoint[] {
-    for (const [balancer, seenAt] of this.seenAt) {
+    for (const [balancer, { seenAt }] of this.subscribers) {
       if (now - seenAt > SUBSCRIPTION_LIFETIME) {
-        this.seenAt.delete(balancer);
+        this.subscribers.delete(balancer);
       }
     }
-    return [...this.seenAt.keys()];
+    return [...this.subscribers.keys()];
+  }
+
+  /** The present subscribers whose interval is over, which counts as reported to now. */
+  takeDue(now: number): Endpoint[] {
+    return this.present(now).filter((balancer) => {
+      const subscriber = this.subscribers.get(balancer)!;
+      const isDue = now - subscriber.reportedAt >= subscriber.interval - TOLERANCE;
+      subscriber.reportedAt = isDue ? now : subscriber.reportedAt;
+      return isDue;
+    });
   }
 }
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -89,17 +89,21 @@
     const frames = await bind(settings.listenAddress, (bytes, from) =>
       started.process?.node.frame(bytes, from),
     );
-    const node = new PacketBalancer(settings, {
-      environment,
-      codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
-      transport: frames,
-      format: ports.format,
-      routingTables: ports.routingTables,
-      registry: ports.registry,
-      snapshots: new HttpSnapshots(),
-      sendToClient: (client, packet) =>
-        clients.send(ports.clientSocket(client, settings.clientPort), packet),
-    });
+    const node = new PacketBalancer(
+      { ...settings, packetAddress },
+      {
+        environment,
+        codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
+        transport: frames,
+        format: ports.format,
+        routingTables: ports.routingTables,
+        registry: ports.registry,
+        snapshots: new HttpSnapshots(),
+        sendToClient: (client, packet) =>
+          clients.send(ports.clientSocket(client, settings.clientPort), packet),
+        relay: (to, packet) => clients.send(to, packet),
+      },
+    );
     const running = new PacketBalancerProcess(node, environment, settings);
     started.process = running;
     serveSnapshots(settings.listenAddress, () => node.snapshot, failListening);
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -43,6 +43,7 @@
 export interface WorldBalancer {
   readonly name: string;
   readonly zone: string;
+  readonly capacity: number;
   readonly address: Endpoint;
   node: PacketBalancer;
   process: SimulatedProcess;
@@ -106,10 +107,12 @@
     this.clock.runUntil(this.clock.now + milliseconds);
   }
 
-  addBalancer(zone: string): WorldBalancer {
+  /** @param capacity processors that it may use */
+  addBalancer(zone: string, capacity = 1): WorldBalancer {
     const address = this.createAddress(FRAME_PORT);
     const name = `balancer-${this.balancers.length}`;
-    const balancer = { name, zone, address, misses: MISSES_ALLOWED } as WorldBalancer;
+    const misses = MISSES_ALLOWED;
+    const balancer = { name, zone, address, capacity, misses } as WorldBalancer;
     this.balancers.push(balancer);
     this.startBalancer(balancer);
     return balancer;
@@ -131,7 +134,14 @@
     const { name, zone, address } = balancer;
     const process = this.createProcess(name, zone);
     const node = new PacketBalancer(
-      { zone, address, seeds: this.currentSeeds(), flowLifetime: FLOW_LIFETIME },
+      {
+        zone,
+        address,
+        packetAddress: samePlace(address, PACKET_PORT),
+        capacity: balancer.capacity,
+        seeds: this.currentSeeds(),
+        flowLifetime: FLOW_LIFETIME,
+      },
       {
         environment: process,
         codec: this.codec,
@@ -141,6 +151,7 @@
         registry: this.store.registryPort(process),
         snapshots: { fetch: (peer, answer) => this.fetchSnapshot(process, peer, answer) },
         sendToClient: (client, packet) => this.network.send(process, address, client, packet),
+        relay: (to, packet) => this.network.send(process, address, to, packet),
       },
     );
     balancer.process = process;
--- a/src/wire/message-link.ts
+++ b/src/wire/message-link.ts
@@ -26,6 +26,14 @@
     return frame.length;
   }
 
+  /** Sends one message to many, encoded once. */
+  sendToAll(addresses: readonly Endpoint[], message: M): void {
+    if (addresses.length > 0) {
+      const frame = this.codec.encode(message);
+      addresses.forEach((to) => this.transport.send(to, frame));
+    }
+  }
+
   /** The message of a received frame; undefined for one that is dropped, which is reported. */
   receive(frame: Buffer): M | undefined {
     const decoded = this.codec.decode(frame);
--- /dev/null
+++ b/test/packet-relay.test.ts
@@ -0,0 +1,84 @@
+/** Balancers with little processor time, and flows that a balancer has never seen. */
+import test from 'ava';
+import {
+  MODEL_ROUTES,
+  openModelFlows,
+  startModelDeployment,
+} from '../src/simulation/packets/random-faults';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { TrafficRelay } from '../src/packets/traffic-relay';
+
+const WEAK = 0.03;
+
+/** Two strong balancers and a weak one in one zone. */
+function startMixedWorld(): PacketWorld {
+  const world = new PacketWorld(9);
+  world.configure(1, MODEL_ROUTES);
+  world.addBalancer('north');
+  world.addBalancer('north');
+  world.addBalancer('north', WEAK);
+  for (const service of ['map', 'map', 'map', 'tiles']) {
+    world.addAgent(service, 'north');
+  }
+  world.runFor(9_000);
+  return world;
+}
+
+function countOpen(world: PacketWorld): number {
+  return world.clients.filter(({ state }) => state === 'open').length;
+}
+
+test('only a weak balancer relays, to present and strong ones of its zone', (t) => {
+  const status = { zone: 'north', packetAddress: 11, capacity: 0.5, isReady: true };
+  const relay = new TrafficRelay('north', WEAK);
+  relay.learn(1, status, 0);
+  relay.learn(2, { ...status, zone: 'south' }, 0);
+  relay.learn(3, { ...status, capacity: WEAK }, 0);
+  t.deepEqual(relay.known, [1]);
+  t.is(relay.destinationOf('f', 1_000), 11);
+  t.is(relay.destinationOf('f', 1_200), undefined);
+  relay.learn(1, { ...status, isReady: false }, 1_200);
+  t.false(relay.isPossible(1_200));
+  const strong = new TrafficRelay('north', 1);
+  strong.learn(1, status, 0);
+  t.is(strong.destinationOf('f', 0), undefined);
+});
+
+test('a weak balancer relays, follows a change, and routes by itself at the end', (t) => {
+  const world = startMixedWorld();
+  const [first, second, weak] = world.balancers;
+  openModelFlows(world, 40, 60, 200);
+  world.runFor(1_000);
+  t.is(countOpen(world), 40);
+  t.true(weak!.node.figures.packetsRelayed > 20);
+  t.is(weak!.node.figures.agentsHeard, 0);
+  t.is(weak!.node.router.counters.packetsReceived, 0);
+  first!.process.kill();
+  world.runFor(3_000);
+  t.is(countOpen(world), 40);
+  second!.process.kill();
+  world.runFor(4_000);
+  t.true(weak!.node.figures.agentsHeard > 0);
+  t.true(weak!.node.router.counters.packetsReceived > 0);
+  const answered = (): number => world.clients.reduce((sum, { answers }) => sum + answers, 0);
+  const before = answered();
+  world.runFor(2_000);
+  t.true(answered() - before > 200, `${answered() - before} answers in two seconds`);
+  t.deepEqual(world.violations.flowsReset, []);
+  t.deepEqual(world.violations.doubled, []);
+});
+
+test('flows that a balancer has never seen are found without touching other targets', (t) => {
+  const world = new PacketWorld(10);
+  startModelDeployment(world, 2);
+  openModelFlows(world, 40, 100, 200);
+  world.runFor(1_000);
+  const returned = (): number =>
+    world.agents.reduce((sum, { node }) => sum + node.counters.packetsReturned, 0);
+  const before = returned();
+  world.balancers[0]!.process.kill();
+  world.runFor(3_000);
+  t.is(countOpen(world), 40);
+  t.is(returned() - before, 0);
+  t.true(world.balancers[1]!.node.router.counters.searchesStarted > 10);
+});
--- /dev/null
+++ b/test/packet-reports.test.ts
@@ -0,0 +1,24 @@
+/** How often agents report, and to whom. */
+import test from 'ava';
+import { reportInterval, silenceLimit } from '../src/packets/report-interval';
+import { Subscribers } from '../src/packets/subscribers';
+
+test('reports come the more seldom the more agents there are, within bounds', (t) => {
+  t.is(reportInterval(0), 250);
+  t.is(reportInterval(24), 250);
+  t.is(reportInterval(48), 500);
+  t.is(reportInterval(9_700), 1_000);
+  t.is(silenceLimit(10), 700);
+});
+
+test('each subscriber is reported to at its own pace, as long as it is seen', (t) => {
+  const subscribers = new Subscribers();
+  t.true(subscribers.renew(1, 0, 250));
+  t.true(subscribers.renew(2, 0, 500));
+  t.false(subscribers.renew(2, 100));
+  t.deepEqual(subscribers.takeDue(249), [1]);
+  t.deepEqual(subscribers.takeDue(500), [1, 2]);
+  t.deepEqual(subscribers.takeDue(5_050), [2]);
+  t.deepEqual(subscribers.takeDue(5_300), []);
+  t.is(subscribers.count, 0);
+});
