--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -14,8 +14,8 @@
 /** Milliseconds between subscriptions at an agent that is silent; how often to call `run`. */
 export const KNOCK_INTERVAL = 100;
 
-/** Sends one subscription. */
-export type SubscriptionSender = (agent: Endpoint, message: SubscribeMessage) => void;
+/** Sends one subscription to many. */
+export type SubscriptionSender = (agents: readonly Endpoint[], message: SubscribeMessage) => void;
 
 /** Subscriptions of one balancer. */
 export class AgentSubscriptions {
@@ -34,13 +34,17 @@
       zone: this.zone,
       interval: reportInterval(this.directory.size),
     };
+    const due: Endpoint[] = [];
     for (const entry of this.directory.all()) {
       const last = this.subscribedAt.get(entry.address) ?? -Infinity;
       if (now - last >= this.intervalOf(entry, now) - TOLERANCE) {
         this.subscribedAt.set(entry.address, now);
-        this.send(entry.address, message);
+        due.push(entry.address);
       }
     }
+    if (due.length > 0) {
+      this.send(due, message);
+    }
   }
 
   /** Drops what is noted of agents that are no longer known. */
--- a/src/packets/flow-locator.ts
+++ b/src/packets/flow-locator.ts
@@ -10,8 +10,15 @@
 const MAXIMUM_PER_FLOW = 16;
 const MAXIMUM_FLOWS = 4_096;
 
-/** Milliseconds in which the holder of a flow answers. */
-export const LOCATE_TIMEOUT = 40;
+const SHORTEST_TIMEOUT = 40;
+const LONGEST_TIMEOUT = 400;
+/** Milliseconds that a whole processor needs to ask and to read answers, with much to spare. */
+const ASKING_TIME = 20;
+
+/** Milliseconds in which the holder of a flow answers, for a balancer with so many processors. */
+export function locateTimeout(capacity: number): number {
+  return Math.min(LONGEST_TIMEOUT, Math.max(SHORTEST_TIMEOUT, ASKING_TIME / capacity));
+}
 
 /** A packet that waits for its flow's holder. */
 export interface WaitingPacket {
@@ -28,6 +35,9 @@
 export class FlowLocator {
   private readonly questions = new Map<FlowKey, Question>();
 
+  /** @param timeout milliseconds that a question waits for its answer */
+  constructor(private readonly timeout: number) {}
+
   get size(): number {
     return this.questions.size;
   }
@@ -65,7 +75,7 @@
   takeOverdue(now: number): WaitingPacket[] {
     const overdue: WaitingPacket[] = [];
     for (const [flow, { askedAt, waiting }] of this.questions) {
-      if (now - askedAt < LOCATE_TIMEOUT) {
+      if (now - askedAt < this.timeout) {
         break;
       }
       this.questions.delete(flow);
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -14,7 +14,7 @@
 import { DelayedDeliveries } from './delayed-deliveries';
 import { selectAgent, type SelectionContext } from './agent-selection';
 import type { CachedFlow, FlowCache } from './flow-cache';
-import { FlowLocator, LOCATE_TIMEOUT } from './flow-locator';
+import { FlowLocator } from './flow-locator';
 import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
 import { FlowSearches, type FlowSearch } from './flow-search';
 import {
@@ -46,6 +46,8 @@
 export interface FlowRouterDependencies {
   readonly environment: Environment;
   readonly zone: string;
+  /** Milliseconds that the holder of a flow has for its answer. */
+  readonly locateTimeout: number;
   readonly format: PacketFormat;
   readonly directory: AgentDirectory;
   readonly cache: FlowCache;
@@ -68,13 +70,15 @@
   };
   private readonly searches = new FlowSearches(SEARCH_LIFETIME);
   private readonly delayed = new DelayedDeliveries();
-  private readonly locator = new FlowLocator();
+  private readonly locator: FlowLocator;
   private locateTimer: TimerHandle | undefined;
   private readonly rotation = new ServiceRotation();
   private routes: ReadonlyMap<Endpoint, Route> | undefined;
   private routingVersion = 0;
 
-  constructor(private readonly dependencies: FlowRouterDependencies) {}
+  constructor(private readonly dependencies: FlowRouterDependencies) {
+    this.locator = new FlowLocator(dependencies.locateTimeout);
+  }
 
   /** Puts a routing table in force. */
   apply(table: RoutingTable): void {
@@ -249,7 +253,7 @@
     const agents = directory.ofServices(search.services).map(({ address }) => address);
     const flow = Buffer.from(packet.flow, 'latin1');
     link.sendToAll(agents, { type: PacketMessageType.locate, flow });
-    this.locateTimer ??= environment.startTimer(LOCATE_TIMEOUT, () => this.endLocating());
+    this.startLocateTimer();
     return true;
   }
 
@@ -261,10 +265,15 @@
       this.offerNext(packet, this.beginSearch(packet, route));
     }
     if (this.locator.size > 0) {
-      this.locateTimer = environment.startTimer(LOCATE_TIMEOUT, () => this.endLocating());
+      this.startLocateTimer();
     }
   }
 
+  private startLocateTimer(): void {
+    const { environment, locateTimeout } = this.dependencies;
+    this.locateTimer ??= environment.startTimer(locateTimeout, () => this.endLocating());
+  }
+
   private beginSearch(packet: FlowPacket, route: Route): FlowSearch {
     const services = route.services.map(({ service }) => service);
     const { cache, environment } = this.dependencies;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -10,6 +10,7 @@
 import { CollectionFollower } from './collection-follower';
 import type { Changes, Listing } from './collection-port';
 import { FlowCache } from './flow-cache';
+import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
 import { MessageLink } from '../wire/message-link';
 import {
@@ -32,6 +33,8 @@
 
 const CACHED_FLOWS = 500_000;
 const UPKEEP_INTERVAL = 1_000;
+/** Milliseconds after its start in which a balancer that relays takes no traffic by itself. */
+const RELAY_SEARCH_TIME = 5_000;
 
 /** One packet balancer. */
 export class PacketBalancer {
@@ -49,6 +52,7 @@
   private stopping = false;
   private wasReady = false;
   private packetsRelayed = 0;
+  private startedAt = 0;
 
   constructor(
     private readonly settings: PacketBalancerSettings,
@@ -61,6 +65,7 @@
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
+      locateTimeout: locateTimeout(settings.capacity),
       format,
       directory: this.directory,
       cache: this.cache,
@@ -68,8 +73,8 @@
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
     });
     this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
-    this.subscriptions = new AgentSubscriptions(settings.zone, this.directory, (agent, message) =>
-      this.link.send(agent, message),
+    this.subscriptions = new AgentSubscriptions(settings.zone, this.directory, (agents, message) =>
+      this.link.sendToAll(agents, message),
     );
     this.peers = this.createPeerExchange();
     this.followers = [
@@ -85,6 +90,7 @@
   }
 
   start(): void {
+    this.startedAt = this.dependencies.environment.now();
     this.followers.forEach((follower) => follower.start());
     this.peers.start();
     this.repeat(KNOCK_INTERVAL, () => this.subscribe());
@@ -118,6 +124,9 @@
     if (this.stopping || !this.table || !this.directory.isComplete) {
       return false;
     }
+    if (this.relay.isWanted && now - this.startedAt < RELAY_SEARCH_TIME) {
+      return this.relay.isPossible(now);
+    }
     if (this.relay.isPossible(now)) {
       return true;
     }
@@ -343,6 +352,7 @@
         routingVersion,
         agentsKnown,
         agentsHeard,
+        relays: this.relay.isPossible(this.dependencies.environment.now()),
       });
     }
   }
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -137,6 +137,8 @@
   readonly ready: number;
   /** 1 when the sender wants the receiver's status at once. */
   readonly replyWanted: number;
+  /** Some balancers that the sender knows, so that balancers find each other. */
+  readonly peers: readonly Endpoint[];
   /** Agents heard of that the registry does not list yet. */
   readonly unregistered: readonly AgentRecord[];
 }
@@ -211,6 +213,7 @@
       field('capacity', 'c', integer),
       field('ready', 'r', oneOf(0, 1)),
       field('replyWanted', 'y', oneOf(0, 1)),
+      field('peers', 'm', listOf(integer)),
       field('unregistered', 'u', listOf(unpackAgent), packAgents),
     ],
   ],
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -85,6 +85,7 @@
 
   /** Takes a peer's status and fetches from it what this balancer lacks. */
   receive(peer: Endpoint, status: PeerStatusMessage): void {
+    status.peers.forEach((one) => this.learnPeer(one));
     this.learnPeer(peer);
     this.learnStatus(peer, status);
     if (status.replyWanted === 1) {
@@ -130,7 +131,8 @@
   /** Asks the balancers that packets are relayed to how they are; those known for it, or any. */
   private askRelays(): void {
     const { environment, link, relay } = this.dependencies;
-    link.sendToAll([...relay.known, ...this.choosePeers()], this.status(true));
+    const asked = new Set([...relay.askedFor(environment.now()), ...this.choosePeers()]);
+    link.sendToAll([...asked], this.status(true));
     this.relayTimer = environment.startTimer(RELAY_STATUS_INTERVAL, () => this.askRelays());
   }
 
@@ -162,6 +164,7 @@
       capacity: Math.round(capacity * MILLI),
       ready: isReady ? 1 : 0,
       replyWanted: isReplyWanted ? 1 : 0,
+      peers: this.choosePeers(),
       unregistered,
     };
   }
--- a/src/packets/traffic-relay.ts
+++ b/src/packets/traffic-relay.ts
@@ -1,6 +1,6 @@
 /**
  * A balancer with little processor time hands clients' packets on, as they came, to
- * balancers of its zone that have more: passing one on costs far less than routing it, and
+ * balancers that have more: passing one on costs far less than routing it, and
  * such a balancer needs no reports of agents. It routes by itself while it knows no such
  * balancer.
  */
@@ -13,6 +13,9 @@
 /** Milliseconds without a status after which a balancer is taken to be away. */
 const AWAY_AFTER = 1_100;
 
+/** Balancers noted at most. */
+const MAXIMUM_BALANCERS = 32;
+
 /** A balancer as it tells of itself. */
 export interface BalancerStatus {
   readonly zone: string;
@@ -49,42 +52,54 @@
 
   /** Takes the status of another balancer. */
   learn(balancer: Endpoint, status: BalancerStatus, now: number): void {
-    const isUsable = status.zone === this.zone && status.capacity >= ROUTING_CAPACITY;
-    if (this.isWanted && isUsable) {
+    if (this.isWanted && status.capacity >= ROUTING_CAPACITY) {
       this.balancers.set(balancer, { status, heardAt: now });
     }
+    if (this.balancers.size > MAXIMUM_BALANCERS) {
+      this.forgetOldest();
+    }
   }
 
-  /** Balancers of the zone that route, also those that may be away just now. */
-  get known(): Endpoint[] {
-    return [...this.balancers.keys()];
+  /** Balancers that route, also those that may be away: of this zone, or all without them. */
+  askedFor(now: number): Endpoint[] {
+    const hasOwn = this.present(now).some(([, { status }]) => status.zone === this.zone);
+    return [...this.balancers]
+      .filter(([, { status }]) => !hasOwn || status.zone === this.zone)
+      .map(([address]) => address);
   }
 
   /** Whether some balancer would take what is relayed. */
   isPossible(now: number): boolean {
-    for (const balancer of this.balancers.values()) {
-      if (isPresent(balancer, now)) {
-        return true;
-      }
-    }
-    return false;
+    return this.present(now).length > 0;
   }
 
-  /** Where packets of a flow go; undefined when this balancer has to route them itself. */
+  /**
+   * Where packets of a flow go: to a balancer of this zone, or of another one without it;
+   * undefined when this balancer has to route them itself.
+   */
   destinationOf(flow: FlowKey, now: number): Endpoint | undefined {
+    const present = this.present(now);
+    const own = present.filter(([, { status }]) => status.zone === this.zone);
     let best: Endpoint | undefined;
     let bestScore = -1;
-    for (const [address, balancer] of this.balancers) {
-      const score = isPresent(balancer, now) ? rendezvousScore(flow, String(address)) : -1;
+    for (const [address, { status }] of own.length > 0 ? own : present) {
+      const score = rendezvousScore(flow, String(address));
       if (score > bestScore) {
         bestScore = score;
-        best = balancer.status.packetAddress;
+        best = status.packetAddress;
       }
     }
     return best;
   }
-}
 
-function isPresent({ status, heardAt }: KnownBalancer, now: number): boolean {
-  return status.isReady && now - heardAt <= AWAY_AFTER;
+  private present(now: number): [Endpoint, KnownBalancer][] {
+    return [...this.balancers].filter(
+      ([, { status, heardAt }]) => status.isReady && now - heardAt <= AWAY_AFTER,
+    );
+  }
+
+  private forgetOldest(): void {
+    const oldest = [...this.balancers].reduce((a, b) => (a[1].heardAt <= b[1].heardAt ? a : b));
+    this.balancers.delete(oldest[0]);
+  }
 }
