--- /dev/null
+++ b/src/packets/delivery-rules.ts
@@ -0,0 +1,42 @@
+/** The agent's last word: whether its target may get a packet. */
+import {
+  RefusalReason,
+  TargetState,
+  type RefusalReasonValue,
+  type TargetStateValue,
+} from './packet-messages';
+
+/** What is known of the target when a packet arrives for it. */
+export interface TargetCondition {
+  readonly service: string;
+  readonly state: TargetStateValue;
+  /** It has left every opening packet without an answer of late. */
+  readonly isDown: boolean;
+  /** It is down, and may be tried with an opening packet now. */
+  readonly isProbeDue: boolean;
+}
+
+/**
+ * Why the target must not get a packet; undefined when it may.
+ * @param opens whether the packet asks for a new flow
+ * @param services services that the packet's route allows
+ */
+export function refusalOf(
+  opens: boolean,
+  services: readonly string[],
+  target: TargetCondition,
+): RefusalReasonValue | undefined {
+  if (!services.includes(target.service)) {
+    return RefusalReason.otherService;
+  }
+  if (target.isDown && !(opens && target.isProbeDue)) {
+    return RefusalReason.targetDown;
+  }
+  if (!opens) {
+    return undefined;
+  }
+  if (target.state === TargetState.gone) {
+    return RefusalReason.noTarget;
+  }
+  return target.state === TargetState.draining ? RefusalReason.draining : undefined;
+}
--- /dev/null
+++ b/src/packets/node-timers.ts
@@ -0,0 +1,32 @@
+/** The timers of one node: repeated and single ones, all ended together. */
+import type { Environment, TimerHandle } from '../environment';
+
+/** Timers of one node. */
+export class NodeTimers {
+  private readonly timers = new Set<TimerHandle>();
+
+  constructor(private readonly environment: Environment) {}
+
+  /** Runs an action once after a delay in milliseconds. */
+  once(delay: number, action: () => void): void {
+    const handle = this.environment.startTimer(delay, () => {
+      this.timers.delete(handle);
+      action();
+    });
+    this.timers.add(handle);
+  }
+
+  /** Runs an action at regular intervals in milliseconds. */
+  repeat(interval: number, action: () => void): void {
+    this.once(interval, () => {
+      this.repeat(interval, action);
+      action();
+    });
+  }
+
+  /** Ends them all. */
+  cancel(): void {
+    this.timers.forEach((timer) => timer.cancel());
+    this.timers.clear();
+  }
+}
--- /dev/null
+++ b/src/packets/packet-agent-contracts.ts
@@ -0,0 +1,39 @@
+/** Settings, needs and counters of a packet agent. */
+import type { Endpoint, Environment, FrameTransport } from '../environment';
+import type { FrameCodec } from '../wire/frame-codec';
+import type { AgentRegistryPort } from './collection-port';
+import type { PacketFormat } from './flow-packet';
+import type { PacketMessage } from './packet-messages';
+
+/** Settings of a packet agent. */
+export interface PacketAgentSettings {
+  readonly zone: string;
+  /** Where other nodes reach this agent. */
+  readonly address: Endpoint;
+  readonly service: string;
+  /** Balancers that may be running; may be out of date. */
+  readonly seeds: readonly Endpoint[];
+  /** Milliseconds for which a flow may rest. */
+  readonly flowLifetime: number;
+}
+
+/** What a packet agent needs from its process. */
+export interface PacketAgentDependencies {
+  readonly environment: Environment;
+  readonly codec: FrameCodec<PacketMessage>;
+  readonly transport: FrameTransport;
+  readonly format: PacketFormat;
+  readonly registry: AgentRegistryPort;
+  sendToClient(client: Endpoint, packet: Buffer): void;
+  sendToTarget(packet: Buffer): void;
+}
+
+/** Counters of a packet agent. */
+export interface PacketAgentCounters {
+  packetsDelivered: number;
+  packetsSent: number;
+  packetsReturned: number;
+  packetsRefused: number;
+  packetsMalformed: number;
+  heartbeats: number;
+}
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -5,13 +5,19 @@
  * refuses new flows once its target drains. Answers go from here straight to the client.
  */
 import { formatEndpoint } from '../core/endpoint';
-import type { Endpoint, Environment, FrameTransport, TimerHandle } from '../environment';
+import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
-import type { FrameCodec } from '../wire/frame-codec';
-import type { AgentRegistryPort } from './collection-port';
-import type { FlowPacket, PacketFormat } from './flow-packet';
+import { AgentRegistration } from './agent-registration';
+import { refusalOf, type TargetCondition } from './delivery-rules';
+import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
 import { LoadReporter } from './load-reporter';
+import { NodeTimers } from './node-timers';
+import type {
+  PacketAgentCounters,
+  PacketAgentDependencies,
+  PacketAgentSettings,
+} from './packet-agent-contracts';
 import { MessageLink } from '../wire/message-link';
 import {
   PacketMessageType,
@@ -31,43 +37,8 @@
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
 const EXPIRY_INTERVAL = 1_000;
-const REGISTRATION_RETRY = 500;
-const LONGEST_REGISTRATION_RETRY = 4_000;
 const TOKEN_RANGE = 2 ** 32;
 
-/** Settings of a packet agent. */
-export interface PacketAgentSettings {
-  readonly zone: string;
-  /** Where other nodes reach this agent. */
-  readonly address: Endpoint;
-  readonly service: string;
-  /** Balancers that may be running; may be out of date. */
-  readonly seeds: readonly Endpoint[];
-  /** Milliseconds for which a flow may rest. */
-  readonly flowLifetime: number;
-}
-
-/** What a packet agent needs from its process. */
-export interface PacketAgentDependencies {
-  readonly environment: Environment;
-  readonly codec: FrameCodec<PacketMessage>;
-  readonly transport: FrameTransport;
-  readonly format: PacketFormat;
-  readonly registry: AgentRegistryPort;
-  sendToClient(client: Endpoint, packet: Buffer): void;
-  sendToTarget(packet: Buffer): void;
-}
-
-/** Counters of a packet agent. */
-export interface PacketAgentCounters {
-  packetsDelivered: number;
-  packetsSent: number;
-  packetsReturned: number;
-  packetsRefused: number;
-  packetsMalformed: number;
-  heartbeats: number;
-}
-
 /** One packet agent. */
 export class PacketAgent {
   readonly counters: PacketAgentCounters = {
@@ -84,14 +55,22 @@
   private readonly health = new TargetHealth();
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
-  private readonly timers = new Set<TimerHandle>();
+  private readonly timers: NodeTimers;
+  private readonly registration: AgentRegistration;
   private restarting = false;
 
   constructor(
     private readonly settings: PacketAgentSettings,
     private readonly dependencies: PacketAgentDependencies,
   ) {
-    const { environment, codec, transport } = dependencies;
+    const { environment, codec, transport, registry } = dependencies;
+    this.timers = new NodeTimers(environment);
+    this.registration = new AgentRegistration(
+      environment,
+      registry,
+      this.timers,
+      () => this.record,
+    );
     this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
     this.reporter = new LoadReporter({
@@ -109,11 +88,11 @@
   start(): void {
     const { environment } = this.dependencies;
     this.reporter.reportTo(this.settings.seeds);
-    this.repeat(SHORTEST_REPORT_INTERVAL, () => this.report());
-    this.repeat(EXPIRY_INTERVAL, () =>
+    this.timers.repeat(SHORTEST_REPORT_INTERVAL, () => this.report());
+    this.timers.repeat(EXPIRY_INTERVAL, () =>
       this.tracker.expire(this.settings.flowLifetime, environment.now()),
     );
-    this.register(REGISTRATION_RETRY);
+    this.registration.start();
   }
 
   /** Takes other seeds, which the settings name now, and makes itself known there. */
@@ -123,8 +102,7 @@
 
   /** Ends all timers. */
   stop(): void {
-    this.timers.forEach((timer) => timer.cancel());
-    this.timers.clear();
+    this.timers.cancel();
   }
 
   /**
@@ -233,7 +211,7 @@
       return;
     }
     this.reporter.subscribe(balancer);
-    const refusal = this.refusalOf(packet, message.services);
+    const refusal = refusalOf(packet.opens, message.services, this.condition);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
@@ -286,25 +264,14 @@
     this.reporter.reportWhereDue();
   }
 
-  /** Why the target must not get a packet; undefined when it may. */
-  private refusalOf(
-    packet: FlowPacket,
-    services: readonly string[],
-  ): RefusalReasonValue | undefined {
-    if (!services.includes(this.target.service)) {
-      return RefusalReason.otherService;
-    }
+  private get condition(): TargetCondition {
     const now = this.dependencies.environment.now();
-    if (this.health.isDown(now) && !(packet.opens && this.health.isProbeDue(now))) {
-      return RefusalReason.targetDown;
-    }
-    if (!packet.opens) {
-      return undefined;
-    }
-    if (this.target.state === TargetState.gone) {
-      return RefusalReason.noTarget;
-    }
-    return this.target.state === TargetState.draining ? RefusalReason.draining : undefined;
+    return {
+      service: this.target.service,
+      state: this.target.state,
+      isDown: this.health.isDown(now),
+      isProbeDue: this.health.isProbeDue(now),
+    };
   }
 
   private returnPacket(packet: FlowPacket): void {
@@ -341,7 +308,7 @@
   /** Tells every balancer of a change at once, and again shortly after. */
   private announce(): void {
     this.reporter.report();
-    REPORT_REPEATS.forEach((delay) => this.once(delay, () => this.reporter.report()));
+    REPORT_REPEATS.forEach((delay) => this.timers.once(delay, () => this.reporter.report()));
   }
 
   private reportTarget(): void {
@@ -354,32 +321,4 @@
       isDown: this.health.isDown(this.dependencies.environment.now()),
     });
   }
-
-  /** Registers this agent, again and again until the registry has it. */
-  private register(delay: number): void {
-    const { environment, registry } = this.dependencies;
-    registry.register(this.record, (result) => {
-      if (result.ok) {
-        environment.report(Events.agentRegistered, { service: this.target.service });
-        return;
-      }
-      const next = Math.min(delay * 2, LONGEST_REGISTRATION_RETRY);
-      this.once(delay * (0.5 + environment.random()), () => this.register(next));
-    });
-  }
-
-  private once(delay: number, action: () => void): void {
-    const handle = this.dependencies.environment.startTimer(delay, () => {
-      this.timers.delete(handle);
-      action();
-    });
-    this.timers.add(handle);
-  }
-
-  private repeat(interval: number, action: () => void): void {
-    this.once(interval, () => {
-      this.repeat(interval, action);
-      action();
-    });
-  }
 }
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -3,7 +3,7 @@
  * agent beside the target that holds, or will hold, its flow.
  */
 import { formatEndpoint } from '../core/endpoint';
-import type { Endpoint, TimerHandle } from '../environment';
+import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
 import { AgentDirectory, type AgentEntry } from './agent-directory';
 import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
@@ -12,6 +12,7 @@
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
+import { NodeTimers } from './node-timers';
 import { MessageLink } from '../wire/message-link';
 import {
   PacketMessageType,
@@ -47,7 +48,7 @@
   private readonly upkeep: RegistryUpkeep;
   private readonly subscriptions: AgentSubscriptions;
   private readonly followers: readonly CollectionFollower<never>[];
-  private readonly timers = new Set<TimerHandle>();
+  private readonly timers: NodeTimers;
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
@@ -59,6 +60,7 @@
     private readonly dependencies: PacketBalancerDependencies,
   ) {
     const { environment, codec, transport, format, registry, routingTables } = dependencies;
+    this.timers = new NodeTimers(environment);
     this.relay = new TrafficRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new MessageLink<PacketMessage>(codec, transport, environment);
@@ -93,8 +95,8 @@
     this.startedAt = this.dependencies.environment.now();
     this.followers.forEach((follower) => follower.start());
     this.peers.start();
-    this.repeat(KNOCK_INTERVAL, () => this.subscribe());
-    this.repeat(UPKEEP_INTERVAL, () => this.maintain());
+    this.timers.repeat(KNOCK_INTERVAL, () => this.subscribe());
+    this.timers.repeat(UPKEEP_INTERVAL, () => this.maintain());
   }
 
   /** Takes no new part of the traffic from now on; packets that still come are served. */
@@ -115,7 +117,7 @@
     this.followers.forEach((follower) => follower.stop());
     this.peers.stop();
     this.router.stop();
-    this.timers.forEach((timer) => timer.cancel());
+    this.timers.cancel();
   }
 
   /** Whether this balancer can serve any flow: it has a table, all agents, and hears some. */
@@ -365,13 +367,4 @@
     }
     return heard;
   }
-
-  private repeat(interval: number, action: () => void): void {
-    const handle = this.dependencies.environment.startTimer(interval, () => {
-      this.timers.delete(handle);
-      this.repeat(interval, action);
-      action();
-    });
-    this.timers.add(handle);
-  }
 }
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -30,6 +30,9 @@
 const FIRST_CLIENT_PORT = 40_000;
 const REQUEST_ID = /X-Request-Id: (\d+)\//;
 const BALANCERS = 3;
+/** Index of the balancer that may use so little that it relays. */
+const WEAK_BALANCER = 2;
+const WEAK_SHARE = 0.05;
 const SERVICES = ['map', 'map', 'map', 'map', 'tiles', 'tiles'] as const;
 const ZONES = ['north', 'south', 'east'] as const;
 const PORTS: ClusterPorts = {
@@ -216,6 +219,8 @@
       storeAddress: await gate.start(),
       seeds: `127.${this.network}.11.1:1,127.${this.network}.11.2:1`,
       stopTime: STOP_TIME,
+      processorShare: !isAgent && index === WEAK_BALANCER ? WEAK_SHARE : 1,
+      processors: 1,
     };
     const process = new SoakProcess(role, settings, this.folder);
     return { name, machine, advertised, process, gate };
