--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -61,7 +61,7 @@
   ) {
     const { environment, codec, transport, format, registry, routingTables } = dependencies;
     this.timers = new NodeTimers(environment);
-    this.relay = new TrafficRelay(settings.zone, settings.capacity);
+    this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new MessageLink<PacketMessage>(codec, transport, environment);
     this.router = new FlowRouter({
@@ -120,17 +120,23 @@
     this.timers.cancel();
   }
 
-  /** Whether this balancer can serve any flow: it has a table, all agents, and hears some. */
+  /**
+   * Whether this balancer can serve any flow: it has a table, all agents, and hears some;
+   * or it relays and its zone needs that.
+   */
   get isReady(): boolean {
     const now = this.dependencies.environment.now();
-    if (this.stopping || !this.table || !this.directory.isComplete) {
+    if (this.stopping) {
       return false;
     }
-    if (this.relay.isWanted && now - this.startedAt < RELAY_SEARCH_TIME) {
-      return this.relay.isPossible(now);
-    }
     if (this.relay.isPossible(now)) {
-      return true;
+      return this.relay.isNeeded(now);
+    }
+    if (!this.table || !this.directory.isComplete) {
+      return false;
+    }
+    if (this.relay.isWanted && now - this.startedAt < RELAY_SEARCH_TIME) {
+      return false;
     }
     return this.directory.size === 0 || this.directory.hearsAny(now);
   }
--- a/src/packets/traffic-relay.ts
+++ b/src/packets/traffic-relay.ts
@@ -14,7 +14,11 @@
 const AWAY_AFTER = 1_100;
 
 /** Balancers noted at most. */
-const MAXIMUM_BALANCERS = 32;
+const MAXIMUM_BALANCERS = 64;
+/** Milliseconds for which a silent balancer still counts as one of its zone. */
+const MEMBER_TIME = 15_000;
+/** Milliseconds of silence after which another weak balancer stands in for one. */
+const STAND_IN_TIME = 2_000;
 
 /** A balancer as it tells of itself. */
 export interface BalancerStatus {
@@ -37,10 +41,12 @@
   private readonly balancers = new Map<Endpoint, KnownBalancer>();
 
   /**
+   * @param self address of this balancer
    * @param zone zone of this balancer
    * @param capacity processors that it may use
    */
   constructor(
+    private readonly self: Endpoint,
     private readonly zone: string,
     private readonly capacity: number,
   ) {}
@@ -52,7 +58,7 @@
 
   /** Takes the status of another balancer. */
   learn(balancer: Endpoint, status: BalancerStatus, now: number): void {
-    if (this.isWanted && status.capacity >= ROUTING_CAPACITY) {
+    if (this.isWanted) {
       this.balancers.set(balancer, { status, heardAt: now });
     }
     if (this.balancers.size > MAXIMUM_BALANCERS) {
@@ -60,14 +66,32 @@
     }
   }
 
-  /** Balancers that route, also those that may be away: of this zone, or all without them. */
+  /** Balancers whose status matters, also those that may be away: of this zone, or all. */
   askedFor(now: number): Endpoint[] {
-    const hasOwn = this.present(now).some(([, { status }]) => status.zone === this.zone);
+    const hasOwn = this.present(now).some(([, one]) => this.isOfZone(one));
     return [...this.balancers]
-      .filter(([, { status }]) => !hasOwn || status.zone === this.zone)
+      .filter(([, one]) => this.isOfZone(one) || (!hasOwn && isRouting(one)))
       .map(([address]) => address);
   }
 
+  /**
+   * Whether this balancer should take traffic to relay it. Routers leave a balancer out that
+   * says it is not ready, as long as at least half of its zone is; so as many weak ones as
+   * make more than half take traffic, those first whose addresses are lowest.
+   */
+  isNeeded(now: number): boolean {
+    const zone = [...this.balancers].filter(
+      ([, one]) => this.isOfZone(one) && now - one.heardAt <= MEMBER_TIME,
+    );
+    const routing = this.present(now).filter(([, one]) => this.isOfZone(one)).length;
+    const needed = Math.floor((zone.length + 1) / 2) + 1 - routing;
+    const before = zone.filter(
+      ([address, one]) =>
+        !isRouting(one) && now - one.heardAt <= STAND_IN_TIME && address < this.self,
+    );
+    return before.length < needed;
+  }
+
   /** Whether some balancer would take what is relayed. */
   isPossible(now: number): boolean {
     return this.present(now).length > 0;
@@ -79,7 +103,7 @@
    */
   destinationOf(flow: FlowKey, now: number): Endpoint | undefined {
     const present = this.present(now);
-    const own = present.filter(([, { status }]) => status.zone === this.zone);
+    const own = present.filter(([, one]) => this.isOfZone(one));
     let best: Endpoint | undefined;
     let bestScore = -1;
     for (const [address, { status }] of own.length > 0 ? own : present) {
@@ -94,12 +118,21 @@
 
   private present(now: number): [Endpoint, KnownBalancer][] {
     return [...this.balancers].filter(
-      ([, { status, heardAt }]) => status.isReady && now - heardAt <= AWAY_AFTER,
+      ([, one]) => isRouting(one) && one.status.isReady && now - one.heardAt <= AWAY_AFTER,
     );
   }
 
+  private isOfZone({ status }: KnownBalancer): boolean {
+    return status.zone === this.zone;
+  }
+
   private forgetOldest(): void {
     const oldest = [...this.balancers].reduce((a, b) => (a[1].heardAt <= b[1].heardAt ? a : b));
     this.balancers.delete(oldest[0]);
   }
 }
+
+/** Whether a balancer takes what others relay. */
+function isRouting({ status }: KnownBalancer): boolean {
+  return status.capacity >= ROUTING_CAPACITY;
+}
