--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -36,6 +36,8 @@
 const UPKEEP_INTERVAL = 1_000;
 /** Milliseconds after its start in which a balancer that relays takes no traffic by itself. */
 const RELAY_SEARCH_TIME = 5_000;
+/** Milliseconds after its start in which the code of a weak balancer is still slow. */
+const WARM_UP_TIME = 8_000;
 
 /** One packet balancer. */
 export class PacketBalancer {
@@ -130,7 +132,7 @@
       return false;
     }
     if (this.relay.isPossible(now)) {
-      return this.relay.isNeeded(now);
+      return this.relay.isNeeded(this.hasRunLong, now);
     }
     if (!this.table || !this.directory.isComplete) {
       return false;
@@ -256,7 +258,12 @@
 
   private get ownStatus(): BalancerStatus {
     const { zone, packetAddress, capacity } = this.settings;
-    return { zone, packetAddress, capacity, isReady: this.isReady };
+    const told = this.relay.isWanted && !this.hasRunLong ? 0 : capacity;
+    return { zone, packetAddress, capacity: told, isReady: this.isReady };
+  }
+
+  private get hasRunLong(): boolean {
+    return this.dependencies.environment.now() - this.startedAt > WARM_UP_TIME;
   }
 
   private takeSnapshot(peer: Endpoint, snapshot: PeerSnapshot): void {
--- a/src/packets/traffic-relay.ts
+++ b/src/packets/traffic-relay.ts
@@ -25,7 +25,7 @@
   readonly zone: string;
   /** Where it takes clients' packets. */
   readonly packetAddress: Endpoint;
-  /** Processors that it may use. */
+  /** Processors that it may use; 0 for one that relays and has just started. */
   readonly capacity: number;
   /** It takes traffic: it is not stopping and can serve any flow. */
   readonly isReady: boolean;
@@ -76,20 +76,26 @@
 
   /**
    * Whether this balancer should take traffic to relay it. Routers leave a balancer out that
-   * says it is not ready, as long as at least half of its zone is; so as many weak ones as
-   * make more than half take traffic, those first whose addresses are lowest.
+   * says it is not ready, as long as at least half of its zone is. So as many weak ones as
+   * make more than half take traffic: those first that have run for a while, since code that
+   * has just started is slow, then those whose addresses are lowest. One that has just started
+   * does so only if half of the zone is not ready without it.
+   * @param hasRunLong whether this balancer has run for a while
    */
-  isNeeded(now: number): boolean {
+  isNeeded(hasRunLong: boolean, now: number): boolean {
     const zone = [...this.balancers].filter(
       ([, one]) => this.isOfZone(one) && now - one.heardAt <= MEMBER_TIME,
     );
     const routing = this.present(now).filter(([, one]) => this.isOfZone(one)).length;
-    const needed = Math.floor((zone.length + 1) / 2) + 1 - routing;
+    const members = zone.length + 1;
+    const wanted = hasRunLong ? Math.floor(members / 2) + 1 : Math.ceil(members / 2);
     const before = zone.filter(
       ([address, one]) =>
-        !isRouting(one) && now - one.heardAt <= STAND_IN_TIME && address < this.self,
+        isStandIn(one) &&
+        now - one.heardAt <= STAND_IN_TIME &&
+        (!hasRunLong || address < this.self),
     );
-    return before.length < needed;
+    return routing + before.length < wanted;
   }
 
   /** Whether some balancer would take what is relayed. */
@@ -136,3 +142,8 @@
 function isRouting({ status }: KnownBalancer): boolean {
   return status.capacity >= ROUTING_CAPACITY;
 }
+
+/** Whether a balancer relays, and has run for a while. */
+function isStandIn({ status }: KnownBalancer): boolean {
+  return status.capacity > 0 && status.capacity < ROUTING_CAPACITY;
+}
--- a/test/packet-relay.test.ts
+++ b/test/packet-relay.test.ts
@@ -54,16 +54,31 @@
   const relay = new TrafficRelay(50, 'north', WEAK);
   relay.learn(1, strong, 0);
   relay.learn(2, strong, 0);
-  t.false(relay.isNeeded(0));
+  t.false(relay.isNeeded(true, 0));
   relay.learn(60, weak, 0);
-  t.true(relay.isNeeded(0));
+  t.true(relay.isNeeded(true, 0));
   relay.learn(40, weak, 0);
-  t.false(relay.isNeeded(0));
+  t.false(relay.isNeeded(true, 0));
   relay.learn(2, { ...strong, isReady: false }, 0);
-  t.true(relay.isNeeded(0));
+  t.true(relay.isNeeded(true, 0));
   relay.learn(1, strong, 3_000);
   relay.learn(2, strong, 3_000);
-  t.true(relay.isNeeded(3_000));
+  t.true(relay.isNeeded(true, 3_000));
+});
+
+test('a weak balancer that has just started stands in only for a zone below half', (t) => {
+  const strong = { zone: 'north', packetAddress: 11, capacity: 0.5, isReady: true };
+  const weak = { ...strong, capacity: WEAK, isReady: false };
+  const relay = new TrafficRelay(50, 'north', WEAK);
+  relay.learn(1, strong, 0);
+  relay.learn(2, strong, 0);
+  relay.learn(60, { ...weak, capacity: 0 }, 0);
+  t.true(relay.isNeeded(true, 0));
+  t.false(relay.isNeeded(false, 0));
+  relay.learn(2, { ...strong, isReady: false }, 0);
+  t.true(relay.isNeeded(false, 0));
+  relay.learn(60, weak, 0);
+  t.false(relay.isNeeded(false, 0));
 });
 
 test('a weak balancer relays, follows a change, and routes by itself at the end', (t) => {
