--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -16,7 +16,7 @@
 import type { CachedFlow, FlowCache } from './flow-cache';
 import { FlowLocator } from './flow-locator';
 import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
-import { FlowSearches, type FlowSearch } from './flow-search';
+import { FlowSearches, nextToAsk, noteOffer, type FlowSearch } from './flow-search';
 import {
   PacketMessageType,
   type DeliverMessage,
@@ -290,6 +290,7 @@
   private offerNext(packet: FlowPacket, search: FlowSearch, known?: CachedFlow): void {
     const next = this.nextCandidate(packet, search, known);
     if (next) {
+      noteOffer(search, next.address);
       this.deliver(packet, search.route, next.address, search.id, search.services);
       return;
     }
@@ -309,12 +310,14 @@
       .ofServices(search.services)
       .filter(({ address }) => !search.refusedBy.has(address));
     const offered = (known ?? cache.use(packet.flow, now))?.offered;
-    const likely = untried.find(({ address }) => offered?.has(address));
+    const likely = untried.find(
+      ({ address }) => offered?.has(address) && !search.offeredTo.has(address),
+    );
     if (likely) {
       return likely;
     }
     const heard = untried.filter((entry) => directory.isHeard(entry, now));
-    const pool = heard.length > 0 ? heard : untried;
+    const pool = nextToAsk(search, heard.length > 0 ? heard : untried);
     const byName = new Map(pool.map((entry) => [String(entry.address), entry]));
     const [best] = rankByRendezvous(packet.flow, [...byName.keys()]);
     return best === undefined ? undefined : byName.get(best);
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -21,11 +21,40 @@
   /** The service that may take the packet when it opens a flow; else all of the route's. */
   readonly services: readonly string[];
   readonly refusedBy: Set<Endpoint>;
+  /** Agents that a packet was offered to, longest ago first; some have not answered. */
+  readonly offeredTo: Set<Endpoint>;
   /** All agents have been asked for the holder at once. */
   isLocated: boolean;
   usedAt: number;
 }
 
+/** Notes that a packet is offered to an agent now. */
+export function noteOffer(search: FlowSearch, agent: Endpoint): void {
+  search.offeredTo.delete(agent);
+  search.offeredTo.add(agent);
+}
+
+/**
+ * Of agents that have not refused, those to be asked next: those that were not asked yet, or
+ * the one that was asked longest ago, since a packet or its refusal may have been lost.
+ */
+export function nextToAsk<T extends { readonly address: Endpoint }>(
+  search: FlowSearch,
+  candidates: readonly T[],
+): readonly T[] {
+  const unasked = candidates.filter(({ address }) => !search.offeredTo.has(address));
+  if (unasked.length > 0) {
+    return unasked;
+  }
+  for (const address of search.offeredTo) {
+    const longestAgo = candidates.filter((one) => one.address === address);
+    if (longestAgo.length > 0) {
+      return longestAgo;
+    }
+  }
+  return [];
+}
+
 /** The searches under way. */
 export class FlowSearches {
   private readonly searches = new Map<number, FlowSearch>();
@@ -97,6 +126,7 @@
       route,
       services,
       refusedBy: new Set(),
+      offeredTo: new Set(),
       isLocated: false,
       usedAt: now,
     };
--- a/test/packet-relay.test.ts
+++ b/test/packet-relay.test.ts
@@ -121,3 +121,25 @@
   t.is(returned() - before, 0);
   t.true(world.balancers[1]!.node.router.counters.searchesStarted > 10);
 });
+
+test('a search goes on to other agents when one neither takes nor refuses', (t) => {
+  const world = new PacketWorld(11);
+  startModelDeployment(world, 2);
+  openModelFlows(world, 60, 100, 200);
+  world.runFor(1_000);
+  const [lost, searching] = world.balancers;
+  const [holder, mute] = world.agents;
+  const clients = world.clients.filter((client) => world.holderOf(client) === holder);
+  t.true(clients.length > 5);
+  // The holder's agent forgets who it holds, and another agent gets no frames.
+  holder!.process.kill();
+  world.startAgent(holder!);
+  world.network.cut({ from: searching!.name, to: mute!.name });
+  lost!.process.kill();
+  world.runFor(4_000);
+  const before = clients.map(({ answers }) => answers);
+  world.runFor(2_000);
+  const stuck = clients.filter(({ answers }, index) => answers === before[index]).length;
+  t.is(stuck, 0);
+  t.deepEqual(world.violations.flowsReset, []);
+});
