--- /dev/null
+++ b/test/packet-decisions.test.ts
@@ -0,0 +1,110 @@
+/** Small decisions of the packet interface, each alone. */
+import test from 'ava';
+import { refusalOf, type TargetCondition } from '../src/packets/delivery-rules';
+import { FlowLocator, locateTimeout, type WaitingPacket } from '../src/packets/flow-locator';
+import type { FlowPacket } from '../src/packets/flow-packet';
+import { FlowSearches, nextToAsk, noteOffer } from '../src/packets/flow-search';
+import {
+  PACKET_MESSAGE_FIELDS,
+  PacketMessageType,
+  RefusalReason,
+  TargetState,
+  type PacketMessage,
+} from '../src/packets/packet-messages';
+import { FrameCodec } from '../src/wire/frame-codec';
+import { createReport } from './support/reports';
+
+const READY: TargetCondition = {
+  service: 'map',
+  state: TargetState.ready,
+  isDown: false,
+  isProbeDue: false,
+};
+const ROUTE = { name: 'r', destination: 1, services: [{ service: 'map', weight: 1 }] };
+
+function waiting(flow: string): WaitingPacket {
+  return { packet: { flow } as FlowPacket, route: ROUTE };
+}
+
+test('an agent refuses by service, health, and for new flows by state', (t) => {
+  t.is(refusalOf(true, ['map'], READY), undefined);
+  t.is(refusalOf(false, ['tiles'], READY), RefusalReason.otherService);
+  const draining = { ...READY, state: TargetState.draining };
+  t.is(refusalOf(true, ['map'], draining), RefusalReason.draining);
+  t.is(refusalOf(false, ['map'], draining), undefined);
+  const gone = { ...READY, state: TargetState.gone };
+  t.is(refusalOf(true, ['map'], gone), RefusalReason.noTarget);
+  t.is(refusalOf(false, ['map'], gone), undefined);
+});
+
+test('a target that is down gets one opening packet now and then, and nothing else', (t) => {
+  const down = { ...READY, isDown: true };
+  t.is(refusalOf(true, ['map'], down), RefusalReason.targetDown);
+  t.is(refusalOf(true, ['map'], { ...down, isProbeDue: true }), undefined);
+  t.is(refusalOf(false, ['map'], { ...down, isProbeDue: true }), RefusalReason.targetDown);
+});
+
+test('packets wait for the holder of their flow, within bounds, and not for ever', (t) => {
+  const locator = new FlowLocator(40);
+  t.true(locator.ask(waiting('a'), 0));
+  t.true(locator.isAsked('a'));
+  for (let packet = 0; packet < 40; packet++) {
+    locator.wait(waiting('a'));
+  }
+  t.true(locator.ask(waiting('b'), 30));
+  t.deepEqual(locator.takeOverdue(39), []);
+  t.is(locator.takeOverdue(41).length, 16);
+  t.false(locator.isAsked('a'));
+  t.is(locator.take('b').length, 1);
+  t.is(locator.size, 0);
+});
+
+test('a balancer with little processor time waits longer for answers, within bounds', (t) => {
+  t.is(locateTimeout(1), 40);
+  t.is(locateTimeout(0.1), 200);
+  t.is(locateTimeout(0.001), 400);
+});
+
+test('a search asks everyone once before it asks anyone again', (t) => {
+  const search = new FlowSearches(10_000).forHolder('f', ROUTE, ['map'], 0);
+  const agents = [{ address: 1 }, { address: 2 }, { address: 3 }];
+  noteOffer(search, 2);
+  t.deepEqual(nextToAsk(search, agents), [{ address: 1 }, { address: 3 }]);
+  noteOffer(search, 1);
+  noteOffer(search, 3);
+  t.deepEqual(nextToAsk(search, agents), [{ address: 2 }]);
+  noteOffer(search, 2);
+  t.deepEqual(nextToAsk(search, agents), [{ address: 1 }]);
+});
+
+test('every message of the packet interface survives its frame', (t) => {
+  const codec = new FrameCodec<PacketMessage>(
+    [{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }],
+    PACKET_MESSAGE_FIELDS,
+  );
+  const flow = Buffer.from('twelve bytes');
+  const messages: PacketMessage[] = [
+    { type: PacketMessageType.deliver, searchId: 7, services: ['map'], payload: flow },
+    { type: PacketMessageType.notHeld, searchId: 7, reason: 5, payload: flow },
+    { type: PacketMessageType.held, flow },
+    { type: PacketMessageType.locate, flow },
+    { type: PacketMessageType.subscribe, zone: 'north', interval: 500 },
+    createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
+    {
+      type: PacketMessageType.peerStatus,
+      routingVersion: 3,
+      viewComplete: 1,
+      zone: 'north',
+      packetAddress: 0x0a00_0001_0001,
+      capacity: 32,
+      ready: 0,
+      replyWanted: 1,
+      peers: [0x0a00_0002_0000],
+      unregistered: [{ address: 0x0a00_0003_0000, service: 'map', zone: 'south' }],
+    },
+  ];
+  t.is(messages.length, PACKET_MESSAGE_FIELDS.size);
+  for (const message of messages) {
+    t.deepEqual(codec.decode(codec.encode(message)).unwrap(), message);
+  }
+});
