--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -7,6 +7,8 @@
 
 /** Flows tracked at once; the least recently used one is dropped beyond that. */
 const MAXIMUM_FLOWS = 20_000;
+/** Bytes that a client may have acknowledged while its flow opens. */
+const ACKNOWLEDGED_RANGE = 76_800;
 /** Milliseconds after which a request without an answer counts as failed. */
 const REQUEST_TIMEOUT = 1_500;
 
@@ -18,6 +20,10 @@
   told: Endpoint | undefined;
   /** The target has sent something that only the holder of an open flow sends. */
   held: boolean;
+  /** An opening packet has been delivered, and nothing shows that the flow opened here. */
+  opening: boolean;
+  /** Sequence number with which the target took the opening packet; undefined before. */
+  offeredSequence: number | undefined;
   /** The target has ended the flow; its last packets may still pass. */
   ended: boolean;
   /** A request has been delivered and its answer has not begun. */
@@ -50,6 +56,7 @@
     const flow = this.flowOf(packet.flow, now);
     flow.balancer = balancer;
     flow.ended = flow.ended && !packet.opens;
+    flow.opening = packet.opens ? !flow.held : flow.opening && !acknowledges(packet, flow);
     if (packet.resets) {
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
@@ -59,6 +66,14 @@
     }
   }
 
+  /**
+   * Whether a flow was offered here and did not open here: it may be open at another target, and a
+   * reset by this one must not reach the client.
+   */
+  isOnlyOffered(flow: FlowKey): boolean {
+    return this.flows.get(flow)?.opening === true;
+  }
+
   /** Whether a flow's request has been delivered and its answer has not begun. */
   awaitsAnswer(flow: FlowKey): boolean {
     return this.flows.get(flow)?.busy === true;
@@ -70,6 +85,7 @@
    */
   sent(packet: FlowPacket, now: number): Endpoint | undefined {
     const flow = this.flowOf(packet.flow, now);
+    flow.offeredSequence = packet.opens ? packet.sequence : flow.offeredSequence;
     if (packet.payloadLength > 0) {
       this.setBusy(flow, false);
     }
@@ -104,7 +120,12 @@
 
   /** The target returned a packet of a flow: it does not hold it. */
   returned(packet: FlowPacket): void {
-    this.remove(packet.flow);
+    const flow = this.flows.get(packet.flow);
+    if (flow?.opening) {
+      this.setBusy(flow, false);
+    } else {
+      this.remove(packet.flow);
+    }
   }
 
   /** The target was replaced: no flow is left. */
@@ -154,6 +175,8 @@
       balancer: undefined,
       told: undefined,
       held: false,
+      opening: false,
+      offeredSequence: undefined,
       ended: false,
       busy: false,
       busySince: 0,
@@ -178,6 +201,7 @@
   private setHeld(flow: TrackedFlow, held: boolean): void {
     if (flow.held !== held) {
       flow.held = held;
+      flow.opening = flow.opening && !held;
       this.held += held ? 1 : -1;
     }
   }
@@ -196,3 +220,9 @@
 function isNewer(sequence: number, previous: number | undefined): boolean {
   return previous === undefined || ((sequence - previous) | 0) > 0;
 }
+
+/** Whether a client's packet acknowledges what this target has sent, not another's. */
+function acknowledges({ acknowledgement }: FlowPacket, { offeredSequence }: TrackedFlow): boolean {
+  const distance = offeredSequence === undefined ? -1 : (acknowledgement - offeredSequence) | 0;
+  return distance >= 0 && distance <= ACKNOWLEDGED_RANGE;
+}
