--- a/test/soak/soak-client.ts
+++ b/test/soak/soak-client.ts
@@ -3,10 +3,8 @@
 import { endpointAddress, endpointPort } from '../../src/core/endpoint';
 import type { Endpoint } from '../../src/environment';
 import type { FlowKey } from '../../src/packets/flow-packet';
-import { encodePacket } from '../support/packet-cluster';
+import { encodePacket, Flag, HEAD_BYTES } from '../support/packet-cluster';
 
-const HEAD_BYTES = 31;
-const Flag = { fin: 1, rst: 4, syn: 16, ack: 128 } as const;
 const OPENING_COPIES = [0, 200, 600] as const;
 const OPENING_TIME = 1_400;
 const FIRST_REPEAT = 200;
--- a/test/soak/soak-target.ts
+++ b/test/soak/soak-target.ts
@@ -7,10 +7,8 @@
 import { packetFormat } from '../../platform/packet-head';
 import type { FlowKey, FlowPacket } from '../../src/packets/flow-packet';
 import type { JudgedTarget } from '../../src/simulation/packets/world-judge';
-import { encodePacket, type ClusterPorts } from '../support/packet-cluster';
+import { encodePacket, Flag, HEAD_BYTES, type ClusterPorts } from '../support/packet-cluster';
 
-const HEAD_BYTES = 31;
-const Flag = { fin: 1, rst: 4, bounced: 8, syn: 16, ack: 128 } as const;
 const HEARTBEAT_INTERVAL = 400;
 const HEARTBEAT_TIMEOUT = 1_000;
 const SLOTS = 5;
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -6,7 +6,7 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { formatEndpoint, packEndpoint } from '../../src/core/endpoint';
+import { endpointPort, formatEndpoint, packEndpoint } from '../../src/core/endpoint';
 import type { Endpoint } from '../../src/environment';
 import type { FlowKey } from '../../src/packets/flow-packet';
 import {
@@ -28,7 +28,8 @@
 const STOP_TIME = 3_000;
 const CLIENT_PORTS = 20_000;
 const FIRST_CLIENT_PORT = 40_000;
-const REQUEST_ID = /X-Request-Id: (\d+)\//;
+/** A request's id, which begins with its client's address. */
+const REQUEST_ID = /X-Request-Id: ((\d+)\/\S+)/;
 const BALANCERS = 3;
 /** Index of the balancer that may use so little that it relays. */
 const WEAK_BALANCER = 2;
@@ -231,23 +232,30 @@
 
   private flowHolder(flow: FlowKey): FlowHolder | undefined {
     const holder = this.agents.find(({ target }) => target.holds(flow));
-    const processes = [...this.balancers.map(({ name }) => name), holder?.name ?? ''];
-    return holder && { target: holder.target.judged, processes };
+    return holder && { target: holder.target.judged, processes: this.processesTo(holder.name) };
+  }
+
+  /** Names of the processes that a packet to an agent's target may pass. */
+  private processesTo(agent: string): string[] {
+    return [...this.balancers.map(({ name }) => name), agent];
+  }
+
+  private clientAt(address: Endpoint): SoakClient | undefined {
+    return this.clients.get(endpointPort(address));
   }
 
   private flowOpened(target: JudgedTarget, agent: string, from: Endpoint): void {
-    const client = this.clients.get(from % 65_536);
+    const client = this.clientAt(from);
     if (client) {
-      const processes = [...this.balancers.map(({ name }) => name), agent];
       const { destination } = client.plan;
+      const processes = this.processesTo(agent);
       this.judge.flowOpened(destination, target.service, client.startedAt, processes);
     }
   }
 
   private requestRan(target: JudgedTarget, text: string): void {
-    const from = Number(REQUEST_ID.exec(text)?.[1] ?? 0);
-    const id = /X-Request-Id: (\S+)/.exec(text)?.[1] ?? text;
-    this.judge.requestRan(target, id, this.clients.get(from % 65_536));
+    const [, id = text, from = 0] = REQUEST_ID.exec(text) ?? [];
+    this.judge.requestRan(target, id, this.clientAt(Number(from)));
   }
 
   private clientReset(client: SoakClient): void {
--- a/test/support/packet-cluster.ts
+++ b/test/support/packet-cluster.ts
@@ -8,9 +8,11 @@
 import { callStatus } from './call-status';
 import { ObjectApiStandin } from './object-api-standin';
 
-const HEAD_BYTES = 31;
+/** Bytes of a packet's head; its data follows. */
+export const HEAD_BYTES = 31;
 const MAIN = resolve(__dirname, '../../platform/main.js');
-const Flag = { fin: 1, rst: 4, bounced: 8, syn: 16, ack: 128 } as const;
+/** Flags of a head. */
+export const Flag = { fin: 1, rst: 4, bounced: 8, syn: 16, ack: 128 } as const;
 
 /** Ports of one cluster; alike on all of its machines. */
 export interface ClusterPorts {
