--- a/src/packets/flow-locator.ts
+++ b/src/packets/flow-locator.ts
@@ -1,7 +1,6 @@
 /**
- * Asks all agents of a route at once who holds a flow. Only its holder answers, so packets
- * reach no other target; what nobody answers in time is looked for by offering the packet
- * to one agent after the other.
+ * Packets of flows whose holder is being searched for: they wait for the outcome, which the
+ * first packet of each flow brings about, and begin another search when none comes in time.
  */
 import type { FlowKey, FlowPacket } from './flow-packet';
 import type { Route } from './routing-table';
@@ -12,10 +11,10 @@
 
 const SHORTEST_TIMEOUT = 40;
 const LONGEST_TIMEOUT = 400;
-/** Milliseconds that a whole processor needs to ask and to read answers, with much to spare. */
+/** Milliseconds that a whole processor needs to send and to read the outcome, with much to spare. */
 const ASKING_TIME = 20;
 
-/** Milliseconds in which the holder of a flow answers, for a balancer with so many processors. */
+/** Milliseconds in which a search has its outcome, for a balancer with so many processors. */
 export function locateTimeout(capacity: number): number {
   return Math.min(LONGEST_TIMEOUT, Math.max(SHORTEST_TIMEOUT, ASKING_TIME / capacity));
 }
@@ -31,32 +30,30 @@
   readonly waiting: WaitingPacket[];
 }
 
-/** Questions under way, by flow, oldest first. */
+/** Searches under way, by flow, oldest first. */
 export class FlowLocator {
   private readonly questions = new Map<FlowKey, Question>();
 
-  /** @param timeout milliseconds that a question waits for its answer */
+  /** @param timeout milliseconds that a search has for its outcome */
   constructor(private readonly timeout: number) {}
 
   get size(): number {
     return this.questions.size;
   }
 
-  /** Whether the holder of a flow is being asked for. */
+  /** Whether the holder of a flow is being searched for. */
   isAsked(flow: FlowKey): boolean {
     return this.questions.has(flow);
   }
 
-  /** Keeps the first packet of a question; false when too many are under way. */
-  ask(waiting: WaitingPacket, now: number): boolean {
-    if (this.questions.size >= MAXIMUM_FLOWS) {
-      return false;
+  /** A search for the holder of a flow begins; further packets are to wait, up to a bound. */
+  ask(flow: FlowKey, now: number): void {
+    if (this.questions.size < MAXIMUM_FLOWS && !this.questions.has(flow)) {
+      this.questions.set(flow, { askedAt: now, waiting: [] });
     }
-    this.questions.set(waiting.packet.flow, { askedAt: now, waiting: [waiting] });
-    return true;
   }
 
-  /** Keeps another packet of a flow that is asked for. */
+  /** Keeps another packet of a flow that is searched for. */
   wait(waiting: WaitingPacket): void {
     const question = this.questions.get(waiting.packet.flow);
     if (question && question.waiting.length < MAXIMUM_PER_FLOW) {
@@ -71,7 +68,7 @@
     return question?.waiting ?? [];
   }
 
-  /** Takes out what has waited too long for an answer. */
+  /** Takes out what has waited too long for the outcome. */
   takeOverdue(now: number): WaitingPacket[] {
     const overdue: WaitingPacket[] = [];
     for (const [flow, { askedAt, waiting }] of this.questions) {
--- /dev/null
+++ b/src/packets/flow-placement.ts
@@ -0,0 +1,113 @@
+/** The balancer's choice of an agent for a new flow, and for each copy of its opening packet. */
+import { formatEndpoint } from '../core/endpoint';
+import type { Environment } from '../environment';
+import { Events } from '../logging/events';
+import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { selectAgent, type SelectionContext } from './agent-selection';
+import type { FlowCache } from './flow-cache';
+import type { FlowPacket } from './flow-packet';
+import type { FlowSearch, FlowSearches } from './flow-search';
+import type { PacketOutlet } from './packet-outlet';
+import { servicesOf, type Route } from './routing-table';
+import { ServiceRotation } from './service-rotation';
+
+/** What the placement works with. */
+export interface FlowPlacementDependencies {
+  readonly environment: Environment;
+  readonly zone: string;
+  readonly directory: AgentDirectory;
+  readonly cache: FlowCache;
+  readonly searches: FlowSearches;
+  readonly outlet: PacketOutlet;
+}
+
+/** Places the new flows of one balancer. */
+export class FlowPlacement {
+  private readonly rotation = new ServiceRotation();
+
+  constructor(private readonly dependencies: FlowPlacementDependencies) {}
+
+  /** A new routing table is in force: shares begin anew. */
+  reset(): void {
+    this.rotation.reset();
+  }
+
+  /** Places an opening packet; a copy goes to an agent that has not been offered the flow. */
+  open(packet: FlowPacket, route: Route): void {
+    const { cache, environment, outlet, searches } = this.dependencies;
+    const now = environment.now();
+    const known = cache.use(packet.flow, now);
+    if (known?.confirmed) {
+      outlet.deliver(packet, servicesOf(route), known.agent, 0);
+      return;
+    }
+    const service = known?.service ?? this.rotation.next(route);
+    const search = searches.beginOpening(packet.flow, route, [service], now);
+    known?.offered.forEach((agent) => search.refusedBy.add(agent));
+    this.offer(packet, search);
+  }
+
+  /** The search of an opening packet that an agent refused after its notes were dropped. */
+  resume(packet: FlowPacket, route: Route): FlowSearch {
+    const { cache, environment, searches } = this.dependencies;
+    const now = environment.now();
+    const services = servicesOf(route);
+    const opened = cache.use(packet.flow, now)?.service;
+    const service = opened !== undefined && services.includes(opened) ? opened : services[0]!;
+    return searches.beginOpening(packet.flow, route, [service], now);
+  }
+
+  /** Offers an opening packet to the best agent that has not refused it. */
+  offer(packet: FlowPacket, search: FlowSearch): void {
+    const { directory, environment, cache, outlet } = this.dependencies;
+    const now = environment.now();
+    const [service] = search.services;
+    const candidates = directory.ofServices(search.services);
+    const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
+    const chosen = selectAgent(untried, this.selectionContext(now));
+    if (!chosen) {
+      this.refuse(packet, search, candidates);
+      return;
+    }
+    chosen.recentOpenings.push(now);
+    cache.noteOpening(packet.flow, chosen.address, service!, now);
+    outlet.counters.flowsPlaced++;
+    outlet.report(Events.flowPlaced, packet, {
+      agent: formatEndpoint(chosen.address),
+      service,
+      copy: packet.openingCopy,
+      refusals: search.refusedBy.size,
+      busy: chosen.report?.busyRequests,
+      flows: chosen.report?.openFlows,
+      failing: chosen.report?.failurePercent,
+      reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
+    });
+    outlet.deliver(packet, search.services, chosen.address, search.id);
+  }
+
+  /**
+   * No agent takes a new flow. The client is told at once, unless an earlier copy may
+   * have opened the flow somewhere or agents are missing from this balancer's view.
+   */
+  private refuse(packet: FlowPacket, search: FlowSearch, candidates: readonly AgentEntry[]): void {
+    const { cache, directory, environment, outlet, searches } = this.dependencies;
+    const known = cache.use(packet.flow, environment.now());
+    const firstCopy = packet.openingCopy === 0 && (known?.offered.size ?? 0) === 0;
+    const everyoneHeard = candidates.every(({ report }) => report !== undefined);
+    searches.end(search);
+    if (firstCopy && everyoneHeard && directory.isComplete) {
+      outlet.reset(packet, 'no agent takes the flow', { refusals: search.refusedBy.size });
+    } else {
+      outlet.drop(packet, 'no agent known to take the flow');
+    }
+  }
+
+  private selectionContext(now: number): SelectionContext {
+    const { directory, environment, zone } = this.dependencies;
+    return {
+      zone,
+      isHeard: (entry) => directory.isHeard(entry, now),
+      random: () => environment.random(),
+    };
+  }
+}
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -23,8 +23,8 @@
   readonly refusedBy: Set<Endpoint>;
   /** Agents that a packet was offered to, longest ago first; some have not answered. */
   readonly offeredTo: Set<Endpoint>;
-  /** All agents have been asked for the holder at once. */
-  isLocated: boolean;
+  /** Times that a packet was sent through the agents. */
+  attempts: number;
   usedAt: number;
 }
 
@@ -127,7 +127,7 @@
       services,
       refusedBy: new Set(),
       offeredTo: new Set(),
-      isLocated: false,
+      attempts: 0,
       usedAt: now,
     };
     this.searches.set(id, search);
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -1,10 +1,10 @@
 /** An agent's reports of its target's state and load to the balancers that want them. */
 import type { Endpoint, Environment } from '../environment';
-import type { MessageLink } from '../wire/message-link';
 import type { FlowTracker } from './flow-tracker';
+import type { PacketLink } from './packet-link';
 import {
+  COMPACT_FRAME_VERSION,
   PacketMessageType,
-  type PacketMessage,
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
@@ -20,7 +20,7 @@
 export interface LoadReporterDependencies {
   readonly environment: Environment;
   readonly zone: string;
-  readonly link: MessageLink<PacketMessage>;
+  readonly link: PacketLink;
   readonly target: TargetLifecycle;
   readonly tracker: FlowTracker;
   readonly health: TargetHealth;
@@ -80,6 +80,7 @@
       openFlows: tracker.openFlows,
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
+      frameVersion: COMPACT_FRAME_VERSION,
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -1,9 +1,8 @@
 /** Settings, needs and counters of a packet agent. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
-import type { FrameCodec } from '../wire/frame-codec';
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
-import type { PacketMessage } from './packet-messages';
+import type { PacketFrameCodec } from './packet-frames';
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -20,7 +19,7 @@
 /** What a packet agent needs from its process. */
 export interface PacketAgentDependencies {
   readonly environment: Environment;
-  readonly codec: FrameCodec<PacketMessage>;
+  readonly codec: PacketFrameCodec;
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
   readonly registry: AgentRegistryPort;
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -18,19 +18,23 @@
   PacketAgentDependencies,
   PacketAgentSettings,
 } from './packet-agent-contracts';
-import { MessageLink } from '../wire/message-link';
 import {
+  COMPACT_FRAME_VERSION,
   PacketMessageType,
   RefusalReason,
+  SearchPhase,
   TargetState,
   type AgentRecord,
   type DeliverMessage,
+  type PacketMessage,
   type RefusalReasonValue,
+  type SearchMessage,
   type TargetStateValue,
 } from './packet-messages';
-import type { PacketMessage } from './packet-messages';
+import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
+import { stepAfter } from './search-steps';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
@@ -49,7 +53,7 @@
     packetsMalformed: 0,
     heartbeats: 0,
   };
-  private readonly link: MessageLink<PacketMessage>;
+  private readonly link: PacketLink;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
@@ -71,7 +75,7 @@
       this.timers,
       () => this.record,
     );
-    this.link = new MessageLink<PacketMessage>(codec, transport, environment);
+    this.link = new PacketLink(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
     this.reporter = new LoadReporter({
       environment,
@@ -154,15 +158,32 @@
 
   /** A frame of another node. */
   frame(bytes: Buffer, from: Endpoint): void {
-    const message = this.link.receive(bytes);
-    if (message?.type === PacketMessageType.deliver) {
-      this.deliver(message, from);
-    } else if (message?.type === PacketMessageType.locate) {
-      this.answerLocate(message.flow, from);
-    } else if (message?.type === PacketMessageType.subscribe) {
-      this.reporter.subscribe(from, message.interval);
-    } else if (message) {
-      this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
+    const message = this.link.receiveFrom(from, bytes);
+    if (message) {
+      this.take(message, from);
+    }
+  }
+
+  private take(message: PacketMessage, from: Endpoint): void {
+    switch (message.type) {
+      case PacketMessageType.deliver:
+        this.deliver(message, from);
+        return;
+      case PacketMessageType.search:
+        this.search(message);
+        return;
+      case PacketMessageType.locate:
+        this.answerLocate(message.flow, from);
+        return;
+      case PacketMessageType.subscribe:
+        this.reporter.subscribe(from, message.interval);
+        return;
+      case PacketMessageType.notHeld:
+      case PacketMessageType.held:
+      case PacketMessageType.noneHolds:
+      case PacketMessageType.report:
+      case PacketMessageType.peerStatus:
+        this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
   }
 
@@ -203,11 +224,8 @@
   }
 
   private deliver(message: DeliverMessage, balancer: Endpoint): void {
-    const { environment, format, sendToTarget } = this.dependencies;
-    const packet = format.decodeFromClient(message.payload);
+    const packet = this.decodeFromClient(message.payload);
     if (!packet) {
-      this.counters.packetsMalformed++;
-      environment.report(Events.packetMalformed, { length: message.payload.length });
       return;
     }
     this.reporter.subscribe(balancer);
@@ -216,13 +234,61 @@
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
     }
+    this.handToTarget(packet, balancer, this.pending.add(balancer, message.searchId));
+  }
+
+  /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
+  private search(message: SearchMessage): void {
+    const { balancer, searchId } = message;
+    const packet = this.decodeFromClient(message.payload);
+    if (!packet) {
+      return;
+    }
+    this.link.noteVersion(balancer, COMPACT_FRAME_VERSION);
+    const isRefused = refusalOf(packet.opens, message.services, this.condition) !== undefined;
+    if (isRefused || packet.opens) {
+      this.passOn(message);
+    } else if (this.tracker.isHeldFor(packet.flow, balancer)) {
+      const flow = Buffer.from(packet.flow, 'latin1');
+      this.link.send(balancer, { type: PacketMessageType.held, flow });
+      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
+    } else if (message.phase === SearchPhase.ask) {
+      this.passOn(message);
+    } else {
+      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
+    }
+  }
+
+  /** Hands a search to the next agent, or its outcome to the balancer. */
+  private passOn(message: SearchMessage): void {
+    const step = stepAfter(message);
+    switch (step.kind) {
+      case 'next':
+        this.link.send(step.agent, step.message);
+        return;
+      case 'over':
+        this.link.send(step.balancer, step.message);
+    }
+  }
+
+  private decodeFromClient(bytes: Buffer): FlowPacket | undefined {
+    const packet = this.dependencies.format.decodeFromClient(bytes);
+    if (!packet) {
+      this.counters.packetsMalformed++;
+      this.dependencies.environment.report(Events.packetMalformed, { length: bytes.length });
+    }
+    return packet;
+  }
+
+  private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
+    const { environment, format, sendToTarget } = this.dependencies;
     this.counters.packetsDelivered++;
     this.tracker.delivered(packet, balancer, environment.now());
     if (packet.opens) {
       this.health.openingDelivered(environment.now());
     }
     this.reportRequest(packet, balancer);
-    format.writeToken(packet.bytes, this.pending.add(balancer, message.searchId));
+    format.writeToken(packet.bytes, token);
     sendToTarget(packet.bytes);
   }
 
@@ -279,9 +345,15 @@
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
     const delivery = this.pending.take(format.readToken(packet.bytes));
-    if (delivery) {
-      format.restoreClientForm(packet.bytes);
-      const { searchId, balancer } = delivery;
+    if (!delivery) {
+      return;
+    }
+    format.restoreClientForm(packet.bytes);
+    const { searchId, balancer, search } = delivery;
+    if (search) {
+      this.counters.packetsRefused++;
+      this.passOn({ ...search, payload: packet.bytes });
+    } else {
       this.refuse(packet, searchId, balancer, RefusalReason.returnedByTarget);
     }
   }
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -1,9 +1,8 @@
 /** Settings, needs and figures of a packet balancer. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
-import type { FrameCodec } from '../wire/frame-codec';
 import type { AgentRegistryPort, CollectionPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
-import type { PacketMessage } from './packet-messages';
+import type { PacketFrameCodec } from './packet-frames';
 import type { SnapshotPort } from './peer-exchange';
 import type { RoutingTable } from './routing-table';
 
@@ -25,7 +24,7 @@
 /** What a packet balancer needs from its process. */
 export interface PacketBalancerDependencies {
   readonly environment: Environment;
-  readonly codec: FrameCodec<PacketMessage>;
+  readonly codec: PacketFrameCodec;
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
   readonly routingTables: CollectionPort<RoutingTable>;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -13,7 +13,7 @@
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
 import { NodeTimers } from './node-timers';
-import { MessageLink } from '../wire/message-link';
+import { PacketLink } from './packet-link';
 import {
   PacketMessageType,
   TargetState,
@@ -45,7 +45,7 @@
   readonly router: FlowRouter;
   private readonly relay: TrafficRelay;
   private readonly cache: FlowCache;
-  private readonly link: MessageLink<PacketMessage>;
+  private readonly link: PacketLink;
   private readonly peers: PeerExchange;
   private readonly upkeep: RegistryUpkeep;
   private readonly subscriptions: AgentSubscriptions;
@@ -65,10 +65,11 @@
     this.timers = new NodeTimers(environment);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
-    this.link = new MessageLink<PacketMessage>(codec, transport, environment);
+    this.link = new PacketLink(codec, transport, environment);
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
+      address: settings.address,
       locateTimeout: locateTimeout(settings.capacity),
       format,
       directory: this.directory,
@@ -177,7 +178,7 @@
 
   /** A frame of another node. */
   frame(bytes: Buffer, from: Endpoint): void {
-    const message = this.link.receive(bytes);
+    const message = this.link.receiveFrom(from, bytes);
     if (message) {
       this.take(message, from);
     }
@@ -190,17 +191,27 @@
   }
 
   private take(message: PacketMessage, from: Endpoint): void {
-    const { environment } = this.dependencies;
-    if (message.type === PacketMessageType.notHeld) {
-      this.router.refused(from, message);
-    } else if (message.type === PacketMessageType.held) {
-      this.router.confirmed(message.flow.toString('latin1'), from);
-    } else if (message.type === PacketMessageType.report) {
-      this.takeReport(from, message);
-    } else if (message.type === PacketMessageType.peerStatus) {
-      this.peers.receive(from, message);
-    } else {
-      environment.report(Events.frameUnexpected, { type: message.type });
+    switch (message.type) {
+      case PacketMessageType.notHeld:
+        this.router.refused(from, message);
+        return;
+      case PacketMessageType.noneHolds:
+        this.router.noneHolds(message);
+        return;
+      case PacketMessageType.held:
+        this.router.confirmed(message.flow.toString('latin1'), from);
+        return;
+      case PacketMessageType.report:
+        this.takeReport(from, message);
+        return;
+      case PacketMessageType.peerStatus:
+        this.peers.receive(from, message);
+        return;
+      case PacketMessageType.deliver:
+      case PacketMessageType.locate:
+      case PacketMessageType.search:
+      case PacketMessageType.subscribe:
+        this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
   }
 
@@ -214,6 +225,7 @@
     if (!entry) {
       return;
     }
+    this.link.noteVersion(from, report.frameVersion);
     report.balancers.forEach((peer) => this.peers.learnPeer(peer));
     if (before !== report.state || !wasHeard) {
       this.reportAgent(entry, report, wasHeard);
--- /dev/null
+++ b/src/packets/packet-frames.ts
@@ -0,0 +1,300 @@
+/**
+ * Frames of the packet interface. Messages that carry clients' packets have their fields at
+ * fixed places before the packet's bytes: a balancer that has just started runs code that is
+ * not compiled yet, where a bson document costs it most of what it has (docs/DECISIONS.md).
+ * Everything else travels as a bson document.
+ *
+ * Body of a compact frame, big-endian: message type (1 byte), then by type
+ *   deliver: search (4), services, packet
+ *   notHeld: search (4), reason (1), packet
+ *   held: flow
+ *   search: search (4), balancer (6), phase (1), position (2), agents, services, packet
+ *   noneHolds: search (4), agents, packet
+ * where services are a length (2) and names parted by zero bytes, agents a count (2) and
+ * addresses (6 each), and the last field takes the rest.
+ */
+import { Ok, type Result } from 'ts-results';
+import type { Endpoint } from '../environment';
+import { failure, type HallholdError } from '../errors/hallhold-error';
+import { ResultCodes } from '../errors/result-codes';
+import { BODY_OFFSET, FrameCodec, type ClusterKey } from '../wire/frame-codec';
+import {
+  COMPACT_FRAME_VERSION,
+  MAXIMUM_SEARCH_LENGTH,
+  PACKET_MESSAGE_FIELDS,
+  PacketMessageType,
+  RefusalReason,
+  SearchPhase,
+  type DeliverMessage,
+  type HeldMessage,
+  type NoneHoldsMessage,
+  type NotHeldMessage,
+  type PacketMessage,
+  type RefusalReasonValue,
+  type SearchMessage,
+  type SearchPhaseValue,
+} from './packet-messages';
+
+/** A message that has a compact form. */
+export type CompactMessage =
+  DeliverMessage | NotHeldMessage | HeldMessage | SearchMessage | NoneHoldsMessage;
+
+const SEPARATOR = '\0';
+const SERVICE_LISTS_KEPT = 4_096;
+const ID_RANGE = 2 ** 32;
+/** Bytes of the fields before those of variable length, type included. */
+const HeadBytes = { deliver: 5, notHeld: 6, held: 1, search: 14, noneHolds: 5 } as const;
+const COUNT_BYTES = 2;
+const ENDPOINT_BYTES = 6;
+const REASONS: readonly number[] = Object.values(RefusalReason);
+const PHASES: readonly number[] = Object.values(SearchPhase);
+
+/** Whether a message has a compact form. */
+export function isCompact(message: PacketMessage): message is CompactMessage {
+  switch (message.type) {
+    case PacketMessageType.deliver:
+    case PacketMessageType.notHeld:
+    case PacketMessageType.held:
+    case PacketMessageType.search:
+    case PacketMessageType.noneHolds:
+      return true;
+    case PacketMessageType.locate:
+    case PacketMessageType.subscribe:
+    case PacketMessageType.report:
+    case PacketMessageType.peerStatus:
+      return false;
+  }
+}
+
+/** Encodes and decodes both versions of frames. */
+export class PacketFrameCodec extends FrameCodec<PacketMessage> {
+  /** Lists of services as sent: few differ, and every packet carries one. */
+  private readonly packedServices = new WeakMap<readonly string[], Buffer>();
+  private readonly unpackedServices = new Map<string, readonly string[]>();
+
+  constructor(keys: readonly ClusterKey[]) {
+    super(keys, PACKET_MESSAGE_FIELDS);
+  }
+
+  /** Encodes a message with fields at fixed places. */
+  encodeCompact(message: CompactMessage): Buffer {
+    const frame = this.write(message);
+    frame[BODY_OFFSET] = message.type;
+    this.seal(frame, COMPACT_FRAME_VERSION);
+    return frame;
+  }
+
+  /** Authenticates and checks a datagram of either version. Errors 1301 to 1303. */
+  override decode(frame: Buffer): Result<PacketMessage, HallholdError> {
+    if (frame[0] !== COMPACT_FRAME_VERSION) {
+      return super.decode(frame);
+    }
+    const body = this.open(frame, COMPACT_FRAME_VERSION);
+    if (body.err) {
+      return body;
+    }
+    const message = this.read(body.val);
+    return message === undefined
+      ? failure(ResultCodes.frameMalformed, 'a compact frame of another form')
+      : new Ok(message);
+  }
+
+  private write(message: CompactMessage): Buffer {
+    switch (message.type) {
+      case PacketMessageType.deliver: {
+        const services = this.packServices(message.services);
+        const frame = allocateFrame(HeadBytes.deliver + services.length, message.payload);
+        frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
+        frame.set(services, BODY_OFFSET + HeadBytes.deliver);
+        return frame;
+      }
+      case PacketMessageType.notHeld: {
+        const frame = allocateFrame(HeadBytes.notHeld, message.payload);
+        frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
+        frame[BODY_OFFSET + 5] = message.reason;
+        return frame;
+      }
+      case PacketMessageType.held:
+        return allocateFrame(HeadBytes.held, message.flow);
+      case PacketMessageType.search:
+        return this.writeSearch(message);
+      case PacketMessageType.noneHolds: {
+        const { agents } = message;
+        const frame = allocateFrame(HeadBytes.noneHolds + sizeOfList(agents), message.payload);
+        frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
+        writeList(frame, BODY_OFFSET + HeadBytes.noneHolds, agents);
+        return frame;
+      }
+    }
+  }
+
+  private writeSearch(message: SearchMessage): Buffer {
+    const { agents, payload } = message;
+    const services = this.packServices(message.services);
+    const servicesOffset = HeadBytes.search + sizeOfList(agents);
+    const frame = allocateFrame(servicesOffset + services.length, payload);
+    frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
+    frame.writeUIntBE(message.balancer, BODY_OFFSET + 5, ENDPOINT_BYTES);
+    frame[BODY_OFFSET + 11] = message.phase;
+    frame.writeUInt16BE(message.position, BODY_OFFSET + 12);
+    writeList(frame, BODY_OFFSET + HeadBytes.search, agents);
+    frame.set(services, BODY_OFFSET + servicesOffset);
+    return frame;
+  }
+
+  /** The message of a body; undefined when it has another form. */
+  private read(body: Buffer): PacketMessage | undefined {
+    switch (body[0]) {
+      case PacketMessageType.deliver:
+        return this.readDeliver(body);
+      case PacketMessageType.notHeld:
+        return readNotHeld(body);
+      case PacketMessageType.held:
+        return { type: PacketMessageType.held, flow: body.subarray(HeadBytes.held) };
+      case PacketMessageType.search:
+        return this.readSearch(body);
+      case PacketMessageType.noneHolds:
+        return readNoneHolds(body);
+      default:
+        return undefined;
+    }
+  }
+
+  private readDeliver(body: Buffer): DeliverMessage | undefined {
+    const end = endOfServices(body, HeadBytes.deliver);
+    if (end === undefined) {
+      return undefined;
+    }
+    return {
+      type: PacketMessageType.deliver,
+      searchId: body.readUInt32BE(1),
+      services: this.unpackServices(body, HeadBytes.deliver, end),
+      payload: body.subarray(end),
+    };
+  }
+
+  private readSearch(body: Buffer): SearchMessage | undefined {
+    const servicesOffset = endOfList(body, HeadBytes.search);
+    const end = servicesOffset && endOfServices(body, servicesOffset);
+    if (servicesOffset === undefined || end === undefined) {
+      return undefined;
+    }
+    const agents = readList(body, HeadBytes.search);
+    const position = body.readUInt16BE(12);
+    const phase = body[11]!;
+    if (!PHASES.includes(phase) || position >= agents.length) {
+      return undefined;
+    }
+    return {
+      type: PacketMessageType.search,
+      searchId: body.readUInt32BE(1),
+      balancer: body.readUIntBE(5, ENDPOINT_BYTES),
+      phase: phase as SearchPhaseValue,
+      position,
+      agents,
+      services: this.unpackServices(body, servicesOffset, end),
+      payload: body.subarray(end),
+    };
+  }
+
+  private packServices(services: readonly string[]): Buffer {
+    const known = this.packedServices.get(services);
+    if (known) {
+      return known;
+    }
+    const names = Buffer.from(services.join(SEPARATOR));
+    const packed = Buffer.allocUnsafe(COUNT_BYTES + names.length);
+    packed.writeUInt16BE(names.length, 0);
+    packed.set(names, COUNT_BYTES);
+    this.packedServices.set(services, packed);
+    return packed;
+  }
+
+  private unpackServices(body: Buffer, offset: number, end: number): readonly string[] {
+    const text = body.toString('utf8', offset + COUNT_BYTES, end);
+    const known = this.unpackedServices.get(text);
+    if (known) {
+      return known;
+    }
+    if (this.unpackedServices.size >= SERVICE_LISTS_KEPT) {
+      this.unpackedServices.clear();
+    }
+    const services = text.split(SEPARATOR);
+    this.unpackedServices.set(text, services);
+    return services;
+  }
+}
+
+/** A frame with its last field in place. */
+function allocateFrame(bytesBefore: number, last: Buffer): Buffer {
+  const frame = Buffer.allocUnsafe(BODY_OFFSET + bytesBefore + last.length);
+  frame.set(last, BODY_OFFSET + bytesBefore);
+  return frame;
+}
+
+function readNotHeld(body: Buffer): NotHeldMessage | undefined {
+  const reason = body[5];
+  if (reason === undefined || !REASONS.includes(reason)) {
+    return undefined;
+  }
+  return {
+    type: PacketMessageType.notHeld,
+    searchId: body.readUInt32BE(1),
+    reason: reason as RefusalReasonValue,
+    payload: body.subarray(HeadBytes.notHeld),
+  };
+}
+
+function readNoneHolds(body: Buffer): NoneHoldsMessage | undefined {
+  const end = endOfList(body, HeadBytes.noneHolds);
+  if (end === undefined) {
+    return undefined;
+  }
+  return {
+    type: PacketMessageType.noneHolds,
+    searchId: body.readUInt32BE(1),
+    agents: readList(body, HeadBytes.noneHolds),
+    payload: body.subarray(end),
+  };
+}
+
+/** Offset behind a text with its length before it; undefined when the body is too short. */
+function endOfServices(body: Buffer, offset: number): number | undefined {
+  if (body.length < offset + COUNT_BYTES) {
+    return undefined;
+  }
+  const end = offset + COUNT_BYTES + body.readUInt16BE(offset);
+  return end <= body.length ? end : undefined;
+}
+
+function sizeOfList(endpoints: readonly Endpoint[]): number {
+  return COUNT_BYTES + endpoints.length * ENDPOINT_BYTES;
+}
+
+function writeList(frame: Buffer, offset: number, endpoints: readonly Endpoint[]): void {
+  frame.writeUInt16BE(endpoints.length, offset);
+  let at = offset + COUNT_BYTES;
+  for (const endpoint of endpoints) {
+    frame.writeUIntBE(endpoint, at, ENDPOINT_BYTES);
+    at += ENDPOINT_BYTES;
+  }
+}
+
+/** Offset behind a list of endpoints; undefined when it is too long, or the body too short. */
+function endOfList(body: Buffer, offset: number): number | undefined {
+  if (body.length < offset + COUNT_BYTES) {
+    return undefined;
+  }
+  const count = body.readUInt16BE(offset);
+  const end = offset + COUNT_BYTES + count * ENDPOINT_BYTES;
+  return count <= MAXIMUM_SEARCH_LENGTH && end <= body.length ? end : undefined;
+}
+
+function readList(body: Buffer, offset: number): Endpoint[] {
+  const count = body.readUInt16BE(offset);
+  const endpoints: Endpoint[] = [];
+  for (let index = 0; index < count; index++) {
+    endpoints.push(body.readUIntBE(offset + COUNT_BYTES + index * ENDPOINT_BYTES, ENDPOINT_BYTES));
+  }
+  return endpoints;
+}
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -21,8 +21,17 @@
   report: 105,
   peerStatus: 106,
   locate: 107,
+  search: 108,
+  noneHolds: 109,
 } as const;
 
+/** Frames whose body is a bson document. */
+export const FIRST_FRAME_VERSION = 1;
+/** Frames of packets, with fields at fixed places (`packet-frames.ts`). */
+export const COMPACT_FRAME_VERSION = 2;
+/** Agents in one search. */
+export const MAXIMUM_SEARCH_LENGTH = 64;
+
 /** What an agent knows of its target. */
 export const TargetState = {
   /** No heartbeat has reached this run of the agent yet. */
@@ -81,6 +90,42 @@
   readonly flow: Buffer;
 }
 
+/** What the agents of a search do when it comes to them. */
+export const SearchPhase = {
+  /** Take the packet only if the flow is known to be held. */
+  ask: 1,
+  /** Offer the packet to the target. */
+  offer: 2,
+} as const;
+export type SearchPhaseValue = (typeof SearchPhase)[keyof typeof SearchPhase];
+
+/**
+ * Balancer to agent, then from agent to agent: a packet of an open flow whose holder is not
+ * known. It goes through the listed agents in both phases until one takes it.
+ */
+export interface SearchMessage {
+  readonly type: typeof PacketMessageType.search;
+  readonly searchId: number;
+  /** Who searches, and is told the outcome. */
+  readonly balancer: Endpoint;
+  readonly phase: SearchPhaseValue;
+  /** Index of the agent in `agents` whose turn it is. */
+  readonly position: number;
+  /** All agents of the search in their order; bounded by `MAXIMUM_SEARCH_LENGTH`. */
+  readonly agents: readonly Endpoint[];
+  /** Services that may receive the packet. */
+  readonly services: readonly string[];
+  readonly payload: Buffer;
+}
+
+/** Last agent of a search to its balancer: the target of none of the agents holds the flow. */
+export interface NoneHoldsMessage {
+  readonly type: typeof PacketMessageType.noneHolds;
+  readonly searchId: number;
+  readonly agents: readonly Endpoint[];
+  readonly payload: Buffer;
+}
+
 /** Balancer to agent: send me reports for some seconds. */
 export interface SubscribeMessage {
   readonly type: typeof PacketMessageType.subscribe;
@@ -108,6 +153,8 @@
   readonly coldLeft: number;
   /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
   readonly failurePercent: number;
+  /** Latest version of frames that the agent understands; 1 for one that names none. */
+  readonly frameVersion: number;
   /** Number of balancers that the agent reports to. */
   readonly balancerCount: number;
   /** Some of the balancers that the agent reports to. */
@@ -149,6 +196,8 @@
   | NotHeldMessage
   | HeldMessage
   | LocateMessage
+  | SearchMessage
+  | NoneHoldsMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
@@ -173,10 +222,15 @@
   return { address: integer(address), service: text(service), zone: text(zone) };
 }
 
+/** Programs that know only the first version of frames name none. */
+function versionOrFirst(value: unknown): number {
+  return value === undefined ? FIRST_FRAME_VERSION : integer(value);
+}
+
 const searchId = field('searchId', 'i', integer);
 const payload = field('payload', 'p', binary);
 
-/** Fields of every message type. */
+/** Fields of every message type that travels as a bson document. */
 export const PACKET_MESSAGE_FIELDS: MessageSchema = new Map<number, readonly FieldCodec[]>([
   [PacketMessageType.deliver, [searchId, field('services', 's', listOf(text)), payload]],
   [
@@ -199,6 +253,7 @@
       field('openFlows', 'o', integer),
       field('coldLeft', 'c', integer),
       field('failurePercent', 'f', integer),
+      field('frameVersion', 'v', versionOrFirst),
       field('balancerCount', 'n', integer),
       field('balancers', 'm', listOf(integer)),
     ],
--- /dev/null
+++ b/src/packets/packet-outlet.ts
@@ -0,0 +1,122 @@
+/** What a balancer does with a client's packet in the end: delivers, resets or drops it. */
+import { formatEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment } from '../environment';
+import type { EventFields, EventKind } from '../logging/events';
+import { Events } from '../logging/events';
+import type { AgentDirectory } from './agent-directory';
+import { DelayedDeliveries } from './delayed-deliveries';
+import type { FlowPacket, PacketFormat } from './flow-packet';
+import type { PacketLink } from './packet-link';
+import { PacketMessageType, type DeliverMessage } from './packet-messages';
+
+/** Counters of what became of clients' packets. */
+export interface RoutingCounters {
+  packetsReceived: number;
+  packetsMalformed: number;
+  packetsWithoutRoute: number;
+  packetsDropped: number;
+  flowsPlaced: number;
+  flowsFound: number;
+  searchesStarted: number;
+  resetsSent: number;
+  resetsRepeated: number;
+}
+
+/** What the outlet works with. */
+export interface PacketOutletDependencies {
+  readonly environment: Environment;
+  readonly format: PacketFormat;
+  readonly directory: AgentDirectory;
+  readonly link: PacketLink;
+  /** Sends a reset to a client. */
+  sendToClient(client: Endpoint, packet: Buffer): void;
+}
+
+/** The outlet of one balancer. */
+export class PacketOutlet {
+  readonly counters: RoutingCounters = {
+    packetsReceived: 0,
+    packetsMalformed: 0,
+    packetsWithoutRoute: 0,
+    packetsDropped: 0,
+    flowsPlaced: 0,
+    flowsFound: 0,
+    searchesStarted: 0,
+    resetsSent: 0,
+    resetsRepeated: 0,
+  };
+  private readonly delayed = new DelayedDeliveries();
+
+  constructor(private readonly dependencies: PacketOutletDependencies) {}
+
+  /**
+   * Sends a packet to an agent; keeps it for a while when the agent is away.
+   * @param services services that may receive it
+   * @param searchId the search that it belongs to; 0 for none
+   */
+  deliver(
+    packet: FlowPacket,
+    services: readonly string[],
+    agent: Endpoint,
+    searchId: number,
+  ): void {
+    const { directory, environment, link } = this.dependencies;
+    const message: DeliverMessage = {
+      type: PacketMessageType.deliver,
+      searchId,
+      services,
+      payload: packet.bytes,
+    };
+    const now = environment.now();
+    const entry = directory.find(agent);
+    if (entry && !packet.opens && !directory.isHeard(entry, now)) {
+      this.delayed.add(agent, message, now);
+    }
+    link.send(agent, message);
+  }
+
+  /** Hands an agent that was away what has waited for it. */
+  deliverDelayed(agent: Endpoint): void {
+    const { environment, link } = this.dependencies;
+    const messages = this.delayed.take(agent, environment.now());
+    messages.forEach((message) => link.send(agent, message));
+  }
+
+  /** Drops delayed packets that are too old. */
+  expire(now: number): void {
+    this.delayed.expire(now);
+  }
+
+  /** Tells a client that its flow is dead. */
+  reset(packet: FlowPacket, reason: string, fields: EventFields = {}): void {
+    this.counters.resetsSent++;
+    this.report(Events.flowReset, packet, { reason, ...fields });
+    this.sendReset(packet);
+  }
+
+  /** Tells a client once more that its flow is dead. */
+  repeatReset(packet: FlowPacket): void {
+    this.counters.resetsRepeated++;
+    this.sendReset(packet);
+  }
+
+  /** Leaves a packet to the client's next copy. */
+  drop(packet: FlowPacket, reason: string): void {
+    this.counters.packetsDropped++;
+    this.report(Events.packetDropped, packet, { reason, opens: packet.opens });
+  }
+
+  /** Reports an event of a client's packet. */
+  report(event: EventKind, packet: FlowPacket, fields: EventFields): void {
+    this.dependencies.environment.report(event, {
+      client: formatEndpoint(packet.client),
+      destination: formatEndpoint(packet.destination),
+      ...fields,
+    });
+  }
+
+  private sendReset(packet: FlowPacket): void {
+    const { format, sendToClient } = this.dependencies;
+    sendToClient(packet.client, format.createReset(packet));
+  }
+}
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -7,13 +7,8 @@
 import type { Endpoint, Environment, TimerHandle } from '../environment';
 import type { AgentDirectory } from './agent-directory';
 import type { Answer } from './collection-port';
-import type { MessageLink } from '../wire/message-link';
-import {
-  PacketMessageType,
-  type AgentRecord,
-  type PacketMessage,
-  type PeerStatusMessage,
-} from './packet-messages';
+import type { PacketLink } from './packet-link';
+import { PacketMessageType, type AgentRecord, type PeerStatusMessage } from './packet-messages';
 import type { PeerSnapshot } from './peer-snapshot';
 import type { BalancerStatus, TrafficRelay } from './traffic-relay';
 
@@ -37,7 +32,7 @@
   readonly self: Endpoint;
   readonly seeds: readonly Endpoint[];
   readonly directory: AgentDirectory;
-  readonly link: MessageLink<PacketMessage>;
+  readonly link: PacketLink;
   readonly snapshots: SnapshotPort;
   readonly relay: TrafficRelay;
   routingVersion(): number;
--- a/src/packets/pending-deliveries.ts
+++ b/src/packets/pending-deliveries.ts
@@ -3,6 +3,7 @@
  * packet the target returns goes back to its sender. A fixed ring: the token is its slot.
  */
 import type { Endpoint } from '../environment';
+import type { SearchMessage } from './packet-messages';
 
 const RING_SIZE = 4_096;
 const TOKEN_RANGE = 2 ** 32;
@@ -12,6 +13,8 @@
   readonly token: number;
   readonly balancer: Endpoint;
   readonly searchId: number;
+  /** The search that goes on when the target returns the packet; undefined for none. */
+  readonly search: SearchMessage | undefined;
 }
 
 /** The latest deliveries of one agent. */
@@ -25,10 +28,10 @@
   }
 
   /** Notes a delivery and returns its token, which is never 0. */
-  add(balancer: Endpoint, searchId: number): number {
+  add(balancer: Endpoint, searchId: number, search?: SearchMessage): number {
     this.lastToken = (this.lastToken + 1) % TOKEN_RANGE || 1;
     const token = this.lastToken;
-    this.ring[token % RING_SIZE] = { token, balancer, searchId };
+    this.ring[token % RING_SIZE] = { token, balancer, searchId, search };
     return token;
   }
 
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -23,3 +23,16 @@
   /** Milliseconds after which a flow at rest may be forgotten. */
   readonly idleTimeout: number;
 }
+
+const serviceNames = new WeakMap<Route, readonly string[]>();
+
+/** The names of a route's services; the same list each time. */
+export function servicesOf(route: Route): readonly string[] {
+  const known = serviceNames.get(route);
+  if (known) {
+    return known;
+  }
+  const names = route.services.map(({ service }) => service);
+  serviceNames.set(route, names);
+  return names;
+}
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -4,10 +4,10 @@
 import type { PacketFormat } from '../packets/flow-packet';
 import { PacketAgent } from '../packets/packet-agent';
 import { PacketBalancer } from '../packets/packet-balancer';
-import { PACKET_MESSAGE_FIELDS, type PacketMessage } from '../packets/packet-messages';
+import { PacketFrameCodec } from '../packets/packet-frames';
 import type { PacketSettings } from '../packets/packet-settings';
 import type { RoutingTable } from '../packets/routing-table';
-import { FrameCodec, type ClusterKey } from '../wire/frame-codec';
+import type { ClusterKey } from '../wire/frame-codec';
 import { HallholdError, messageOf } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import type { Figures } from './metrics';
@@ -93,7 +93,7 @@
       { ...settings, packetAddress },
       {
         environment,
-        codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
+        codec: new PacketFrameCodec(keys),
         transport: frames,
         format: ports.format,
         routingTables: ports.routingTables,
@@ -173,7 +173,7 @@
       { ...settings, service },
       {
         environment,
-        codec: new FrameCodec<PacketMessage>(keys, PACKET_MESSAGE_FIELDS),
+        codec: new PacketFrameCodec(keys),
         transport: frames,
         format: ports.format,
         registry: ports.registry,
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -10,11 +10,10 @@
 import type { FlowKey } from '../../packets/flow-packet';
 import { PacketAgent } from '../../packets/packet-agent';
 import { PacketBalancer } from '../../packets/packet-balancer';
-import { PACKET_MESSAGE_FIELDS, type PacketMessage } from '../../packets/packet-messages';
+import { PacketFrameCodec } from '../../packets/packet-frames';
 import { decodeSnapshot, encodeSnapshot, type PeerSnapshot } from '../../packets/peer-snapshot';
 import { failure } from '../../errors/hallhold-error';
 import { ResultCodes } from '../../errors/result-codes';
-import { FrameCodec } from '../../wire/frame-codec';
 import { SeededRandom } from '../seeded-random';
 import { CALLER_ZONE, SimulatedNetwork } from '../simulated-network';
 import { SimulatedProcess, type EventSink } from '../simulated-process';
@@ -74,7 +73,7 @@
   readonly judge = new WorldJudge(this.clock);
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
-  private readonly codec = new FrameCodec<PacketMessage>([KEY], PACKET_MESSAGE_FIELDS);
+  private readonly codec = new PacketFrameCodec([KEY]);
   private nextAddress = 1;
   private nextClient = 1;
   private nextIncarnation = 1;
--- a/src/wire/frame-codec.ts
+++ b/src/wire/frame-codec.ts
@@ -15,7 +15,8 @@
 
 const VERSION = 1;
 const TAG_OFFSET = 2;
-const BODY_OFFSET = TAG_OFFSET + TAG_BYTES;
+/** Bytes before the body of a frame. */
+export const BODY_OFFSET = TAG_OFFSET + TAG_BYTES;
 const TYPE_KEY = 't';
 
 /** A cluster key; `id` travels in the frame and says which key to check with. */
@@ -59,28 +60,38 @@
   encode(message: M): Buffer {
     const body = serialize(toDocument(message, this.schema.get(message.type)!));
     const frame = Buffer.allocUnsafe(BODY_OFFSET + body.length);
-    frame[0] = VERSION;
-    const { id } = this.current[0]!;
-    frame[1] = id;
-    this.authenticators.get(id)!.writeTag(body, frame, TAG_OFFSET);
     frame.set(body, BODY_OFFSET);
+    this.seal(frame, VERSION);
     return frame;
   }
 
   /** Authenticates and checks a received datagram. Errors 1301 to 1303. */
   decode(frame: Buffer): Result<M, HallholdError> {
+    return this.open(frame, VERSION).andThen((body) => fromBody<M>(body, this.schema));
+  }
+
+  /** Writes version, key id and tag before the body of a frame. */
+  protected seal(frame: Buffer, version: number): void {
+    const { id } = this.current[0]!;
+    frame[0] = version;
+    frame[1] = id;
+    this.authenticators.get(id)!.writeTag(frame.subarray(BODY_OFFSET), frame, TAG_OFFSET);
+  }
+
+  /** The body of an authentic frame of a version. Errors 1301 and 1302. */
+  protected open(frame: Buffer, version: number): Result<Buffer, HallholdError> {
     if (frame.length <= BODY_OFFSET) {
       return failure(ResultCodes.frameTooShort, `${frame.length} bytes`);
     }
     const body = frame.subarray(BODY_OFFSET);
-    const key = frame[0] === VERSION ? this.authenticators.get(frame[1]!) : undefined;
+    const key = frame[0] === version ? this.authenticators.get(frame[1]!) : undefined;
     if (!key) {
       return failure(ResultCodes.frameNotAuthentic, 'unknown version or key id');
     }
     if (!key.accepts(body, frame.subarray(TAG_OFFSET, BODY_OFFSET))) {
       return failure(ResultCodes.frameNotAuthentic, 'the authentication tag is wrong');
     }
-    return fromBody<M>(body, this.schema);
+    return new Ok(body);
   }
 }
 
--- a/src/wire/message-link.ts
+++ b/src/wire/message-link.ts
@@ -21,7 +21,7 @@
 
   /** Sends a message; returns the bytes of its frame. */
   send(to: Endpoint, message: M): number {
-    const frame = this.codec.encode(message);
+    const frame = this.encodeFor(to, message);
     this.transport.send(to, frame);
     return frame.length;
   }
@@ -46,4 +46,9 @@
     this.environment.report(event, { reason: decoded.val.message });
     return undefined;
   }
+
+  /** The frame of a message for one node. */
+  protected encodeFor(_to: Endpoint, message: M): Buffer {
+    return this.codec.encode(message);
+  }
 }
--- /dev/null
+++ b/test/packet-search.test.ts
@@ -0,0 +1,202 @@
+/** The search for the holder of an open flow: through agents, once for many packets. */
+import test from 'ava';
+import {
+  PacketMessageType,
+  RefusalReason,
+  SearchPhase,
+  type PacketMessage,
+  type SearchMessage,
+} from '../src/packets/packet-messages';
+import { ResetNotes } from '../src/packets/reset-notes';
+import { orderSearch } from '../src/packets/search-order';
+import { stepAfter, type SearchStep } from '../src/packets/search-steps';
+import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { RouterHarness, type SentMessage } from './support/router-harness';
+
+const CLIENT = 0x6440_0007_9c41;
+const OTHER_CLIENT = 0x6440_0008_9c41;
+
+function asSearch({ message }: SentMessage): SearchMessage {
+  if (message.type !== PacketMessageType.search) {
+    throw new Error(`a message of type ${message.type}`);
+  }
+  return message;
+}
+
+test('a search visits every agent in both phases, then tells its balancer', (t) => {
+  const agents = [5, 6, 7];
+  let step: SearchStep = {
+    kind: 'next',
+    agent: 5,
+    message: {
+      type: PacketMessageType.search,
+      searchId: 1,
+      balancer: 9,
+      phase: SearchPhase.ask,
+      position: 0,
+      agents,
+      services: ['map'],
+      payload: Buffer.from('packet'),
+    },
+  };
+  const visited: string[] = [];
+  while (step.kind === 'next') {
+    visited.push(`${step.message.phase}:${step.agent}`);
+    step = stepAfter(step.message);
+  }
+  t.deepEqual(visited, ['1:5', '1:6', '1:7', '2:5', '2:6', '2:7']);
+  t.is(step.balancer, 9);
+  t.deepEqual(step.message.agents, agents);
+});
+
+test('two attempts reach all agents that any single agent keeps a search from', (t) => {
+  const agents = Array.from({ length: 9 }, (_, address) => ({ address }));
+  for (let client = 0; client < 20; client++) {
+    for (let mute = 0; mute < agents.length; mute++) {
+      const reached = new Set<number>();
+      for (const attempt of [0, 1]) {
+        const order = orderSearch(agents, client, attempt);
+        t.is(new Set(order).size, agents.length);
+        order.slice(0, order.indexOf(mute)).forEach((agent) => reached.add(agent));
+      }
+      t.is(reached.size, agents.length - 1);
+    }
+  }
+});
+
+test('a search is bounded in length, and what it leaves out comes next', (t) => {
+  const harness = new RouterHarness(new Array(100).fill(2));
+  harness.router.route(harness.createData(CLIENT));
+  const first = asSearch(harness.sent[0]!);
+  t.is(first.agents.length, 64);
+  const { searchId, agents, payload } = first;
+  harness.router.noneHolds({ type: PacketMessageType.noneHolds, searchId, agents, payload });
+  const second = asSearch(harness.sent[1]!);
+  t.is(new Set([...first.agents, ...second.agents]).size, 100);
+  t.is(harness.resets.length, 0);
+});
+
+test('a dead flow costs its balancer one message each way, whatever copies come', (t) => {
+  const harness = new RouterHarness([2, 2, 2, 2, 2, 2, 2]);
+  for (let copy = 0; copy < 5; copy++) {
+    harness.router.route(harness.createData(CLIENT));
+  }
+  t.is(harness.sent.length, 1);
+  const { searchId, agents, payload } = asSearch(harness.sent[0]!);
+  harness.router.noneHolds({ type: PacketMessageType.noneHolds, searchId, agents, payload });
+  t.deepEqual(harness.resets, [CLIENT]);
+  harness.router.route(harness.createData(CLIENT));
+  t.is(harness.sent.length, 1);
+  t.is(harness.resets.length, 2);
+});
+
+test('a flow that is opened anew is searched for again', (t) => {
+  const harness = new RouterHarness([2]);
+  harness.router.route(harness.createData(CLIENT));
+  const { searchId, agents, payload } = asSearch(harness.sent[0]!);
+  harness.router.noneHolds({ type: PacketMessageType.noneHolds, searchId, agents, payload });
+  harness.router.route(harness.createOpening(CLIENT));
+  harness.router.route(harness.createData(CLIENT));
+  t.is(harness.resets.length, 1);
+});
+
+test('an agent that became known while a search ran is searched before any reset', (t) => {
+  const harness = new RouterHarness([2, 2, 2]);
+  const [late] = harness.agents;
+  const entry = harness.directory.find(late!)!;
+  harness.directory.forget(late!);
+  harness.router.route(harness.createData(CLIENT));
+  const first = asSearch(harness.sent[0]!);
+  t.is(first.agents.length, 2);
+  harness.directory.hear(late!, entry.report!, harness.now);
+  const { searchId, agents, payload } = first;
+  harness.router.noneHolds({ type: PacketMessageType.noneHolds, searchId, agents, payload });
+  t.deepEqual(harness.resets, []);
+  t.deepEqual(asSearch(harness.sent[1]!).agents, [late]);
+});
+
+test('a silent agent keeps a flow from being declared dead', (t) => {
+  const harness = new RouterHarness([2, 2, 2]);
+  const silent = harness.agents[0]!;
+  harness.pass(5_000);
+  for (const agent of harness.agents.slice(1)) {
+    const report = harness.directory.find(agent)!.report!;
+    harness.directory.hear(agent, { ...report, sequence: 2 }, harness.now);
+  }
+  harness.router.route(harness.createData(CLIENT));
+  const { searchId, agents, payload } = asSearch(harness.sent[0]!);
+  t.is(agents.length, 2);
+  harness.router.noneHolds({ type: PacketMessageType.noneHolds, searchId, agents, payload });
+  t.deepEqual(harness.resets, []);
+  t.is(harness.sent[1]!.to, silent);
+});
+
+test('agents of an earlier version are offered packets in their frames, one by one', (t) => {
+  const harness = new RouterHarness([1, 1]);
+  harness.router.route(harness.createData(CLIENT));
+  for (let refusals = 0; refusals < 2; refusals++) {
+    const { to, version, message } = harness.sent.at(-1)!;
+    t.is(version, 1);
+    const { searchId, payload } = message as Extract<PacketMessage, { searchId: number }>;
+    const reason = RefusalReason.returnedByTarget;
+    harness.router.refused(to, { type: PacketMessageType.notHeld, searchId, reason, payload });
+  }
+  t.deepEqual(
+    harness.sent.map(({ message }) => message.type),
+    [PacketMessageType.deliver, PacketMessageType.deliver],
+  );
+  t.deepEqual(harness.resets, [CLIENT]);
+});
+
+test('a refusal that an earlier run asked for says nothing about another flow', (t) => {
+  const harness = new RouterHarness([1, 1]);
+  harness.router.route(harness.createData(CLIENT));
+  const [{ message }] = harness.sent as [SentMessage];
+  const { searchId } = message as Extract<PacketMessage, { searchId: number }>;
+  const payload = harness.createData(OTHER_CLIENT);
+  const reason = RefusalReason.returnedByTarget;
+  for (const agent of harness.agents) {
+    harness.router.refused(agent, { type: PacketMessageType.notHeld, searchId, reason, payload });
+  }
+  t.deepEqual(harness.resets, [OTHER_CLIENT]);
+  harness.pass(50);
+  harness.router.route(harness.createData(CLIENT));
+  t.deepEqual(harness.resets, [OTHER_CLIENT]);
+});
+
+test('notes of resets hold for a while, and are bounded', (t) => {
+  const notes = new ResetNotes();
+  notes.add('a', 0);
+  t.true(notes.has('a', 3_000));
+  t.false(notes.has('a', 3_001));
+  for (let flow = 0; flow < 9_000; flow++) {
+    notes.add(`f${flow}`, 10);
+  }
+  t.false(notes.has('a', 10));
+  t.false(notes.has('f0', 10));
+  t.true(notes.has('f8999', 10));
+  notes.expire(4_000);
+  t.false(notes.has('f8999', 10));
+});
+
+test('after a loss of everything each dead flow costs a balancer two messages', (t) => {
+  const world = new PacketWorld(21);
+  startModelDeployment(world, 2);
+  openModelFlows(world, 60, 100, 100);
+  world.runFor(1_000);
+  [...world.balancers, ...world.agents].forEach(({ process }) => process.kill());
+  world.agents.forEach(({ target }) => (target.alive = false));
+  world.runFor(800);
+  world.balancers.forEach((balancer) => world.startBalancer(balancer));
+  world.agents.forEach((agent) => {
+    world.startAgent(agent);
+    world.startTarget(agent);
+  });
+  world.runFor(1_900);
+  t.is(world.clients.filter(({ state }) => state === 'reset').length, 60);
+  const sum = (counter: 'resetsSent' | 'searchesStarted'): number =>
+    world.balancers.reduce((total, { node }) => total + node.router.counters[counter], 0);
+  t.true(sum('searchesStarted') <= 130, `${sum('searchesStarted')} searches`);
+  t.true(sum('resetsSent') <= 130, `${sum('resetsSent')} resets`);
+});
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -19,6 +19,7 @@
     openFlows: 0,
     coldLeft: 0,
     failurePercent: 0,
+    frameVersion: 2,
     balancerCount: 1,
     balancers: [],
     ...fields,
--- /dev/null
+++ b/test/support/router-harness.ts
@@ -0,0 +1,124 @@
+/** One balancer's router alone: its agents are played by the test, frame by frame. */
+import type { Endpoint, Environment } from '../../src/environment';
+import { AgentDirectory } from '../../src/packets/agent-directory';
+import { FlowCache } from '../../src/packets/flow-cache';
+import { FlowRouter } from '../../src/packets/flow-router';
+import { PacketFrameCodec } from '../../src/packets/packet-frames';
+import { PacketLink } from '../../src/packets/packet-link';
+import type { PacketMessage } from '../../src/packets/packet-messages';
+import {
+  encodeModelPacket,
+  ModelFlag,
+  modelPacketFormat,
+} from '../../src/simulation/packets/model-packet-format';
+import { createReport } from './reports';
+
+/** Where the balancer is reached, and the one route's destination. */
+export const BALANCER = 0x0a00_0001_0000;
+export const DESTINATION = 0x0b00_0001_0000;
+const FIRST_AGENT = 0x0a00_0002_0000;
+const NEXT_MACHINE = 0x1_0000;
+const KEY = { id: 1, secret: Buffer.from('a-test-key-of-the-cluster') };
+const LOCATE_TIMEOUT = 40;
+
+/** A message that the router sent. */
+export interface SentMessage {
+  readonly to: Endpoint;
+  /** Version of the frame that carried it. */
+  readonly version: number;
+  readonly message: PacketMessage;
+}
+
+/** A router with agents that all serve one route. */
+export class RouterHarness {
+  readonly codec = new PacketFrameCodec([KEY]);
+  readonly directory = new AgentDirectory();
+  readonly sent: SentMessage[] = [];
+  readonly resets: Endpoint[] = [];
+  readonly agents: Endpoint[];
+  readonly environment = this.createEnvironment();
+  readonly router: FlowRouter;
+  now = 1_000;
+  private readonly timers: { readonly at: number; readonly action: () => void }[] = [];
+
+  /** @param frameVersions latest version of frames that each agent understands */
+  constructor(frameVersions: readonly number[]) {
+    const { environment } = this;
+    const transport = {
+      send: (to: Endpoint, frame: Buffer): void => {
+        const message = this.codec.decode(frame).unwrap();
+        this.sent.push({ to, version: frame[0]!, message });
+      },
+    };
+    const link = new PacketLink(this.codec, transport, environment);
+    this.agents = frameVersions.map((frameVersion, index) => {
+      const address = FIRST_AGENT + index * NEXT_MACHINE;
+      this.directory.hear(address, createReport({ frameVersion }), this.now);
+      link.noteVersion(address, frameVersion);
+      return address;
+    });
+    this.directory.markComplete();
+    this.router = new FlowRouter({
+      environment,
+      zone: 'north',
+      address: BALANCER,
+      locateTimeout: LOCATE_TIMEOUT,
+      format: modelPacketFormat,
+      directory: this.directory,
+      cache: new FlowCache(1_000, 60_000),
+      link,
+      sendToClient: (client) => this.resets.push(client),
+    });
+    this.router.apply({
+      version: 1,
+      idleTimeout: 60_000,
+      routes: [
+        { name: 'map', destination: DESTINATION, services: [{ service: 'map', weight: 1 }] },
+      ],
+    });
+  }
+
+  /** A packet of a client's flow that is open somewhere. */
+  createData(client: Endpoint): Buffer {
+    return encodeModelPacket({
+      client,
+      destination: DESTINATION,
+      flags: 0,
+      sequence: 1,
+      acknowledgement: 1,
+      payload: 'request',
+    });
+  }
+
+  /** An opening packet. */
+  createOpening(client: Endpoint, copy = 0): Buffer {
+    return encodeModelPacket({
+      client,
+      destination: DESTINATION,
+      flags: ModelFlag.opens,
+      sequence: 0,
+      acknowledgement: copy,
+    });
+  }
+
+  /** Lets time pass, with the timers that come due. */
+  pass(milliseconds: number): void {
+    this.now += milliseconds;
+    const due = this.timers.filter(({ at }) => at <= this.now);
+    due.forEach((timer) => this.timers.splice(this.timers.indexOf(timer), 1));
+    due.forEach(({ action }) => action());
+  }
+
+  private createEnvironment(): Environment {
+    return {
+      now: () => this.now,
+      startTimer: (delay, action) => {
+        const timer = { at: this.now + delay, action };
+        this.timers.push(timer);
+        return { cancel: () => void this.timers.splice(this.timers.indexOf(timer), 1) };
+      },
+      random: () => 0.5,
+      report: () => undefined,
+    };
+  }
+}
