--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -30,6 +30,7 @@
 } from './packet-balancer-contracts';
 import { RegistryUpkeep } from './registry-upkeep';
 import type { RoutingTable } from './routing-table';
+import { StartupBacklog } from './startup-backlog';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 
 const CACHED_FLOWS = 500_000;
@@ -38,6 +39,8 @@
 const RELAY_SEARCH_TIME = 5_000;
 /** Milliseconds after its start in which the code of a weak balancer is still slow. */
 const WARM_UP_TIME = 8_000;
+/** Milliseconds after its start from which on a balancer routes with what it has, ready or not. */
+const LONGEST_BACKLOG = 3_000;
 
 /** One packet balancer. */
 export class PacketBalancer {
@@ -54,6 +57,9 @@
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
+  /** It could serve any flow in this life, or has waited for that long enough. */
+  private hasServed = false;
+  private readonly backlog = new StartupBacklog();
   private packetsRelayed = 0;
   private startedAt = 0;
 
@@ -135,13 +141,10 @@
     if (this.relay.isPossible(now)) {
       return this.relay.isNeeded(this.hasRunLong, now);
     }
-    if (!this.table || !this.directory.isComplete) {
-      return false;
-    }
     if (this.relay.isWanted && now - this.startedAt < RELAY_SEARCH_TIME) {
       return false;
     }
-    return this.directory.size === 0 || this.directory.hearsAny(now);
+    return this.canServe;
   }
 
   get figures(): PacketBalancerFigures {
@@ -167,6 +170,12 @@
 
   /** A datagram of a client. */
   clientDatagram(bytes: Buffer): void {
+    if (!this.hasServed) {
+      if (!this.canServe && this.keepForStart(bytes)) {
+        return;
+      }
+      this.routeBacklog();
+    }
     const destination = this.relay.isWanted ? this.relayDestination(bytes) : undefined;
     if (destination === undefined) {
       this.router.route(bytes);
@@ -184,6 +193,33 @@
     }
   }
 
+  /** Whether any flow can be routed or relayed now, by a balancer that is wanted or not. */
+  private get canServe(): boolean {
+    const now = this.dependencies.environment.now();
+    if (this.relay.isPossible(now)) {
+      return true;
+    }
+    const hasView = this.table !== undefined && this.directory.isComplete;
+    return hasView && (this.directory.size === 0 || this.directory.hearsAny(now));
+  }
+
+  /** Keeps a packet until any flow can be served; false for what is no packet. */
+  private keepForStart(bytes: Buffer): boolean {
+    const { environment, format } = this.dependencies;
+    const packet = format.decodeFromClient(bytes);
+    if (!packet) {
+      return false;
+    }
+    this.backlog.add(packet.flow, bytes, environment.now());
+    return true;
+  }
+
+  private routeBacklog(): void {
+    this.hasServed = true;
+    const waiting = this.backlog.takeAll(this.dependencies.environment.now());
+    waiting.forEach((bytes) => this.clientDatagram(bytes));
+  }
+
   private relayDestination(bytes: Buffer): Endpoint | undefined {
     const { environment, format } = this.dependencies;
     const packet = format.decodeFromClient(bytes);
@@ -362,6 +398,10 @@
   }
 
   private maintain(): void {
+    const now = this.dependencies.environment.now();
+    if (!this.hasServed && now - this.startedAt > LONGEST_BACKLOG) {
+      this.routeBacklog();
+    }
     this.router.expire(this.dependencies.environment.now());
     this.upkeep.run();
     this.subscriptions.expire();
@@ -370,6 +410,9 @@
 
   private updateReadiness(): void {
     const ready = this.isReady;
+    if (!this.hasServed && this.canServe) {
+      this.routeBacklog();
+    }
     if (ready !== this.wasReady) {
       this.wasReady = ready;
       const { routingVersion, agentsKnown, agentsHeard } = this.figures;
