--- a/src/packets/flow-packet.ts
+++ b/src/packets/flow-packet.ts
@@ -26,12 +26,16 @@
   readonly refused: boolean;
   /** Copy number of an opening packet, from 0. */
   readonly openingCopy: number;
+  /** Milliseconds since the first copy of an opening packet; 0 for any other packet. */
+  readonly openingAge: number;
   /** Sequence number of the sender. */
   readonly sequence: number;
   /** Sequence number of the other end that the sender acknowledges. */
   readonly acknowledgement: number;
   /** Bytes of data that the packet carries. */
   readonly payloadLength: number;
+  /** Carries as much data as a packet can: the message that it is part of goes on. */
+  readonly isFull: boolean;
   /** The packet as received. */
   readonly bytes: Buffer;
 }
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -22,8 +22,14 @@
   ended: boolean;
   /** A request has been delivered and its answer has not begun. */
   busy: boolean;
+  /** That request is complete, so that the target works on it or has it waiting. */
+  working: boolean;
   /** Time at which that request was delivered. */
   busySince: number;
+  /** Milliseconds since its client's first opening packet when the latest one came. */
+  openingAge: number;
+  /** Sequence number of the target's answer to an opening packet; undefined before it. */
+  openingSequence: number | undefined;
   /** Highest sequence number of data delivered, to tell repeats; undefined before any. */
   lastSequence: number | undefined;
   usedAt: number;
@@ -33,13 +39,19 @@
 export class FlowTracker {
   private readonly flows = new Map<FlowKey, TrackedFlow>();
   private busy = 0;
+  private working = 0;
   private held = 0;
 
-  /** Requests that the target works on or has waiting. */
+  /** Requests that have begun to arrive at the target and have no answer yet. */
   get busyRequests(): number {
     return this.busy;
   }
 
+  /** Complete requests that the target works on or has waiting. */
+  get workingRequests(): number {
+    return this.working;
+  }
+
   /** Flows that the target is known to hold. */
   get openFlows(): number {
     return this.held;
@@ -50,13 +62,42 @@
     const flow = this.flowOf(packet.flow, now);
     flow.balancer = balancer;
     flow.ended = flow.ended && !packet.opens;
+    flow.openingAge = packet.opens ? packet.openingAge : flow.openingAge;
     if (packet.resets) {
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
       flow.lastSequence = packet.sequence;
       flow.busySince = now;
       this.setBusy(flow, true);
+      this.setWorking(flow, !packet.isFull);
+    }
+  }
+
+  /**
+   * Whether a packet completes a request that the target has not got yet, on a flow that the
+   * target holds or that this very packet opens there.
+   */
+  completesRequest(packet: FlowPacket): boolean {
+    if (packet.payloadLength === 0 || packet.isFull || packet.resets) {
+      return false;
+    }
+    const flow = this.flows.get(packet.flow);
+    if (!flow || !isNewer(packet.sequence, flow.lastSequence)) {
+      return false;
     }
+    return flow.held || acknowledgesOpening(packet, flow.openingSequence);
+  }
+
+  /** Milliseconds since its client began to open a flow, at its first request; 0 after it. */
+  ageOfFirstRequest(key: FlowKey): number {
+    const flow = this.flows.get(key);
+    return flow && flow.lastSequence === undefined ? flow.openingAge : 0;
+  }
+
+  /** Milliseconds for which the target has had a flow's request; undefined when it has none. */
+  workTime(key: FlowKey, now: number): number | undefined {
+    const flow = this.flows.get(key);
+    return flow?.working ? now - flow.busySince : undefined;
   }
 
   /** Whether a flow's request has been delivered and its answer has not begun. */
@@ -70,9 +111,10 @@
    */
   sent(packet: FlowPacket, now: number): Endpoint | undefined {
     const flow = this.flowOf(packet.flow, now);
-    if (packet.payloadLength > 0) {
+    if (packet.payloadLength > 0 || packet.resets || packet.ends) {
       this.setBusy(flow, false);
     }
+    flow.openingSequence = packet.opens ? packet.sequence : flow.openingSequence;
     if (packet.resets || packet.ends) {
       this.setHeld(flow, false);
       flow.ended = true;
@@ -111,6 +153,7 @@
   clear(): void {
     this.flows.clear();
     this.busy = 0;
+    this.working = 0;
     this.held = 0;
   }
 
@@ -156,7 +199,10 @@
       held: false,
       ended: false,
       busy: false,
+      working: false,
       busySince: 0,
+      openingAge: 0,
+      openingSequence: undefined,
       lastSequence: undefined,
       usedAt: now,
     };
@@ -173,6 +219,16 @@
       flow.busy = busy;
       this.busy += busy ? 1 : -1;
     }
+    if (!busy) {
+      this.setWorking(flow, false);
+    }
+  }
+
+  private setWorking(flow: TrackedFlow, working: boolean): void {
+    if (flow.working !== working) {
+      flow.working = working;
+      this.working += working ? 1 : -1;
+    }
   }
 
   private setHeld(flow: TrackedFlow, held: boolean): void {
@@ -196,3 +252,12 @@
 function isNewer(sequence: number, previous: number | undefined): boolean {
   return previous === undefined || ((sequence - previous) | 0) > 0;
 }
+
+/** Whether a client's packet acknowledges the target's answer to its opening packet. */
+function acknowledgesOpening(packet: FlowPacket, sequence: number | undefined): boolean {
+  if (sequence === undefined) {
+    return false;
+  }
+  const distance = (packet.acknowledgement - sequence) >>> 0;
+  return distance <= 1;
+}
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -26,6 +26,8 @@
   readonly health: TargetHealth;
   /** The agent's state, which may differ from its target's. */
   state(): TargetStateValue;
+  /** Requests that wait at the agent or are under way at its target. */
+  busyRequests(): number;
 }
 
 /** Reporter of one agent. */
@@ -66,7 +68,7 @@
   }
 
   private createReport(balancers: readonly Endpoint[]): ReportMessage {
-    const { environment, zone, target, tracker, health, state } = this.dependencies;
+    const { environment, zone, target, tracker, health } = this.dependencies;
     const now = environment.now();
     return {
       type: PacketMessageType.report,
@@ -74,9 +76,9 @@
       sequence: ++this.reportsSent,
       service: target.service,
       zone,
-      state: state(),
+      state: this.dependencies.state(),
       slots: target.slots,
-      busyRequests: tracker.busyRequests,
+      busyRequests: this.dependencies.busyRequests(),
       openFlows: tracker.openFlows,
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -34,5 +34,6 @@
   packetsReturned: number;
   packetsRefused: number;
   packetsMalformed: number;
+  requestsQueued: number;
   heartbeats: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -34,7 +34,9 @@
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
+import { RequestQueue, type WaitingRequest } from './request-queue';
 import { stepAfter } from './search-steps';
+import { ServiceTime } from './service-time';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
@@ -42,6 +44,11 @@
 const REPORT_REPEATS = [15, 60] as const;
 const EXPIRY_INTERVAL = 1_000;
 const TOKEN_RANGE = 2 ** 32;
+/**
+ * Part of its slots that a target may have waiting, so that it goes on working while its agent
+ * is held up for a moment.
+ */
+const SLOTS_IN_RESERVE = 0.5;
 
 /** One packet agent. */
 export class PacketAgent {
@@ -51,12 +58,15 @@
     packetsReturned: 0,
     packetsRefused: 0,
     packetsMalformed: 0,
+    requestsQueued: 0,
     heartbeats: 0,
   };
   private readonly link: PacketLink;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
+  private readonly queue = new RequestQueue();
+  private readonly serviceTime = new ServiceTime();
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
   private readonly timers: NodeTimers;
@@ -85,6 +95,7 @@
       tracker: this.tracker,
       health: this.health,
       state: () => this.state,
+      busyRequests: () => this.busyRequests,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
@@ -116,6 +127,7 @@
    */
   beginStop(done: () => void): void {
     this.restarting = true;
+    this.releaseAll();
     this.announce();
     if (this.target.state === TargetState.gone) {
       this.dependencies.registry.remove(this.record, undefined, done);
@@ -130,8 +142,12 @@
   }
 
   get figures(): { readonly busyRequests: number; readonly openFlows: number } {
-    const { busyRequests, openFlows } = this.tracker;
-    return { busyRequests, openFlows };
+    return { busyRequests: this.busyRequests, openFlows: this.tracker.openFlows };
+  }
+
+  /** Requests that wait here or are under way at the target. */
+  private get busyRequests(): number {
+    return this.tracker.busyRequests + this.queue.size;
   }
 
   /** A heartbeat of the target; its acknowledgement is up to the caller, and due at once. */
@@ -141,6 +157,7 @@
     if (change === 'incarnation') {
       this.tracker.clear();
       this.health.clear();
+      this.releaseAll();
     }
     if (change !== 'none') {
       this.reportTarget();
@@ -216,6 +233,7 @@
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
     }
+    this.releaseWaiting();
   }
 
   private get record(): AgentRecord {
@@ -234,7 +252,7 @@
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
     }
-    this.handToTarget(packet, balancer, this.pending.add(balancer, message.searchId));
+    this.admit(packet, balancer, message.searchId);
   }
 
   /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
@@ -251,7 +269,7 @@
     } else if (this.tracker.isHeldFor(packet.flow, balancer)) {
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
-      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
+      this.admit(packet, balancer, searchId);
     } else if (message.phase === SearchPhase.ask) {
       this.passOn(message);
     } else {
@@ -280,6 +298,50 @@
     return packet;
   }
 
+  /** Hands a packet to the target, or lets its request wait while the target is at its limit. */
+  private admit(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
+    if (!this.hasRoom && this.tracker.completesRequest(packet)) {
+      const now = this.dependencies.environment.now();
+      const since = now - this.tracker.ageOfFirstRequest(packet.flow);
+      this.counters.requestsQueued++;
+      const overdue = this.queue.add({ packet, balancer, searchId, since, seenAt: now });
+      this.release(overdue);
+      return;
+    }
+    if (packet.payloadLength > 0 || packet.resets || packet.ends) {
+      this.queue.remove(packet.flow);
+    }
+    this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
+  }
+
+  /** Whether the target would begin with another request soon; true while its slots are unknown. */
+  private get hasRoom(): boolean {
+    const { slots } = this.target;
+    return (
+      slots === 0 || this.tracker.workingRequests < slots + Math.ceil(slots * SLOTS_IN_RESERVE)
+    );
+  }
+
+  /** Hands over waiting requests as far as the target has room. */
+  private releaseWaiting(): void {
+    const { environment } = this.dependencies;
+    while (this.queue.size > 0 && this.hasRoom) {
+      this.release(this.queue.take(environment.now(), this.serviceTime.patience));
+    }
+  }
+
+  private release(request: WaitingRequest | undefined): void {
+    if (request) {
+      const { packet, balancer, searchId } = request;
+      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
+    }
+  }
+
+  /** Hands over all that waits: the target is another one, or this agent goes. */
+  private releaseAll(): void {
+    this.queue.takeAll().forEach((request) => this.release(request));
+  }
+
   private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
     const { environment, format, sendToTarget } = this.dependencies;
     this.counters.packetsDelivered++;
@@ -301,7 +363,9 @@
         destination: formatEndpoint(packet.destination),
         balancer: formatEndpoint(balancer),
         state: this.state,
-        busy: this.tracker.busyRequests,
+        busy: this.busyRequests,
+        working: this.tracker.workingRequests,
+        waiting: this.queue.size,
       });
     }
   }
@@ -313,6 +377,10 @@
     if (endsRequest && this.tracker.awaitsAnswer(packet.flow)) {
       const succeeded = !packet.resets && !format.isFailure(packet);
       this.health.requestEnded(succeeded, environment.now());
+      const workTime = this.tracker.workTime(packet.flow, environment.now());
+      if (succeeded && workTime !== undefined) {
+        this.serviceTime.answered(workTime);
+      }
     }
   }
 
@@ -327,6 +395,8 @@
     if (this.health.isDown(now) && !wasDown) {
       this.reportTarget();
     }
+    this.queue.expire(now);
+    this.releaseWaiting();
     this.reporter.reportWhereDue();
   }
 
@@ -344,6 +414,8 @@
     const { format } = this.dependencies;
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
+    this.queue.remove(packet.flow);
+    this.releaseWaiting();
     const delivery = this.pending.take(format.readToken(packet.bytes));
     if (!delivery) {
       return;
--- /dev/null
+++ b/test/packet-queue.test.ts
@@ -0,0 +1,124 @@
+/** Requests that wait at the agent, and packets that wait for a balancer's start. */
+import test from 'ava';
+import { packetFormat } from '../platform/packet-head';
+import type { FlowPacket } from '../src/packets/flow-packet';
+import { FlowTracker } from '../src/packets/flow-tracker';
+import { RequestQueue, type WaitingRequest } from '../src/packets/request-queue';
+import { ServiceTime } from '../src/packets/service-time';
+import { StartupBacklog } from '../src/packets/startup-backlog';
+import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
+import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { encodePacket, Flag } from './support/packet-cluster';
+
+const PATIENCE = 100;
+const CLIENT = ['100.64.0.7', 40_001] as const;
+const ROUTE = ['198.18.0.1', 443] as const;
+
+function createRequest(flow: string, since: number, seenAt = since): WaitingRequest {
+  return { packet: { flow } as FlowPacket, balancer: 1, searchId: 0, since, seenAt };
+}
+
+test('requests are served in order while waits are short, and the newest first beyond that', (t) => {
+  const queue = new RequestQueue();
+  ['a', 'b', 'c'].forEach((flow, index) => queue.add(createRequest(flow, index * 10)));
+  t.is(queue.take(50, PATIENCE)!.packet.flow, 'a');
+  t.is(queue.take(150, PATIENCE)!.packet.flow, 'c');
+  t.is(queue.take(150, PATIENCE)!.packet.flow, 'b');
+  t.is(queue.take(150, PATIENCE), undefined);
+});
+
+test('a copy of a waiting request keeps its place and shows that its client is there', (t) => {
+  const queue = new RequestQueue();
+  queue.add(createRequest('a', 0));
+  queue.add(createRequest('b', 10));
+  queue.add(createRequest('a', 200));
+  t.is(queue.size, 2);
+  queue.expire(2_600);
+  t.is(queue.size, 1);
+  t.is(queue.take(2_600, PATIENCE)!.since, 0);
+});
+
+test('a queue is bounded: what came first no longer waits', (t) => {
+  const queue = new RequestQueue();
+  for (let flow = 0; flow < 2_000; flow++) {
+    t.is(queue.add(createRequest(`f${flow}`, flow)), undefined);
+  }
+  t.is(queue.add(createRequest('one more', 2_000))!.packet.flow, 'f0');
+  t.is(queue.size, 2_000);
+});
+
+test('patience follows the time that a target takes', (t) => {
+  const time = new ServiceTime();
+  for (let answers = 0; answers < 200; answers++) {
+    time.answered(20);
+  }
+  t.true(Math.abs(time.patience - 40) < 1);
+});
+
+function decodeClient(flags: number, sequence: number, ack: number, data = ''): FlowPacket {
+  return packetFormat.decodeFromClient(encodePacket(CLIENT, ROUTE, flags, sequence, ack, data))!;
+}
+
+function decodeTarget(flags: number, sequence: number, ack: number, data = ''): FlowPacket {
+  return packetFormat.decodeFromTarget(encodePacket(ROUTE, CLIENT, flags, sequence, ack, data))!;
+}
+
+test('only the packet that completes a request of a flow of this target may wait', (t) => {
+  const tracker = new FlowTracker();
+  t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'GET')));
+  tracker.delivered(decodeClient(Flag.syn, 0, 1), 1, 0);
+  t.is(tracker.ageOfFirstRequest(decodeClient(Flag.ack, 1, 101).flow), 200);
+  tracker.sent(decodeTarget(Flag.syn | Flag.ack, 100, 1), 0);
+  t.true(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'GET')));
+  t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 777, 'GET')), 'another target');
+  t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 101)), 'no data');
+  t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'x'.repeat(1_200))), 'goes on');
+  tracker.delivered(decodeClient(Flag.ack, 1, 101, 'GET'), 1, 0);
+  t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'GET')), 'a repeat');
+  t.is(tracker.workingRequests, 1);
+});
+
+test('an upload that is under way takes no slot; an answer or a reset gives it back', (t) => {
+  const tracker = new FlowTracker();
+  tracker.delivered(decodeClient(Flag.ack, 1, 101, 'x'.repeat(1_200)), 1, 0);
+  t.is(tracker.busyRequests, 1);
+  t.is(tracker.workingRequests, 0);
+  tracker.delivered(decodeClient(Flag.ack, 1_201, 101, 'rest'), 1, 0);
+  t.is(tracker.workingRequests, 1);
+  tracker.sent(decodeTarget(Flag.rst, 101, 0), 10);
+  t.is(tracker.workingRequests, 0);
+  t.is(tracker.busyRequests, 0);
+});
+
+test('the newest packet of each flow waits for a start, within bounds and not for long', (t) => {
+  const backlog = new StartupBacklog();
+  backlog.add('a', Buffer.from('old'), 0);
+  backlog.add('b', Buffer.from('b'), 100);
+  backlog.add('a', Buffer.from('new'), 500);
+  t.deepEqual(backlog.takeAll(900).map(String), ['new']);
+  for (let flow = 0; flow < 2_000; flow++) {
+    backlog.add(`f${flow}`, Buffer.from('x'), 0);
+  }
+  t.is(backlog.size, 1_024);
+});
+
+test('a packet that comes before a starting balancer knows anything is served, not lost', (t) => {
+  const world = new PacketWorld(31);
+  startModelDeployment(world, 1);
+  const [balancer] = world.balancers;
+  world.startBalancer(balancer!);
+  const opening = encodeModelPacket({
+    client: 0x6440_0007_9c41,
+    destination: MAP_DESTINATION,
+    flags: ModelFlag.opens,
+    sequence: 0,
+    acknowledgement: 0,
+  });
+  balancer!.node.clientDatagram(opening);
+  const { counters } = balancer!.node.router;
+  t.is(counters.packetsReceived, 0);
+  world.runFor(300);
+  t.is(counters.flowsPlaced, 1);
+  t.is(counters.packetsDropped, 0);
+});
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -64,9 +64,11 @@
   resets: false,
   refused: false,
   openingCopy: 0,
+  openingAge: 0,
   sequence: 10,
   acknowledgement: 0,
   payloadLength: 0,
+  isFull: false,
   bytes: Buffer.alloc(0),
 };
 
