--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -2,7 +2,10 @@
  * One process of the packet bench: a packet balancer, or a bare relay beside it. It tells the
  * parent its addresses, and what processor time it has used after so many packets.
  */
+import { Ok } from 'ts-results';
 import type { Endpoint } from '../environment';
+import type { AgentRegistryPort, CollectionPort } from '../packets/collection-port';
+import type { RoutingTable } from '../packets/routing-table';
 import { FlowPlace, PACKETS_MEASURED, type ChildReport, type PacketPath } from './packets-contract';
 import { PacketBalancer } from '../packets/packet-balancer';
 import { PacketFrameCodec } from '../packets/packet-frames';
@@ -11,7 +14,18 @@
 import { modelPacketFormat } from '../simulation/packets/model-packet-format';
 
 const ADDRESS = '127.0.0.1';
-const NEVER = { list: () => undefined, watch: () => ({ cancel: () => undefined }) };
+/** A store that lists the one table and no agent, and never changes. */
+const ROUTING_TABLES: CollectionPort<RoutingTable> = {
+  list: (answer) =>
+    answer(new Ok({ items: [{ name: 'table', revision: 1, item: FlowPlace.table }], revision: 1 })),
+  awaitChanges: () => undefined,
+};
+const REGISTRY: AgentRegistryPort = {
+  list: (answer) => answer(new Ok({ items: [], revision: 1 })),
+  awaitChanges: () => undefined,
+  register: () => undefined,
+  remove: () => undefined,
+};
 
 let packets = 0;
 const before = process.cpuUsage();
@@ -62,14 +76,14 @@
       codec: new PacketFrameCodec([FlowPlace.key]),
       transport: frames,
       format: modelPacketFormat,
-      routingTables: NEVER as never,
-      registry: { ...NEVER, register: () => undefined, remove: () => undefined } as never,
+      routingTables: ROUTING_TABLES,
+      registry: REGISTRY,
       snapshots: { fetch: () => undefined },
       sendToClient: (client, packet) => clients.send(client, packet),
       relay: () => undefined,
     },
   );
-  node.router.apply(FlowPlace.table);
+  node.start();
   tell({ kind: 'bound', clients: clients.endpoint, frames: frames.endpoint });
 }
 
