--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,8 +17,8 @@
   balancer: async () => [(await import('./balancer-command')).BalancerCommand],
   bench: async () => {
     const commands = await import('./bench-commands');
-    const { BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand } = commands;
-    return [BenchBalanceCommand, BenchCapacityCommand, BenchDatapathCommand];
+    const { BenchBalanceCommand, BenchDatapathCommand, BenchPacketsCommand } = commands;
+    return [BenchBalanceCommand, BenchDatapathCommand, BenchPacketsCommand];
   },
   demo: async () => [(await import('./demo-command')).DemoCommand],
   explain: async () => [(await import('./explain-command')).ExplainCommand],
