--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -34,9 +34,8 @@
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
-import { RequestQueue, type WaitingRequest } from './request-queue';
 import { stepAfter } from './search-steps';
-import { ServiceTime } from './service-time';
+import { TargetAdmission } from './target-admission';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 
@@ -44,12 +43,6 @@
 const REPORT_REPEATS = [15, 60] as const;
 const EXPIRY_INTERVAL = 1_000;
 const TOKEN_RANGE = 2 ** 32;
-/**
- * Part of its slots that a target may have waiting, so that it goes on working while its agent
- * is held up for a moment.
- */
-const SLOTS_IN_RESERVE = 0.5;
-
 /** One packet agent. */
 export class PacketAgent {
   readonly counters: PacketAgentCounters = {
@@ -65,8 +58,7 @@
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
-  private readonly queue = new RequestQueue();
-  private readonly serviceTime = new ServiceTime();
+  private readonly admission: TargetAdmission;
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
   private readonly timers: NodeTimers;
@@ -87,6 +79,12 @@
     );
     this.link = new PacketLink(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service);
+    this.admission = new TargetAdmission({
+      target: this.target,
+      tracker: this.tracker,
+      handOver: (packet, balancer, searchId) =>
+        this.handToTarget(packet, balancer, this.pending.add(balancer, searchId)),
+    });
     this.reporter = new LoadReporter({
       environment,
       zone: settings.zone,
@@ -127,7 +125,7 @@
    */
   beginStop(done: () => void): void {
     this.restarting = true;
-    this.releaseAll();
+    this.admission.releaseAll();
     this.announce();
     if (this.target.state === TargetState.gone) {
       this.dependencies.registry.remove(this.record, undefined, done);
@@ -147,7 +145,7 @@
 
   /** Requests that wait here or are under way at the target. */
   private get busyRequests(): number {
-    return this.tracker.busyRequests + this.queue.size;
+    return this.tracker.busyRequests + this.admission.waitingRequests;
   }
 
   /** A heartbeat of the target; its acknowledgement is up to the caller, and due at once. */
@@ -157,7 +155,7 @@
     if (change === 'incarnation') {
       this.tracker.clear();
       this.health.clear();
-      this.releaseAll();
+      this.admission.releaseAll();
     }
     if (change !== 'none') {
       this.reportTarget();
@@ -233,7 +231,7 @@
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
     }
-    this.releaseWaiting();
+    this.admission.releaseWaiting(environment.now());
   }
 
   private get record(): AgentRecord {
@@ -298,50 +296,13 @@
     return packet;
   }
 
-  /** Hands a packet to the target, or lets its request wait while the target is at its limit. */
   private admit(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
-    if (!this.hasRoom && this.tracker.completesRequest(packet)) {
-      const now = this.dependencies.environment.now();
-      const since = now - this.tracker.ageOfFirstRequest(packet.flow);
+    const now = this.dependencies.environment.now();
+    if (this.admission.admit(packet, balancer, searchId, now)) {
       this.counters.requestsQueued++;
-      const overdue = this.queue.add({ packet, balancer, searchId, since, seenAt: now });
-      this.release(overdue);
-      return;
-    }
-    if (packet.payloadLength > 0 || packet.resets || packet.ends) {
-      this.queue.remove(packet.flow);
-    }
-    this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
-  }
-
-  /** Whether the target would begin with another request soon; true while its slots are unknown. */
-  private get hasRoom(): boolean {
-    const { slots } = this.target;
-    return (
-      slots === 0 || this.tracker.workingRequests < slots + Math.ceil(slots * SLOTS_IN_RESERVE)
-    );
-  }
-
-  /** Hands over waiting requests as far as the target has room. */
-  private releaseWaiting(): void {
-    const { environment } = this.dependencies;
-    while (this.queue.size > 0 && this.hasRoom) {
-      this.release(this.queue.take(environment.now(), this.serviceTime.patience));
-    }
-  }
-
-  private release(request: WaitingRequest | undefined): void {
-    if (request) {
-      const { packet, balancer, searchId } = request;
-      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
     }
   }
 
-  /** Hands over all that waits: the target is another one, or this agent goes. */
-  private releaseAll(): void {
-    this.queue.takeAll().forEach((request) => this.release(request));
-  }
-
   private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
     const { environment, format, sendToTarget } = this.dependencies;
     this.counters.packetsDelivered++;
@@ -365,7 +326,7 @@
         state: this.state,
         busy: this.busyRequests,
         working: this.tracker.workingRequests,
-        waiting: this.queue.size,
+        waiting: this.admission.waitingRequests,
       });
     }
   }
@@ -379,7 +340,7 @@
       this.health.requestEnded(succeeded, environment.now());
       const workTime = this.tracker.workTime(packet.flow, environment.now());
       if (succeeded && workTime !== undefined) {
-        this.serviceTime.answered(workTime);
+        this.admission.answered(workTime);
       }
     }
   }
@@ -394,9 +355,10 @@
     }
     if (this.health.isDown(now) && !wasDown) {
       this.reportTarget();
+      this.refuseWaiting();
     }
-    this.queue.expire(now);
-    this.releaseWaiting();
+    this.admission.expire(now);
+    this.admission.releaseWaiting(now);
     this.reporter.reportWhereDue();
   }
 
@@ -414,8 +376,8 @@
     const { format } = this.dependencies;
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
-    this.queue.remove(packet.flow);
-    this.releaseWaiting();
+    this.admission.returned(packet);
+    this.admission.releaseWaiting(this.dependencies.environment.now());
     const delivery = this.pending.take(format.readToken(packet.bytes));
     if (!delivery) {
       return;
@@ -430,6 +392,13 @@
     }
   }
 
+  /** The target is down: clients whose requests wait for it are told now. */
+  private refuseWaiting(): void {
+    for (const { packet, searchId, balancer } of this.admission.takeAll()) {
+      this.refuse(packet, searchId, balancer, RefusalReason.targetDown);
+    }
+  }
+
   private refuse(
     packet: FlowPacket,
     searchId: number,
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -8,7 +8,6 @@
 import { AgentDirectory, type AgentEntry } from './agent-directory';
 import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
 import { CollectionFollower } from './collection-follower';
-import type { Changes, Listing } from './collection-port';
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
@@ -17,7 +16,6 @@
 import {
   PacketMessageType,
   TargetState,
-  type AgentRecord,
   type PacketMessage,
   type ReportMessage,
 } from './packet-messages';
@@ -28,6 +26,7 @@
   PacketBalancerFigures,
   PacketBalancerSettings,
 } from './packet-balancer-contracts';
+import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
 import type { RoutingTable } from './routing-table';
 import { StartupBacklog } from './startup-backlog';
@@ -50,6 +49,7 @@
   private readonly cache: FlowCache;
   private readonly link: PacketLink;
   private readonly peers: PeerExchange;
+  private readonly view: RegistryView;
   private readonly upkeep: RegistryUpkeep;
   private readonly subscriptions: AgentSubscriptions;
   private readonly followers: readonly CollectionFollower<never>[];
@@ -87,6 +87,14 @@
     this.subscriptions = new AgentSubscriptions(settings.zone, this.directory, (agents, message) =>
       this.link.sendToAll(agents, message),
     );
+    this.view = new RegistryView({
+      environment,
+      directory: this.directory,
+      changed: () => {
+        this.subscribe();
+        this.updateReadiness();
+      },
+    });
     this.peers = this.createPeerExchange();
     this.followers = [
       new CollectionFollower('routing', routingTables, environment, {
@@ -94,8 +102,8 @@
         changed: ({ changes }) => changes.forEach((one) => this.takeChangedTable(one)),
       }),
       new CollectionFollower('agents', registry, environment, {
-        listed: (listing) => this.takeListing(listing),
-        changed: (changes) => this.takeChanges(changes),
+        listed: (listing) => this.view.takeListing(listing),
+        changed: (changes) => this.view.takeChanges(changes),
       }),
     ] as unknown as readonly CollectionFollower<never>[];
   }
@@ -300,7 +308,7 @@
       routingVersion: () => this.table?.version ?? 0,
       ownStatus: () => this.ownStatus,
       snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
-      agentsReceived: (agents) => this.learnAgents(agents),
+      agentsReceived: (agents) => this.view.learnAgents(agents),
     });
   }
 
@@ -318,9 +326,9 @@
     if (snapshot.routingTable) {
       this.takeTable(snapshot.routingTable, formatEndpoint(peer));
     }
-    this.learnAgents(snapshot.agents);
+    this.view.learnAgents(snapshot.agents);
     if (snapshot.viewComplete) {
-      this.markComplete(formatEndpoint(peer));
+      this.view.markComplete(formatEndpoint(peer));
     }
   }
 
@@ -349,46 +357,6 @@
     this.updateReadiness();
   }
 
-  private takeListing(listing: Listing<AgentRecord>): void {
-    const now = this.dependencies.environment.now();
-    const listed = new Set(listing.items.map(({ item }) => item.address));
-    for (const { address, registryRevision } of [...this.directory.all()]) {
-      if (registryRevision !== undefined && !listed.has(address)) {
-        this.directory.unregister(address, now);
-      }
-    }
-    listing.items.forEach(({ item, revision }) => this.directory.learn(item, revision, now));
-    this.markComplete('store');
-    this.subscribe();
-  }
-
-  private takeChanges(changes: Changes<AgentRecord>): void {
-    const now = this.dependencies.environment.now();
-    for (const { item, revision, removed } of changes.changes) {
-      if (removed) {
-        this.directory.unregister(item.address, now);
-      } else {
-        this.directory.learn(item, revision, now);
-      }
-    }
-    this.subscribe();
-  }
-
-  private learnAgents(agents: readonly AgentRecord[]): void {
-    const now = this.dependencies.environment.now();
-    agents.forEach((agent) => this.directory.learn(agent, undefined, now));
-    this.subscribe();
-  }
-
-  private markComplete(origin: string): void {
-    if (!this.directory.isComplete) {
-      this.directory.markComplete();
-      const agents = this.directory.size;
-      this.dependencies.environment.report(Events.viewComplete, { origin, agents });
-    }
-    this.updateReadiness();
-  }
-
   /** A balancer that relays needs no reports. */
   private subscribe(): void {
     const now = this.dependencies.environment.now();
--- /dev/null
+++ b/src/packets/target-admission.ts
@@ -0,0 +1,98 @@
+/** How many requests a target has at a time: the agent's side of its queue. */
+import type { Endpoint } from '../environment';
+import type { FlowPacket } from './flow-packet';
+import type { FlowTracker } from './flow-tracker';
+import { RequestQueue, type WaitingRequest } from './request-queue';
+import { ServiceTime } from './service-time';
+import type { TargetLifecycle } from './target-lifecycle';
+
+/**
+ * Part of its slots that a target may have waiting, so that it goes on working while its agent
+ * is held up for a moment.
+ */
+const SLOTS_IN_RESERVE = 0.5;
+
+/** What the admission works with. */
+export interface TargetAdmissionDependencies {
+  readonly target: TargetLifecycle;
+  readonly tracker: FlowTracker;
+  /** Hands a packet to the target. */
+  handOver(packet: FlowPacket, balancer: Endpoint, searchId: number): void;
+}
+
+/** Admission of one target. */
+export class TargetAdmission {
+  private readonly queue = new RequestQueue();
+  private readonly serviceTime = new ServiceTime();
+
+  constructor(private readonly dependencies: TargetAdmissionDependencies) {}
+
+  /** Requests that wait here. */
+  get waitingRequests(): number {
+    return this.queue.size;
+  }
+
+  /**
+   * Hands a packet to the target, or lets its request wait while the target is at its limit.
+   * @returns whether it waits
+   */
+  admit(packet: FlowPacket, balancer: Endpoint, searchId: number, now: number): boolean {
+    const { handOver, tracker } = this.dependencies;
+    if (!this.hasRoom && tracker.completesRequest(packet)) {
+      const since = now - tracker.ageOfFirstRequest(packet.flow);
+      this.release(this.queue.add({ packet, balancer, searchId, since, seenAt: now }));
+      return true;
+    }
+    if (packet.payloadLength > 0 || packet.resets || packet.ends) {
+      this.queue.remove(packet.flow);
+    }
+    handOver(packet, balancer, searchId);
+    return false;
+  }
+
+  /** The target has answered a request well, so many milliseconds after it got it. */
+  answered(milliseconds: number): void {
+    this.serviceTime.answered(milliseconds);
+  }
+
+  /** The target has returned a packet: no request of its flow can be served here. */
+  returned(packet: FlowPacket): void {
+    this.queue.remove(packet.flow);
+  }
+
+  /** Hands over waiting requests as far as the target has room. */
+  releaseWaiting(now: number): void {
+    while (this.queue.size > 0 && this.hasRoom) {
+      this.release(this.queue.take(now, this.serviceTime.patience));
+    }
+  }
+
+  /** Hands over all that waits: the target is another one, or this agent goes. */
+  releaseAll(): void {
+    this.queue.takeAll().forEach((request) => this.release(request));
+  }
+
+  /** Takes out all that waits, for a target that cannot serve it. */
+  takeAll(): WaitingRequest[] {
+    return this.queue.takeAll();
+  }
+
+  /** Drops requests whose clients have left. */
+  expire(now: number): void {
+    this.queue.expire(now);
+  }
+
+  /** Whether the target would begin with another request soon; true while its slots are unknown. */
+  private get hasRoom(): boolean {
+    const { target, tracker } = this.dependencies;
+    const limit = target.slots + Math.ceil(target.slots * SLOTS_IN_RESERVE);
+    return target.slots === 0 || tracker.workingRequests < limit;
+  }
+
+  private release(request: WaitingRequest | undefined): void {
+    if (request) {
+      const { packet, balancer, searchId } = request;
+      this.dependencies.handOver(packet, balancer, searchId);
+    }
+  }
+}
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -5,6 +5,8 @@
 import { FlowTracker } from '../src/packets/flow-tracker';
 import { RequestQueue, type WaitingRequest } from '../src/packets/request-queue';
 import { ServiceTime } from '../src/packets/service-time';
+import { TargetAdmission } from '../src/packets/target-admission';
+import { TargetLifecycle } from '../src/packets/target-lifecycle';
 import { StartupBacklog } from '../src/packets/startup-backlog';
 import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
@@ -122,3 +124,39 @@
   t.is(counters.flowsPlaced, 1);
   t.is(counters.packetsDropped, 0);
 });
+
+test('a target has its slots and some in reserve; the rest waits and follows its answers', (t) => {
+  const tracker = new FlowTracker();
+  const target = new TargetLifecycle('map');
+  const handedOver: string[] = [];
+  const admission = new TargetAdmission({
+    target,
+    tracker,
+    handOver: (packet, balancer) => {
+      tracker.delivered(packet, balancer, 0);
+      handedOver.push(packet.flow);
+    },
+  });
+  const slots = 2;
+  const coldLeft = 0;
+  const heartbeat = { incarnation: 'a', service: 'map', draining: false, sequence: 1 };
+  target.heartbeat({ ...heartbeat, slots, coldLeft }, 0);
+  const requests = Array.from({ length: 5 }, (_, index) => {
+    const client = [CLIENT[0], CLIENT[1] + index] as const;
+    const opening = packetFormat.decodeFromTarget(
+      encodePacket(ROUTE, client, Flag.syn | Flag.ack, 100, 1),
+    )!;
+    tracker.sent(opening, 0);
+    return packetFormat.decodeFromClient(encodePacket(client, ROUTE, Flag.ack, 1, 101, 'GET'))!;
+  });
+  const waits = requests.map((packet, index) => admission.admit(packet, 1, 0, index));
+  t.deepEqual(waits, [false, false, false, true, true]);
+  t.is(admission.waitingRequests, 2);
+  tracker.sent({ ...requests[0]!, payloadLength: 1 }, 10);
+  admission.releaseWaiting(10);
+  t.is(handedOver.at(-1), requests[3]!.flow);
+  t.deepEqual(
+    admission.takeAll().map(({ packet }) => packet.flow),
+    [requests[4]!.flow],
+  );
+});
