--- a/src/packets/flow-packet.ts
+++ b/src/packets/flow-packet.ts
@@ -26,8 +26,6 @@
   readonly refused: boolean;
   /** Copy number of an opening packet, from 0. */
   readonly openingCopy: number;
-  /** Milliseconds since the first copy of an opening packet; 0 for any other packet. */
-  readonly openingAge: number;
   /** Sequence number of the sender. */
   readonly sequence: number;
   /** Sequence number of the other end that the sender acknowledges. */
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -26,8 +26,6 @@
   working: boolean;
   /** Time at which that request was delivered. */
   busySince: number;
-  /** Milliseconds since its client's first opening packet when the latest one came. */
-  openingAge: number;
   /** Sequence number of the target's answer to an opening packet; undefined before it. */
   openingSequence: number | undefined;
   /** Highest sequence number of data delivered, to tell repeats; undefined before any. */
@@ -62,7 +60,6 @@
     const flow = this.flowOf(packet.flow, now);
     flow.balancer = balancer;
     flow.ended = flow.ended && !packet.opens;
-    flow.openingAge = packet.opens ? packet.openingAge : flow.openingAge;
     if (packet.resets) {
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
@@ -88,12 +85,6 @@
     return flow.held || acknowledgesOpening(packet, flow.openingSequence);
   }
 
-  /** Milliseconds since its client began to open a flow, at its first request; 0 after it. */
-  ageOfFirstRequest(key: FlowKey): number {
-    const flow = this.flows.get(key);
-    return flow && flow.lastSequence === undefined ? flow.openingAge : 0;
-  }
-
   /** Milliseconds for which the target has had a flow's request; undefined when it has none. */
   workTime(key: FlowKey, now: number): number | undefined {
     const flow = this.flows.get(key);
@@ -201,7 +192,6 @@
       busy: false,
       working: false,
       busySince: 0,
-      openingAge: 0,
       openingSequence: undefined,
       lastSequence: undefined,
       usedAt: now,
--- a/src/packets/request-queue.ts
+++ b/src/packets/request-queue.ts
@@ -22,7 +22,7 @@
   readonly balancer: Endpoint;
   /** The search that the packet belongs to; 0 for none. */
   readonly searchId: number;
-  /** Time at which its client first sent it, as far as is known. */
+  /** Time at which its first copy came. */
   readonly since: number;
   /** Time at which its latest copy came. */
   readonly seenAt: number;
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -39,8 +39,7 @@
   admit(packet: FlowPacket, balancer: Endpoint, searchId: number, now: number): boolean {
     const { handOver, tracker } = this.dependencies;
     if (!this.hasRoom && tracker.completesRequest(packet)) {
-      const since = now - tracker.ageOfFirstRequest(packet.flow);
-      this.release(this.queue.add({ packet, balancer, searchId, since, seenAt: now }));
+      this.release(this.queue.add({ packet, balancer, searchId, since: now, seenAt: now }));
       return true;
     }
     if (packet.payloadLength > 0 || packet.resets || packet.ends) {
--- a/src/simulation/packets/model-packet-format.ts
+++ b/src/simulation/packets/model-packet-format.ts
@@ -12,8 +12,6 @@
   payload: 25,
 } as const;
 const END_BYTES = 6;
-/** Milliseconds between the copies of an opening packet. */
-const COPY_INTERVAL = 200;
 
 /** How an answer begins that says that its request failed. */
 export const FAILED_ANSWER = 'failed: ';
@@ -65,7 +63,6 @@
     resets: (flags & ModelFlag.resets) !== 0,
     refused: (flags & ModelFlag.refused) !== 0,
     openingCopy: opens ? acknowledgement : 0,
-    openingAge: opens ? acknowledgement * COPY_INTERVAL : 0,
     sequence: bytes.readUInt32BE(Offset.sequence),
     acknowledgement,
     payloadLength: bytes.length - Offset.payload,
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -70,7 +70,6 @@
   const tracker = new FlowTracker();
   t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'GET')));
   tracker.delivered(decodeClient(Flag.syn, 0, 1), 1, 0);
-  t.is(tracker.ageOfFirstRequest(decodeClient(Flag.ack, 1, 101).flow), 200);
   tracker.sent(decodeTarget(Flag.syn | Flag.ack, 100, 1), 0);
   t.true(tracker.completesRequest(decodeClient(Flag.ack, 1, 101, 'GET')));
   t.false(tracker.completesRequest(decodeClient(Flag.ack, 1, 777, 'GET')), 'another target');
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -64,7 +64,6 @@
   resets: false,
   refused: false,
   openingCopy: 0,
-  openingAge: 0,
   sequence: 10,
   acknowledgement: 0,
   payloadLength: 0,
