--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -6,7 +6,12 @@
 import type { Endpoint } from '../environment';
 import type { AgentRegistryPort, CollectionPort } from '../packets/collection-port';
 import type { RoutingTable } from '../packets/routing-table';
-import { FlowPlace, PACKETS_MEASURED, type ChildReport, type PacketPath } from './packets-contract';
+import {
+  BenchSetup,
+  PACKETS_MEASURED,
+  type ChildReport,
+  type PacketPath,
+} from './packets-contract';
 import { PacketBalancer } from '../packets/packet-balancer';
 import { PacketFrameCodec } from '../packets/packet-frames';
 import { RealEnvironment } from '../runtime/real-environment';
@@ -17,7 +22,9 @@
 /** A store that lists the one table and no agent, and never changes. */
 const ROUTING_TABLES: CollectionPort<RoutingTable> = {
   list: (answer) =>
-    answer(new Ok({ items: [{ name: 'table', revision: 1, item: FlowPlace.table }], revision: 1 })),
+    answer(
+      new Ok({ items: [{ name: 'table', revision: 1, item: BenchSetup.table }], revision: 1 }),
+    ),
   awaitChanges: () => undefined,
 };
 const REGISTRY: AgentRegistryPort = {
@@ -64,16 +71,16 @@
   });
   const node = new PacketBalancer(
     {
-      zone: FlowPlace.zone,
+      zone: BenchSetup.zone,
       address: frames.endpoint,
       packetAddress: clients.endpoint,
       capacity: 1,
       seeds: [],
-      flowLifetime: FlowPlace.lifetime,
+      flowLifetime: BenchSetup.lifetime,
     },
     {
       environment,
-      codec: new PacketFrameCodec([FlowPlace.key]),
+      codec: new PacketFrameCodec([BenchSetup.key]),
       transport: frames,
       format: modelPacketFormat,
       routingTables: ROUTING_TABLES,
--- a/src/bench/packets-contract.ts
+++ b/src/bench/packets-contract.ts
@@ -21,8 +21,8 @@
 const LIFETIME = 60_000;
 const SERVICE = 'bench';
 
-/** The one route of the bench. */
-export const FlowPlace = {
+/** The one route of the bench, and what its processes share. */
+export const BenchSetup = {
   zone: 'bench',
   service: SERVICE,
   destination: DESTINATION,
--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -16,7 +16,12 @@
 } from '../packets/packet-messages';
 import { UdpSocket } from '../runtime/udp-socket';
 import { encodeModelPacket, ModelFlag } from '../simulation/packets/model-packet-format';
-import { FlowPlace, PACKETS_MEASURED, type ChildReport, type PacketPath } from './packets-contract';
+import {
+  BenchSetup,
+  PACKETS_MEASURED,
+  type ChildReport,
+  type PacketPath,
+} from './packets-contract';
 
 const ADDRESS = '127.0.0.1';
 const AGENTS = 7;
@@ -39,7 +44,7 @@
 
 /** Plays the agents of the bench's service: they report, and hold every flow. */
 class PlayedAgents {
-  private readonly codec = new PacketFrameCodec([FlowPlace.key]);
+  private readonly codec = new PacketFrameCodec([BenchSetup.key]);
   private readonly sockets: UdpSocket[] = [];
   private timer: NodeJS.Timeout | undefined;
   private sequence = 0;
@@ -79,8 +84,8 @@
       type: PacketMessageType.report,
       run: 1,
       sequence: ++this.sequence,
-      service: FlowPlace.service,
-      zone: FlowPlace.zone,
+      service: BenchSetup.service,
+      zone: BenchSetup.zone,
       state: TargetState.ready,
       slots: 4,
       busyRequests: 0,
@@ -100,7 +105,7 @@
   const turn = index % PACKETS_PER_FLOW;
   return encodeModelPacket({
     client: FIRST_CLIENT + Math.floor(index / PACKETS_PER_FLOW),
-    destination: FlowPlace.destination,
+    destination: BenchSetup.destination,
     flags: turn === 0 ? ModelFlag.opens : 0,
     sequence: turn,
     acknowledgement: 0,
