--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -186,6 +186,18 @@
     node.start();
   }
 
+  /** All machines lose power for so many milliseconds; all starts again with nothing in it. */
+  losePower(milliseconds: number): void {
+    [...this.balancers, ...this.agents].forEach(({ process }) => process.kill());
+    this.agents.forEach(({ target }) => (target.alive = false));
+    this.runFor(milliseconds);
+    this.balancers.forEach((balancer) => this.startBalancer(balancer));
+    this.agents.forEach((agent) => {
+      this.startAgent(agent);
+      this.startTarget(agent);
+    });
+  }
+
   /** Starts a new incarnation of the target beside an agent; its flows are gone. */
   startTarget(agent: WorldAgent, service = agent.service): ModelTarget {
     if (agent.target) {
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -185,14 +185,7 @@
   startModelDeployment(world, 2);
   openModelFlows(world, 60, 100, 100);
   world.runFor(1_000);
-  [...world.balancers, ...world.agents].forEach(({ process }) => process.kill());
-  world.agents.forEach(({ target }) => (target.alive = false));
-  world.runFor(800);
-  world.balancers.forEach((balancer) => world.startBalancer(balancer));
-  world.agents.forEach((agent) => {
-    world.startAgent(agent);
-    world.startTarget(agent);
-  });
+  world.losePower(800);
   world.runFor(1_900);
   t.is(world.clients.filter(({ state }) => state === 'reset').length, 60);
   const sum = (counter: 'resetsSent' | 'searchesStarted'): number =>
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -271,14 +271,7 @@
   const world = startWorld(11);
   openFlows(world, 40, 100, 100);
   world.runFor(1_000);
-  [...world.balancers, ...world.agents].forEach(({ process }) => process.kill());
-  world.agents.forEach(({ target }) => (target.alive = false));
-  world.runFor(800);
-  world.balancers.forEach((balancer) => world.startBalancer(balancer));
-  world.agents.forEach((agent) => {
-    world.startAgent(agent);
-    world.startTarget(agent);
-  });
+  world.losePower(800);
   // A client repeats after at most 1.6 s; the answer to its packet is the reset.
   world.runFor(1_900);
   t.is(countIn(world, 'reset'), 40);
