--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -86,6 +86,7 @@
       format: modelPacketFormat,
       routingTables: ROUTING_TABLES,
       registry: REGISTRY,
+      evacuatedZones: undefined,
       snapshots: { fetch: () => undefined },
       sendToClient: (client, packet) => clients.send(client, packet),
       relay: () => undefined,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -77,6 +77,7 @@
   storeReadingStarted: event(2715, 'store-reading-started', 'info'),
   storeReadingStopped: event(2716, 'store-reading-stopped', 'info'),
   registryCallFailed: event(2717, 'registry-call-failed', 'warn'),
+  zonesEvacuated: event(2718, 'zones-evacuated', 'info'),
   agentStateSeen: event(2721, 'agent-state-seen', 'info'),
   agentRegistered: event(2722, 'agent-registered', 'info'),
   agentRemoved: event(2723, 'agent-removed', 'warn'),
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -8,6 +8,7 @@
   type SubscribeMessage,
 } from './packet-messages';
 import { reportInterval } from './report-interval';
+import type { ZoneEvacuations } from './zone-evacuations';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
 const SUBSCRIPTION_INTERVAL = 2_000;
@@ -30,6 +31,8 @@
     private readonly zone: string,
     private readonly directory: AgentDirectory,
     private readonly send: SubscriptionSender,
+    /** Zones out of service, which every subscription tells. */
+    private readonly evacuations: () => ZoneEvacuations,
   ) {}
 
   /**
@@ -49,6 +52,15 @@
     due.forEach((agents, listing) => this.send(agents, this.createMessage(listing)));
   }
 
+  /** Makes subscriptions due at once at the agents of some zones. */
+  renewIn(zones: readonly string[]): void {
+    for (const { address, zone } of this.directory.all()) {
+      if (zones.includes(zone)) {
+        this.subscribedAt.delete(address);
+      }
+    }
+  }
+
   /** Drops what is noted of agents that are no longer known. */
   expire(): void {
     for (const address of this.subscribedAt.keys()) {
@@ -64,6 +76,7 @@
       zone: this.zone,
       interval: reportInterval(this.directory.size),
       listing,
+      evacuations: this.evacuations(),
     };
   }
 
--- a/src/packets/delivery-rules.ts
+++ b/src/packets/delivery-rules.ts
@@ -14,6 +14,8 @@
   readonly isDown: boolean;
   /** It is down, and may be tried with an opening packet now. */
   readonly isProbeDue: boolean;
+  /** Its zone is out of service. */
+  readonly isEvacuated: boolean;
 }
 
 /**
@@ -35,6 +37,9 @@
   if (!opens) {
     return undefined;
   }
+  if (target.isEvacuated) {
+    return RefusalReason.zoneEvacuated;
+  }
   if (target.state === TargetState.gone) {
     return RefusalReason.noTarget;
   }
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -20,6 +20,8 @@
   readonly cache: FlowCache;
   readonly searches: FlowSearches;
   readonly outlet: PacketOutlet;
+  /** Whether a zone is out of service. */
+  isEvacuated(zone: string): boolean;
 }
 
 /** Places the new flows of one balancer. */
@@ -63,7 +65,9 @@
     const { directory, environment, cache, outlet } = this.dependencies;
     const now = environment.now();
     const [service] = search.services;
-    const candidates = directory.ofServices(search.services);
+    const candidates = directory
+      .ofServices(search.services)
+      .filter(({ zone }) => !this.dependencies.isEvacuated(zone));
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
     const ordered = orderCandidates(packet.flow, untried, this.dependencies.zone);
     const chosen = selectAgent(ordered, this.selectionContext(now));
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -27,6 +27,8 @@
   /** Milliseconds that a search for the holder of a flow has. */
   readonly locateTimeout: number;
   readonly cache: FlowCache;
+  /** Whether a zone is out of service: none of its targets gets new flows. */
+  isEvacuated(zone: string): boolean;
 }
 
 /** Routes packets by the routing table in force. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -40,6 +40,7 @@
 import { TargetAdmission } from './target-admission';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
+import { ZoneEvacuationView } from './zone-evacuations';
 
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
@@ -65,6 +66,7 @@
   private readonly pending: PendingDeliveries;
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
+  private readonly evacuations: ZoneEvacuationView;
   private restarting = false;
 
   constructor(
@@ -80,6 +82,7 @@
       () => this.record,
     );
     this.link = new PacketLink(codec, transport, environment);
+    this.evacuations = new ZoneEvacuationView(environment, () => undefined);
     this.target = new TargetLifecycle(settings.service);
     this.admission = new TargetAdmission({
       target: this.target,
@@ -200,6 +203,7 @@
       case PacketMessageType.subscribe:
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
+        this.evacuations.take(message.evacuations, formatEndpoint(from));
         return;
       case PacketMessageType.notHeld:
       case PacketMessageType.held:
@@ -385,6 +389,7 @@
       state: this.target.state,
       isDown: this.health.isDown(now),
       isProbeDue: this.health.isProbeDue(now),
+      isEvacuated: this.evacuations.isEvacuated(this.settings.zone),
     };
   }
 
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -6,6 +6,7 @@
 import type { SnapshotPort } from './peer-exchange';
 import type { RoutingTable } from './routing-table';
 import type { StoreCalls } from './store-reading';
+import type { EvacuatedZone } from './zone-evacuations';
 
 /** Settings of a packet balancer. */
 export interface PacketBalancerSettings {
@@ -32,6 +33,8 @@
   readonly format: PacketFormat;
   readonly routingTables: CollectionPort<RoutingTable>;
   readonly registry: AgentRegistryPort;
+  /** Zones out of service; undefined in a deployment that evacuates none. */
+  readonly evacuatedZones: CollectionPort<EvacuatedZone> | undefined;
   readonly snapshots: SnapshotPort;
   sendToClient(client: Endpoint, packet: Buffer): void;
   /** Hands a client's packet on to where another balancer takes clients' packets. */
@@ -50,6 +53,8 @@
   readonly readsStore: boolean;
   /** The store's revision through which the registry is known. */
   readonly registryRevision: number;
+  /** Zones out of service. */
+  readonly zonesEvacuated: number;
   /** Calls made to register or remove agents on their behalf. */
   readonly registryCalls: number;
 }
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -32,6 +32,7 @@
 import { StartupBacklog } from './startup-backlog';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
+import { ZoneEvacuationView } from './zone-evacuations';
 
 const CACHED_FLOWS = 500_000;
 const UPKEEP_INTERVAL = 1_000;
@@ -57,6 +58,7 @@
   private readonly upkeep: RegistryUpkeep;
   private readonly subscriptions: AgentSubscriptions;
   private readonly reading: StoreReading;
+  private readonly evacuations: ZoneEvacuationView;
   private readonly timers: NodeTimers;
   private table: RoutingTable | undefined;
   private stopping = false;
@@ -76,6 +78,7 @@
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
+    this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
@@ -86,10 +89,14 @@
       cache: this.cache,
       link: this.link,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
+      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
     });
     this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
-    this.subscriptions = new AgentSubscriptions(settings.zone, this.directory, (agents, message) =>
-      this.link.sendToAll(agents, message),
+    this.subscriptions = new AgentSubscriptions(
+      settings.zone,
+      this.directory,
+      (agents, message) => this.link.sendToAll(agents, message),
+      () => this.evacuations.current,
     );
     this.view = new RegistryView({
       environment,
@@ -167,6 +174,7 @@
       ready: this.isReady,
       readsStore: this.reading.isReading,
       registryRevision: this.view.revision,
+      zonesEvacuated: this.evacuations.current.zones.length,
       registryCalls: this.upkeep.calls,
       ...this.reading.calls,
     };
@@ -217,7 +225,8 @@
   }
 
   private get hasView(): boolean {
-    return this.table !== undefined && this.directory.isComplete;
+    const knowsZones = this.dependencies.evacuatedZones === undefined || this.evacuations.isKnown;
+    return this.table !== undefined && this.directory.isComplete && knowsZones;
   }
 
   /** Whether any flow can be routed or relayed now, by a balancer that is wanted or not. */
@@ -331,6 +340,7 @@
       link: this.link,
       snapshots,
       relay: this.relay,
+      evacuations: this.evacuations,
       routingVersion: () => this.table?.version ?? 0,
       ownStatus: () => this.ownStatus,
       snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
@@ -344,7 +354,7 @@
 
   /** A balancer that starts first asks others; those that others ask first read at once. */
   private createReading(): StoreReading {
-    const { environment, registry, routingTables } = this.dependencies;
+    const { environment, registry, routingTables, evacuatedZones } = this.dependencies;
     const { address, applyTime, seeds } = this.settings;
     return new StoreReading({
       environment,
@@ -353,6 +363,8 @@
       applyTime,
       routingTables,
       registry,
+      evacuatedZones,
+      evacuations: this.evacuations,
       clusterSize: () => this.peers.clusterSize,
       hasView: () => this.hasView,
       takeTable: (table) => this.takeTable(table, 'store'),
@@ -409,6 +421,16 @@
     this.updateReadiness();
   }
 
+  /** Zones went out of service or came back: tells their agents, and other balancers. */
+  private tellOfZones(zones: readonly string[]): void {
+    this.subscriptions.renewIn(zones);
+    this.subscribe();
+    if (this.reading.isReading) {
+      this.peers.announce();
+    }
+    this.updateReadiness();
+  }
+
   /** A balancer that relays needs no reports. */
   private subscribe(): void {
     const now = this.dependencies.environment.now();
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -13,6 +13,7 @@
   type FieldCodec,
 } from '../wire/field-codecs';
 import type { StoreReader } from './store-readers';
+import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
 
 /** Numeric message types as sent. */
 export const PacketMessageType = {
@@ -62,6 +63,8 @@
   otherService: 4,
   /** The target has left every opening packet without an answer of late. */
   targetDown: 5,
+  /** The target's zone is out of service and takes no new flows. */
+  zoneEvacuated: 6,
 } as const;
 export type RefusalReasonValue = (typeof RefusalReason)[keyof typeof RefusalReason];
 
@@ -158,6 +161,8 @@
   readonly interval: number;
   /** Whether the registry lists the agent. */
   readonly listing: ListingStateValue;
+  /** Zones out of service, as far as the balancer knows. */
+  readonly evacuations: ZoneEvacuations;
 }
 
 /** Agent to balancer: state and load of the target. */
@@ -238,6 +243,8 @@
   readonly readers: readonly StoreReader[];
   /** The latest changes of the registry, from a sender that has just read them. */
   readonly delta: RegistryDelta | undefined;
+  /** Zones out of service, as far as the sender knows. */
+  readonly evacuations: ZoneEvacuations;
 }
 
 /** Any message of the packet interface. */
@@ -329,6 +336,19 @@
   return { reader: integer(reader), age: integer(age) };
 }
 
+function packEvacuations({ revision, zones }: ZoneEvacuations): unknown[] {
+  return [revision, zones];
+}
+
+/** Programs of an earlier version know of no evacuations. */
+function unpackEvacuations(value: unknown): ZoneEvacuations {
+  if (value === undefined) {
+    return UNKNOWN_EVACUATIONS;
+  }
+  const [revision, zones] = tuple(value, 2);
+  return { revision: integer(revision), zones: listOf(text)(zones) };
+}
+
 /** A field that programs of an earlier version leave out; 0 then. */
 function integerOrZero(value: unknown): number {
   return value === undefined ? 0 : integer(value);
@@ -344,6 +364,7 @@
 
 const searchId = field('searchId', 'i', integer);
 const payload = field('payload', 'p', binary);
+const evacuations = field('evacuations', 'e', unpackEvacuations, packEvacuations);
 
 /** Fields of every message type that travels as a bson document. */
 export const PACKET_MESSAGE_FIELDS: MessageSchema = new Map<number, readonly FieldCodec[]>([
@@ -360,6 +381,7 @@
       field('zone', 'z', text),
       field('interval', 'i', positive),
       field('listing', 'l', unpackListing),
+      evacuations,
     ],
   ],
   [
@@ -395,6 +417,7 @@
       field('registryRevision', 'g', integerOrZero),
       field('readers', 'd', unpackReaders, packReaders),
       field('delta', 'x', unpackDelta, packDelta),
+      evacuations,
     ],
   ],
 ]);
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -39,6 +39,11 @@
   readonly stopTime: number;
   /** Milliseconds in which a change of the routing table must be in force. */
   readonly applyTime: number;
+  /**
+   * Milliseconds in which a zone must be out of service once an operator has said so; undefined in
+   * a deployment that evacuates no zones, whose balancers then make no calls for it.
+   */
+  readonly evacuateTime: number | undefined;
   /** Processors that this process may use; may be a part of one. */
   readonly capacity: number;
   /** Port and path of the metrics page; undefined for none. */
@@ -86,10 +91,17 @@
   }
 
   positive(key: string, fallback: number): number {
-    const value = this.given(key) ?? fallback;
+    return this.optionalPositive(key) ?? fallback;
+  }
+
+  optionalPositive(key: string): number | undefined {
+    const value = this.given(key);
+    if (value === undefined) {
+      return undefined;
+    }
     if (typeof value !== 'number' || !(value > 0)) {
       this.problems.push(`${key}: must be a number above 0`);
-      return fallback;
+      return undefined;
     }
     return value;
   }
@@ -165,6 +177,7 @@
     flowLifetime: reader.positive('flowLifetime', DEFAULT_FLOW_LIFETIME),
     stopTime: reader.positive('stopTime', DEFAULT_STOP_TIME),
     applyTime: reader.positive('applyTime', DEFAULT_APPLY_TIME),
+    evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     metrics: reader.optionalText('metrics'),
   };
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -4,6 +4,7 @@
  * A routing table reaches a balancer this way also while the store refuses it, and a
  * starting balancer takes over the view of a running one.
  */
+import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint, Environment, TimerHandle } from '../environment';
 import type { AgentDirectory } from './agent-directory';
 import type { Answer } from './collection-port';
@@ -17,6 +18,7 @@
 import type { PeerSnapshot } from './peer-snapshot';
 import type { StoreReader } from './store-readers';
 import type { BalancerStatus, TrafficRelay } from './traffic-relay';
+import type { ZoneEvacuationView } from './zone-evacuations';
 
 const STATUS_INTERVAL = 500;
 /** Milliseconds between statuses that are asked of the balancers that packets are relayed to. */
@@ -43,6 +45,7 @@
   readonly link: PacketLink;
   readonly snapshots: SnapshotPort;
   readonly relay: TrafficRelay;
+  readonly evacuations: ZoneEvacuationView;
   routingVersion(): number;
   /** What this balancer tells of itself. */
   ownStatus(): BalancerStatus;
@@ -102,6 +105,7 @@
     const { agentsReceived, deltaReceived, readersReceived } = this.dependencies;
     agentsReceived(status.unregistered);
     readersReceived(status.readers);
+    this.dependencies.evacuations.take(status.evacuations, formatEndpoint(peer));
     if (status.delta) {
       deltaReceived(status.delta);
     }
@@ -204,6 +208,7 @@
       registryRevision: registryRevision(),
       readers: readers(),
       delta,
+      evacuations: this.dependencies.evacuations.current,
     };
   }
 }
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -5,6 +5,7 @@
 import type { AgentRegistryPort, Changes, CollectionPort, Listing } from './collection-port';
 import type { AgentRecord } from './packet-messages';
 import type { RoutingTable } from './routing-table';
+import type { EvacuatedZone, ZoneEvacuationView } from './zone-evacuations';
 import {
   StoreReaders,
   type ReadingCircumstances,
@@ -22,6 +23,9 @@
 /** Milliseconds that a call at the registry waits: calls at the routing table prove the way. */
 const REGISTRY_WAIT = 10_000;
 
+/** Milliseconds that a call at the evacuated zones waits: they change a few times a day. */
+const EVACUATIONS_WAIT = 10_000;
+
 /** What the reading works with. */
 export interface StoreReadingDependencies {
   readonly environment: Environment;
@@ -32,6 +36,9 @@
   readonly applyTime: number;
   readonly routingTables: CollectionPort<RoutingTable>;
   readonly registry: AgentRegistryPort;
+  /** Zones out of service; undefined in a deployment that evacuates none. */
+  readonly evacuatedZones: CollectionPort<EvacuatedZone> | undefined;
+  readonly evacuations: ZoneEvacuationView;
   /** Balancers known, this one included. */
   clusterSize(): number;
   /** Whether this balancer has a routing table and knows all agents. */
@@ -49,6 +56,8 @@
   readonly routingWatches: number;
   readonly registryListings: number;
   readonly registryWatches: number;
+  readonly evacuationListings: number;
+  readonly evacuationWatches: number;
 }
 
 /** The reading of one balancer. */
@@ -56,6 +65,7 @@
   private readonly readers: StoreReaders;
   private readonly routing: CollectionFollower<RoutingTable>;
   private readonly registry: CollectionFollower<AgentRecord>;
+  private readonly evacuations: CollectionFollower<EvacuatedZone> | undefined;
   private stopped = false;
   private timer: TimerHandle | undefined;
 
@@ -65,6 +75,7 @@
     this.readers = new StoreReaders(self, applyTime, isFirst, environment.now(), random);
     this.routing = this.createRoutingFollower();
     this.registry = this.createRegistryFollower();
+    this.evacuations = this.createEvacuationFollower();
   }
 
   /** Whether this balancer reads the store itself. */
@@ -78,6 +89,8 @@
       routingWatches: this.routing.calls.watches,
       registryListings: this.registry.calls.listings,
       registryWatches: this.registry.calls.watches,
+      evacuationListings: this.evacuations?.calls.listings ?? 0,
+      evacuationWatches: this.evacuations?.calls.watches ?? 0,
     };
   }
 
@@ -153,6 +166,7 @@
   private rest(): void {
     this.routing.stop();
     this.registry.stop();
+    this.evacuations?.stop();
   }
 
   private createRoutingFollower(): CollectionFollower<RoutingTable> {
@@ -167,6 +181,7 @@
           this.answered();
           if (this.isReading) {
             this.registry.start();
+            this.evacuations?.start();
           }
         },
         changed: ({ changes }) => {
@@ -198,6 +213,25 @@
     });
   }
 
+  private createEvacuationFollower(): CollectionFollower<EvacuatedZone> | undefined {
+    const { environment, evacuatedZones, evacuations } = this.dependencies;
+    if (!evacuatedZones) {
+      return undefined;
+    }
+    const observer = {
+      listed: (listing: Listing<EvacuatedZone>): void => {
+        evacuations.takeListing(listing);
+        this.run();
+      },
+      changed: (changes: Changes<EvacuatedZone>): void => evacuations.takeChanges(changes),
+    };
+    return new CollectionFollower('evacuations', evacuatedZones, environment, observer, () => ({
+      waitTime: EVACUATIONS_WAIT,
+      pause: 0,
+      firstPause: LISTING_TIME,
+    }));
+  }
+
   private get routingPace(): FollowerPace {
     const isForAll = this.readers.readForAll(this.circumstances);
     return { waitTime: this.readers.waitTime(isForAll), pause: 0, firstPause: LISTING_TIME };
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -7,6 +7,7 @@
 import { PacketFrameCodec } from '../packets/packet-frames';
 import type { PacketSettings } from '../packets/packet-settings';
 import type { RoutingTable } from '../packets/routing-table';
+import type { EvacuatedZone } from '../packets/zone-evacuations';
 import type { ClusterKey } from '../wire/frame-codec';
 import { HallholdError, messageOf } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
@@ -28,6 +29,7 @@
   readonly format: PacketFormat;
   readonly registry: AgentRegistryPort;
   readonly routingTables: CollectionPort<RoutingTable>;
+  readonly evacuatedZones: CollectionPort<EvacuatedZone>;
   /** Where a client receives datagrams. */
   clientSocket(client: Endpoint, port: number): Endpoint;
 }
@@ -98,6 +100,7 @@
         format: ports.format,
         routingTables: ports.routingTables,
         registry: ports.registry,
+        evacuatedZones: settings.evacuateTime === undefined ? undefined : ports.evacuatedZones,
         snapshots: new HttpSnapshots(),
         sendToClient: (client, packet) =>
           clients.send(ports.clientSocket(client, settings.clientPort), packet),
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -12,6 +12,7 @@
 } from '../../packets/collection-port';
 import type { AgentRecord } from '../../packets/packet-messages';
 import type { RoutingTable } from '../../packets/routing-table';
+import type { EvacuatedZone } from '../../packets/zone-evacuations';
 import type { SimulatedProcess } from '../simulated-process';
 import type { VirtualClock } from '../virtual-clock';
 
@@ -35,6 +36,7 @@
 export class ModelStore {
   readonly routing = new ModelCollection<RoutingTable>();
   readonly agents = new ModelCollection<AgentRecord>();
+  readonly evacuations = new ModelCollection<EvacuatedZone>();
   /** The store answers nobody. */
   down = false;
   /** Milliseconds from a call to its answer. */
@@ -52,6 +54,16 @@
     this.change(this.routing, 'main', table, false);
   }
 
+  /** The operator takes a zone out of service. */
+  evacuate(zone: string): void {
+    this.change(this.evacuations, zone, { zone }, false);
+  }
+
+  /** The operator puts a zone back into service. */
+  restore(zone: string): void {
+    this.change(this.evacuations, zone, { zone }, true);
+  }
+
   /** An agent's entry is lost, though its owner lives. */
   lapse(name: string): void {
     const known = this.agents.items.get(name);
@@ -62,7 +74,7 @@
 
   /** Forgets all history. */
   compact(): void {
-    for (const collection of [this.routing, this.agents]) {
+    for (const collection of [this.routing, this.agents, this.evacuations]) {
       collection.history = [];
       collection.oldest = this.revision;
     }
@@ -73,6 +85,11 @@
     return this.port(this.routing, process);
   }
 
+  /** The evacuated zones as one process reaches them. */
+  evacuationsPort(process: SimulatedProcess): CollectionPort<EvacuatedZone> {
+    return this.port(this.evacuations, process);
+  }
+
   /** The registry as one process reaches it. */
   registryPort(process: SimulatedProcess): AgentRegistryPort {
     return {
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -60,6 +60,8 @@
   process: SimulatedProcess;
   target: ModelTarget;
   heartbeats: boolean;
+  /** Opening packets that have reached its targets. */
+  openings: number;
 }
 
 /** One deployment in virtual time. */
@@ -121,7 +123,7 @@
   addAgent(service: string, zone: string): WorldAgent {
     const address = this.createAddress(FRAME_PORT);
     const name = `agent-${this.agents.length}`;
-    const agent = { name, zone, address, service, heartbeats: true } as WorldAgent;
+    const agent = { name, zone, address, service, heartbeats: true, openings: 0 } as WorldAgent;
     this.agents.push(agent);
     this.startAgent(agent);
     this.startTarget(agent);
@@ -150,6 +152,7 @@
         format: modelPacketFormat,
         routingTables: this.store.routingPort(process),
         registry: this.store.registryPort(process),
+        evacuatedZones: this.store.evacuationsPort(process),
         snapshots: { fetch: (peer, answer) => this.fetchSnapshot(process, peer, answer) },
         sendToClient: (client, packet) => this.network.send(process, address, client, packet),
         relay: (to, packet) => this.network.send(process, address, to, packet),
@@ -306,6 +309,7 @@
   private deliverToTarget(agent: WorldAgent, bytes: Buffer): void {
     const packet = modelPacketFormat.decodeFromClient(bytes);
     if (packet?.opens && agent.target) {
+      agent.openings++;
       this.judge.openingReached(agent.target, agent.name);
     } else if (packet && agent.target) {
       this.judge.packetReached(agent.target, packet.flow, this.flowHolder(packet.flow));
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -19,6 +19,7 @@
   state: TargetState.ready,
   isDown: false,
   isProbeDue: false,
+  isEvacuated: false,
 };
 const ROUTE = { name: 'r', destination: 1, services: [{ service: 'map', weight: 1 }] };
 
@@ -35,6 +36,9 @@
   const gone = { ...READY, state: TargetState.gone };
   t.is(refusalOf(true, ['map'], gone), RefusalReason.noTarget);
   t.is(refusalOf(false, ['map'], gone), undefined);
+  const evacuated = { ...READY, isEvacuated: true };
+  t.is(refusalOf(true, ['map'], evacuated), RefusalReason.zoneEvacuated);
+  t.is(refusalOf(false, ['map'], evacuated), undefined);
 });
 
 test('a target that is down gets one opening packet now and then, and nothing else', (t) => {
@@ -98,7 +102,13 @@
     { type: PacketMessageType.notHeld, searchId: 7, reason: 5, payload: flow },
     { type: PacketMessageType.held, flow },
     { type: PacketMessageType.locate, flow },
-    { type: PacketMessageType.subscribe, zone: 'north', interval: 500, listing: 1 },
+    {
+      type: PacketMessageType.subscribe,
+      zone: 'north',
+      interval: 500,
+      listing: 1,
+      evacuations: { revision: 14, zones: ['south'] },
+    },
     createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
     {
       type: PacketMessageType.peerStatus,
@@ -123,6 +133,7 @@
           },
         ],
       },
+      evacuations: { revision: 14, zones: ['south'] },
     },
   ];
   t.is(messages.length, PACKET_MESSAGE_FIELDS.size);
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -7,6 +7,7 @@
 import test from 'ava';
 import type { Result } from 'ts-results';
 import { AgentObjects } from '../platform/agent-objects';
+import { evacuatedZones } from '../platform/evacuated-zones';
 import { readLocalSettings } from '../platform/local-settings';
 import { ObjectApi } from '../platform/object-api';
 import { packetFormat } from '../platform/packet-head';
@@ -14,7 +15,8 @@
 import { readHeartbeat, serveHeartbeats, serveReadiness } from '../platform/target-calls';
 import { formatEndpoint, packEndpoint, parseEndpoint } from '../src/core/endpoint';
 import type { HallholdError } from '../src/errors/hallhold-error';
-import type { Answer } from '../src/packets/collection-port';
+import type { Answer, Changes, Listing } from '../src/packets/collection-port';
+import type { EvacuatedZone } from '../src/packets/zone-evacuations';
 import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { callStatus } from './support/call-status';
 import { ObjectApiStandin, type Spoiler } from './support/object-api-standin';
@@ -122,6 +124,29 @@
   t.is(readRoutingTable({ name: 'main', revision: 1, spec: null }), undefined);
 });
 
+test('the zones out of service are the names of their objects, from listing to removal', async (t) => {
+  const standin = new ObjectApiStandin();
+  const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+  t.teardown(() => (api.close(), standin.stop()));
+  const collection = evacuatedZones(api);
+  standin.put('evacuations', 'hall-1', {});
+  standin.put('other', 'hall-2', {});
+  const listing = await answerOf<Listing<EvacuatedZone>>((answer) => collection.list(answer));
+  const { items, revision } = listing.unwrap();
+  t.deepEqual(
+    items.map(({ item }) => item.zone),
+    ['hall-1'],
+  );
+  standin.remove('evacuations', 'hall-1');
+  const changes = await answerOf<Changes<EvacuatedZone>>((answer) =>
+    collection.awaitChanges(revision, 1_000, answer),
+  );
+  t.deepEqual(
+    changes.unwrap().changes.map(({ item, removed }) => [item.zone, removed]),
+    [['hall-1', true]],
+  );
+});
+
 const AGENT = { address: packEndpoint('10.0.0.1', 7_720), service: 'map', zone: 'north' };
 
 test('an agent registers once, is replaced when it differs, and is removed', async (t) => {
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -10,6 +10,7 @@
   type SubscribeMessage,
 } from '../src/packets/packet-messages';
 import { decodeSnapshot, encodeSnapshot } from '../src/packets/peer-snapshot';
+import { UNKNOWN_EVACUATIONS } from '../src/packets/zone-evacuations';
 import { BODY_OFFSET } from '../src/wire/frame-codec';
 
 const KEY = { id: 1, secret: Buffer.from('a-test-key-of-the-cluster') };
@@ -29,12 +30,14 @@
   registryRevision: 12,
   readers: [{ reader: 0x0a00_0002_0000, age: 40 }],
   delta: { from: 9, to: 12, changes: [{ agent: { ...AGENT, revision: 12 }, removed: false }] },
+  evacuations: { revision: 12, zones: ['south'] },
 };
 const SUBSCRIPTION: SubscribeMessage = {
   type: PacketMessageType.subscribe,
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
+  evacuations: { revision: 12, zones: ['south'] },
 };
 
 /** Sends a message with some fields of its document replaced; a field set to undefined is left out. */
@@ -50,14 +53,17 @@
 
 test('a status or subscription of an earlier version tells nothing of readers and listings', (t) => {
   const codec = new FieldSpoiler([KEY]);
-  const left = { g: undefined, d: undefined, x: undefined };
+  const left = { g: undefined, d: undefined, x: undefined, e: undefined };
   const status = codec.decode(codec.spoil(STATUS, left)).unwrap() as PeerStatusMessage;
   t.deepEqual(
     [status.registryRevision, status.readers, status.delta, status.routingVersion],
     [0, [], undefined, 3],
   );
-  const subscription = codec.decode(codec.spoil(SUBSCRIPTION, { l: undefined })).unwrap();
-  t.is((subscription as SubscribeMessage).listing, ListingState.unknown);
+  t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
+  const spoilt = codec.spoil(SUBSCRIPTION, { l: undefined, e: undefined });
+  const subscription = codec.decode(spoilt).unwrap() as SubscribeMessage;
+  t.is(subscription.listing, ListingState.unknown);
+  t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
 });
 
 test('readers, deltas and listings of any other form are malformed', (t) => {
@@ -81,6 +87,10 @@
   }
   const listing = codec.decode(codec.spoil(SUBSCRIPTION, { l: 3 }));
   t.is(listing.err && listing.val.resultCode, ResultCodes.frameMalformed);
+  for (const evacuations of [7, [7], [-1, []], [1, 'south'], [1, [2]]]) {
+    const decoded = codec.decode(codec.spoil(SUBSCRIPTION, { e: evacuations }));
+    t.is(decoded.err && decoded.val.resultCode, ResultCodes.frameMalformed);
+  }
 });
 
 test('a snapshot of an earlier version lists agents without revisions', (t) => {
--- a/test/support/object-api-standin.ts
+++ b/test/support/object-api-standin.ts
@@ -49,6 +49,13 @@
     this.publish({ kind, rev: this.revision, object, gone: false });
   }
 
+  /** Removes an object that is there. */
+  remove(kind: string, name: string): void {
+    const object = this.kind(kind).get(name)!;
+    this.kind(kind).delete(name);
+    this.publish({ kind, rev: ++this.revision, object, gone: true });
+  }
+
   get(kind: string, name: string): unknown {
     return this.kind(kind).get(name)?.spec;
   }
@@ -128,8 +135,7 @@
       this.put(kind, target, body.spec);
       send(200, this.kind(kind).get(target));
     } else if (method === 'DELETE' && known) {
-      this.kind(kind).delete(target);
-      this.publish({ kind, rev: ++this.revision, object: known, gone: true });
+      this.remove(kind, target);
       send(200, {});
     } else {
       send(404, {});
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -39,6 +39,8 @@
   readonly environment = this.createEnvironment();
   readonly router: FlowRouter;
   now = 1_000;
+  /** Zones out of service. */
+  evacuatedZones: readonly string[] = [];
   private readonly timers: { readonly at: number; readonly action: () => void }[] = [];
 
   /** @param frameVersions latest version of frames that each agent understands */
@@ -68,6 +70,7 @@
       cache: new FlowCache(1_000, 60_000),
       link,
       sendToClient: (client) => this.resets.push(client),
+      isEvacuated: (zone) => this.evacuatedZones.includes(zone),
     });
     this.router.apply({
       version: 1,
--- /dev/null
+++ b/test/zone-evacuation.test.ts
@@ -0,0 +1,234 @@
+/** Zones that operators take out of service: who knows it when, and what they do then. */
+import test from 'ava';
+import { ZoneEvacuationView } from '../src/packets/zone-evacuations';
+import {
+  encodeModelPacket,
+  ModelFlag,
+  modelPacketFormat,
+} from '../src/simulation/packets/model-packet-format';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import {
+  MAP_DESTINATION,
+  openModelFlows,
+  startModelDeployment,
+} from '../src/simulation/packets/random-faults';
+import { RouterHarness } from './support/router-harness';
+
+/** Milliseconds in which the deployments ask for it. */
+const EVACUATE_TIME = 5_000;
+
+function createView(): { view: ZoneEvacuationView; changed: string[][] } {
+  const changed: string[][] = [];
+  const view = new ZoneEvacuationView(new RouterHarness([]).environment, (zones) =>
+    changed.push([...zones]),
+  );
+  return { view, changed };
+}
+
+test('a later revision replaces what is known, an earlier one changes nothing', (t) => {
+  const { view, changed } = createView();
+  t.false(view.isKnown);
+  view.take({ revision: 20, zones: ['south'] }, 'peer');
+  view.take({ revision: 15, zones: ['north', 'south'] }, 'peer');
+  t.deepEqual(view.current, { revision: 20, zones: ['south'] });
+  view.take({ revision: 25, zones: ['north'] }, 'peer');
+  t.false(view.isEvacuated('south'));
+  t.true(view.isEvacuated('north'));
+  view.take({ revision: 30, zones: ['north'] }, 'peer');
+  view.take({ revision: 28, zones: [] }, 'peer');
+  t.true(view.isEvacuated('north'));
+  t.deepEqual(changed, [['south'], ['north', 'south']]);
+});
+
+test('the first state known is told even if no zone is out of service', (t) => {
+  const { view, changed } = createView();
+  view.takeListing({ items: [], revision: 4 });
+  t.true(view.isKnown);
+  t.deepEqual(changed, [[]]);
+});
+
+test('changes of the store apply in order, those already known from others are left out', (t) => {
+  const { view } = createView();
+  const item = { zone: 'south' };
+  const change = (revision: number, removed: boolean) =>
+    ({ name: 'south', item, revision, removed }) as const;
+  view.takeListing({ items: [], revision: 4 });
+  view.takeChanges({ changes: [change(6, false)], revision: 6 });
+  t.true(view.isEvacuated('south'));
+  // A peer tells that the zone is back; the own call, begun earlier, still tells all of it.
+  view.take({ revision: 9, zones: [] }, 'peer');
+  view.takeChanges({ changes: [change(6, false), change(9, true)], revision: 9 });
+  t.false(view.isEvacuated('south'));
+  view.takeChanges({ changes: [change(11, false), change(12, true)], revision: 12 });
+  t.deepEqual(view.current, { revision: 12, zones: [] });
+});
+
+test('a new flow goes to no target of a zone out of service, an open one goes on there', (t) => {
+  const harness = new RouterHarness([2, 2]);
+  const [first] = harness.agents;
+  harness.directory.hear(
+    first!,
+    { ...harness.directory.find(first!)!.report!, zone: 'south', sequence: 9 },
+    harness.now,
+  );
+  harness.evacuatedZones = ['south'];
+  for (let client = 1; client <= 20; client++) {
+    harness.router.route(harness.createOpening(client));
+  }
+  t.true(harness.sent.every(({ to }) => to !== first));
+  const data = harness.createData(99);
+  harness.router.confirmed(modelPacketFormat.decodeFromClient(data)!.flow, first!);
+  harness.router.route(data);
+  t.is(harness.sent.at(-1)!.to, first);
+});
+
+test('a client is told at once when all targets of its service are out of service', (t) => {
+  const harness = new RouterHarness([2, 2]);
+  harness.evacuatedZones = ['north'];
+  harness.router.route(harness.createOpening(7));
+  t.deepEqual(harness.resets, [7]);
+  t.deepEqual(harness.sent, []);
+});
+
+function startWorld(seed: number, balancers = 3): PacketWorld {
+  const world = new PacketWorld(seed);
+  startModelDeployment(world, balancers);
+  return world;
+}
+
+/** Opening packets that the targets of a zone have got by now. */
+function countOpened(world: PacketWorld, zone: string): number {
+  const agents = world.agents.filter((agent) => agent.zone === zone);
+  return agents.reduce((sum, { openings }) => sum + openings, 0);
+}
+
+/** Opens flows for a while, and tells how many went to a zone. */
+function countNewFlows(world: PacketWorld, zone: string): number {
+  const before = countOpened(world, zone);
+  openModelFlows(world, 60, 2, 100);
+  world.runFor(1_500);
+  return countOpened(world, zone) - before;
+}
+
+test('open flows of an evacuated zone go on, new ones go elsewhere, and come back after it', (t) => {
+  const world = startWorld(11);
+  openModelFlows(world, 40, 30, 200);
+  world.runFor(1_000);
+  t.true(countOpened(world, 'north') > 0);
+  world.store.evacuate('north');
+  world.runFor(300);
+  t.is(countNewFlows(world, 'north'), 0);
+  world.store.restore('north');
+  world.runFor(300);
+  t.true(countNewFlows(world, 'north') > 0);
+  world.runFor(15_000);
+  t.deepEqual(world.violations.flowsReset, []);
+  t.true(world.clients.every(({ state }) => state === 'done'));
+});
+
+test('a zone that goes and comes back within a second is in service everywhere', (t) => {
+  const world = startWorld(12);
+  world.store.evacuate('north');
+  world.runFor(2);
+  world.store.restore('north');
+  world.runFor(400);
+  world.store.evacuate('south');
+  world.runFor(3);
+  world.store.restore('south');
+  world.store.evacuate('south');
+  world.runFor(600);
+  t.true(countNewFlows(world, 'north') > 0);
+  t.is(countNewFlows(world, 'south'), 0);
+  t.deepEqual(
+    world.balancers.map(({ node }) => node.figures.zonesEvacuated),
+    [1, 1, 1],
+  );
+});
+
+test('two zones may be out of service at a time', (t) => {
+  const world = startWorld(13);
+  world.store.evacuate('north');
+  world.store.evacuate('east');
+  world.runFor(400);
+  t.is(countNewFlows(world, 'north'), 0);
+  t.is(countNewFlows(world, 'east'), 0);
+  t.true(countNewFlows(world, 'south') > 0);
+});
+
+test('balancers that the store refuses hear of it from others, in time', (t) => {
+  const world = startWorld(14, 14);
+  world.balancers.slice(0, 5).forEach(({ name }) => world.store.refused.add(name));
+  world.runFor(4_000);
+  world.store.evacuate('north');
+  world.runFor(EVACUATE_TIME - 500);
+  t.is(countNewFlows(world, 'north'), 0);
+  t.true(world.balancers.every(({ node }) => node.figures.zonesEvacuated === 1));
+});
+
+test('both readers die as a zone goes out of service: others read in time', (t) => {
+  const world = startWorld(15, 14);
+  world.runFor(4_000);
+  world.balancers
+    .filter(({ node }) => node.figures.readsStore)
+    .forEach(({ process }) => process.kill());
+  world.store.evacuate('north');
+  world.runFor(EVACUATE_TIME - 500);
+  t.is(countNewFlows(world, 'north'), 0);
+});
+
+test('a balancer and an agent that start meanwhile know it before they place or take a flow', (t) => {
+  const world = startWorld(16);
+  world.store.evacuate('north');
+  world.runFor(500);
+  const before = countOpened(world, 'north');
+  world.startBalancer(world.balancers[0]!);
+  world.agents.filter(({ zone }) => zone === 'north').forEach((agent) => world.startAgent(agent));
+  for (let round = 0; round < 20; round++) {
+    openModelFlows(world, 4, 1, 50);
+    world.runFor(100);
+  }
+  t.is(countOpened(world, 'north'), before);
+});
+
+test('after a loss of all power no flow opens in a zone that is out of service', (t) => {
+  const world = startWorld(17);
+  world.store.evacuate('north');
+  world.runFor(500);
+  world.losePower(800);
+  const before = countOpened(world, 'north');
+  for (let round = 0; round < 30; round++) {
+    openModelFlows(world, 4, 1, 50);
+    world.runFor(100);
+  }
+  t.is(countOpened(world, 'north'), before);
+  t.true(countOpened(world, 'south') > 0);
+});
+
+test('the agent has the last word where a balancer knows nothing of it', (t) => {
+  const world = startWorld(18);
+  const [stale, ...others] = world.balancers;
+  world.store.refused.add(stale!.name);
+  for (const { name } of others) {
+    world.network.cut({ from: name, to: stale!.name });
+  }
+  world.runFor(1_000);
+  world.store.evacuate('north');
+  world.runFor(2_500);
+  t.is(stale!.node.figures.zonesEvacuated, 0);
+  const before = countOpened(world, 'north');
+  const { node } = stale!;
+  for (let flow = 0; flow < 40; flow++) {
+    const client = 0x0ac8_0001_0000 + flow;
+    node.clientDatagram(
+      encodeModelPacket({
+        client,
+        destination: MAP_DESTINATION,
+        flags: ModelFlag.opens,
+        sequence: 0,
+        acknowledgement: 0,
+      }),
+    );
+  }
+  world.runFor(500);
+  t.is(countOpened(world, 'north'), before);
+});
