--- a/src/packets/delivery-rules.ts
+++ b/src/packets/delivery-rules.ts
@@ -14,6 +14,8 @@
   readonly isDown: boolean;
   /** It is down, and may be tried with an opening packet now. */
   readonly isProbeDue: boolean;
+  /** Another incarnation, of another service, may have taken its place. */
+  readonly isServiceDisputed: boolean;
   /** Its zone is out of service. */
   readonly isEvacuated: boolean;
 }
@@ -37,6 +39,9 @@
   if (!opens) {
     return undefined;
   }
+  if (target.isServiceDisputed) {
+    return RefusalReason.otherService;
+  }
   if (target.isEvacuated) {
     return RefusalReason.zoneEvacuated;
   }
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   /** Balancers that may be running; may be out of date. */
   readonly seeds: readonly Endpoint[];
+  /** Milliseconds between two heartbeats of the target. */
+  readonly heartbeatInterval: number;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -83,7 +83,7 @@
     );
     this.link = new PacketLink(codec, transport, environment);
     this.evacuations = new ZoneEvacuationView(environment, () => undefined);
-    this.target = new TargetLifecycle(settings.service);
+    this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
     this.admission = new TargetAdmission({
       target: this.target,
       tracker: this.tracker,
@@ -389,6 +389,7 @@
       state: this.target.state,
       isDown: this.health.isDown(now),
       isProbeDue: this.health.isProbeDue(now),
+      isServiceDisputed: this.target.isServiceDisputed,
       isEvacuated: this.evacuations.isEvacuated(this.settings.zone),
     };
   }
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -7,6 +7,7 @@
 
 const DEFAULT_FLOW_LIFETIME = 60_000;
 const DEFAULT_STOP_TIME = 5_000;
+const DEFAULT_HEARTBEAT_INTERVAL = 1_000;
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_APPLY_TIME = 6_000;
 
@@ -33,6 +34,8 @@
   readonly controlAddress: Endpoint | undefined;
   readonly storeAddress: Endpoint;
   readonly seeds: readonly Endpoint[];
+  /** Milliseconds between two heartbeats of a target. */
+  readonly heartbeatInterval: number;
   /** Milliseconds for which a flow may rest before it is forgotten. */
   readonly flowLifetime: number;
   /** Milliseconds that a planned stop may take. */
@@ -174,6 +177,7 @@
     controlAddress: reader.optionalEndpoint('controlAddress'),
     storeAddress: reader.endpoint('storeAddress'),
     seeds: reader.endpoints('seeds'),
+    heartbeatInterval: reader.positive('heartbeatInterval', DEFAULT_HEARTBEAT_INTERVAL),
     flowLifetime: reader.positive('flowLifetime', DEFAULT_FLOW_LIFETIME),
     stopTime: reader.positive('stopTime', DEFAULT_STOP_TIME),
     applyTime: reader.positive('applyTime', DEFAULT_APPLY_TIME),
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -1,12 +1,20 @@
 /**
  * What an agent knows of its target from the target's own heartbeats.
  *
- * Heartbeats may come late and in another order: within one incarnation the sequence
- * number tells which is newer, and an incarnation that was replaced never comes back.
+ * Heartbeats may come late and in another order. Within one incarnation the sequence number
+ * tells which is newer. Between two incarnations nothing does, so the agent goes by time: an
+ * incarnation cannot have been sending heartbeats while the present one was heard. One that
+ * claims so is only a rival, until it is heard again while the present one keeps silent.
  */
 import { TargetState, type TargetStateValue } from './packet-messages';
 
-const SUPERSEDED_KEPT = 64;
+/** Incarnations noted that have said that they leave; they never come back. */
+const ENDED_KEPT = 64;
+/**
+ * Part of the time between two heartbeats that lies between two of a living rival at least:
+ * heartbeats that were held up together arrive together.
+ */
+const RIVAL_SPACING = 0.5;
 
 /** One heartbeat of a target. */
 export interface TargetHeartbeat {
@@ -17,22 +25,40 @@
   readonly draining: boolean;
   /** Milliseconds for which the target is still slow after its start. */
   readonly coldLeft: number;
-  /** Rises with each heartbeat of an incarnation. */
+  /** Rises with each heartbeat of an incarnation, from 1. */
   readonly sequence: number;
 }
 
 /** What a heartbeat changed. */
 export type LifecycleChange = 'none' | 'state' | 'incarnation';
 
+/** Another incarnation that may have taken over, or may be one whose heartbeats come late. */
+interface Rival {
+  readonly incarnation: string;
+  readonly service: string;
+  readonly sequence: number;
+  readonly firstHeardAt: number;
+}
+
 /** The target beside one agent. */
 export class TargetLifecycle {
   private current: TargetHeartbeat | undefined;
+  private heardAt = -Infinity;
+  private rival: Rival | undefined;
   private left = false;
   private coldUntil = 0;
-  private readonly superseded = new Set<string>();
+  /** Incarnations that this agent has taken for its target before the present one. */
+  private readonly replaced = new Set<string>();
+  private readonly ended = new Set<string>();
 
-  /** @param service the service that the agent's settings name */
-  constructor(private readonly configuredService: string) {}
+  /**
+   * @param configuredService the service that the agent's settings name
+   * @param heartbeatInterval milliseconds between two heartbeats of a target
+   */
+  constructor(
+    private readonly configuredService: string,
+    private readonly heartbeatInterval: number,
+  ) {}
 
   get service(): string {
     return this.current?.service ?? this.configuredService;
@@ -56,6 +82,14 @@
     return this.current.draining ? TargetState.draining : TargetState.ready;
   }
 
+  /**
+   * Whether an incarnation of another service has been heard since the present one: until either
+   * is heard again, nobody knows which service the target belongs to.
+   */
+  get isServiceDisputed(): boolean {
+    return this.rival !== undefined && this.rival.service !== this.service;
+  }
+
   /** Milliseconds for which the target is still slow. */
   coldLeft(now: number): number {
     return Math.max(0, Math.round(this.coldUntil - now));
@@ -63,48 +97,99 @@
 
   /** Takes a heartbeat; one that is late changes nothing. */
   heartbeat(heartbeat: TargetHeartbeat, now: number): LifecycleChange {
-    const { current } = this;
-    if (this.superseded.has(heartbeat.incarnation)) {
+    if (this.ended.has(heartbeat.incarnation)) {
       return 'none';
     }
-    const replaced = current?.incarnation !== heartbeat.incarnation;
-    if (!replaced && heartbeat.sequence <= current!.sequence) {
-      return 'none';
-    }
-    const before = this.state;
-    if (replaced) {
-      this.supersede(current?.incarnation);
-      this.left = false;
+    if (this.current?.incarnation === heartbeat.incarnation) {
+      return this.goOn(this.current, heartbeat, now);
     }
-    const draining = heartbeat.draining || (!replaced && current!.draining);
-    this.current = { ...heartbeat, draining };
-    this.coldUntil = now + heartbeat.coldLeft;
-    if (replaced && current !== undefined) {
-      return 'incarnation';
+    if (this.isSuccessor(heartbeat, now) || this.isLivingRival(heartbeat, now)) {
+      return this.replace(heartbeat, now);
     }
-    return this.state === before ? 'none' : 'state';
+    this.noteRival(heartbeat, now);
+    return 'none';
   }
 
   /** An incarnation has said that it leaves for good. */
   leave(incarnation: string): LifecycleChange {
+    addBounded(this.ended, incarnation);
+    if (this.rival?.incarnation === incarnation) {
+      this.rival = undefined;
+    }
     if (this.current !== undefined && this.current.incarnation !== incarnation) {
-      this.supersede(incarnation);
       return 'none';
     }
     const before = this.state;
-    this.supersede(incarnation);
     this.left = true;
     return before === TargetState.gone ? 'none' : 'state';
   }
 
-  private supersede(incarnation: string | undefined): void {
-    if (incarnation === undefined) {
-      return;
+  private goOn(current: TargetHeartbeat, heartbeat: TargetHeartbeat, now: number): LifecycleChange {
+    if (heartbeat.sequence <= current.sequence) {
+      return 'none';
+    }
+    const before = this.state;
+    this.take({ ...heartbeat, draining: heartbeat.draining || current.draining }, now);
+    return this.state === before ? 'none' : 'state';
+  }
+
+  private replace(heartbeat: TargetHeartbeat, now: number): LifecycleChange {
+    const before = this.current;
+    if (before) {
+      addBounded(this.replaced, before.incarnation);
     }
-    this.superseded.add(incarnation);
-    if (this.superseded.size > SUPERSEDED_KEPT) {
-      const [oldest] = this.superseded;
-      this.superseded.delete(oldest!);
+    this.replaced.delete(heartbeat.incarnation);
+    this.left = false;
+    this.take(heartbeat, now);
+    return before ? 'incarnation' : 'state';
+  }
+
+  private take(heartbeat: TargetHeartbeat, now: number): void {
+    this.current = heartbeat;
+    this.heardAt = now;
+    this.rival = undefined;
+    this.coldUntil = now + heartbeat.coldLeft;
+  }
+
+  /**
+   * Whether an incarnation can have started after the present one was heard last, so that the
+   * target has been replaced. Its sequence number tells how long it has been running. With no
+   * present one, the service in the settings, which are written at each start, must be its own.
+   */
+  private isSuccessor(heartbeat: TargetHeartbeat, now: number): boolean {
+    if (this.current === undefined) {
+      return heartbeat.service === this.configuredService || this.left;
     }
+    if (this.replaced.has(heartbeat.incarnation)) {
+      return false;
+    }
+    const runningFor = (heartbeat.sequence - 1) * this.heartbeatInterval;
+    return runningFor <= now - this.heardAt;
+  }
+
+  /** Whether a rival has been heard long enough while the present incarnation was silent. */
+  private isLivingRival(heartbeat: TargetHeartbeat, now: number): boolean {
+    const { rival } = this;
+    return (
+      rival?.incarnation === heartbeat.incarnation &&
+      heartbeat.sequence > rival.sequence &&
+      now - rival.firstHeardAt >= this.heartbeatInterval * RIVAL_SPACING
+    );
+  }
+
+  private noteRival({ incarnation, service, sequence }: TargetHeartbeat, now: number): void {
+    const isKnown = this.rival?.incarnation === incarnation;
+    const firstHeardAt = isKnown ? this.rival!.firstHeardAt : now;
+    this.rival = { incarnation, service, sequence, firstHeardAt };
+  }
+}
+
+/** Adds a name; beyond a number the one added longest ago is dropped. */
+function addBounded(names: Set<string>, name: string): void {
+  names.delete(name);
+  names.add(name);
+  if (names.size > ENDED_KEPT) {
+    const [oldest] = names;
+    names.delete(oldest!);
   }
 }
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -174,7 +174,14 @@
     const process = this.createProcess(name, zone);
     const outbound = samePlace(address, OUTBOUND_PORT);
     const node = new PacketAgent(
-      { zone, address, service, seeds: this.currentSeeds(), flowLifetime: FLOW_LIFETIME },
+      {
+        zone,
+        address,
+        service,
+        seeds: this.currentSeeds(),
+        heartbeatInterval: HEARTBEAT_INTERVAL,
+        flowLifetime: FLOW_LIFETIME,
+      },
       {
         environment: process,
         codec: this.codec,
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -19,6 +19,7 @@
   state: TargetState.ready,
   isDown: false,
   isProbeDue: false,
+  isServiceDisputed: false,
   isEvacuated: false,
 };
 const ROUTE = { name: 'r', destination: 1, services: [{ service: 'map', weight: 1 }] };
@@ -36,6 +37,9 @@
   const gone = { ...READY, state: TargetState.gone };
   t.is(refusalOf(true, ['map'], gone), RefusalReason.noTarget);
   t.is(refusalOf(false, ['map'], gone), undefined);
+  const disputed = { ...READY, isServiceDisputed: true };
+  t.is(refusalOf(true, ['map'], disputed), RefusalReason.otherService);
+  t.is(refusalOf(false, ['map'], disputed), undefined);
   const evacuated = { ...READY, isEvacuated: true };
   t.is(refusalOf(true, ['map'], evacuated), RefusalReason.zoneEvacuated);
   t.is(refusalOf(false, ['map'], evacuated), undefined);
