--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -87,6 +87,16 @@
     return entry.knownSince > this.completeSince && now - entry.knownSince < SETTLING_TIME;
   }
 
+  /**
+   * Whether the target of an agent may hold flows, as far as is known here: the agent is registered,
+   * or has told of its target or of flows there. One that has come up and heard nothing of its
+   * target may be beside none; if a target is there, the agent registers once it hears it.
+   */
+  mayHoldFlows({ registryRevision, lastTargetState, report }: AgentEntry): boolean {
+    const hasFlows = report !== undefined && report.openFlows > 0;
+    return registryRevision !== undefined || lastTargetState !== undefined || hasFlows;
+  }
+
   /** Whether any agent has been heard lately. */
   hearsAny(now: number): boolean {
     for (const entry of this.entries.values()) {
--- a/src/packets/agent-registration.ts
+++ b/src/packets/agent-registration.ts
@@ -1,6 +1,10 @@
 /**
  * Keeps an agent in the registry: registers it unless a balancer says that it is listed, and
  * again whenever a balancer misses it there.
+ *
+ * An agent that has heard nothing of its target stays out of it. The machine of a target that has
+ * left for good may come back for a moment, with an agent and no target; an entry of such an agent
+ * keeps balancers for 12 s from telling clients that their flows are dead.
  */
 import type { Environment, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
@@ -23,6 +27,8 @@
 export class AgentRegistration {
   private waitTimer: TimerHandle | undefined;
   private isCalling = false;
+  /** A registration is due and waits for the target to be heard. */
+  private isDue = false;
   private registeredAt = -Infinity;
   private registrations = 0;
 
@@ -32,6 +38,8 @@
     private readonly timers: NodeTimers,
     /** What to register; read anew for each try. */
     private readonly record: () => AgentRecord,
+    /** Whether the target has said or sent anything in this run of the agent. */
+    private readonly isTargetHeard: () => boolean,
   ) {}
 
   /** Calls made to the registry. */
@@ -42,10 +50,17 @@
   /** @param isKnown whether balancers hear of this agent before it is registered */
   start(isKnown: boolean): void {
     if (!isKnown) {
-      this.register(FIRST_RETRY);
+      this.begin();
       return;
     }
-    this.waitTimer = this.environment.startTimer(LISTING_WAIT, () => this.register(FIRST_RETRY));
+    this.waitTimer = this.environment.startTimer(LISTING_WAIT, () => this.begin());
+  }
+
+  /** The target has been heard: a registration that waits for it is made now. */
+  targetHeard(): void {
+    if (this.isDue) {
+      this.begin();
+    }
   }
 
   /** Ends the timer. */
@@ -58,6 +73,7 @@
     switch (listing) {
       case ListingState.listed:
         this.waitTimer?.cancel();
+        this.isDue = false;
         return;
       case ListingState.missing:
         this.registerAnew();
@@ -69,6 +85,13 @@
   private registerAnew(): void {
     const age = this.environment.now() - this.registeredAt;
     if (!this.isCalling && age > SPREADING_TIME) {
+      this.begin();
+    }
+  }
+
+  private begin(): void {
+    this.isDue = !this.isTargetHeard();
+    if (!this.isDue) {
       this.register(FIRST_RETRY);
     }
   }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -68,6 +68,8 @@
   private readonly registration: AgentRegistration;
   private readonly evacuations: ZoneEvacuationView;
   private restarting = false;
+  /** The target has sent a packet of its own in this run. */
+  private hasTargetSent = false;
 
   constructor(
     private readonly settings: PacketAgentSettings,
@@ -80,6 +82,7 @@
       registry,
       this.timers,
       () => this.record,
+      () => this.isTargetHeard,
     );
     this.link = new PacketLink(codec, transport, environment);
     this.evacuations = new ZoneEvacuationView(environment, () => undefined);
@@ -168,9 +171,11 @@
       this.admission.releaseAll();
     }
     if (change !== 'none') {
+      this.health.stateTold();
       this.reportTarget();
       this.announce();
     }
+    this.registration.targetHeard();
   }
 
   /** The target says that it leaves. */
@@ -245,6 +250,7 @@
     }
     this.counters.packetsSent++;
     sendToClient(packet.client, bytes);
+    this.noteTargetSends();
     this.judgeAnswer(packet);
     const balancer = this.tracker.sent(packet, environment.now());
     if (balancer !== undefined) {
@@ -254,6 +260,18 @@
     this.admission.releaseWaiting(environment.now());
   }
 
+  private noteTargetSends(): void {
+    this.health.served();
+    if (!this.hasTargetSent) {
+      this.hasTargetSent = true;
+      this.registration.targetHeard();
+    }
+  }
+
+  private get isTargetHeard(): boolean {
+    return this.hasTargetSent || this.target.state !== TargetState.unknown;
+  }
+
   private get record(): AgentRecord {
     const { address, zone } = this.settings;
     return { address, zone, service: this.target.service };
@@ -399,6 +417,9 @@
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
     this.admission.returned(packet);
+    if (packet.opens) {
+      this.health.openingReturned(this.dependencies.environment.now());
+    }
     this.admission.releaseWaiting(this.dependencies.environment.now());
     const delivery = this.pending.take(format.readToken(packet.bytes));
     if (!delivery) {
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -188,12 +188,6 @@
   private status(isReplyWanted: boolean, delta?: RegistryDelta): PeerStatusMessage {
     const { directory, registryRevision, routingVersion, ownStatus, readers } = this.dependencies;
     const { zone, packetAddress, capacity, isReady } = ownStatus();
-    const unregistered: AgentRecord[] = [];
-    for (const { address, service, zone, registryRevision } of directory.all()) {
-      if (registryRevision === undefined && unregistered.length < MAXIMUM_UNREGISTERED) {
-        unregistered.push({ address, service, zone });
-      }
-    }
     return {
       type: PacketMessageType.peerStatus,
       routingVersion: routingVersion(),
@@ -204,11 +198,26 @@
       ready: isReady ? 1 : 0,
       replyWanted: isReplyWanted ? 1 : 0,
       peers: this.choosePeers(),
-      unregistered,
+      unregistered: this.listUnregistered(),
       registryRevision: registryRevision(),
       readers: readers(),
       delta,
       evacuations: this.dependencies.evacuations.current,
     };
   }
+
+  /** Agents that this balancer hears, and the registry does not list yet. */
+  private listUnregistered(): AgentRecord[] {
+    const { directory, environment } = this.dependencies;
+    const now = environment.now();
+    const unregistered: AgentRecord[] = [];
+    for (const entry of directory.all()) {
+      const isTold = entry.registryRevision === undefined && directory.isHeard(entry, now);
+      if (isTold && unregistered.length < MAXIMUM_UNREGISTERED) {
+        const { address, service, zone } = entry;
+        unregistered.push({ address, service, zone });
+      }
+    }
+    return unregistered;
+  }
 }
--- a/src/packets/registry-upkeep.ts
+++ b/src/packets/registry-upkeep.ts
@@ -17,6 +17,11 @@
 const REMOVAL_TIME = 12_000;
 /** Milliseconds after which an agent that is neither listed nor heard is forgotten. */
 const FORGET_TIME = 30_000;
+/**
+ * The same for an agent whose target nobody is known to have heard: peers name it again every half
+ * second while they hear it, and its silence must not keep dead flows from being told so.
+ */
+const FORGET_UNKNOWN_TIME = 3_000;
 
 /** Upkeep by one balancer. */
 export class RegistryUpkeep {
@@ -48,7 +53,7 @@
   private inspect(entry: AgentEntry, mayCall: boolean, now: number): void {
     const silence = now - (entry.heardAt ?? entry.knownSince);
     const listed = entry.registryRevision !== undefined;
-    if (!listed && silence > FORGET_TIME) {
+    if (!listed && silence > this.forgetTime(entry)) {
       this.directory.forget(entry.address);
     } else if (!mayCall || this.calling.has(entry.address) || this.calling.size >= MAXIMUM_CALLS) {
       return;
@@ -59,8 +64,12 @@
     }
   }
 
+  private forgetTime(entry: AgentEntry): number {
+    return this.directory.mayHoldFlows(entry) ? FORGET_TIME : FORGET_UNKNOWN_TIME;
+  }
+
   private needsRegistration(entry: AgentEntry, now: number): boolean {
-    const present = this.directory.isHeard(entry, now);
+    const present = this.directory.isHeard(entry, now) && this.directory.mayHoldFlows(entry);
     const leaving = entry.report?.state === TargetState.gone;
     return present && !leaving && now - entry.knownSince > OWN_REGISTRATION_TIME;
   }
--- a/src/packets/target-health.ts
+++ b/src/packets/target-health.ts
@@ -16,6 +16,13 @@
 const TICKS_BEFORE_DOWN = 2;
 /** Milliseconds between opening packets that a target gets while it is taken to be down. */
 const PROBE_INTERVAL = 300;
+/**
+ * Opening packets in a row that a target has returned, with nothing of its own sent between, before
+ * it counts as one that takes no flows: one that is full goes on answering others meanwhile.
+ */
+const RETURNS_BEFORE_USELESS = 2;
+/** Milliseconds after the last of them in which the target is taken to take none. */
+const USELESS_TIME = 3_000;
 /** Milliseconds in which the weight of an outcome falls to about a third. */
 const OUTCOME_TIME = 3_000;
 /** Good outcomes assumed, so that one failure is no verdict. */
@@ -29,6 +36,8 @@
   private silentRequests = 0;
   private ticksSinceRequest = 0;
   private probedAt = -Infinity;
+  private returnedOpenings = 0;
+  private returnedAt = -Infinity;
   private failures = 0;
   private successes = 0;
   private weighedAt = 0;
@@ -49,6 +58,22 @@
     this.ticksSinceRequest = 0;
   }
 
+  /** The target has sent a packet of its own: it serves. */
+  served(): void {
+    this.returnedOpenings = 0;
+  }
+
+  /** The target has returned an opening packet: there is none, or it cannot take the flow. */
+  openingReturned(now: number): void {
+    this.returnedOpenings++;
+    this.returnedAt = now;
+  }
+
+  /** The target has said something new of itself: what it returned before says little. */
+  stateTold(): void {
+    this.returnedOpenings = 0;
+  }
+
   /** To be called at regular intervals, with reading of the target's packets between calls. */
   tick(): void {
     this.silentTicks += this.silentSince === undefined ? 0 : 1;
@@ -71,6 +96,7 @@
   /** Another incarnation has started: nothing is known of it. */
   clear(): void {
     this.heard();
+    this.returnedOpenings = 0;
     this.failures = 0;
     this.successes = 0;
   }
@@ -102,15 +128,22 @@
     return now - this.probedAt >= PROBE_INTERVAL;
   }
 
-  /** Part of the requests that fail of late, 0 to 1; 1 for a target that says nothing. */
+  /**
+   * Part of the requests that fail of late, 0 to 1; 1 for a target that says nothing, and for one
+   * that takes no flows.
+   */
   failureShare(now: number): number {
-    if (this.silence(now) > OPENING_TIMEOUT) {
+    if (this.silence(now) > OPENING_TIMEOUT || this.takesNoFlows(now)) {
       return 1;
     }
     this.weigh(now);
     return this.failures / (this.failures + this.successes + ASSUMED_SUCCESSES);
   }
 
+  private takesNoFlows(now: number): boolean {
+    return this.returnedOpenings >= RETURNS_BEFORE_USELESS && now - this.returnedAt <= USELESS_TIME;
+  }
+
   private silence(now: number): number {
     return this.silentSince === undefined ? 0 : now - this.silentSince;
   }
