--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -87,6 +87,7 @@
       routingTables: ROUTING_TABLES,
       registry: REGISTRY,
       evacuatedZones: undefined,
+      storeProbe: { probe: () => undefined },
       snapshots: { fetch: () => undefined },
       sendToClient: (client, packet) => clients.send(client, packet),
       relay: () => undefined,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -78,6 +78,7 @@
   storeReadingStopped: event(2716, 'store-reading-stopped', 'info'),
   registryCallFailed: event(2717, 'registry-call-failed', 'warn'),
   zonesEvacuated: event(2718, 'zones-evacuated', 'info'),
+  storeProbeFailed: event(2719, 'store-probe-failed', 'warn'),
   agentStateSeen: event(2721, 'agent-state-seen', 'info'),
   agentRegistered: event(2722, 'agent-registered', 'info'),
   agentRemoved: event(2723, 'agent-removed', 'warn'),
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -42,6 +42,16 @@
   awaitChanges(afterRevision: number, waitTime: number, answer: Answer<Changes<T>>): void;
 }
 
+/** Shows whether the connections to the store still carry answers. */
+export interface StoreProbePort {
+  /**
+   * Makes the cheapest call there is, over a connection that is open already. Without an answer
+   * within `timeout` milliseconds all open connections are dropped, so that calls which wait on
+   * them end and can be repeated.
+   */
+  probe(timeout: number, answer: Answer<void>): void;
+}
+
 /** The registry of agents. */
 export interface AgentRegistryPort extends CollectionPort<AgentRecord> {
   /** Makes the registry list an agent as given; answers when it does. */
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -1,6 +1,6 @@
 /** Settings, needs and figures of a packet balancer. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
-import type { AgentRegistryPort, CollectionPort } from './collection-port';
+import type { AgentRegistryPort, CollectionPort, StoreProbePort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
 import type { SnapshotPort } from './peer-exchange';
@@ -35,6 +35,7 @@
   readonly registry: AgentRegistryPort;
   /** Zones out of service; undefined in a deployment that evacuates none. */
   readonly evacuatedZones: CollectionPort<EvacuatedZone> | undefined;
+  readonly storeProbe: StoreProbePort;
   readonly snapshots: SnapshotPort;
   sendToClient(client: Endpoint, packet: Buffer): void;
   /** Hands a client's packet on to where another balancer takes clients' packets. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -354,7 +354,7 @@
 
   /** A balancer that starts first asks others; those that others ask first read at once. */
   private createReading(): StoreReading {
-    const { environment, registry, routingTables, evacuatedZones } = this.dependencies;
+    const { environment, registry, routingTables, evacuatedZones, storeProbe } = this.dependencies;
     const { address, applyTime, seeds } = this.settings;
     return new StoreReading({
       environment,
@@ -365,6 +365,7 @@
       registry,
       evacuatedZones,
       evacuations: this.evacuations,
+      storeProbe,
       clusterSize: () => this.peers.clusterSize,
       hasView: () => this.hasView,
       takeTable: (table) => this.takeTable(table, 'store'),
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -1,8 +1,15 @@
 /** One balancer's reading of the store: begins and ends as {@link StoreReaders} decides. */
 import type { Endpoint, Environment, TimerHandle } from '../environment';
+import type { HallholdError } from '../errors/hallhold-error';
 import { Events } from '../logging/events';
 import { CollectionFollower, type FollowerPace } from './collection-follower';
-import type { AgentRegistryPort, Changes, CollectionPort, Listing } from './collection-port';
+import type {
+  AgentRegistryPort,
+  Changes,
+  CollectionPort,
+  Listing,
+  StoreProbePort,
+} from './collection-port';
 import type { AgentRecord } from './packet-messages';
 import type { RoutingTable } from './routing-table';
 import type { EvacuatedZone, ZoneEvacuationView } from './zone-evacuations';
@@ -26,6 +33,13 @@
 /** Milliseconds that a call at the evacuated zones waits: they change a few times a day. */
 const EVACUATIONS_WAIT = 10_000;
 
+/**
+ * Part of the time in which a change must be in force that lies between two probes of the store's
+ * connections, and that a probe waits for its answer: a change that a silent connection holds back
+ * is then read after two thirds of that time.
+ */
+const PROBE_SHARE = 1 / 3;
+
 /** What the reading works with. */
 export interface StoreReadingDependencies {
   readonly environment: Environment;
@@ -39,6 +53,7 @@
   /** Zones out of service; undefined in a deployment that evacuates none. */
   readonly evacuatedZones: CollectionPort<EvacuatedZone> | undefined;
   readonly evacuations: ZoneEvacuationView;
+  readonly storeProbe: StoreProbePort;
   /** Balancers known, this one included. */
   clusterSize(): number;
   /** Whether this balancer has a routing table and knows all agents. */
@@ -58,6 +73,8 @@
   readonly registryWatches: number;
   readonly evacuationListings: number;
   readonly evacuationWatches: number;
+  /** Calls that show whether the connections to the store are alive. */
+  readonly storeProbes: number;
 }
 
 /** The reading of one balancer. */
@@ -68,6 +85,8 @@
   private readonly evacuations: CollectionFollower<EvacuatedZone> | undefined;
   private stopped = false;
   private timer: TimerHandle | undefined;
+  private probedAt = -Infinity;
+  private probes = 0;
 
   constructor(private readonly dependencies: StoreReadingDependencies) {
     const { environment, self, isFirst, applyTime } = dependencies;
@@ -91,6 +110,7 @@
       registryWatches: this.registry.calls.watches,
       evacuationListings: this.evacuations?.calls.listings ?? 0,
       evacuationWatches: this.evacuations?.calls.watches ?? 0,
+      storeProbes: this.probes,
     };
   }
 
@@ -105,6 +125,33 @@
       return;
     }
     this.follow(this.readers.decide(this.circumstances));
+    this.probe();
+  }
+
+  /** Where calls wait long, a probe shows in between whether their connections are alive. */
+  private probe(): void {
+    const { environment, applyTime, storeProbe } = this.dependencies;
+    const now = environment.now();
+    const interval = applyTime * PROBE_SHARE;
+    const waitsLong = !this.readers.readForAll(this.circumstances);
+    if (!this.isReading || !waitsLong || now - this.probedAt < interval) {
+      return;
+    }
+    this.probedAt = now;
+    this.probes++;
+    storeProbe.probe(interval, (result) => {
+      if (result.err) {
+        this.reportProbe(result.val);
+      }
+    });
+  }
+
+  private reportProbe({ resultCode, message }: HallholdError): void {
+    const { number, name } = resultCode;
+    this.dependencies.environment.report(Events.storeProbeFailed, {
+      code: number,
+      reason: `${name}: ${message}`,
+    });
   }
 
   private follow(decision: ReadingDecision): void {
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -1,6 +1,6 @@
 /** The processes of the packet interface: node classes with real sockets and timers. */
 import type { Endpoint } from '../environment';
-import type { AgentRegistryPort, CollectionPort } from '../packets/collection-port';
+import type { AgentRegistryPort, CollectionPort, StoreProbePort } from '../packets/collection-port';
 import type { PacketFormat } from '../packets/flow-packet';
 import { PacketAgent } from '../packets/packet-agent';
 import { PacketBalancer } from '../packets/packet-balancer';
@@ -30,6 +30,7 @@
   readonly registry: AgentRegistryPort;
   readonly routingTables: CollectionPort<RoutingTable>;
   readonly evacuatedZones: CollectionPort<EvacuatedZone>;
+  readonly storeProbe: StoreProbePort;
   /** Where a client receives datagrams. */
   clientSocket(client: Endpoint, port: number): Endpoint;
 }
@@ -101,6 +102,7 @@
         routingTables: ports.routingTables,
         registry: ports.registry,
         evacuatedZones: settings.evacuateTime === undefined ? undefined : ports.evacuatedZones,
+        storeProbe: ports.storeProbe,
         snapshots: new HttpSnapshots(),
         sendToClient: (client, packet) =>
           clients.send(ports.clientSocket(client, settings.clientPort), packet),
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -9,6 +9,7 @@
   Changes,
   CollectionPort,
   Listing,
+  StoreProbePort,
 } from '../../packets/collection-port';
 import type { AgentRecord } from '../../packets/packet-messages';
 import type { RoutingTable } from '../../packets/routing-table';
@@ -116,6 +117,13 @@
     };
   }
 
+  /** The probe of one process's connections, which never fall silent here. */
+  probePort(process: SimulatedProcess): StoreProbePort {
+    return {
+      probe: (_timeout, answer) => this.call(process, answer, () => new Ok(undefined)),
+    };
+  }
+
   private port<T>(collection: ModelCollection<T>, process: SimulatedProcess): CollectionPort<T> {
     return {
       list: (answer: Answer<Listing<T>>) =>
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -153,6 +153,7 @@
         routingTables: this.store.routingPort(process),
         registry: this.store.registryPort(process),
         evacuatedZones: this.store.evacuationsPort(process),
+        storeProbe: this.store.probePort(process),
         snapshots: { fetch: (peer, answer) => this.fetchSnapshot(process, peer, answer) },
         sendToClient: (client, packet) => this.network.send(process, address, client, packet),
         relay: (to, packet) => this.network.send(process, address, to, packet),
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -15,11 +15,14 @@
 import { readHeartbeat, serveHeartbeats, serveReadiness } from '../platform/target-calls';
 import { formatEndpoint, packEndpoint, parseEndpoint } from '../src/core/endpoint';
 import type { HallholdError } from '../src/errors/hallhold-error';
+import { ResultCodes } from '../src/errors/result-codes';
 import type { Answer, Changes, Listing } from '../src/packets/collection-port';
+import type { RoutingTable } from '../src/packets/routing-table';
 import type { EvacuatedZone } from '../src/packets/zone-evacuations';
 import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { callStatus } from './support/call-status';
 import { ObjectApiStandin, type Spoiler } from './support/object-api-standin';
+import { SilenceGate } from './support/silence-gate';
 
 const SYN = Buffer.from(
   '9c4164400007 01bbc6120001 0000 00000000 a1b2c3d5 11223344 00000000 10'.replaceAll(' ', ''),
@@ -147,6 +150,33 @@
   );
 });
 
+test('a connection that falls silent ends the calls on all of them, and new ones work', async (t) => {
+  const standin = new ObjectApiStandin();
+  const gate = new SilenceGate(Number((await standin.start()).split(':')[1]));
+  const api = new ObjectApi(parseEndpoint(await gate.start()).unwrap());
+  t.teardown(() => (api.close(), gate.stop(), standin.stop()));
+  const tables = routingTables(api);
+  const waiting = answerOf<Changes<RoutingTable>>((answer) =>
+    tables.awaitChanges(1, 10_000, answer),
+  );
+  await untilCalled(standin, 1);
+  t.true((await answerOf<void>((answer) => api.probe(1_000, answer))).ok);
+  gate.silence();
+  const startedAt = performance.now();
+  const probe = await answerOf<void>((answer) => api.probe(300, answer));
+  const ended = await waiting;
+  t.is(probe.err && probe.val.resultCode, ResultCodes.storeUnavailable);
+  t.is(ended.err && ended.val.resultCode, ResultCodes.storeUnavailable);
+  t.true(performance.now() - startedAt < 5_000, 'far less than the call would have waited');
+  t.true((await answerOf<void>((answer) => api.probe(1_000, answer))).ok);
+});
+
+async function untilCalled(standin: ObjectApiStandin, calls: number): Promise<void> {
+  while (standin.calls.length < calls) {
+    await new Promise((done) => setTimeout(done, 10));
+  }
+}
+
 const AGENT = { address: packEndpoint('10.0.0.1', 7_720), service: 'map', zone: 'north' };
 
 test('an agent registers once, is replaced when it differs, and is removed', async (t) => {
