--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -26,6 +26,12 @@
  */
 const SETTLING_TIME = 2_000;
 
+/**
+ * Milliseconds for which an agent is not tried again that has got as many new flows as its cold
+ * target bears in a second: with all targets cold, each opening would else visit all of them.
+ */
+const LIMITED_TIME = 100;
+
 /** One agent. */
 export interface AgentEntry extends AgentRecord {
   /** Revision of its registration; undefined while the registry does not list it. */
@@ -39,6 +45,8 @@
   heardAt: number | undefined;
   /** Time at which this balancer learnt of it. */
   readonly knownSince: number;
+  /** Time until which it takes no new flows: its target is cold and has got enough. */
+  limitedUntil: number;
   /** When this balancer sent it opening packets that no report shows yet; rising. */
   recentOpenings: number[];
 }
@@ -97,6 +105,14 @@
     return registryRevision !== undefined || lastTargetState !== undefined || hasFlows;
   }
 
+  /** An agent has refused a new flow because its target is cold and has got enough of them. */
+  noteLimit(address: Endpoint, now: number): void {
+    const entry = this.entries.get(address);
+    if (entry) {
+      entry.limitedUntil = now + LIMITED_TIME;
+    }
+  }
+
   /** Whether any agent has been heard lately. */
   hearsAny(now: number): boolean {
     for (const entry of this.entries.values()) {
@@ -129,6 +145,7 @@
       previousRun: undefined,
       heardAt: undefined,
       knownSince: now,
+      limitedUntil: 0,
       recentOpenings: [],
     };
     this.entries.set(record.address, entry);
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -8,6 +8,7 @@
   type SubscribeMessage,
 } from './packet-messages';
 import { reportInterval } from './report-interval';
+import type { ColdRates } from './routing-table';
 import type { ZoneEvacuations } from './zone-evacuations';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
@@ -23,6 +24,12 @@
 /** Sends one subscription to many. */
 export type SubscriptionSender = (agents: readonly Endpoint[], message: SubscribeMessage) => void;
 
+/** What every subscription tells an agent of the deployment. */
+export interface DeploymentNews {
+  readonly evacuations: ZoneEvacuations;
+  readonly coldRates: ColdRates;
+}
+
 /** Subscriptions of one balancer. */
 export class AgentSubscriptions {
   private readonly subscribedAt = new Map<Endpoint, number>();
@@ -31,8 +38,7 @@
     private readonly zone: string,
     private readonly directory: AgentDirectory,
     private readonly send: SubscriptionSender,
-    /** Zones out of service, which every subscription tells. */
-    private readonly evacuations: () => ZoneEvacuations,
+    private readonly news: () => DeploymentNews,
   ) {}
 
   /**
@@ -76,7 +82,7 @@
       zone: this.zone,
       interval: reportInterval(this.directory.size),
       listing,
-      evacuations: this.evacuations(),
+      ...this.news(),
     };
   }
 
--- /dev/null
+++ b/src/packets/cold-limit.ts
@@ -0,0 +1,90 @@
+/**
+ * How many new flows a cold target gets: one that has just started, or comes back into service with
+ * its zone, is slow and bears only so many a second.
+ *
+ * The limit holds over all balancers and over every span of a second, so only the agent, through
+ * which all of them come, can keep it. It counts opening packets at all times; the limit applies
+ * while the target is cold or nobody knows whether it is. What goes beyond it is refused, and the
+ * balancer offers it to another agent.
+ */
+import type { ColdRates } from './routing-table';
+import type { TargetLifecycle } from './target-lifecycle';
+
+/**
+ * Milliseconds over which openings are counted: a second, and a little more for the way from the
+ * agent to its target, which may draw two openings closer together.
+ */
+const WINDOW = 1_050;
+
+/** What operators let pass beyond a service's own rate. */
+export interface ColdLimitSettings {
+  /** Times the service's rate. */
+  readonly overshoot: number;
+  /** New flows a second on top of that. */
+  readonly slack: number;
+}
+
+/** The limit of one agent. */
+export class ColdLimit {
+  /** Times of the openings of the last second, oldest first. */
+  private openedAt: number[] = [];
+  private rates: ColdRates | undefined;
+
+  /**
+   * @param settings undefined in a deployment without such limits
+   * @param startedAt time at which this run of the agent began
+   */
+  constructor(
+    private readonly target: TargetLifecycle,
+    private readonly settings: ColdLimitSettings | undefined,
+    private readonly startedAt: number,
+  ) {}
+
+  /** Takes the rates of a routing table; those of an earlier one change nothing. */
+  learnRates(told: ColdRates): void {
+    if (told.version > (this.rates?.version ?? 0)) {
+      this.rates = told;
+    }
+  }
+
+  /** Whether one more opening now would be more than a cold target bears. */
+  isReached(now: number): boolean {
+    if (!this.settings || !this.target.mayBeCold(now)) {
+      return false;
+    }
+    const limit = this.limit(this.settings);
+    if (limit < Infinity && this.mayLackOpenings(now)) {
+      return true;
+    }
+    this.expire(now);
+    return this.openedAt.length >= limit;
+  }
+
+  /** An opening is handed to the target. */
+  opened(now: number): void {
+    if (this.settings) {
+      this.expire(now);
+      this.openedAt.push(now);
+    }
+  }
+
+  /** Whether an earlier run of this agent may have handed the target openings in this second. */
+  private mayLackOpenings(now: number): boolean {
+    const isNew = now - this.startedAt < WINDOW;
+    return isNew && !this.target.hasStartedSince(this.startedAt);
+  }
+
+  /** Openings a second; only what holds for any rate while no balancer has told the rate. */
+  private limit({ overshoot, slack }: ColdLimitSettings): number {
+    if (this.rates === undefined) {
+      return slack;
+    }
+    const rate = this.rates.rates.find(({ service }) => service === this.target.service);
+    return rate ? Math.floor(rate.flowsPerSecond * overshoot + slack) : Infinity;
+  }
+
+  private expire(now: number): void {
+    const kept = this.openedAt.findIndex((at) => at > now - WINDOW);
+    this.openedAt = kept === -1 ? [] : this.openedAt.slice(kept);
+  }
+}
--- a/src/packets/delivery-rules.ts
+++ b/src/packets/delivery-rules.ts
@@ -18,6 +18,8 @@
   readonly isServiceDisputed: boolean;
   /** Its zone is out of service. */
   readonly isEvacuated: boolean;
+  /** It may be cold, and has got as many new flows of late as it then bears. */
+  readonly isAtColdLimit: boolean;
 }
 
 /**
@@ -48,5 +50,8 @@
   if (target.state === TargetState.gone) {
     return RefusalReason.noTarget;
   }
-  return target.state === TargetState.draining ? RefusalReason.draining : undefined;
+  if (target.state === TargetState.draining) {
+    return RefusalReason.draining;
+  }
+  return target.isAtColdLimit ? RefusalReason.coldLimit : undefined;
 }
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -62,12 +62,12 @@
 
   /** Offers an opening packet to the best agent that has not refused it. */
   offer(packet: FlowPacket, search: FlowSearch): void {
-    const { directory, environment, cache, outlet } = this.dependencies;
+    const { directory, environment, cache, isEvacuated, outlet } = this.dependencies;
     const now = environment.now();
     const [service] = search.services;
     const candidates = directory
       .ofServices(search.services)
-      .filter(({ zone }) => !this.dependencies.isEvacuated(zone));
+      .filter(({ zone, limitedUntil }) => !isEvacuated(zone) && limitedUntil <= now);
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
     const ordered = orderCandidates(packet.flow, untried, this.dependencies.zone);
     const chosen = selectAgent(ordered, this.selectionContext(now));
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -12,7 +12,12 @@
 import { FlowPlacement } from './flow-placement';
 import { FlowSearches, type FlowSearch } from './flow-search';
 import { HolderSearch } from './holder-search';
-import type { NoneHoldsMessage, NoneKnowsMessage, NotHeldMessage } from './packet-messages';
+import {
+  RefusalReason,
+  type NoneHoldsMessage,
+  type NoneKnowsMessage,
+  type NotHeldMessage,
+} from './packet-messages';
 import { PacketOutlet, type PacketOutletDependencies, type RoutingCounters } from './packet-outlet';
 import { servicesOf, type Route, type RoutingTable } from './routing-table';
 
@@ -80,7 +85,7 @@
 
   /** An agent's target did not take a packet: offers it to the next agent. */
   refused(agent: Endpoint, message: NotHeldMessage): void {
-    const { format, cache } = this.dependencies;
+    const { format, cache, directory, environment } = this.dependencies;
     const packet = format.decodeFromClient(message.payload);
     const route = packet && this.routes?.get(packet.destination);
     if (!packet || !route) {
@@ -89,6 +94,9 @@
     cache.deny(packet.flow, agent);
     const search = this.searchOf(packet, route, message.searchId);
     search.refusedBy.add(agent);
+    if (message.reason === RefusalReason.coldLimit) {
+      directory.noteLimit(agent, environment.now());
+    }
     if (packet.opens) {
       this.placement.offer(packet, search);
     } else {
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -1,5 +1,6 @@
 /** Settings, needs and counters of a packet agent. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
+import type { ColdLimitSettings } from './cold-limit';
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
@@ -14,6 +15,8 @@
   readonly seeds: readonly Endpoint[];
   /** Milliseconds between two heartbeats of the target. */
   readonly heartbeatInterval: number;
+  /** Limits of cold targets; undefined in a deployment without them. */
+  readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
 import { AgentRegistration } from './agent-registration';
+import { ColdLimit } from './cold-limit';
 import { refusalOf, type TargetCondition } from './delivery-rules';
 import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
@@ -67,6 +68,7 @@
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
   private readonly evacuations: ZoneEvacuationView;
+  private readonly coldLimit: ColdLimit;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -85,8 +87,9 @@
       () => this.isTargetHeard,
     );
     this.link = new PacketLink(codec, transport, environment);
-    this.evacuations = new ZoneEvacuationView(environment, () => undefined);
+    this.evacuations = new ZoneEvacuationView(environment, (zones) => this.zonesChanged(zones));
     this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
+    this.coldLimit = new ColdLimit(this.target, settings.coldLimit, environment.now());
     this.admission = new TargetAdmission({
       target: this.target,
       tracker: this.tracker,
@@ -209,6 +212,7 @@
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         this.evacuations.take(message.evacuations, formatEndpoint(from));
+        this.coldLimit.learnRates(message.coldRates);
         return;
       case PacketMessageType.notHeld:
       case PacketMessageType.held:
@@ -220,6 +224,14 @@
     }
   }
 
+  /** Targets of a zone that comes back into service may be cold, before a heartbeat tells so. */
+  private zonesChanged(zones: readonly string[]): void {
+    const { zone } = this.settings;
+    if (zones.includes(zone) && !this.evacuations.isEvacuated(zone)) {
+      this.target.doubtAge();
+    }
+  }
+
   /** A target that leaves takes its entry with it. */
   private takeListing(listing: ListingStateValue): void {
     if (this.target.state !== TargetState.gone) {
@@ -347,6 +359,7 @@
     this.tracker.delivered(packet, balancer, environment.now());
     if (packet.opens) {
       this.health.openingDelivered(environment.now());
+      this.coldLimit.opened(environment.now());
     }
     this.reportRequest(packet, balancer);
     format.writeToken(packet.bytes, token);
@@ -409,6 +422,7 @@
       isProbeDue: this.health.isProbeDue(now),
       isServiceDisputed: this.target.isServiceDisputed,
       isEvacuated: this.evacuations.isEvacuated(this.settings.zone),
+      isAtColdLimit: this.coldLimit.isReached(now),
     };
   }
 
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -28,7 +28,7 @@
 } from './packet-balancer-contracts';
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
-import type { RoutingTable } from './routing-table';
+import { UNKNOWN_COLD_RATES, type ColdRates, type RoutingTable } from './routing-table';
 import { StartupBacklog } from './startup-backlog';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
@@ -96,7 +96,7 @@
       settings.zone,
       this.directory,
       (agents, message) => this.link.sendToAll(agents, message),
-      () => this.evacuations.current,
+      () => ({ evacuations: this.evacuations.current, coldRates: this.coldRates }),
     );
     this.view = new RegistryView({
       environment,
@@ -224,6 +224,11 @@
     }));
   }
 
+  private get coldRates(): ColdRates {
+    const { table } = this;
+    return table ? { version: table.version, rates: table.coldRates } : UNKNOWN_COLD_RATES;
+  }
+
   private get hasView(): boolean {
     const knowsZones = this.dependencies.evacuatedZones === undefined || this.evacuations.isKnown;
     return this.table !== undefined && this.directory.isComplete && knowsZones;
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -12,6 +12,7 @@
   tuple,
   type FieldCodec,
 } from '../wire/field-codecs';
+import { UNKNOWN_COLD_RATES, type ColdRate, type ColdRates } from './routing-table';
 import type { StoreReader } from './store-readers';
 import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
 
@@ -65,6 +66,8 @@
   targetDown: 5,
   /** The target's zone is out of service and takes no new flows. */
   zoneEvacuated: 6,
+  /** The target is cold and has got as many new flows of late as it bears. */
+  coldLimit: 7,
 } as const;
 export type RefusalReasonValue = (typeof RefusalReason)[keyof typeof RefusalReason];
 
@@ -163,6 +166,8 @@
   readonly listing: ListingStateValue;
   /** Zones out of service, as far as the balancer knows. */
   readonly evacuations: ZoneEvacuations;
+  /** How many new flows cold targets bear, by the balancer's routing table. */
+  readonly coldRates: ColdRates;
 }
 
 /** Agent to balancer: state and load of the target. */
@@ -349,6 +354,30 @@
   return { revision: integer(revision), zones: listOf(text)(zones) };
 }
 
+/** Cold rates in the form in which they are sent. */
+export function packColdRates(rates: readonly ColdRate[]): unknown[] {
+  return rates.map(({ service, flowsPerSecond }) => [service, flowsPerSecond]);
+}
+
+/** Checks cold rates as received; throws a `FieldError` for anything else. */
+export const unpackColdRates = listOf((value): ColdRate => {
+  const [service, flowsPerSecond] = tuple(value, 2);
+  return { service: text(service), flowsPerSecond: positive(flowsPerSecond) };
+});
+
+function packVersionedRates({ version, rates }: ColdRates): unknown[] {
+  return [version, packColdRates(rates)];
+}
+
+/** Programs of an earlier version know of no such limits. */
+function unpackVersionedRates(value: unknown): ColdRates {
+  if (value === undefined) {
+    return UNKNOWN_COLD_RATES;
+  }
+  const [version, rates] = tuple(value, 2);
+  return { version: integer(version), rates: unpackColdRates(rates) };
+}
+
 /** A field that programs of an earlier version leave out; 0 then. */
 function integerOrZero(value: unknown): number {
   return value === undefined ? 0 : integer(value);
@@ -382,6 +411,7 @@
       field('interval', 'i', positive),
       field('listing', 'l', unpackListing),
       evacuations,
+      field('coldRates', 'c', unpackVersionedRates, packVersionedRates),
     ],
   ],
   [
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from '../environment';
 import { failure, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
+import type { ColdLimitSettings } from './cold-limit';
 
 const DEFAULT_FLOW_LIFETIME = 60_000;
 const DEFAULT_STOP_TIME = 5_000;
@@ -34,6 +35,8 @@
   readonly controlAddress: Endpoint | undefined;
   readonly storeAddress: Endpoint;
   readonly seeds: readonly Endpoint[];
+  /** Limits of cold targets (agent); undefined in a deployment without them. */
+  readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds between two heartbeats of a target. */
   readonly heartbeatInterval: number;
   /** Milliseconds for which a flow may rest before it is forgotten. */
@@ -109,6 +112,19 @@
     return value;
   }
 
+  /** A whole number of 0 or more. */
+  optionalCount(key: string): number | undefined {
+    const value = this.given(key);
+    if (value === undefined) {
+      return undefined;
+    }
+    if (typeof value !== 'number' || !Number.isInteger(value) || value < 0) {
+      this.problems.push(`${key}: must be a whole number of 0 or more`);
+      return undefined;
+    }
+    return value;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -177,6 +193,7 @@
     controlAddress: reader.optionalEndpoint('controlAddress'),
     storeAddress: reader.endpoint('storeAddress'),
     seeds: reader.endpoints('seeds'),
+    coldLimit: readColdLimit(reader),
     heartbeatInterval: reader.positive('heartbeatInterval', DEFAULT_HEARTBEAT_INTERVAL),
     flowLifetime: reader.positive('flowLifetime', DEFAULT_FLOW_LIFETIME),
     stopTime: reader.positive('stopTime', DEFAULT_STOP_TIME),
@@ -187,6 +204,15 @@
   };
 }
 
+function readColdLimit(reader: SettingsReader): ColdLimitSettings | undefined {
+  const overshoot = reader.optionalPositive('coldOvershoot');
+  const slack = reader.optionalCount('coldSlack');
+  if (overshoot === undefined) {
+    return undefined;
+  }
+  return { overshoot, slack: slack ?? 0 };
+}
+
 /** Keys whose values differ between two settings. */
 export function changedKeys(before: PacketSettings, after: PacketSettings): string[] {
   const keys = Object.keys(after) as (keyof PacketSettings)[];
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -4,7 +4,13 @@
 import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { FieldError, integer, listOf, oneOf, positive, text, tuple } from '../wire/field-codecs';
-import { packListedAgents, unpackListedAgent, type ListedAgent } from './packet-messages';
+import {
+  packColdRates,
+  packListedAgents,
+  unpackColdRates,
+  unpackListedAgent,
+  type ListedAgent,
+} from './packet-messages';
 import type { Route, RoutingTable, WeightedService } from './routing-table';
 
 /** State that a starting or lagging balancer can take over. */
@@ -23,6 +29,8 @@
     serialize({
       table: routingTable ? packTable(routingTable) : null,
       complete: viewComplete ? 1 : 0,
+      // Beside the table, whose form earlier versions check.
+      coldRates: packColdRates(routingTable?.coldRates ?? []),
       agents: packListedAgents(agents),
       registryRevision,
     }),
@@ -34,7 +42,10 @@
   try {
     const document = deserialize(bytes);
     return new Ok({
-      routingTable: document['table'] === null ? undefined : unpackTable(document['table']),
+      routingTable:
+        document['table'] === null
+          ? undefined
+          : unpackTable(document['table'], document['coldRates'] ?? []),
       viewComplete: oneOf(0, 1)(document['complete']) === 1,
       agents: listOf(unpackListedAgent)(document['agents']),
       registryRevision: integer(document['registryRevision'] ?? 0),
@@ -53,12 +64,13 @@
   return [table.version, table.idleTimeout, routes];
 }
 
-function unpackTable(value: unknown): RoutingTable {
+function unpackTable(value: unknown, coldRates: unknown): RoutingTable {
   const [version, idleTimeout, routes] = tuple(value, 3);
   return {
     version: integer(version),
     idleTimeout: positive(idleTimeout),
     routes: listOf(unpackRoute)(routes),
+    coldRates: unpackColdRates(coldRates),
   };
 }
 
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -16,12 +16,29 @@
   readonly services: readonly WeightedService[];
 }
 
+/** New flows that a cold target of a service bears. */
+export interface ColdRate {
+  readonly service: string;
+  /** Above 0; a service without such a limit is not listed. */
+  readonly flowsPerSecond: number;
+}
+
+/** The cold rates of one version of the routing table; version 0 while none is known. */
+export interface ColdRates {
+  readonly version: number;
+  readonly rates: readonly ColdRate[];
+}
+
+/** What a node knows that has no routing table. */
+export const UNKNOWN_COLD_RATES: ColdRates = { version: 0, rates: [] };
+
 /** One version of the configuration; a higher version replaces a lower one whole. */
 export interface RoutingTable {
   readonly version: number;
   readonly routes: readonly Route[];
   /** Milliseconds after which a flow at rest may be forgotten. */
   readonly idleTimeout: number;
+  readonly coldRates: readonly ColdRate[];
 }
 
 const serviceNames = new WeakMap<Route, readonly string[]>();
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -44,9 +44,13 @@
 export class TargetLifecycle {
   private current: TargetHeartbeat | undefined;
   private heardAt = -Infinity;
+  /** When the present incarnation began, by its first heartbeat here. */
+  private startedAt = -Infinity;
   private rival: Rival | undefined;
   private left = false;
   private coldUntil = 0;
+  /** The target's next heartbeat is to tell whether it is cold; until then it may be. */
+  private isAgeUnknown = true;
   /** Incarnations that this agent has taken for its target before the present one. */
   private readonly replaced = new Set<string>();
   private readonly ended = new Set<string>();
@@ -95,6 +99,21 @@
     return Math.max(0, Math.round(this.coldUntil - now));
   }
 
+  /** Whether the target is slow, or may be: no heartbeat has told its age. */
+  mayBeCold(now: number): boolean {
+    return this.isAgeUnknown || this.coldUntil > now;
+  }
+
+  /** Whether the target's present incarnation has begun after a time. */
+  hasStartedSince(time: number): boolean {
+    return this.startedAt >= time;
+  }
+
+  /** The target may have become cold without a heartbeat that says so yet. */
+  doubtAge(): void {
+    this.isAgeUnknown = true;
+  }
+
   /** Takes a heartbeat; one that is late changes nothing. */
   heartbeat(heartbeat: TargetHeartbeat, now: number): LifecycleChange {
     if (this.ended.has(heartbeat.incarnation)) {
@@ -140,6 +159,7 @@
     }
     this.replaced.delete(heartbeat.incarnation);
     this.left = false;
+    this.startedAt = now - this.runningTime(heartbeat);
     this.take(heartbeat, now);
     return before ? 'incarnation' : 'state';
   }
@@ -149,6 +169,7 @@
     this.heardAt = now;
     this.rival = undefined;
     this.coldUntil = now + heartbeat.coldLeft;
+    this.isAgeUnknown = false;
   }
 
   /**
@@ -163,8 +184,12 @@
     if (this.replaced.has(heartbeat.incarnation)) {
       return false;
     }
-    const runningFor = (heartbeat.sequence - 1) * this.heartbeatInterval;
-    return runningFor <= now - this.heardAt;
+    return this.runningTime(heartbeat) <= now - this.heardAt;
+  }
+
+  /** Milliseconds for which an incarnation has been running at least, by its sequence number. */
+  private runningTime({ sequence }: TargetHeartbeat): number {
+    return (sequence - 1) * this.heartbeatInterval;
   }
 
   /** Whether a rival has been heard long enough while the present incarnation was silent. */
--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -36,6 +36,8 @@
   /** Requests run, repeats not counted. */
   requestsRun = 0;
   alive = true;
+  /** Time until which it is slow. */
+  coldUntil = 0;
   draining = false;
   /** Answers every request with a failure, at once. */
   failing = false;
@@ -56,6 +58,11 @@
     private readonly observer: ModelTargetObserver,
   ) {}
 
+  /** Milliseconds for which it is still slow. */
+  coldLeft(now: number): number {
+    return Math.max(0, this.coldUntil - now);
+  }
+
   /** Whether the target holds a flow that is open. */
   holds(flow: FlowKey): boolean {
     return this.alive && this.flows.get(flow)?.open === true;
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -14,6 +14,7 @@
 import { decodeSnapshot, encodeSnapshot, type PeerSnapshot } from '../../packets/peer-snapshot';
 import { failure } from '../../errors/hallhold-error';
 import { ResultCodes } from '../../errors/result-codes';
+import type { ColdRate } from '../../packets/routing-table';
 import { SeededRandom } from '../seeded-random';
 import { CALLER_ZONE, SimulatedNetwork } from '../simulated-network';
 import { SimulatedProcess, type EventSink } from '../simulated-process';
@@ -36,6 +37,8 @@
 const APPLY_TIME = 6_000;
 const WORK_TIME = 20;
 const SLOTS = 5;
+/** No more than the rates of a routing table, and nothing without them. */
+const COLD_LIMIT = { overshoot: 1, slack: 2 };
 const SEQUENCE_RANGE = 2 ** 31;
 const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
@@ -60,8 +63,8 @@
   process: SimulatedProcess;
   target: ModelTarget;
   heartbeats: boolean;
-  /** Opening packets that have reached its targets. */
-  openings: number;
+  /** Times at which opening packets have reached its targets. */
+  readonly openings: number[];
 }
 
 /** One deployment in virtual time. */
@@ -76,6 +79,8 @@
   readonly judge = new WorldJudge(this.clock);
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
+  /** Milliseconds for which targets that start from now on are slow. */
+  coldTime = 0;
   private readonly codec = new PacketFrameCodec([KEY]);
   private nextAddress = 1;
   private nextClient = 1;
@@ -92,11 +97,16 @@
   }
 
   /** Puts a routing table into the store: service names by destination. */
-  configure(version: number, routes: ReadonlyMap<Endpoint, readonly string[]>): void {
+  configure(
+    version: number,
+    routes: ReadonlyMap<Endpoint, readonly string[]>,
+    coldRates: readonly ColdRate[] = [],
+  ): void {
     this.judge.configured(routes);
     this.store.writeRouting({
       version,
       idleTimeout: FLOW_LIFETIME,
+      coldRates,
       routes: [...routes].map(([destination, services]) => ({
         name: `route-${destination}`,
         destination,
@@ -123,7 +133,14 @@
   addAgent(service: string, zone: string): WorldAgent {
     const address = this.createAddress(FRAME_PORT);
     const name = `agent-${this.agents.length}`;
-    const agent = { name, zone, address, service, heartbeats: true, openings: 0 } as WorldAgent;
+    const agent = {
+      name,
+      zone,
+      address,
+      service,
+      heartbeats: true,
+      openings: [],
+    } as unknown as WorldAgent;
     this.agents.push(agent);
     this.startAgent(agent);
     this.startTarget(agent);
@@ -181,6 +198,7 @@
         service,
         seeds: this.currentSeeds(),
         heartbeatInterval: HEARTBEAT_INTERVAL,
+        coldLimit: COLD_LIMIT,
         flowLifetime: FLOW_LIFETIME,
       },
       {
@@ -232,6 +250,7 @@
         ran: (by, request) => this.judge.requestRan(by, request, this.clientOf(request)),
       },
     );
+    target.coldUntil = this.clock.now + this.coldTime;
     agent.target = target;
     this.beat(agent, target, 1);
     return target;
@@ -310,14 +329,15 @@
 
   private sendHeartbeat(agent: WorldAgent, target: ModelTarget, sequence: number): void {
     const { incarnation, service, draining } = target;
-    const heartbeat = { incarnation, service, draining, slots: SLOTS, coldLeft: 0, sequence };
+    const coldLeft = target.coldLeft(this.clock.now);
+    const heartbeat = { incarnation, service, draining, slots: SLOTS, coldLeft, sequence };
     agent.process.run(() => agent.node.heartbeat(heartbeat));
   }
 
   private deliverToTarget(agent: WorldAgent, bytes: Buffer): void {
     const packet = modelPacketFormat.decodeFromClient(bytes);
     if (packet?.opens && agent.target) {
-      agent.openings++;
+      agent.openings.push(this.clock.now);
       this.judge.openingReached(agent.target, agent.name);
     } else if (packet && agent.target) {
       this.judge.packetReached(agent.target, packet.flow, this.flowHolder(packet.flow));
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -21,6 +21,7 @@
   isProbeDue: false,
   isServiceDisputed: false,
   isEvacuated: false,
+  isAtColdLimit: false,
 };
 const ROUTE = { name: 'r', destination: 1, services: [{ service: 'map', weight: 1 }] };
 
@@ -37,6 +38,9 @@
   const gone = { ...READY, state: TargetState.gone };
   t.is(refusalOf(true, ['map'], gone), RefusalReason.noTarget);
   t.is(refusalOf(false, ['map'], gone), undefined);
+  const limited = { ...READY, isAtColdLimit: true };
+  t.is(refusalOf(true, ['map'], limited), RefusalReason.coldLimit);
+  t.is(refusalOf(false, ['map'], limited), undefined);
   const disputed = { ...READY, isServiceDisputed: true };
   t.is(refusalOf(true, ['map'], disputed), RefusalReason.otherService);
   t.is(refusalOf(false, ['map'], disputed), undefined);
@@ -112,6 +116,7 @@
       interval: 500,
       listing: 1,
       evacuations: { revision: 14, zones: ['south'] },
+      coldRates: { version: 3, rates: [{ service: 'map', flowsPerSecond: 2.5 }] },
     },
     createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
     {
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -10,6 +10,7 @@
   type SubscribeMessage,
 } from '../src/packets/packet-messages';
 import { decodeSnapshot, encodeSnapshot } from '../src/packets/peer-snapshot';
+import { UNKNOWN_COLD_RATES } from '../src/packets/routing-table';
 import { UNKNOWN_EVACUATIONS } from '../src/packets/zone-evacuations';
 import { BODY_OFFSET } from '../src/wire/frame-codec';
 
@@ -37,6 +38,7 @@
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
+  coldRates: { version: 3, rates: [] },
   evacuations: { revision: 12, zones: ['south'] },
 };
 
@@ -60,10 +62,11 @@
     [0, [], undefined, 3],
   );
   t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
-  const spoilt = codec.spoil(SUBSCRIPTION, { l: undefined, e: undefined });
+  const spoilt = codec.spoil(SUBSCRIPTION, { l: undefined, e: undefined, c: undefined });
   const subscription = codec.decode(spoilt).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
+  t.deepEqual(subscription.coldRates, UNKNOWN_COLD_RATES);
 });
 
 test('readers, deltas and listings of any other form are malformed', (t) => {
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -99,7 +99,7 @@
 /** Opening packets that the targets of a zone have got by now. */
 function countOpened(world: PacketWorld, zone: string): number {
   const agents = world.agents.filter((agent) => agent.zone === zone);
-  return agents.reduce((sum, { openings }) => sum + openings, 0);
+  return agents.reduce((sum, { openings }) => sum + openings.length, 0);
 }
 
 /** Opens flows for a while, and tells how many went to a zone. */
