--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -93,6 +93,8 @@
       coldLeft: 0,
       failurePercent: 0,
       frameVersion: this.frameVersion,
+
+      knowsAllFlows: 0,
       balancerCount: 1,
       balancers: [],
     };
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -8,7 +8,7 @@
   type SubscribeMessage,
 } from './packet-messages';
 import { reportInterval } from './report-interval';
-import type { ColdRates } from './routing-table';
+import type { ColdStarts } from './routing-table';
 import type { ZoneEvacuations } from './zone-evacuations';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
@@ -27,7 +27,7 @@
 /** What every subscription tells an agent of the deployment. */
 export interface DeploymentNews {
   readonly evacuations: ZoneEvacuations;
-  readonly coldRates: ColdRates;
+  readonly coldStarts: ColdStarts;
 }
 
 /** Subscriptions of one balancer. */
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Makes subscriptions due at once at all agents. */
+  renewAll(): void {
+    this.subscribedAt.clear();
+  }
+
   /** Drops what is noted of agents that are no longer known. */
   expire(): void {
     for (const address of this.subscribedAt.keys()) {
--- a/src/packets/cold-limit.ts
+++ b/src/packets/cold-limit.ts
@@ -7,7 +7,7 @@
  * while the target is cold or nobody knows whether it is. What goes beyond it is refused, and the
  * balancer offers it to another agent.
  */
-import type { ColdRates } from './routing-table';
+import type { ColdStart, ColdStarts } from './routing-table';
 import type { TargetLifecycle } from './target-lifecycle';
 
 /**
@@ -28,7 +28,7 @@
 export class ColdLimit {
   /** Times of the openings of the last second, oldest first. */
   private openedAt: number[] = [];
-  private rates: ColdRates | undefined;
+  private coldStarts: ColdStarts | undefined;
 
   /**
    * @param settings undefined in a deployment without such limits
@@ -40,10 +40,11 @@
     private readonly startedAt: number,
   ) {}
 
-  /** Takes the rates of a routing table; those of an earlier one change nothing. */
-  learnRates(told: ColdRates): void {
-    if (told.version > (this.rates?.version ?? 0)) {
-      this.rates = told;
+  /** Takes the cold starts of a routing table; those of an earlier one change nothing. */
+  learn(told: ColdStarts): void {
+    if (told.version > (this.coldStarts?.version ?? 0)) {
+      this.coldStarts = told;
+      this.target.learnColdTime(this.ownStart?.duration);
     }
   }
 
@@ -76,11 +77,15 @@
 
   /** Openings a second; only what holds for any rate while no balancer has told the rate. */
   private limit({ overshoot, slack }: ColdLimitSettings): number {
-    if (this.rates === undefined) {
+    if (this.coldStarts === undefined) {
       return slack;
     }
-    const rate = this.rates.rates.find(({ service }) => service === this.target.service);
-    return rate ? Math.floor(rate.flowsPerSecond * overshoot + slack) : Infinity;
+    const rate = this.ownStart?.flowsPerSecond ?? 0;
+    return rate > 0 ? Math.floor(rate * overshoot + slack) : Infinity;
+  }
+
+  private get ownStart(): ColdStart | undefined {
+    return this.coldStarts?.services.find(({ service }) => service === this.target.service);
   }
 
   private expire(now: number): void {
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -135,6 +135,11 @@
     return true;
   }
 
+  /** Whether any packet of a flow has been delivered that the target did not return. */
+  hasSeen(flow: FlowKey): boolean {
+    return this.flows.has(flow);
+  }
+
   /** The target returned a packet of a flow: it does not hold it. */
   returned(packet: FlowPacket): void {
     this.remove(packet.flow);
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -114,7 +114,7 @@
     const heard = untried.filter((entry) => directory.isHeard(entry, now));
     const searching = heard.filter(({ address }) => this.dependencies.link.speaksCompact(address));
     if (searching.length > 0) {
-      this.send(packet, search, searching);
+      this.searchThrough(searching, packet, search);
       return;
     }
     const [next] = nextToAsk(search, heard.length > 0 ? heard : untried);
@@ -141,6 +141,24 @@
     this.resetNotes.expire(now);
   }
 
+  /**
+   * Sends a packet through agents: first through the few where its flow was placed in all
+   * likelihood, then through those that know all flows of their targets, then through the rest.
+   */
+  private searchThrough(
+    agents: readonly AgentEntry[],
+    packet: FlowPacket,
+    search: FlowSearch,
+  ): void {
+    const sure = agents.filter((agent) => this.isSure(agent));
+    const isFirst = search.attempts === 0;
+    this.send(packet, search, isFirst || sure.length === 0 ? agents : sure);
+  }
+
+  private isSure({ address, report }: AgentEntry): boolean {
+    return report?.knowsAllFlows === 1 && this.dependencies.link.searchesForSure(address);
+  }
+
   private offerTo(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
     noteOffer(search, agent.address);
     this.dependencies.outlet.deliver(packet, search.services, agent.address, search.id);
@@ -158,11 +176,14 @@
     const order = orderSearch(ordered, search.attempts, maximum);
     search.attempts++;
     search.round = isInGroups ? { agents: order, unasked: new Set(order) } : undefined;
+    const visited = new Set(order);
+    const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
     if (isInGroups) {
-      this.sendToGroups(packet, search, order, SearchPhase.askOnly);
+      const phase = isSure ? SearchPhase.sure : SearchPhase.askOnly;
+      this.sendToGroups(packet, search, order, phase);
     } else {
       this.waitForOutcome(packet, order.length);
-      this.sendThrough(packet, search, order, SearchPhase.ask);
+      this.sendThrough(packet, search, order, isSure ? SearchPhase.sure : SearchPhase.ask);
     }
   }
 
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -3,7 +3,7 @@
 import type { FlowTracker } from './flow-tracker';
 import type { PacketLink } from './packet-link';
 import {
-  GROUP_SEARCH_VERSION,
+  SURE_SEARCH_VERSION,
   PacketMessageType,
   type ReportMessage,
   type TargetStateValue,
@@ -28,6 +28,8 @@
   state(): TargetStateValue;
   /** Requests that wait at the agent or are under way at its target. */
   busyRequests(): number;
+  /** Whether the agent has seen every flow open that its target can hold. */
+  knowsAllFlows(): boolean;
 }
 
 /** Reporter of one agent. */
@@ -82,7 +84,8 @@
       openFlows: tracker.openFlows,
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
-      frameVersion: GROUP_SEARCH_VERSION,
+      frameVersion: SURE_SEARCH_VERSION,
+      knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -32,11 +32,13 @@
   type PacketMessage,
   type RefusalReasonValue,
   type SearchMessage,
+  type SearchPhaseValue,
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
+import type { ColdStarts } from './routing-table';
 import { stepAfter } from './search-steps';
 import { TargetAdmission } from './target-admission';
 import { TargetHealth } from './target-health';
@@ -105,6 +107,7 @@
       health: this.health,
       state: () => this.state,
       busyRequests: () => this.busyRequests,
+      knowsAllFlows: () => this.target.isKnownFromStart,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
@@ -209,10 +212,10 @@
         this.answerLocate(message.flow, from);
         return;
       case PacketMessageType.subscribe:
+        this.evacuations.take(message.evacuations, formatEndpoint(from));
+        this.learnColdStarts(message.coldStarts);
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
-        this.evacuations.take(message.evacuations, formatEndpoint(from));
-        this.coldLimit.learnRates(message.coldRates);
         return;
       case PacketMessageType.notHeld:
       case PacketMessageType.held:
@@ -224,6 +227,15 @@
     }
   }
 
+  /** Balancers are told at once if the agent knows its target from its start, by what it learns. */
+  private learnColdStarts(coldStarts: ColdStarts): void {
+    const wasKnown = this.target.isKnownFromStart;
+    this.coldLimit.learn(coldStarts);
+    if (this.target.isKnownFromStart !== wasKnown) {
+      this.reporter.report();
+    }
+  }
+
   /** Targets of a zone that comes back into service may be cold, before a heartbeat tells so. */
   private zonesChanged(zones: readonly string[]): void {
     const { zone } = this.settings;
@@ -318,13 +330,26 @@
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
       this.admit(packet, balancer, searchId);
-    } else if (message.phase === SearchPhase.offer) {
+    } else if (this.mustOffer(message.phase, packet)) {
       this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
     } else {
       this.passOn(message);
     }
   }
 
+  /** Whether only the target itself can tell if it holds a searched packet's flow. */
+  private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
+    switch (phase) {
+      case SearchPhase.ask:
+      case SearchPhase.askOnly:
+        return false;
+      case SearchPhase.offer:
+        return true;
+      case SearchPhase.sure:
+        return !this.target.isKnownFromStart || this.tracker.hasSeen(flow);
+    }
+  }
+
   /** Hands a search to the next agent, or its outcome to the balancer. */
   private passOn(message: SearchMessage): void {
     const step = stepAfter(message);
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -2,6 +2,7 @@
  * A balancer of the packet interface: receives clients' packets and sends each to the
  * agent beside the target that holds, or will hold, its flow.
  */
+import { isDeepStrictEqual } from 'node:util';
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
@@ -28,7 +29,7 @@
 } from './packet-balancer-contracts';
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
-import { UNKNOWN_COLD_RATES, type ColdRates, type RoutingTable } from './routing-table';
+import { UNKNOWN_COLD_STARTS, type ColdStarts, type RoutingTable } from './routing-table';
 import { StartupBacklog } from './startup-backlog';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
@@ -96,7 +97,7 @@
       settings.zone,
       this.directory,
       (agents, message) => this.link.sendToAll(agents, message),
-      () => ({ evacuations: this.evacuations.current, coldRates: this.coldRates }),
+      () => ({ evacuations: this.evacuations.current, coldStarts: this.coldStarts }),
     );
     this.view = new RegistryView({
       environment,
@@ -226,9 +227,9 @@
     }));
   }
 
-  private get coldRates(): ColdRates {
+  private get coldStarts(): ColdStarts {
     const { table } = this;
-    return table ? { version: table.version, rates: table.coldRates } : UNKNOWN_COLD_RATES;
+    return table ? { version: table.version, services: table.coldStarts } : UNKNOWN_COLD_STARTS;
   }
 
   private get hasView(): boolean {
@@ -419,6 +420,7 @@
     if (this.table && table.version <= this.table.version) {
       return;
     }
+    const hasOtherStarts = !isDeepStrictEqual(this.table?.coldStarts ?? [], table.coldStarts);
     this.table = table;
     this.router.apply(table);
     const { version, routes } = table;
@@ -427,6 +429,10 @@
       routes: routes.length,
       origin,
     });
+    if (hasOtherStarts) {
+      this.subscriptions.renewAll();
+      this.subscribe();
+    }
     this.updateReadiness();
   }
 
--- a/src/packets/packet-link.ts
+++ b/src/packets/packet-link.ts
@@ -8,6 +8,7 @@
 import {
   COMPACT_FRAME_VERSION,
   GROUP_SEARCH_VERSION,
+  SURE_SEARCH_VERSION,
   PacketMessageType,
   type PacketMessage,
 } from './packet-messages';
@@ -31,6 +32,7 @@
 export class PacketLink extends MessageLink<PacketMessage> {
   private readonly compactNodes = new Set<Endpoint>();
   private readonly groupNodes = new Set<Endpoint>();
+  private readonly sureNodes = new Set<Endpoint>();
 
   constructor(
     private readonly packetCodec: PacketFrameCodec,
@@ -50,10 +52,16 @@
     return this.groupNodes.has(agent);
   }
 
+  /** Whether an agent is known to understand sure searches. */
+  searchesForSure(agent: Endpoint): boolean {
+    return this.sureNodes.has(agent);
+  }
+
   /** Notes which version of frames a node has said that it understands. */
   noteVersion(node: Endpoint, version: number): void {
     noteNode(this.compactNodes, node, version >= COMPACT_FRAME_VERSION);
     noteNode(this.groupNodes, node, version >= GROUP_SEARCH_VERSION);
+    noteNode(this.sureNodes, node, version >= SURE_SEARCH_VERSION);
   }
 
   /** The message of a received frame; a node that sends compact frames also understands them. */
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -12,7 +12,7 @@
   tuple,
   type FieldCodec,
 } from '../wire/field-codecs';
-import { UNKNOWN_COLD_RATES, type ColdRate, type ColdRates } from './routing-table';
+import { UNKNOWN_COLD_STARTS, type ColdStart, type ColdStarts } from './routing-table';
 import type { StoreReader } from './store-readers';
 import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
 
@@ -36,6 +36,8 @@
 export const COMPACT_FRAME_VERSION = 2;
 /** Frames as of version 2, from an agent that also searches in groups ({@link SearchPhase}). */
 export const GROUP_SEARCH_VERSION = 3;
+/** Frames as of version 3, from an agent that also knows sure searches ({@link SearchPhase}). */
+export const SURE_SEARCH_VERSION = 4;
 /** Agents in one search. */
 export const MAXIMUM_SEARCH_LENGTH = 64;
 
@@ -109,6 +111,11 @@
   offer: 2,
   /** As `ask`, but the last agent tells the balancer, which asks other groups at the same time. */
   askOnly: 3,
+  /**
+   * Say for sure: an agent that has seen all flows of its target open goes by that; any other
+   * offers the packet to its target. The last one tells the balancer that none holds the flow.
+   */
+  sure: 4,
 } as const;
 export type SearchPhaseValue = (typeof SearchPhase)[keyof typeof SearchPhase];
 
@@ -166,8 +173,8 @@
   readonly listing: ListingStateValue;
   /** Zones out of service, as far as the balancer knows. */
   readonly evacuations: ZoneEvacuations;
-  /** How many new flows cold targets bear, by the balancer's routing table. */
-  readonly coldRates: ColdRates;
+  /** How targets behave after their start, by the balancer's routing table. */
+  readonly coldStarts: ColdStarts;
 }
 
 /** Agent to balancer: state and load of the target. */
@@ -191,6 +198,8 @@
   readonly failurePercent: number;
   /** Latest version of frames that the agent understands; 1 for one that names none. */
   readonly frameVersion: number;
+  /** 1 when the agent has seen every flow open that its target can hold. */
+  readonly knowsAllFlows: number;
   /** Number of balancers that the agent reports to. */
   readonly balancerCount: number;
   /** Some of the balancers that the agent reports to. */
@@ -354,28 +363,36 @@
   return { revision: integer(revision), zones: listOf(text)(zones) };
 }
 
-/** Cold rates in the form in which they are sent. */
-export function packColdRates(rates: readonly ColdRate[]): unknown[] {
-  return rates.map(({ service, flowsPerSecond }) => [service, flowsPerSecond]);
+/** Cold starts in the form in which they are sent. */
+export function packColdStarts(services: readonly ColdStart[]): unknown[] {
+  return services.map(({ service, duration, flowsPerSecond }) => [
+    service,
+    duration,
+    flowsPerSecond,
+  ]);
 }
 
-/** Checks cold rates as received; throws a `FieldError` for anything else. */
-export const unpackColdRates = listOf((value): ColdRate => {
-  const [service, flowsPerSecond] = tuple(value, 2);
-  return { service: text(service), flowsPerSecond: positive(flowsPerSecond) };
+/** Checks cold starts as received; throws a `FieldError` for anything else. */
+export const unpackColdStarts = listOf((value): ColdStart => {
+  const [service, duration, flowsPerSecond] = tuple(value, 3);
+  return {
+    service: text(service),
+    duration: positive(duration),
+    flowsPerSecond: positive(flowsPerSecond),
+  };
 });
 
-function packVersionedRates({ version, rates }: ColdRates): unknown[] {
-  return [version, packColdRates(rates)];
+function packVersionedStarts({ version, services }: ColdStarts): unknown[] {
+  return [version, packColdStarts(services)];
 }
 
-/** Programs of an earlier version know of no such limits. */
-function unpackVersionedRates(value: unknown): ColdRates {
+/** Programs of an earlier version tell nothing of cold starts. */
+function unpackVersionedStarts(value: unknown): ColdStarts {
   if (value === undefined) {
-    return UNKNOWN_COLD_RATES;
+    return UNKNOWN_COLD_STARTS;
   }
-  const [version, rates] = tuple(value, 2);
-  return { version: integer(version), rates: unpackColdRates(rates) };
+  const [version, services] = tuple(value, 2);
+  return { version: integer(version), services: unpackColdStarts(services) };
 }
 
 /** A field that programs of an earlier version leave out; 0 then. */
@@ -411,7 +428,7 @@
       field('interval', 'i', positive),
       field('listing', 'l', unpackListing),
       evacuations,
-      field('coldRates', 'c', unpackVersionedRates, packVersionedRates),
+      field('coldStarts', 'c', unpackVersionedStarts, packVersionedStarts),
     ],
   ],
   [
@@ -428,6 +445,7 @@
       field('coldLeft', 'c', integer),
       field('failurePercent', 'f', integer),
       field('frameVersion', 'v', versionOrFirst),
+      field('knowsAllFlows', 'k', integerOrZero),
       field('balancerCount', 'n', integer),
       field('balancers', 'm', listOf(integer)),
     ],
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -12,9 +12,9 @@
 import { ResultCodes } from '../errors/result-codes';
 import { FieldError, integer, listOf, oneOf, positive, text, tuple } from '../wire/field-codecs';
 import {
-  packColdRates,
+  packColdStarts,
   packListedAgents,
-  unpackColdRates,
+  unpackColdStarts,
   unpackListedAgent,
   type ListedAgent,
 } from './packet-messages';
@@ -55,7 +55,7 @@
     table: routingTable ? packTable(routingTable) : null,
     complete: viewComplete ? 1 : 0,
     // Beside the table, whose form earlier versions check.
-    coldRates: packColdRates(routingTable?.coldRates ?? []),
+    coldStarts: packColdStarts(routingTable?.coldStarts ?? []),
     agents: packListedAgents(agents),
     registryRevision,
   };
@@ -72,9 +72,9 @@
 }
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
-  const { table, complete, coldRates, agents, registryRevision } = document;
+  const { table, complete, coldStarts, agents, registryRevision } = document;
   return {
-    routingTable: table === null ? undefined : unpackTable(table, coldRates ?? []),
+    routingTable: table === null ? undefined : unpackTable(table, coldStarts ?? []),
     viewComplete: oneOf(0, 1)(complete) === 1,
     agents: listOf(unpackListedAgent)(agents),
     registryRevision: integer(registryRevision ?? 0),
@@ -90,13 +90,13 @@
   return [table.version, table.idleTimeout, routes];
 }
 
-function unpackTable(value: unknown, coldRates: unknown): RoutingTable {
+function unpackTable(value: unknown, coldStarts: unknown): RoutingTable {
   const [version, idleTimeout, routes] = tuple(value, 3);
   return {
     version: integer(version),
     idleTimeout: positive(idleTimeout),
     routes: listOf(unpackRoute)(routes),
-    coldRates: unpackColdRates(coldRates),
+    coldStarts: unpackColdStarts(coldStarts),
   };
 }
 
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -16,21 +16,24 @@
   readonly services: readonly WeightedService[];
 }
 
-/** New flows that a cold target of a service bears. */
-export interface ColdRate {
+/** How the targets of a service behave after their start. */
+export interface ColdStart {
   readonly service: string;
-  /** Above 0; a service without such a limit is not listed. */
+  /** Milliseconds for which a target is slow after its start. */
+  readonly duration: number;
+  /** New flows that it bears a second meanwhile; 0 when there is no such limit. */
   readonly flowsPerSecond: number;
 }
 
-/** The cold rates of one version of the routing table; version 0 while none is known. */
-export interface ColdRates {
+/** The cold starts of one version of the routing table; version 0 while none is known. */
+export interface ColdStarts {
   readonly version: number;
-  readonly rates: readonly ColdRate[];
+  /** A service of which nothing is known is not listed. */
+  readonly services: readonly ColdStart[];
 }
 
 /** What a node knows that has no routing table. */
-export const UNKNOWN_COLD_RATES: ColdRates = { version: 0, rates: [] };
+export const UNKNOWN_COLD_STARTS: ColdStarts = { version: 0, services: [] };
 
 /** One version of the configuration; a higher version replaces a lower one whole. */
 export interface RoutingTable {
@@ -38,7 +41,7 @@
   readonly routes: readonly Route[];
   /** Milliseconds after which a flow at rest may be forgotten. */
   readonly idleTimeout: number;
-  readonly coldRates: readonly ColdRate[];
+  readonly coldStarts: readonly ColdStart[];
 }
 
 const serviceNames = new WeakMap<Route, readonly string[]>();
--- a/src/packets/search-steps.ts
+++ b/src/packets/search-steps.ts
@@ -37,6 +37,7 @@
         message: { type: PacketMessageType.noneKnows, searchId, agents, payload },
       };
     case SearchPhase.offer:
+    case SearchPhase.sure:
       return {
         kind: 'over',
         balancer,
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -16,6 +16,17 @@
  */
 const RIVAL_SPACING = 0.5;
 
+/**
+ * Part of the time between two heartbeats that a target may have run when its first heartbeat
+ * comes here: any other agent that had been there at its start would have taken that one.
+ */
+const FIRST_HEARTBEAT_SHARE = 0.9;
+/**
+ * Calls that a target makes at most until its first heartbeat is taken, in a starting cluster. One
+ * that has made more has been running, and is cold for another reason than its start.
+ */
+const CALLS_OF_A_START = 10;
+
 /** One heartbeat of a target. */
 export interface TargetHeartbeat {
   /** Names one start of the target. */
@@ -51,6 +62,11 @@
   private coldUntil = 0;
   /** The target's next heartbeat is to tell whether it is cold; until then it may be. */
   private isAgeUnknown = true;
+  /** This agent was there when the present incarnation began. */
+  private hasSeenStart = false;
+  private firstHeartbeat: TargetHeartbeat | undefined;
+  /** Milliseconds for which a target of this service is slow after its start; if known. */
+  private coldTime: number | undefined;
   /** Incarnations that this agent has taken for its target before the present one. */
   private readonly replaced = new Set<string>();
   private readonly ended = new Set<string>();
@@ -99,6 +115,26 @@
     return Math.max(0, Math.round(this.coldUntil - now));
   }
 
+  /**
+   * Whether this run of the agent has been there for all of the target's life, so that it has seen
+   * each of its flows open. A target that is young by the time for which it is still slow, and whose
+   * first heartbeat comes here, cannot have had another agent before.
+   */
+  get isKnownFromStart(): boolean {
+    const { coldTime, firstHeartbeat } = this;
+    if (this.hasSeenStart || coldTime === undefined || firstHeartbeat === undefined) {
+      return this.hasSeenStart;
+    }
+    const age = coldTime - firstHeartbeat.coldLeft;
+    const isYoung = age < this.heartbeatInterval * FIRST_HEARTBEAT_SHARE;
+    return isYoung && firstHeartbeat.sequence <= CALLS_OF_A_START;
+  }
+
+  /** Takes the milliseconds for which targets of this service are slow after their start. */
+  learnColdTime(coldTime: number | undefined): void {
+    this.coldTime = coldTime;
+  }
+
   /** Whether the target is slow, or may be: no heartbeat has told its age. */
   mayBeCold(now: number): boolean {
     return this.isAgeUnknown || this.coldUntil > now;
@@ -122,7 +158,10 @@
     if (this.current?.incarnation === heartbeat.incarnation) {
       return this.goOn(this.current, heartbeat, now);
     }
-    if (this.isSuccessor(heartbeat, now) || this.isLivingRival(heartbeat, now)) {
+    const isSuccessor = this.isSuccessor(heartbeat, now);
+    if (isSuccessor || this.isLivingRival(heartbeat, now)) {
+      this.hasSeenStart = isSuccessor && this.current !== undefined;
+      this.firstHeartbeat = isSuccessor ? heartbeat : undefined;
       return this.replace(heartbeat, now);
     }
     this.noteRival(heartbeat, now);
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -14,7 +14,7 @@
 import { decodeSnapshot, encodeSnapshot, type PeerSnapshot } from '../../packets/peer-snapshot';
 import { failure } from '../../errors/hallhold-error';
 import { ResultCodes } from '../../errors/result-codes';
-import type { ColdRate } from '../../packets/routing-table';
+import type { ColdStart } from '../../packets/routing-table';
 import { SeededRandom } from '../seeded-random';
 import { CALLER_ZONE, SimulatedNetwork } from '../simulated-network';
 import { SimulatedProcess, type EventSink } from '../simulated-process';
@@ -39,6 +39,7 @@
 const SLOTS = 5;
 /** No more than the rates of a routing table, and nothing without them. */
 const COLD_LIMIT = { overshoot: 1, slack: 2 };
+const COLD_TIME = 2_000;
 const SEQUENCE_RANGE = 2 ** 31;
 const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
@@ -82,7 +83,7 @@
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
   /** Milliseconds for which targets that start from now on are slow. */
-  coldTime = 0;
+  coldTime = COLD_TIME;
   private readonly codec = new PacketFrameCodec([KEY]);
   private nextAddress = 1;
   private nextClient = 1;
@@ -102,13 +103,13 @@
   configure(
     version: number,
     routes: ReadonlyMap<Endpoint, readonly string[]>,
-    coldRates: readonly ColdRate[] = [],
+    coldStarts: readonly ColdStart[] = this.coldStartsOf(routes),
   ): void {
     this.judge.configured(routes);
     this.store.writeRouting({
       version,
       idleTimeout: FLOW_LIFETIME,
-      coldRates,
+      coldStarts,
       routes: [...routes].map(([destination, services]) => ({
         name: `route-${destination}`,
         destination,
@@ -117,6 +118,15 @@
     });
   }
 
+  private coldStartsOf(routes: ReadonlyMap<Endpoint, readonly string[]>): ColdStart[] {
+    const services = new Set([...routes.values()].flat());
+    return [...services].map((service) => ({
+      service,
+      duration: this.coldTime,
+      flowsPerSecond: 0,
+    }));
+  }
+
   runFor(milliseconds: number): void {
     this.clock.runUntil(this.clock.now + milliseconds);
   }
--- a/src/simulation/packets/random-faults.ts
+++ b/src/simulation/packets/random-faults.ts
@@ -83,6 +83,10 @@
     world.clock.schedule(length, () => (world.store.down = false));
   },
   (world) => world.store.compact(),
+  (world, balancer, _agent, length) => {
+    world.store.evacuate(balancer.zone);
+    world.clock.schedule(length, () => world.store.restore(balancer.zone));
+  },
   (world, _balancer, agent) => void world.startTarget(agent),
   (world) => world.configure(Math.ceil(world.clock.now), MODEL_ROUTES),
 ];
--- a/test/cold-targets.test.ts
+++ b/test/cold-targets.test.ts
@@ -12,7 +12,7 @@
 import { RouterHarness } from './support/router-harness';
 
 const SETTINGS = { overshoot: 1.5, slack: 5 };
-const RATES = { version: 3, rates: [{ service: 'map', flowsPerSecond: 2 }] };
+const RATES = { version: 3, services: [{ service: 'map', duration: 2_000, flowsPerSecond: 2 }] };
 /** In the model world: a rate of 3, once, and a slack of 2. */
 const WORLD_RATE = 3;
 const WORLD_LIMIT = 5;
@@ -40,7 +40,7 @@
 
 test('a cold target gets its rate with overshoot and slack in any second, a warm one more', (t) => {
   const { target, limit } = createLimit();
-  limit.learnRates(RATES);
+  limit.learn(RATES);
   target.heartbeat(heartbeat(1, 3_000), 0);
   t.is(countPassing(limit, 0, 1_000), 8);
   t.is(countPassing(limit, 1_000, 2_000), 8);
@@ -49,7 +49,7 @@
 
 test('openings to a warm target count in the second in which it becomes cold', (t) => {
   const { target, limit } = createLimit();
-  limit.learnRates(RATES);
+  limit.learn(RATES);
   target.heartbeat(heartbeat(1, 0), 0);
   t.is(countPassing(limit, 0, 60), 6);
   target.heartbeat(heartbeat(2, 2_000), 60);
@@ -59,7 +59,7 @@
 test('an agent that knows neither age nor rate passes what holds for any rate', (t) => {
   const { target, limit } = createLimit();
   t.is(countPassing(limit, 0, 1_000), 5);
-  limit.learnRates(RATES);
+  limit.learn(RATES);
   t.is(countPassing(limit, 1_060, 1_900), 8);
   target.heartbeat(heartbeat(9, 0), 1_900);
   t.is(countPassing(limit, 1_900, 2_000), 10);
@@ -69,23 +69,23 @@
 
 test('a new agent leaves a second for what its earlier run may have let pass', (t) => {
   const { target, limit } = createLimit(0);
-  limit.learnRates(RATES);
+  limit.learn(RATES);
   target.heartbeat(heartbeat(5, 2_000), 10);
   t.is(countPassing(limit, 0, 1_050), 0);
   t.is(countPassing(limit, 1_050, 1_800), 8);
   const fresh = createLimit(0);
-  fresh.limit.learnRates(RATES);
+  fresh.limit.learn(RATES);
   fresh.target.heartbeat(heartbeat(1, 2_000), 10);
   t.is(countPassing(fresh.limit, 10, 900), 8);
 });
 
 test('rates of an earlier table change nothing; a service without a rate has no limit', (t) => {
   const { limit } = createLimit();
-  limit.learnRates({ version: 5, rates: [] });
-  limit.learnRates(RATES);
+  limit.learn({ version: 5, services: [] });
+  limit.learn(RATES);
   t.is(countPassing(limit, 0, 1_000), 100);
   const unlimited = new ColdLimit(new TargetLifecycle('map', 770), undefined, 0);
-  unlimited.learnRates(RATES);
+  unlimited.learn(RATES);
   t.is(countPassing(unlimited, 0, 1_000), 100);
 });
 
@@ -109,7 +109,9 @@
 function startWorld(seed: number): PacketWorld {
   const world = new PacketWorld(seed);
   startModelDeployment(world);
-  world.configure(2, MODEL_ROUTES, [{ service: 'map', flowsPerSecond: WORLD_RATE }]);
+  world.configure(2, MODEL_ROUTES, [
+    { service: 'map', duration: 2_000, flowsPerSecond: WORLD_RATE },
+  ]);
   world.runFor(1_000);
   return world;
 }
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -116,7 +116,10 @@
       interval: 500,
       listing: 1,
       evacuations: { revision: 14, zones: ['south'] },
-      coldRates: { version: 3, rates: [{ service: 'map', flowsPerSecond: 2.5 }] },
+      coldStarts: {
+        version: 3,
+        services: [{ service: 'map', duration: 2_000, flowsPerSecond: 2.5 }],
+      },
     },
     createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
     {
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -20,6 +20,7 @@
     coldLeft: 0,
     failurePercent: 0,
     frameVersion: 2,
+    knowsAllFlows: 0,
     balancerCount: 1,
     balancers: [],
     ...fields,
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -75,7 +75,7 @@
     this.router.apply({
       version: 1,
       idleTimeout: 60_000,
-      coldRates: [],
+      coldStarts: [],
       routes: [
         { name: 'map', destination: DESTINATION, services: [{ service: 'map', weight: 1 }] },
       ],
