--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -114,7 +114,7 @@
 
   start(): void {
     this.startedAt = this.dependencies.environment.now();
-    this.reading.run();
+    this.reading.start();
     this.peers.start();
     this.peers.askForView();
     this.timers.repeat(KNOCK_INTERVAL, () => {
@@ -348,6 +348,7 @@
       link: this.link,
       snapshots,
       relay: this.relay,
+      lacksView: () => !this.hasView,
       evacuations: this.evacuations,
       routingVersion: () => this.table?.version ?? 0,
       ownStatus: () => this.ownStatus,
@@ -429,6 +430,7 @@
       routes: routes.length,
       origin,
     });
+    this.peers.tellWaiting();
     if (hasOtherStarts) {
       this.subscriptions.renewAll();
       this.subscribe();
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -23,6 +23,11 @@
 const STATUS_INTERVAL = 500;
 /** Milliseconds between statuses that are asked of the balancers that packets are relayed to. */
 const RELAY_STATUS_INTERVAL = 300;
+/**
+ * Balancers that one without a view asks as soon as it hears of them: among so many is one that has
+ * the view or will tell as soon as it does, in a cluster that starts together.
+ */
+const MAXIMUM_ASKED = 8;
 /** Peers told in one round: a version spreads over n balancers in about log4(n) rounds. */
 const PEERS_PER_ROUND = 3;
 const MILLI = 1_000;
@@ -46,6 +51,8 @@
   readonly snapshots: SnapshotPort;
   readonly relay: TrafficRelay;
   readonly evacuations: ZoneEvacuationView;
+  /** Whether this balancer cannot serve for want of a routing table or the agents. */
+  lacksView(): boolean;
   routingVersion(): number;
   /** What this balancer tells of itself. */
   ownStatus(): BalancerStatus;
@@ -63,6 +70,8 @@
   private readonly peers = new Set<Endpoint>();
   /** Balancers without a view that this one could not help yet. */
   private readonly waiting = new Set<Endpoint>();
+  private isStarted = false;
+  private newPeersAsked = 0;
   private fetching = false;
   private timer: TimerHandle | undefined;
   private relayTimer: TimerHandle | undefined;
@@ -72,6 +81,7 @@
   }
 
   start(): void {
+    this.isStarted = true;
     this.sendRound();
     if (this.dependencies.relay.isWanted) {
       this.askRelays();
@@ -88,8 +98,11 @@
     if (peer === this.dependencies.self) {
       return;
     }
-    this.peers.delete(peer);
+    const isNew = !this.peers.delete(peer);
     this.peers.add(peer);
+    if (isNew) {
+      this.askNewPeer(peer);
+    }
     if (this.peers.size > MAXIMUM_PEERS) {
       const [oldest] = this.peers;
       this.peers.delete(oldest!);
@@ -125,9 +138,18 @@
     link.sendToAll([...asked], this.status(true));
   }
 
+  /** A balancer without a view asks those it hears of at once, not only at the next interval. */
+  private askNewPeer(peer: Endpoint): void {
+    const { lacksView, link } = this.dependencies;
+    if (this.isStarted && this.newPeersAsked < MAXIMUM_ASKED && lacksView()) {
+      this.newPeersAsked++;
+      link.send(peer, this.status(true));
+    }
+  }
+
   /** Tells balancers that have asked without a view, once this one has it. */
   tellWaiting(): void {
-    if (this.dependencies.directory.isComplete && this.waiting.size > 0) {
+    if (this.waiting.size > 0 && !this.dependencies.lacksView()) {
       this.dependencies.link.sendToAll([...this.waiting], this.status(false));
       this.waiting.clear();
     }
@@ -148,9 +170,10 @@
   }
 
   private noteWaiting(peer: Endpoint, status: PeerStatusMessage): void {
-    if (status.viewComplete === 1 || this.waiting.size >= MAXIMUM_PEERS) {
+    const hasView = status.viewComplete === 1 && status.routingVersion > 0;
+    if (hasView || this.waiting.size >= MAXIMUM_PEERS) {
       this.waiting.delete(peer);
-    } else if (!this.dependencies.directory.isComplete) {
+    } else if (this.dependencies.lacksView()) {
       this.waiting.add(peer);
     }
   }
@@ -159,7 +182,8 @@
   private lacksOf(status: PeerStatusMessage): boolean {
     const { directory, registryRevision, routingVersion } = this.dependencies;
     const isNewer = status.routingVersion > routingVersion();
-    const isWider = status.viewComplete === 1 && !directory.isComplete;
+    const hasView = status.viewComplete === 1 && status.routingVersion > 0;
+    const isWider = hasView && !directory.isComplete;
     const isLater = status.viewComplete === 1 && status.registryRevision > registryRevision();
     return isNewer || isWider || isLater;
   }
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -40,6 +40,13 @@
  */
 const PROBE_SHARE = 1 / 3;
 
+/**
+ * Milliseconds after its start at which a balancer without a view lists the registry, if nobody has
+ * helped it yet. That is a small answer, and the agents listed there name balancers: one whose
+ * seeds are down or still starting finds the others that way.
+ */
+const DISCOVERY_DELAY = 60;
+
 /** What the reading works with. */
 export interface StoreReadingDependencies {
   readonly environment: Environment;
@@ -87,6 +94,8 @@
   private readonly evacuations: CollectionFollower<EvacuatedZone> | undefined;
   private stopped = false;
   private timer: TimerHandle | undefined;
+  private discoveryTimer: TimerHandle | undefined;
+  private discoveries = 0;
   private probedAt = -Infinity;
   private probes = 0;
 
@@ -108,7 +117,7 @@
     return {
       routingListings: this.routing.calls.listings,
       routingWatches: this.routing.calls.watches,
-      registryListings: this.registry.calls.listings,
+      registryListings: this.registry.calls.listings + this.discoveries,
       registryWatches: this.registry.calls.watches,
       evacuationListings: this.evacuations?.calls.listings ?? 0,
       evacuationWatches: this.evacuations?.calls.watches ?? 0,
@@ -121,6 +130,30 @@
     return this.readers.hasRecent(this.dependencies.environment.now());
   }
 
+  /** Once, at the start of this balancer. */
+  start(): void {
+    this.run();
+    const { environment } = this.dependencies;
+    this.discoveryTimer = environment.startTimer(DISCOVERY_DELAY, () => this.discover());
+  }
+
+  private discover(): void {
+    const { hasView, registry, takeListing, environment } = this.dependencies;
+    if (this.stopped || this.isReading || hasView()) {
+      return;
+    }
+    this.discoveries++;
+    registry.list((result) => {
+      if (result.ok) {
+        takeListing(result.val);
+        return;
+      }
+      const { number, name } = result.val.resultCode;
+      const reason = `${name}: ${result.val.message}`;
+      environment.report(Events.storeUnavailable, { collection: 'agents', code: number, reason });
+    });
+  }
+
   /** Begins or stops reading if it is time for it; to be called often. */
   run(): void {
     if (this.stopped) {
@@ -189,6 +222,7 @@
   stop(): void {
     this.stopped = true;
     this.timer?.cancel();
+    this.discoveryTimer?.cancel();
     this.rest();
   }
 
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -187,6 +187,22 @@
   }
 });
 
+test('balancers whose seeds start late find each other through agents', (t) => {
+  const world = startLargeWorld(68, 2);
+  const [first] = [world.addBalancer('south')];
+  const slow = Array.from({ length: 10 }, () => world.addBalancer('north', 1, SLOW_LINK));
+  world.runFor(3_000);
+  const [one, two] = world.balancers;
+  world.losePower(500);
+  [one!, two!].forEach(({ process }) => process.kill());
+  world.runFor(200);
+  t.true(first!.node.figures.routingVersion > 0);
+  for (const { name, node } of slow) {
+    t.true(node.figures.agentsKnown > 0 && node.figures.routingVersion > 0, name);
+    t.is(node.figures.routingListings, 0, name);
+  }
+});
+
 test('a slow balancer whose seeds are all away reads the store itself', (t) => {
   const world = startLargeWorld(67, 3);
   world.balancers.forEach(({ process }) => process.kill());
