--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -7,6 +7,7 @@
  */
 import type { Endpoint } from '../environment';
 import { silenceLimit } from './report-interval';
+import { ZoneReach } from './zone-reach';
 import {
   TargetState,
   type AgentRecord,
@@ -54,6 +55,7 @@
 /** The agents by address. */
 export class AgentDirectory {
   private readonly entries = new Map<Endpoint, AgentEntry>();
+  private readonly zones = new ZoneReach();
   /** Time at which every registered agent was known first. */
   private completeSince = Infinity;
 
@@ -84,7 +86,12 @@
     if (entry.heardAt === undefined || entry.report?.state === TargetState.agentRestarting) {
       return false;
     }
-    return now - entry.heardAt <= silenceLimit(this.size);
+    return now - entry.heardAt <= silenceLimit(this.size) && !this.isZoneSilent(entry.zone, now);
+  }
+
+  /** Whether all agents of a zone have fallen silent while others are heard. */
+  isZoneSilent(zone: string, now: number): boolean {
+    return this.zones.isSilent(zone, this.size, now);
   }
 
   /**
@@ -148,7 +155,9 @@
       limitedUntil: 0,
       recentOpenings: [],
     };
+    this.drop(record.address);
     this.entries.set(record.address, entry);
+    this.zones.count(record.zone, 1);
     return entry;
   }
 
@@ -171,6 +180,7 @@
     entry.lastTargetState = isOfTarget(state) ? state : entry.lastTargetState;
     entry.report = { ...report, state };
     entry.heardAt = now;
+    this.zones.heard(zone, now);
     entry.recentOpenings = entry.recentOpenings.filter((at) => at > now - OPENING_TIME);
     return entry;
   }
@@ -184,18 +194,26 @@
     entry.registryRevision = undefined;
     const gone = entry.report?.state === TargetState.gone;
     if (gone || !this.isHeard(entry, now)) {
-      this.entries.delete(address);
+      this.drop(address);
     }
   }
 
   /** Drops an agent that is neither registered nor heard. */
   forget(address: Endpoint): void {
-    this.entries.delete(address);
+    this.drop(address);
   }
 
   markComplete(now: number): void {
     this.completeSince = Math.min(this.completeSince, now);
   }
+
+  private drop(address: Endpoint): void {
+    const entry = this.entries.get(address);
+    if (entry) {
+      this.entries.delete(address);
+      this.zones.count(entry.zone, -1);
+    }
+  }
 }
 
 function isSameRecord(one: AgentRecord, other: AgentRecord): boolean {
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -65,13 +65,32 @@
 
   /** Routes one datagram of a client. */
   route(bytes: Buffer): void {
+    const packet = this.receive(bytes);
+    if (packet) {
+      this.routePacket(packet);
+    }
+  }
+
+  /** Routes a packet that another balancer could not deliver; it goes no further way round. */
+  routeDetoured(bytes: Buffer): void {
+    const packet = this.receive(bytes);
+    if (packet) {
+      this.outlet.noteDetoured(packet);
+      this.routePacket(packet);
+    }
+  }
+
+  private receive(bytes: Buffer): FlowPacket | undefined {
     this.counters.packetsReceived++;
     const packet = this.dependencies.format.decodeFromClient(bytes);
     if (!packet) {
       this.counters.packetsMalformed++;
       this.dependencies.environment.report(Events.packetMalformed, { length: bytes.length });
-      return;
     }
+    return packet;
+  }
+
+  private routePacket(packet: FlowPacket): void {
     const route = this.routes?.get(packet.destination);
     if (!route) {
       this.refuseWithoutRoute(packet);
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -217,6 +217,7 @@
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         return;
+      case PacketMessageType.detour:
       case PacketMessageType.notHeld:
       case PacketMessageType.held:
       case PacketMessageType.noneHolds:
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -33,6 +33,7 @@
 import { StartupBacklog } from './startup-backlog';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
+import { ZoneDetour } from './zone-detour';
 import { ZoneEvacuationView } from './zone-evacuations';
 
 const CACHED_FLOWS = 500_000;
@@ -52,6 +53,7 @@
   readonly directory = new AgentDirectory();
   readonly router: FlowRouter;
   private readonly relay: TrafficRelay;
+  private readonly detours: ZoneDetour;
   private readonly cache: FlowCache;
   private readonly link: PacketLink;
   private readonly peers: PeerExchange;
@@ -76,6 +78,7 @@
   ) {
     const { environment, codec, transport, format, registry } = dependencies;
     this.timers = new NodeTimers(environment);
+    this.detours = new ZoneDetour(settings.zone);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
@@ -91,6 +94,7 @@
       link: this.link,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      detours: this.detours,
     });
     this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
     this.subscriptions = new AgentSubscriptions(
@@ -290,6 +294,9 @@
       case PacketMessageType.peerStatus:
         this.peers.receive(from, message);
         return;
+      case PacketMessageType.detour:
+        this.router.routeDetoured(message.payload);
+        return;
       case PacketMessageType.deliver:
       case PacketMessageType.locate:
       case PacketMessageType.search:
@@ -303,6 +310,7 @@
     const known = this.directory.find(from);
     const before = known?.report?.state;
     const wasHeard = known !== undefined && this.directory.isHeard(known, now);
+    const wasZoneSilent = this.directory.isZoneSilent(report.zone, now);
     const entry = this.directory.hear(from, report, now);
     if (!entry) {
       return;
@@ -316,11 +324,22 @@
     if (report.state === TargetState.gone && entry.registryRevision === undefined) {
       this.directory.forget(from);
     }
-    if (!wasHeard) {
+    if (wasZoneSilent) {
+      this.zoneReturned(report.zone, now);
+    } else if (!wasHeard) {
       this.agentReturned(entry, now);
     }
   }
 
+  /** The way to a zone is open again: all of its agents that were heard lately are. */
+  private zoneReturned(zone: string, now: number): void {
+    for (const entry of this.directory.all()) {
+      if (entry.zone === zone) {
+        this.agentReturned(entry, now);
+      }
+    }
+  }
+
   private agentReturned(entry: AgentEntry, now: number): void {
     if (this.directory.isHeard(entry, now)) {
       this.router.agentReturned(entry.address);
@@ -348,6 +367,7 @@
       link: this.link,
       snapshots,
       relay: this.relay,
+      detours: this.detours,
       lacksView: () => !this.hasView,
       evacuations: this.evacuations,
       routingVersion: () => this.table?.version ?? 0,
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -28,6 +28,7 @@
   search: 108,
   noneHolds: 109,
   noneKnows: 110,
+  detour: 111,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -154,6 +155,12 @@
   readonly payload: Buffer;
 }
 
+/** Balancer to balancer: a client's packet for a zone that the sender cannot reach. */
+export interface DetourMessage {
+  readonly type: typeof PacketMessageType.detour;
+  readonly payload: Buffer;
+}
+
 /** Whether the registry lists an agent, as far as a balancer knows. */
 export const ListingState = {
   /** The balancer does not know the registry well enough to say. */
@@ -270,6 +277,7 @@
   | SearchMessage
   | NoneHoldsMessage
   | NoneKnowsMessage
+  | DetourMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
@@ -421,6 +429,7 @@
   ],
   [PacketMessageType.held, [field('flow', 'f', binary)]],
   [PacketMessageType.locate, [field('flow', 'f', binary)]],
+  [PacketMessageType.detour, [payload]],
   [
     PacketMessageType.subscribe,
     [
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -8,6 +8,7 @@
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import type { PacketLink } from './packet-link';
 import { PacketMessageType, type DeliverMessage } from './packet-messages';
+import type { ZoneDetour } from './zone-detour';
 
 /** Counters of what became of clients' packets. */
 export interface RoutingCounters {
@@ -20,6 +21,8 @@
   searchesStarted: number;
   resetsSent: number;
   resetsRepeated: number;
+  /** Sent through a balancer of a third zone, since their own zone could not be reached. */
+  packetsDetoured: number;
 }
 
 /** What the outlet works with. */
@@ -28,6 +31,7 @@
   readonly format: PacketFormat;
   readonly directory: AgentDirectory;
   readonly link: PacketLink;
+  readonly detours: ZoneDetour;
   /** Sends a reset to a client. */
   sendToClient(client: Endpoint, packet: Buffer): void;
 }
@@ -44,8 +48,11 @@
     searchesStarted: 0,
     resetsSent: 0,
     resetsRepeated: 0,
+    packetsDetoured: 0,
   };
   private readonly delayed = new DelayedDeliveries();
+  /** Packets that have come through another balancer. */
+  private readonly detoured = new WeakSet<FlowPacket>();
 
   constructor(private readonly dependencies: PacketOutletDependencies) {}
 
@@ -70,11 +77,34 @@
     const now = environment.now();
     const entry = directory.find(agent);
     if (entry && !packet.opens && !directory.isHeard(entry, now)) {
+      if (this.detour(packet, entry.zone, now)) {
+        return;
+      }
       this.delayed.add(agent, message, now);
     }
     link.send(agent, message);
   }
 
+  /** A packet has come through another balancer: it is delivered or dropped here. */
+  noteDetoured(packet: FlowPacket): void {
+    this.detoured.add(packet);
+  }
+
+  /** Sends a packet to a zone out of reach through a third one; false when there is no such way. */
+  private detour(packet: FlowPacket, zone: string, now: number): boolean {
+    const { detours, directory, link } = this.dependencies;
+    if (this.detoured.has(packet) || !directory.isZoneSilent(zone, now)) {
+      return false;
+    }
+    const balancer = detours.find(packet.flow, zone, now);
+    if (balancer === undefined) {
+      return false;
+    }
+    this.counters.packetsDetoured++;
+    link.send(balancer, { type: PacketMessageType.detour, payload: packet.bytes });
+    return true;
+  }
+
   /** Hands an agent that was away what has waited for it. */
   deliverDelayed(agent: Endpoint): void {
     const { environment, link } = this.dependencies;
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -18,6 +18,7 @@
 import type { PeerSnapshot } from './peer-snapshot';
 import type { StoreReader } from './store-readers';
 import type { BalancerStatus, TrafficRelay } from './traffic-relay';
+import type { ZoneDetour } from './zone-detour';
 import type { ZoneEvacuationView } from './zone-evacuations';
 
 const STATUS_INTERVAL = 500;
@@ -50,6 +51,7 @@
   readonly link: PacketLink;
   readonly snapshots: SnapshotPort;
   readonly relay: TrafficRelay;
+  readonly detours: ZoneDetour;
   readonly evacuations: ZoneEvacuationView;
   /** Whether this balancer cannot serve for want of a routing table or the agents. */
   lacksView(): boolean;
@@ -189,8 +191,9 @@
   }
 
   private learnStatus(peer: Endpoint, status: PeerStatusMessage): void {
-    const { relay, environment } = this.dependencies;
+    const { detours, relay, environment } = this.dependencies;
     const { zone, packetAddress, capacity, ready } = status;
+    detours.learn(peer, zone, ready === 1, environment.now());
     const told = { zone, packetAddress, capacity: capacity / MILLI, isReady: ready === 1 };
     relay.learn(peer, told, environment.now());
   }
--- /dev/null
+++ b/src/packets/zone-detour.ts
@@ -0,0 +1,57 @@
+/**
+ * The way to a zone that this balancer cannot reach, through a balancer of a third zone that may.
+ *
+ * A packet of an open flow goes there as it came and is routed by that balancer, which never hands
+ * it on: a packet takes one detour at most, so there are no loops.
+ */
+import { rendezvousScore } from '../core/hashing';
+import type { Endpoint } from '../environment';
+import type { FlowKey } from './flow-packet';
+
+/** Milliseconds after its last status in which a balancer may be asked; statuses come in turns. */
+const STATUS_LIFETIME = 10_000;
+/** Balancers noted at most. */
+const MAXIMUM_BALANCERS = 256;
+
+interface KnownBalancer {
+  readonly zone: string;
+  readonly heardAt: number;
+}
+
+/** The balancers of other zones. */
+export class ZoneDetour {
+  private readonly balancers = new Map<Endpoint, KnownBalancer>();
+
+  /** @param zone zone of this balancer */
+  constructor(private readonly zone: string) {}
+
+  /** Takes the status of another balancer. */
+  learn(balancer: Endpoint, zone: string, isReady: boolean, now: number): void {
+    this.balancers.delete(balancer);
+    if (!isReady || zone === this.zone) {
+      return;
+    }
+    this.balancers.set(balancer, { zone, heardAt: now });
+    if (this.balancers.size > MAXIMUM_BALANCERS) {
+      const [oldest] = this.balancers.keys();
+      this.balancers.delete(oldest!);
+    }
+  }
+
+  /** The balancer through which a flow's packets reach a zone; the same for all of its packets. */
+  find(flow: FlowKey, target: string, now: number): Endpoint | undefined {
+    let best: Endpoint | undefined;
+    let bestScore = -1;
+    for (const [address, { zone, heardAt }] of this.balancers) {
+      if (zone === target || now - heardAt > STATUS_LIFETIME) {
+        continue;
+      }
+      const score = rendezvousScore(flow, String(address));
+      if (score > bestScore) {
+        best = address;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/packets/zone-reach.ts
@@ -0,0 +1,78 @@
+/**
+ * Which zones a balancer has lost its way to.
+ *
+ * One agent may be silent for three of its reports before it counts as away. Agents of a zone
+ * report independently of each other, so silence of all of them shows much sooner that the way to
+ * the zone is cut, or that it has lost power.
+ */
+import { reportInterval } from './report-interval';
+
+/** Agents of a zone from which on their common silence says something. */
+const AGENTS_NEEDED = 6;
+/**
+ * Part of the time between two reports of one agent for which all of a zone must be silent: agents
+ * that started together, within a fifth of that time, leave a gap of four fifths.
+ */
+const SILENT_SHARE = 0.8;
+/** Milliseconds of silence at least, however often agents report. */
+const SHORTEST_SILENCE = 250;
+/**
+ * Part of that silence after whose begin another zone must have been heard: a balancer that hears
+ * nobody has been held up itself.
+ */
+const OTHERS_SHARE = 0.5;
+
+/** What is known of one zone. */
+interface ZoneContact {
+  agents: number;
+  heardAt: number;
+}
+
+/** The zones as one balancer hears them. */
+export class ZoneReach {
+  private readonly zones = new Map<string, ZoneContact>();
+
+  /** An agent of a zone is heard. */
+  heard(zone: string, now: number): void {
+    const contact = this.zones.get(zone);
+    if (contact) {
+      contact.heardAt = now;
+    } else {
+      this.zones.set(zone, { agents: 0, heardAt: now });
+    }
+  }
+
+  /** An agent of a zone was added to the directory, or taken out. */
+  count(zone: string, change: 1 | -1): void {
+    const contact = this.zones.get(zone);
+    if (contact) {
+      contact.agents += change;
+    } else {
+      this.zones.set(zone, { agents: Math.max(0, change), heardAt: -Infinity });
+    }
+  }
+
+  /**
+   * Whether all agents of a zone have fallen silent while others are heard.
+   * @param agents number of all agents, on which the time between their reports depends
+   */
+  isSilent(zone: string, agents: number, now: number): boolean {
+    const contact = this.zones.get(zone);
+    if (!contact || contact.agents < AGENTS_NEEDED || contact.heardAt === -Infinity) {
+      return false;
+    }
+    const limit = Math.max(SHORTEST_SILENCE, reportInterval(agents) * SILENT_SHARE);
+    return (
+      now - contact.heardAt > limit && this.hearsOther(zone, contact.heardAt + limit * OTHERS_SHARE)
+    );
+  }
+
+  private hearsOther(zone: string, since: number): boolean {
+    for (const [other, { heardAt }] of this.zones) {
+      if (other !== zone && heardAt > since) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -4,6 +4,7 @@
 import { FlowCache } from '../../src/packets/flow-cache';
 import { FlowRouter } from '../../src/packets/flow-router';
 import { PacketFrameCodec } from '../../src/packets/packet-frames';
+import { ZoneDetour } from '../../src/packets/zone-detour';
 import { PacketLink } from '../../src/packets/packet-link';
 import type { PacketMessage } from '../../src/packets/packet-messages';
 import {
@@ -39,6 +40,7 @@
   readonly environment = this.createEnvironment();
   readonly router: FlowRouter;
   now = 1_000;
+  readonly detours = new ZoneDetour('north');
   /** Zones out of service. */
   evacuatedZones: readonly string[] = [];
   private readonly timers: { readonly at: number; readonly action: () => void }[] = [];
@@ -70,6 +72,7 @@
       cache: new FlowCache(1_000, 60_000),
       link,
       sendToClient: (client) => this.resets.push(client),
+      detours: this.detours,
       isEvacuated: (zone) => this.evacuatedZones.includes(zone),
     });
     this.router.apply({
--- /dev/null
+++ b/test/zone-cut.test.ts
@@ -0,0 +1,123 @@
+/** Two zones that cannot reach each other while a third reaches both. */
+import test from 'ava';
+import { ZoneDetour } from '../src/packets/zone-detour';
+import { ZoneReach } from '../src/packets/zone-reach';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import {
+  MAP_DESTINATION,
+  openModelFlows,
+  startModelDeployment,
+} from '../src/simulation/packets/random-faults';
+
+const AGENTS = 24;
+
+function createReach(zones: readonly string[], agentsEach: number): ZoneReach {
+  const reach = new ZoneReach();
+  for (const zone of zones) {
+    for (let agent = 0; agent < agentsEach; agent++) {
+      reach.count(zone, 1);
+    }
+    reach.heard(zone, 0);
+  }
+  return reach;
+}
+
+test('a zone is silent once none of its agents is heard while others are', (t) => {
+  const reach = createReach(['north', 'south'], 8);
+  reach.heard('north', 500);
+  t.true(reach.isSilent('south', AGENTS, 500));
+  t.false(reach.isSilent('south', AGENTS, 240));
+  t.false(reach.isSilent('north', AGENTS, 500));
+  reach.heard('south', 510);
+  t.false(reach.isSilent('south', AGENTS, 520));
+});
+
+test('a balancer that hears nobody, and a zone of few agents, say nothing', (t) => {
+  const reach = createReach(['north', 'south'], 8);
+  t.false(reach.isSilent('south', AGENTS, 2_000));
+  const few = createReach(['north', 'south'], 3);
+  few.heard('north', 2_000);
+  t.false(few.isSilent('south', AGENTS, 2_000));
+});
+
+test('a way round goes through a ready balancer of a third zone, the same for a flow', (t) => {
+  const detour = new ZoneDetour('north');
+  t.is(detour.find('f', 'south', 0), undefined);
+  detour.learn(1, 'north', true, 0);
+  detour.learn(2, 'south', true, 0);
+  detour.learn(3, 'east', false, 0);
+  t.is(detour.find('f', 'south', 1), undefined);
+  detour.learn(4, 'east', true, 0);
+  detour.learn(5, 'west', true, 0);
+  const found = detour.find('f', 'south', 1);
+  t.true(found === 4 || found === 5);
+  t.is(detour.find('f', 'south', 2), found);
+  detour.learn(found!, 'east', false, 3);
+  t.not(detour.find('f', 'south', 4), found);
+  t.is(detour.find('f', 'south', 20_000), undefined);
+});
+
+function cutZones(world: PacketWorld, one: string, other: string): () => void {
+  const nodes = [...world.balancers, ...world.agents];
+  const of = (zone: string): string[] => nodes.filter((n) => n.zone === zone).map((n) => n.name);
+  const cuts = of(one).flatMap((from) =>
+    of(other).flatMap((to) => [
+      { from, to },
+      { from: to, to: from },
+    ]),
+  );
+  cuts.forEach((cut) => world.network.cut(cut));
+  return () => cuts.forEach((cut) => world.network.heal(cut));
+}
+
+function startWorld(seed: number): PacketWorld {
+  const world = new PacketWorld(seed);
+  startModelDeployment(world, 6);
+  for (const zone of ['north', 'south', 'east']) {
+    for (let index = 0; index < 8; index++) {
+      world.addAgent('map', zone);
+    }
+  }
+  world.runFor(5_000);
+  return world;
+}
+
+test('flows across a cut go on by the third zone, and nothing is broken', (t) => {
+  const world = startWorld(41);
+  // So that balancers of the north place flows in other zones.
+  world.store.evacuate('north');
+  world.runFor(500);
+  const flows = Array.from({ length: 90 }, () => world.openFlow(MAP_DESTINATION, 40, 100));
+  world.runFor(500);
+  world.store.restore('north');
+  world.runFor(500);
+  const heal = cutZones(world, 'north', 'south');
+  world.runFor(1_000);
+  const before = flows.map(({ answers }) => answers);
+  world.runFor(1_500);
+  const stuck = flows.filter(
+    ({ answers, state }, index) => state === 'open' && answers === before[index],
+  );
+  const detoured = world.balancers.reduce(
+    (sum, { node }) => sum + node.router.counters.packetsDetoured,
+    0,
+  );
+  t.true(detoured > 0);
+  t.true(stuck.length <= 2, `${stuck.length} flows got no answer`);
+  heal();
+  world.runFor(12_000);
+  t.deepEqual(world.violations.flowsReset, []);
+  t.deepEqual(world.violations.doubled, []);
+  t.true(flows.every(({ state }) => state === 'done'));
+});
+
+test('new flows stay on the side that their balancer reaches', (t) => {
+  const world = startWorld(42);
+  cutZones(world, 'north', 'south');
+  world.runFor(1_000);
+  const flows = world.clients.length;
+  openModelFlows(world, 60, 2, 50);
+  world.runFor(180);
+  const opened = world.clients.slice(flows).filter(({ state }) => state !== 'opening');
+  t.true(opened.length >= 58, `${opened.length} of 60 opened without a copy`);
+});
