--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -71,11 +71,20 @@
     }
   }
 
-  /** Routes a packet that another balancer could not deliver; it goes no further way round. */
-  routeDetoured(bytes: Buffer): void {
+  /**
+   * Routes a packet that another balancer could not deliver; it goes no further way round.
+   * @param agent the agent that holds its flow, as the other balancer knows it
+   */
+  routeDetoured(bytes: Buffer, agent: Endpoint): void {
     const packet = this.receive(bytes);
-    if (packet) {
-      this.outlet.noteDetoured(packet);
+    if (!packet) {
+      return;
+    }
+    this.outlet.noteDetoured(packet);
+    const route = this.routes?.get(packet.destination);
+    if (route && !packet.opens && this.dependencies.directory.find(agent)) {
+      this.outlet.deliver(packet, servicesOf(route), agent, 0);
+    } else {
       this.routePacket(packet);
     }
   }
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -295,7 +295,7 @@
         this.peers.receive(from, message);
         return;
       case PacketMessageType.detour:
-        this.router.routeDetoured(message.payload);
+        this.router.routeDetoured(message.payload, message.agent);
         return;
       case PacketMessageType.deliver:
       case PacketMessageType.locate:
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -158,6 +158,8 @@
 /** Balancer to balancer: a client's packet for a zone that the sender cannot reach. */
 export interface DetourMessage {
   readonly type: typeof PacketMessageType.detour;
+  /** The agent that holds the packet's flow, as far as the sender knows. */
+  readonly agent: Endpoint;
   readonly payload: Buffer;
 }
 
@@ -429,7 +431,7 @@
   ],
   [PacketMessageType.held, [field('flow', 'f', binary)]],
   [PacketMessageType.locate, [field('flow', 'f', binary)]],
-  [PacketMessageType.detour, [payload]],
+  [PacketMessageType.detour, [field('agent', 'a', integer), payload]],
   [
     PacketMessageType.subscribe,
     [
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -3,7 +3,7 @@
 import type { Endpoint, Environment } from '../environment';
 import type { EventFields, EventKind } from '../logging/events';
 import { Events } from '../logging/events';
-import type { AgentDirectory } from './agent-directory';
+import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { DelayedDeliveries } from './delayed-deliveries';
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import type { PacketLink } from './packet-link';
@@ -77,7 +77,7 @@
     const now = environment.now();
     const entry = directory.find(agent);
     if (entry && !packet.opens && !directory.isHeard(entry, now)) {
-      if (this.detour(packet, entry.zone, now)) {
+      if (this.detour(packet, entry, now)) {
         return;
       }
       this.delayed.add(agent, message, now);
@@ -91,7 +91,7 @@
   }
 
   /** Sends a packet to a zone out of reach through a third one; false when there is no such way. */
-  private detour(packet: FlowPacket, zone: string, now: number): boolean {
+  private detour(packet: FlowPacket, { address, zone }: AgentEntry, now: number): boolean {
     const { detours, directory, link } = this.dependencies;
     if (this.detoured.has(packet) || !directory.isZoneSilent(zone, now)) {
       return false;
@@ -101,7 +101,8 @@
       return false;
     }
     this.counters.packetsDetoured++;
-    link.send(balancer, { type: PacketMessageType.detour, payload: packet.bytes });
+    const { bytes: payload } = packet;
+    link.send(balancer, { type: PacketMessageType.detour, agent: address, payload });
     return true;
   }
 
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -110,7 +110,7 @@
     { type: PacketMessageType.notHeld, searchId: 7, reason: 5, payload: flow },
     { type: PacketMessageType.held, flow },
     { type: PacketMessageType.locate, flow },
-    { type: PacketMessageType.detour, payload: flow },
+    { type: PacketMessageType.detour, agent: 0x0a00_0001_0000, payload: flow },
     {
       type: PacketMessageType.subscribe,
       zone: 'north',
