--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -8,8 +8,6 @@
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
 import { AgentRegistration } from './agent-registration';
-import { ColdLimit } from './cold-limit';
-import { refusalOf, type TargetCondition } from './delivery-rules';
 import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
 import { LoadReporter } from './load-reporter';
@@ -33,17 +31,17 @@
   type RefusalReasonValue,
   type SearchMessage,
   type SearchPhaseValue,
+  type SubscribeMessage,
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
-import type { ColdStarts } from './routing-table';
 import { stepAfter } from './search-steps';
 import { TargetAdmission } from './target-admission';
+import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
-import { ZoneEvacuationView } from './zone-evacuations';
 
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
@@ -69,8 +67,7 @@
   private readonly pending: PendingDeliveries;
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
-  private readonly evacuations: ZoneEvacuationView;
-  private readonly coldLimit: ColdLimit;
+  private readonly guard: TargetGuard;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -89,9 +86,10 @@
       () => this.isTargetHeard,
     );
     this.link = new PacketLink(codec, transport, environment);
-    this.evacuations = new ZoneEvacuationView(environment, (zones) => this.zonesChanged(zones));
     this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
-    this.coldLimit = new ColdLimit(this.target, settings.coldLimit, environment.now());
+    const { coldLimit, zone } = settings;
+    const { health, target } = this;
+    this.guard = new TargetGuard({ environment, zone, coldLimit, target, health });
     this.admission = new TargetAdmission({
       target: this.target,
       tracker: this.tracker,
@@ -212,8 +210,7 @@
         this.answerLocate(message.flow, from);
         return;
       case PacketMessageType.subscribe:
-        this.evacuations.take(message.evacuations, formatEndpoint(from));
-        this.learnColdStarts(message.coldStarts);
+        this.learnNews(message, from);
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         return;
@@ -229,22 +226,14 @@
   }
 
   /** Balancers are told at once if the agent knows its target from its start, by what it learns. */
-  private learnColdStarts(coldStarts: ColdStarts): void {
+  private learnNews(message: SubscribeMessage, balancer: Endpoint): void {
     const wasKnown = this.target.isKnownFromStart;
-    this.coldLimit.learn(coldStarts);
+    this.guard.learn(message, balancer);
     if (this.target.isKnownFromStart !== wasKnown) {
       this.reporter.report();
     }
   }
 
-  /** Targets of a zone that comes back into service may be cold, before a heartbeat tells so. */
-  private zonesChanged(zones: readonly string[]): void {
-    const { zone } = this.settings;
-    if (zones.includes(zone) && !this.evacuations.isEvacuated(zone)) {
-      this.target.doubtAge();
-    }
-  }
-
   /** A target that leaves takes its entry with it. */
   private takeListing(listing: ListingStateValue): void {
     if (this.target.state !== TargetState.gone) {
@@ -308,7 +297,7 @@
       return;
     }
     this.reporter.subscribe(balancer);
-    const refusal = refusalOf(packet.opens, message.services, this.condition);
+    const refusal = this.guard.refusalOf(packet.opens, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
@@ -324,7 +313,7 @@
       return;
     }
     this.link.noteVersion(balancer, COMPACT_FRAME_VERSION);
-    const isRefused = refusalOf(packet.opens, message.services, this.condition) !== undefined;
+    const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
     } else if (this.tracker.isHeldFor(packet.flow, balancer)) {
@@ -384,8 +373,7 @@
     this.counters.packetsDelivered++;
     this.tracker.delivered(packet, balancer, environment.now());
     if (packet.opens) {
-      this.health.openingDelivered(environment.now());
-      this.coldLimit.opened(environment.now());
+      this.guard.openingDelivered();
     }
     this.reportRequest(packet, balancer);
     format.writeToken(packet.bytes, token);
@@ -439,19 +427,6 @@
     this.reporter.reportWhereDue();
   }
 
-  private get condition(): TargetCondition {
-    const now = this.dependencies.environment.now();
-    return {
-      service: this.target.service,
-      state: this.target.state,
-      isDown: this.health.isDown(now),
-      isProbeDue: this.health.isProbeDue(now),
-      isServiceDisputed: this.target.isServiceDisputed,
-      isEvacuated: this.evacuations.isEvacuated(this.settings.zone),
-      isAtColdLimit: this.coldLimit.isReached(now),
-    };
-  }
-
   private returnPacket(packet: FlowPacket): void {
     const { format } = this.dependencies;
     this.counters.packetsReturned++;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -6,20 +6,15 @@
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
-import { AgentDirectory, type AgentEntry } from './agent-directory';
+import { AgentDirectory } from './agent-directory';
+import { AgentReports } from './agent-reports';
 import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
 import { NodeTimers } from './node-timers';
 import { PacketLink } from './packet-link';
-import {
-  PacketMessageType,
-  TargetState,
-  type ListedAgent,
-  type PacketMessage,
-  type ReportMessage,
-} from './packet-messages';
+import { PacketMessageType, type ListedAgent, type PacketMessage } from './packet-messages';
 import { PeerExchange } from './peer-exchange';
 import type { PeerSnapshot } from './peer-snapshot';
 import type {
@@ -57,6 +52,7 @@
   private readonly cache: FlowCache;
   private readonly link: PacketLink;
   private readonly peers: PeerExchange;
+  private readonly reports: AgentReports;
   private readonly view: RegistryView;
   private readonly upkeep: RegistryUpkeep;
   private readonly subscriptions: AgentSubscriptions;
@@ -113,6 +109,14 @@
       },
     });
     this.peers = this.createPeerExchange();
+    this.reports = new AgentReports({
+      environment,
+      directory: this.directory,
+      link: this.link,
+      learnPeer: (peer) => this.peers.learnPeer(peer),
+      agentReturned: (agent) => this.router.agentReturned(agent),
+      changed: () => this.updateReadiness(),
+    });
     this.reading = this.createReading();
   }
 
@@ -289,7 +293,7 @@
         this.router.confirmed(message.flow.toString('latin1'), from);
         return;
       case PacketMessageType.report:
-        this.takeReport(from, message);
+        this.reports.take(from, message);
         return;
       case PacketMessageType.peerStatus:
         this.peers.receive(from, message);
@@ -305,58 +309,6 @@
     }
   }
 
-  private takeReport(from: Endpoint, report: ReportMessage): void {
-    const now = this.dependencies.environment.now();
-    const known = this.directory.find(from);
-    const before = known?.report?.state;
-    const wasHeard = known !== undefined && this.directory.isHeard(known, now);
-    const wasZoneSilent = this.directory.isZoneSilent(report.zone, now);
-    const entry = this.directory.hear(from, report, now);
-    if (!entry) {
-      return;
-    }
-    this.link.noteVersion(from, report.frameVersion);
-    report.balancers.forEach((peer) => this.peers.learnPeer(peer));
-    // Not the first report of each agent: a balancer that starts hears all of them at once.
-    if (before !== undefined && (before !== report.state || !wasHeard)) {
-      this.reportAgent(entry, report, wasHeard);
-    }
-    if (report.state === TargetState.gone && entry.registryRevision === undefined) {
-      this.directory.forget(from);
-    }
-    if (wasZoneSilent) {
-      this.zoneReturned(report.zone, now);
-    } else if (!wasHeard) {
-      this.agentReturned(entry, now);
-    }
-  }
-
-  /** The way to a zone is open again: all of its agents that were heard lately are. */
-  private zoneReturned(zone: string, now: number): void {
-    for (const entry of this.directory.all()) {
-      if (entry.zone === zone) {
-        this.agentReturned(entry, now);
-      }
-    }
-  }
-
-  private agentReturned(entry: AgentEntry, now: number): void {
-    if (this.directory.isHeard(entry, now)) {
-      this.router.agentReturned(entry.address);
-    }
-    this.updateReadiness();
-  }
-
-  private reportAgent(entry: AgentEntry, report: ReportMessage, wasHeard: boolean): void {
-    this.dependencies.environment.report(Events.agentStateSeen, {
-      agent: formatEndpoint(entry.address),
-      service: entry.service,
-      state: report.state,
-      slots: report.slots,
-      wasHeard,
-    });
-  }
-
   private createPeerExchange(): PeerExchange {
     const { environment, snapshots } = this.dependencies;
     return new PeerExchange({
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -18,10 +18,10 @@
 import { failure, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { BODY_OFFSET, FrameCodec, type ClusterKey } from '../wire/frame-codec';
+import { PACKET_MESSAGE_FIELDS } from './packet-message-schema';
 import {
   COMPACT_FRAME_VERSION,
   MAXIMUM_SEARCH_LENGTH,
-  PACKET_MESSAGE_FIELDS,
   PacketMessageType,
   RefusalReason,
   SearchPhase,
--- /dev/null
+++ b/src/packets/packet-message-schema.ts
@@ -0,0 +1,227 @@
+/**
+ * The messages of the packet interface as bson documents: one short key a field, and the check that
+ * a received value must pass. Fields that programs of an earlier version leave out have a default.
+ */
+import type { MessageSchema } from '../wire/frame-codec';
+import {
+  binary,
+  FieldError,
+  integer,
+  listOf,
+  oneOf,
+  positive,
+  text,
+  tuple,
+  type FieldCodec,
+} from '../wire/field-codecs';
+import {
+  type AgentRecord,
+  FIRST_FRAME_VERSION,
+  type ListedAgent,
+  ListingState,
+  type ListingStateValue,
+  PacketMessageType,
+  RefusalReason,
+  type RegistryDelta,
+  TargetState,
+} from './packet-messages';
+import { UNKNOWN_COLD_STARTS, type ColdStart, type ColdStarts } from './routing-table';
+import type { StoreReader } from './store-readers';
+import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
+
+function field(
+  property: string,
+  key: string,
+  unpack: FieldCodec['unpack'],
+  pack?: FieldCodec['pack'],
+): FieldCodec {
+  return pack ? { property, key, unpack, pack } : { property, key, unpack };
+}
+
+/** Agents in the form in which they are sent. */
+export function packAgents(agents: readonly AgentRecord[]): unknown[] {
+  return agents.map(({ address, service, zone }) => [address, service, zone]);
+}
+
+/** Checks one agent as received; throws a `FieldError` for anything else. */
+export function unpackAgent(value: unknown): AgentRecord {
+  const [address, service, zone] = tuple(value, 3);
+  return { address: integer(address), service: text(service), zone: text(zone) };
+}
+
+/** Programs that know only the first version of frames name none. */
+function versionOrFirst(value: unknown): number {
+  return value === undefined ? FIRST_FRAME_VERSION : integer(value);
+}
+
+/** Agents with the revisions of their registrations, in the form in which they are sent. */
+export function packListedAgents(agents: readonly ListedAgent[]): unknown[] {
+  return agents.map(({ address, service, zone, revision }) => [address, service, zone, revision]);
+}
+
+/** Checks one listed agent as received; programs of an earlier version send no revision. */
+export function unpackListedAgent(value: unknown): ListedAgent {
+  if (Array.isArray(value) && value.length === 3) {
+    return { ...unpackAgent(value), revision: 0 };
+  }
+  const [address, service, zone, revision] = tuple(value, 4);
+  return { ...unpackAgent([address, service, zone]), revision: integer(revision) };
+}
+
+function packDelta(delta: RegistryDelta | undefined): unknown {
+  if (delta === undefined) {
+    return null;
+  }
+  const { from, to, changes } = delta;
+  const agents = packListedAgents(changes.map(({ agent }) => agent));
+  return [from, to, agents, changes.map(({ removed }) => (removed ? 1 : 0))];
+}
+
+function unpackDelta(value: unknown): RegistryDelta | undefined {
+  if (value === undefined || value === null) {
+    return undefined;
+  }
+  const [from, to, packed, removals] = tuple(value, 4);
+  const agents = listOf(unpackListedAgent)(packed);
+  const removed = listOf(oneOf(0, 1))(removals);
+  if (agents.length !== removed.length) {
+    throw new FieldError('changes without agents');
+  }
+  const changes = agents.map((agent, index) => ({ agent, removed: removed[index] === 1 }));
+  return { from: integer(from), to: integer(to), changes };
+}
+
+function packReaders(readers: readonly StoreReader[]): unknown[] {
+  return readers.map(({ reader, age }) => [reader, age]);
+}
+
+/** Programs that know no readers tell none. */
+function unpackReaders(value: unknown): readonly StoreReader[] {
+  return value === undefined ? [] : listOf(unpackReader)(value);
+}
+
+function unpackReader(value: unknown): StoreReader {
+  const [reader, age] = tuple(value, 2);
+  return { reader: integer(reader), age: integer(age) };
+}
+
+function packEvacuations({ revision, zones }: ZoneEvacuations): unknown[] {
+  return [revision, zones];
+}
+
+/** Programs of an earlier version know of no evacuations. */
+function unpackEvacuations(value: unknown): ZoneEvacuations {
+  if (value === undefined) {
+    return UNKNOWN_EVACUATIONS;
+  }
+  const [revision, zones] = tuple(value, 2);
+  return { revision: integer(revision), zones: listOf(text)(zones) };
+}
+
+/** Cold starts in the form in which they are sent. */
+export function packColdStarts(services: readonly ColdStart[]): unknown[] {
+  return services.map(({ service, duration, flowsPerSecond }) => [
+    service,
+    duration,
+    flowsPerSecond,
+  ]);
+}
+
+/** Checks cold starts as received; throws a `FieldError` for anything else. */
+export const unpackColdStarts = listOf((value): ColdStart => {
+  const [service, duration, flowsPerSecond] = tuple(value, 3);
+  return {
+    service: text(service),
+    duration: positive(duration),
+    flowsPerSecond: positive(flowsPerSecond),
+  };
+});
+
+function packVersionedStarts({ version, services }: ColdStarts): unknown[] {
+  return [version, packColdStarts(services)];
+}
+
+/** Programs of an earlier version tell nothing of cold starts. */
+function unpackVersionedStarts(value: unknown): ColdStarts {
+  if (value === undefined) {
+    return UNKNOWN_COLD_STARTS;
+  }
+  const [version, services] = tuple(value, 2);
+  return { version: integer(version), services: unpackColdStarts(services) };
+}
+
+/** A field that programs of an earlier version leave out; 0 then. */
+function integerOrZero(value: unknown): number {
+  return value === undefined ? 0 : integer(value);
+}
+
+/** Programs of an earlier version say nothing of it. */
+function unpackListing(value: unknown): ListingStateValue {
+  if (value === undefined) {
+    return ListingState.unknown;
+  }
+  return oneOf(...Object.values(ListingState))(value) as ListingStateValue;
+}
+
+const searchId = field('searchId', 'i', integer);
+const payload = field('payload', 'p', binary);
+const evacuations = field('evacuations', 'e', unpackEvacuations, packEvacuations);
+
+/** Fields of every message type that travels as a bson document. */
+export const PACKET_MESSAGE_FIELDS: MessageSchema = new Map<number, readonly FieldCodec[]>([
+  [PacketMessageType.deliver, [searchId, field('services', 's', listOf(text)), payload]],
+  [
+    PacketMessageType.notHeld,
+    [searchId, field('reason', 'r', oneOf(...Object.values(RefusalReason))), payload],
+  ],
+  [PacketMessageType.held, [field('flow', 'f', binary)]],
+  [PacketMessageType.locate, [field('flow', 'f', binary)]],
+  [PacketMessageType.detour, [field('agent', 'a', integer), payload]],
+  [
+    PacketMessageType.subscribe,
+    [
+      field('zone', 'z', text),
+      field('interval', 'i', positive),
+      field('listing', 'l', unpackListing),
+      evacuations,
+      field('coldStarts', 'c', unpackVersionedStarts, packVersionedStarts),
+    ],
+  ],
+  [
+    PacketMessageType.report,
+    [
+      field('service', 's', text),
+      field('zone', 'z', text),
+      field('run', 'r', integer),
+      field('sequence', 'q', integer),
+      field('state', 'a', oneOf(...Object.values(TargetState))),
+      field('slots', 'l', integer),
+      field('busyRequests', 'b', integer),
+      field('openFlows', 'o', integer),
+      field('coldLeft', 'c', integer),
+      field('failurePercent', 'f', integer),
+      field('frameVersion', 'v', versionOrFirst),
+      field('knowsAllFlows', 'k', integerOrZero),
+      field('balancerCount', 'n', integer),
+      field('balancers', 'm', listOf(integer)),
+    ],
+  ],
+  [
+    PacketMessageType.peerStatus,
+    [
+      field('routingVersion', 'v', integer),
+      field('viewComplete', 'w', oneOf(0, 1)),
+      field('zone', 'z', text),
+      field('packetAddress', 'p', integer),
+      field('capacity', 'c', integer),
+      field('ready', 'r', oneOf(0, 1)),
+      field('replyWanted', 'y', oneOf(0, 1)),
+      field('peers', 'm', listOf(integer)),
+      field('unregistered', 'u', listOf(unpackAgent), packAgents),
+      field('registryRevision', 'g', integerOrZero),
+      field('readers', 'd', unpackReaders, packReaders),
+      field('delta', 'x', unpackDelta, packDelta),
+      evacuations,
+    ],
+  ],
+]);
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -16,8 +16,8 @@
   packListedAgents,
   unpackColdStarts,
   unpackListedAgent,
-  type ListedAgent,
-} from './packet-messages';
+} from './packet-message-schema';
+import type { ListedAgent } from './packet-messages';
 import type { Route, RoutingTable, WeightedService } from './routing-table';
 
 /** State that a starting or lagging balancer can take over. */
--- /dev/null
+++ b/src/packets/target-guard.ts
@@ -0,0 +1,76 @@
+/**
+ * What an agent goes by when it lets a packet through to its target: what the target says of
+ * itself, how it does, and what balancers tell of the deployment.
+ */
+import { formatEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment } from '../environment';
+import { ColdLimit, type ColdLimitSettings } from './cold-limit';
+import { refusalOf, type TargetCondition } from './delivery-rules';
+import type { RefusalReasonValue, SubscribeMessage } from './packet-messages';
+import type { TargetHealth } from './target-health';
+import type { TargetLifecycle } from './target-lifecycle';
+import { ZoneEvacuationView } from './zone-evacuations';
+
+/** What the guard works with. */
+export interface TargetGuardDependencies {
+  readonly environment: Environment;
+  readonly zone: string;
+  readonly coldLimit: ColdLimitSettings | undefined;
+  readonly target: TargetLifecycle;
+  readonly health: TargetHealth;
+}
+
+/** The guard of one target. */
+export class TargetGuard {
+  private readonly evacuations: ZoneEvacuationView;
+  private readonly coldLimit: ColdLimit;
+
+  constructor(private readonly dependencies: TargetGuardDependencies) {
+    const { environment, target, coldLimit } = dependencies;
+    this.evacuations = new ZoneEvacuationView(environment, (zones) => this.zonesChanged(zones));
+    this.coldLimit = new ColdLimit(target, coldLimit, environment.now());
+  }
+
+  /** Takes what a balancer tells of the deployment. */
+  learn({ evacuations, coldStarts }: SubscribeMessage, balancer: Endpoint): void {
+    this.evacuations.take(evacuations, formatEndpoint(balancer));
+    this.coldLimit.learn(coldStarts);
+  }
+
+  /**
+   * Why the target must not get a packet; undefined when it may.
+   * @param services services that the packet's route allows
+   */
+  refusalOf(opens: boolean, services: readonly string[]): RefusalReasonValue | undefined {
+    return refusalOf(opens, services, this.condition);
+  }
+
+  /** An opening packet is handed to the target. */
+  openingDelivered(): void {
+    const now = this.dependencies.environment.now();
+    this.dependencies.health.openingDelivered(now);
+    this.coldLimit.opened(now);
+  }
+
+  private get condition(): TargetCondition {
+    const { environment, health, target, zone } = this.dependencies;
+    const now = environment.now();
+    return {
+      service: target.service,
+      state: target.state,
+      isDown: health.isDown(now),
+      isProbeDue: health.isProbeDue(now),
+      isServiceDisputed: target.isServiceDisputed,
+      isEvacuated: this.evacuations.isEvacuated(zone),
+      isAtColdLimit: this.coldLimit.isReached(now),
+    };
+  }
+
+  /** Targets of a zone that comes back into service may be cold, before a heartbeat tells so. */
+  private zonesChanged(zones: readonly string[]): void {
+    const { target, zone } = this.dependencies;
+    if (zones.includes(zone) && !this.evacuations.isEvacuated(zone)) {
+      target.doubtAge();
+    }
+  }
+}
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -4,8 +4,8 @@
 import { FlowLocator, locateTimeout, type WaitingPacket } from '../src/packets/flow-locator';
 import type { FlowPacket } from '../src/packets/flow-packet';
 import { FlowSearches, nextToAsk, noteOffer } from '../src/packets/flow-search';
+import { PACKET_MESSAGE_FIELDS } from '../src/packets/packet-message-schema';
 import {
-  PACKET_MESSAGE_FIELDS,
   PacketMessageType,
   RefusalReason,
   TargetState,
