--- a/src/bench/packets-contract.ts
+++ b/src/bench/packets-contract.ts
@@ -33,7 +33,7 @@
   table: {
     version: 1,
     idleTimeout: LIFETIME,
-    coldStarts: [],
+    profiles: [],
     routes: [
       { name: 'bench', destination: DESTINATION, services: [{ service: SERVICE, weight: 1 }] },
     ],
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -8,7 +8,7 @@
   type SubscribeMessage,
 } from './packet-messages';
 import { reportInterval } from './report-interval';
-import type { ColdStarts } from './routing-table';
+import type { ServiceProfiles } from './routing-table';
 import type { ZoneEvacuations } from './zone-evacuations';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
@@ -27,7 +27,7 @@
 /** What every subscription tells an agent of the deployment. */
 export interface DeploymentNews {
   readonly evacuations: ZoneEvacuations;
-  readonly coldStarts: ColdStarts;
+  readonly profiles: ServiceProfiles;
 }
 
 /** Subscriptions of one balancer. */
--- a/src/packets/cold-limit.ts
+++ b/src/packets/cold-limit.ts
@@ -7,7 +7,7 @@
  * while the target is cold or nobody knows whether it is. What goes beyond it is refused, and the
  * balancer offers it to another agent.
  */
-import type { ColdStart, ColdStarts } from './routing-table';
+import type { ServiceProfileView } from './service-profile-view';
 import type { TargetLifecycle } from './target-lifecycle';
 
 /**
@@ -28,7 +28,6 @@
 export class ColdLimit {
   /** Times of the openings of the last second, oldest first. */
   private openedAt: number[] = [];
-  private coldStarts: ColdStarts | undefined;
 
   /**
    * @param settings undefined in a deployment without such limits
@@ -36,18 +35,11 @@
    */
   constructor(
     private readonly target: TargetLifecycle,
+    private readonly profiles: ServiceProfileView,
     private readonly settings: ColdLimitSettings | undefined,
     private readonly startedAt: number,
   ) {}
 
-  /** Takes the cold starts of a routing table; those of an earlier one change nothing. */
-  learn(told: ColdStarts): void {
-    if (told.version > (this.coldStarts?.version ?? 0)) {
-      this.coldStarts = told;
-      this.target.learnColdTime(this.ownStart?.duration);
-    }
-  }
-
   /** Whether one more opening now would be more than a cold target bears. */
   isReached(now: number): boolean {
     if (!this.settings || !this.target.mayBeCold(now)) {
@@ -77,17 +69,13 @@
 
   /** Openings a second; only what holds for any rate while no balancer has told the rate. */
   private limit({ overshoot, slack }: ColdLimitSettings): number {
-    if (this.coldStarts === undefined) {
+    if (!this.profiles.isKnown) {
       return slack;
     }
-    const rate = this.ownStart?.flowsPerSecond ?? 0;
+    const rate = this.profiles.own?.coldRate ?? 0;
     return rate > 0 ? Math.floor(rate * overshoot + slack) : Infinity;
   }
 
-  private get ownStart(): ColdStart | undefined {
-    return this.coldStarts?.services.find(({ service }) => service === this.target.service);
-  }
-
   private expire(now: number): void {
     const kept = this.openedAt.findIndex((at) => at > now - WINDOW);
     this.openedAt = kept === -1 ? [] : this.openedAt.slice(kept);
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -93,6 +93,7 @@
     this.admission = new TargetAdmission({
       target: this.target,
       tracker: this.tracker,
+      latencyGoal: () => this.guard.latencyGoal,
       handOver: (packet, balancer, searchId) =>
         this.handToTarget(packet, balancer, this.pending.add(balancer, searchId)),
     });
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -24,7 +24,7 @@
 } from './packet-balancer-contracts';
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
-import { UNKNOWN_COLD_STARTS, type ColdStarts, type RoutingTable } from './routing-table';
+import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
 import { StartupBacklog } from './startup-backlog';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
@@ -97,7 +97,7 @@
       settings.zone,
       this.directory,
       (agents, message) => this.link.sendToAll(agents, message),
-      () => ({ evacuations: this.evacuations.current, coldStarts: this.coldStarts }),
+      () => ({ evacuations: this.evacuations.current, profiles: this.profiles }),
     );
     this.view = new RegistryView({
       environment,
@@ -235,9 +235,9 @@
     }));
   }
 
-  private get coldStarts(): ColdStarts {
+  private get profiles(): ServiceProfiles {
     const { table } = this;
-    return table ? { version: table.version, services: table.coldStarts } : UNKNOWN_COLD_STARTS;
+    return table ? { version: table.version, services: table.profiles } : UNKNOWN_PROFILES;
   }
 
   private get hasView(): boolean {
@@ -393,7 +393,7 @@
     if (this.table && table.version <= this.table.version) {
       return;
     }
-    const hasOtherStarts = !isDeepStrictEqual(this.table?.coldStarts ?? [], table.coldStarts);
+    const hasOtherProfiles = !isDeepStrictEqual(this.table?.profiles ?? [], table.profiles);
     this.table = table;
     this.router.apply(table);
     const { version, routes } = table;
@@ -403,7 +403,7 @@
       origin,
     });
     this.peers.tellWaiting();
-    if (hasOtherStarts) {
+    if (hasOtherProfiles) {
       this.subscriptions.renewAll();
       this.subscribe();
     }
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -25,7 +25,7 @@
   type RegistryDelta,
   TargetState,
 } from './packet-messages';
-import { UNKNOWN_COLD_STARTS, type ColdStart, type ColdStarts } from './routing-table';
+import { UNKNOWN_PROFILES, type ServiceProfile, type ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
 import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
 
@@ -118,36 +118,38 @@
   return { revision: integer(revision), zones: listOf(text)(zones) };
 }
 
-/** Cold starts in the form in which they are sent. */
-export function packColdStarts(services: readonly ColdStart[]): unknown[] {
-  return services.map(({ service, duration, flowsPerSecond }) => [
+/** Profiles of services in the form in which they are sent. */
+export function packServiceProfiles(profiles: readonly ServiceProfile[]): unknown[] {
+  return profiles.map(({ service, latencyGoal, coldTime, coldRate }) => [
     service,
-    duration,
-    flowsPerSecond,
+    latencyGoal,
+    coldTime,
+    coldRate,
   ]);
 }
 
-/** Checks cold starts as received; throws a `FieldError` for anything else. */
-export const unpackColdStarts = listOf((value): ColdStart => {
-  const [service, duration, flowsPerSecond] = tuple(value, 3);
+/** Checks profiles of services as received; throws a `FieldError` for anything else. */
+export const unpackServiceProfiles = listOf((value): ServiceProfile => {
+  const [service, latencyGoal, coldTime, coldRate] = tuple(value, 4);
   return {
     service: text(service),
-    duration: positive(duration),
-    flowsPerSecond: positive(flowsPerSecond),
+    latencyGoal: positive(latencyGoal),
+    coldTime: positive(coldTime),
+    coldRate: positive(coldRate),
   };
 });
 
-function packVersionedStarts({ version, services }: ColdStarts): unknown[] {
-  return [version, packColdStarts(services)];
+function packVersionedProfiles({ version, services }: ServiceProfiles): unknown[] {
+  return [version, packServiceProfiles(services)];
 }
 
-/** Programs of an earlier version tell nothing of cold starts. */
-function unpackVersionedStarts(value: unknown): ColdStarts {
+/** Programs of an earlier version tell nothing of services. */
+function unpackVersionedProfiles(value: unknown): ServiceProfiles {
   if (value === undefined) {
-    return UNKNOWN_COLD_STARTS;
+    return UNKNOWN_PROFILES;
   }
   const [version, services] = tuple(value, 2);
-  return { version: integer(version), services: unpackColdStarts(services) };
+  return { version: integer(version), services: unpackServiceProfiles(services) };
 }
 
 /** A field that programs of an earlier version leave out; 0 then. */
@@ -184,7 +186,7 @@
       field('interval', 'i', positive),
       field('listing', 'l', unpackListing),
       evacuations,
-      field('coldStarts', 'c', unpackVersionedStarts, packVersionedStarts),
+      field('profiles', 'c', unpackVersionedProfiles, packVersionedProfiles),
     ],
   ],
   [
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -1,6 +1,6 @@
 /** The messages between balancers and agents of the packet interface (docs/PACKETS.md). */
 import type { Endpoint } from '../environment';
-import type { ColdStarts } from './routing-table';
+import type { ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
 import type { ZoneEvacuations } from './zone-evacuations';
 
@@ -171,7 +171,7 @@
   /** Zones out of service, as far as the balancer knows. */
   readonly evacuations: ZoneEvacuations;
   /** How targets behave after their start, by the balancer's routing table. */
-  readonly coldStarts: ColdStarts;
+  readonly profiles: ServiceProfiles;
 }
 
 /** Agent to balancer: state and load of the target. */
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -12,9 +12,9 @@
 import { ResultCodes } from '../errors/result-codes';
 import { FieldError, integer, listOf, oneOf, positive, text, tuple } from '../wire/field-codecs';
 import {
-  packColdStarts,
+  packServiceProfiles,
   packListedAgents,
-  unpackColdStarts,
+  unpackServiceProfiles,
   unpackListedAgent,
 } from './packet-message-schema';
 import type { ListedAgent } from './packet-messages';
@@ -55,7 +55,7 @@
     table: routingTable ? packTable(routingTable) : null,
     complete: viewComplete ? 1 : 0,
     // Beside the table, whose form earlier versions check.
-    coldStarts: packColdStarts(routingTable?.coldStarts ?? []),
+    profiles: packServiceProfiles(routingTable?.profiles ?? []),
     agents: packListedAgents(agents),
     registryRevision,
   };
@@ -72,9 +72,9 @@
 }
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
-  const { table, complete, coldStarts, agents, registryRevision } = document;
+  const { table, complete, profiles, agents, registryRevision } = document;
   return {
-    routingTable: table === null ? undefined : unpackTable(table, coldStarts ?? []),
+    routingTable: table === null ? undefined : unpackTable(table, profiles ?? []),
     viewComplete: oneOf(0, 1)(complete) === 1,
     agents: listOf(unpackListedAgent)(agents),
     registryRevision: integer(registryRevision ?? 0),
@@ -90,13 +90,13 @@
   return [table.version, table.idleTimeout, routes];
 }
 
-function unpackTable(value: unknown, coldStarts: unknown): RoutingTable {
+function unpackTable(value: unknown, profiles: unknown): RoutingTable {
   const [version, idleTimeout, routes] = tuple(value, 3);
   return {
     version: integer(version),
     idleTimeout: positive(idleTimeout),
     routes: listOf(unpackRoute)(routes),
-    coldStarts: unpackColdStarts(coldStarts),
+    profiles: unpackServiceProfiles(profiles),
   };
 }
 
--- a/src/packets/request-queue.ts
+++ b/src/packets/request-queue.ts
@@ -2,11 +2,11 @@
  * Requests that wait at the agent while its target works on as many as it can.
  *
  * A target serves what it has in order. When more comes than it can do, its own queue makes
- * every request late, those that come last included. Here the order can follow the load:
- * first in, first out while waits are short, and last in, first out once some request has
- * waited too long to be answered in time anyway (adaptive LIFO; B. Maurer, "Fail at Scale",
- * ACM Queue 13/8, 2015). Nothing is given up on: what has waited longest comes when no
- * younger request waits, unless its client has left.
+ * every request late, those that come last included. Here the order follows what
+ * can still be answered in time: of those requests the one that has waited longest, and only when
+ * there is none, the newest of the others (in the manner of adaptive LIFO; B. Maurer, "Fail at
+ * Scale", ACM Queue 13/8, 2015). Nothing is given up on: what is late already comes when nothing
+ * else waits, unless its client has left.
  */
 import type { Endpoint } from '../environment';
 import type { FlowKey, FlowPacket } from './flow-packet';
@@ -55,17 +55,19 @@
 
   /**
    * Takes the request whose turn it is.
-   * @param patience milliseconds of waiting after which a request is late
+   * @param patience milliseconds of waiting after which a request is taken to be late
    */
   take(now: number, patience: number): WaitingRequest | undefined {
-    let oldest: WaitingRequest | undefined;
+    let oldestInTime: WaitingRequest | undefined;
     let newest: WaitingRequest | undefined;
     for (const request of this.waiting.values()) {
-      oldest = oldest === undefined || request.since < oldest.since ? request : oldest;
+      const isInTime = now - request.since <= patience;
+      if (isInTime && (oldestInTime === undefined || request.since < oldestInTime.since)) {
+        oldestInTime = request;
+      }
       newest = newest === undefined || request.since >= newest.since ? request : newest;
     }
-    const isOverloaded = oldest !== undefined && now - oldest.since > patience;
-    const next = isOverloaded ? newest : oldest;
+    const next = oldestInTime ?? newest;
     if (next) {
       this.waiting.delete(next.packet.flow);
     }
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -16,24 +16,26 @@
   readonly services: readonly WeightedService[];
 }
 
-/** How the targets of a service behave after their start. */
-export interface ColdStart {
+/** What agents go by of the service of their targets. */
+export interface ServiceProfile {
   readonly service: string;
-  /** Milliseconds for which a target is slow after its start. */
-  readonly duration: number;
+  /** Milliseconds from a request to its answer that are aimed at, on any route; 0 when unknown. */
+  readonly latencyGoal: number;
+  /** Milliseconds for which a target is slow after its start; 0 when unknown. */
+  readonly coldTime: number;
   /** New flows that it bears a second meanwhile; 0 when there is no such limit. */
-  readonly flowsPerSecond: number;
+  readonly coldRate: number;
 }
 
-/** The cold starts of one version of the routing table; version 0 while none is known. */
-export interface ColdStarts {
+/** The profiles of one version of the routing table; version 0 while none is known. */
+export interface ServiceProfiles {
   readonly version: number;
   /** A service of which nothing is known is not listed. */
-  readonly services: readonly ColdStart[];
+  readonly services: readonly ServiceProfile[];
 }
 
 /** What a node knows that has no routing table. */
-export const UNKNOWN_COLD_STARTS: ColdStarts = { version: 0, services: [] };
+export const UNKNOWN_PROFILES: ServiceProfiles = { version: 0, services: [] };
 
 /** One version of the configuration; a higher version replaces a lower one whole. */
 export interface RoutingTable {
@@ -41,7 +43,7 @@
   readonly routes: readonly Route[];
   /** Milliseconds after which a flow at rest may be forgotten. */
   readonly idleTimeout: number;
-  readonly coldStarts: readonly ColdStart[];
+  readonly profiles: readonly ServiceProfile[];
 }
 
 const serviceNames = new WeakMap<Route, readonly string[]>();
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -16,6 +16,8 @@
 export interface TargetAdmissionDependencies {
   readonly target: TargetLifecycle;
   readonly tracker: FlowTracker;
+  /** Milliseconds from a request to its answer that are aimed at; 0 while unknown. */
+  latencyGoal(): number;
   /** Hands a packet to the target. */
   handOver(packet: FlowPacket, balancer: Endpoint, searchId: number): void;
 }
@@ -62,7 +64,7 @@
   /** Hands over waiting requests as far as the target has room. */
   releaseWaiting(now: number): void {
     while (this.queue.size > 0 && this.hasRoom) {
-      this.release(this.queue.take(now, this.serviceTime.patience));
+      this.release(this.queue.take(now, this.patience));
     }
   }
 
@@ -81,6 +83,12 @@
     this.queue.expire(now);
   }
 
+  /** Milliseconds of waiting after which a request is late. */
+  private get patience(): number {
+    const goal = this.dependencies.latencyGoal();
+    return goal > 0 ? this.serviceTime.patienceFor(goal) : this.serviceTime.patience;
+  }
+
   /** Whether the target would begin with another request soon; true while its slots are unknown. */
   private get hasRoom(): boolean {
     const { target, tracker } = this.dependencies;
--- a/src/packets/target-guard.ts
+++ b/src/packets/target-guard.ts
@@ -9,6 +9,7 @@
 import type { RefusalReasonValue, SubscribeMessage } from './packet-messages';
 import type { TargetHealth } from './target-health';
 import type { TargetLifecycle } from './target-lifecycle';
+import { ServiceProfileView } from './service-profile-view';
 import { ZoneEvacuationView } from './zone-evacuations';
 
 /** What the guard works with. */
@@ -24,17 +25,24 @@
 export class TargetGuard {
   private readonly evacuations: ZoneEvacuationView;
   private readonly coldLimit: ColdLimit;
+  private readonly profiles: ServiceProfileView;
 
   constructor(private readonly dependencies: TargetGuardDependencies) {
     const { environment, target, coldLimit } = dependencies;
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.zonesChanged(zones));
-    this.coldLimit = new ColdLimit(target, coldLimit, environment.now());
+    this.profiles = new ServiceProfileView(target);
+    this.coldLimit = new ColdLimit(target, this.profiles, coldLimit, environment.now());
   }
 
   /** Takes what a balancer tells of the deployment. */
-  learn({ evacuations, coldStarts }: SubscribeMessage, balancer: Endpoint): void {
+  learn({ evacuations, profiles }: SubscribeMessage, balancer: Endpoint): void {
     this.evacuations.take(evacuations, formatEndpoint(balancer));
-    this.coldLimit.learn(coldStarts);
+    this.profiles.learn(profiles);
+  }
+
+  /** Milliseconds from a request to its answer that are aimed at; 0 while unknown. */
+  get latencyGoal(): number {
+    return this.profiles.own?.latencyGoal ?? 0;
   }
 
   /**
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -130,9 +130,9 @@
     return isYoung && firstHeartbeat.sequence <= CALLS_OF_A_START;
   }
 
-  /** Takes the milliseconds for which targets of this service are slow after their start. */
+  /** Takes the milliseconds for which targets of this service are slow after a start; 0: unknown. */
   learnColdTime(coldTime: number | undefined): void {
-    this.coldTime = coldTime;
+    this.coldTime = coldTime === 0 ? undefined : coldTime;
   }
 
   /** Whether the target is slow, or may be: no heartbeat has told its age. */
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -14,7 +14,7 @@
 import { decodeSnapshot, encodeSnapshot, type PeerSnapshot } from '../../packets/peer-snapshot';
 import { failure } from '../../errors/hallhold-error';
 import { ResultCodes } from '../../errors/result-codes';
-import type { ColdStart } from '../../packets/routing-table';
+import type { ServiceProfile } from '../../packets/routing-table';
 import { SeededRandom } from '../seeded-random';
 import { CALLER_ZONE, SimulatedNetwork } from '../simulated-network';
 import { SimulatedProcess, type EventSink } from '../simulated-process';
@@ -103,13 +103,13 @@
   configure(
     version: number,
     routes: ReadonlyMap<Endpoint, readonly string[]>,
-    coldStarts: readonly ColdStart[] = this.coldStartsOf(routes),
+    profiles: readonly ServiceProfile[] = this.profilesOf(routes),
   ): void {
     this.judge.configured(routes);
     this.store.writeRouting({
       version,
       idleTimeout: FLOW_LIFETIME,
-      coldStarts,
+      profiles,
       routes: [...routes].map(([destination, services]) => ({
         name: `route-${destination}`,
         destination,
@@ -118,12 +118,13 @@
     });
   }
 
-  private coldStartsOf(routes: ReadonlyMap<Endpoint, readonly string[]>): ColdStart[] {
+  private profilesOf(routes: ReadonlyMap<Endpoint, readonly string[]>): ServiceProfile[] {
     const services = new Set([...routes.values()].flat());
     return [...services].map((service) => ({
       service,
-      duration: this.coldTime,
-      flowsPerSecond: 0,
+      latencyGoal: 0,
+      coldTime: this.coldTime,
+      coldRate: 0,
     }));
   }
 
--- a/test/cold-targets.test.ts
+++ b/test/cold-targets.test.ts
@@ -1,7 +1,8 @@
 /** Targets that have just started: what they get in any second, over all balancers. */
 import test from 'ava';
-import { ColdLimit } from '../src/packets/cold-limit';
+import { ColdLimit, type ColdLimitSettings } from '../src/packets/cold-limit';
 import { RefusalReason } from '../src/packets/packet-messages';
+import { ServiceProfileView } from '../src/packets/service-profile-view';
 import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import {
@@ -12,7 +13,10 @@
 import { RouterHarness } from './support/router-harness';
 
 const SETTINGS = { overshoot: 1.5, slack: 5 };
-const RATES = { version: 3, services: [{ service: 'map', duration: 2_000, flowsPerSecond: 2 }] };
+const RATES = {
+  version: 3,
+  services: [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 2 }],
+};
 /** In the model world: a rate of 3, once, and a slack of 2. */
 const WORLD_RATE = 3;
 const WORLD_LIMIT = 5;
@@ -21,9 +25,19 @@
   return { incarnation: 'i', service: 'map', slots: 1, draining: false, coldLeft, sequence };
 }
 
-function createLimit(startedAt = -10_000): { target: TargetLifecycle; limit: ColdLimit } {
+interface LimitScene {
+  readonly target: TargetLifecycle;
+  readonly profiles: ServiceProfileView;
+  readonly limit: ColdLimit;
+}
+
+function createLimit(
+  startedAt = -10_000,
+  settings: ColdLimitSettings | undefined = SETTINGS,
+): LimitScene {
   const target = new TargetLifecycle('map', 770);
-  return { target, limit: new ColdLimit(target, SETTINGS, startedAt) };
+  const profiles = new ServiceProfileView(target);
+  return { target, profiles, limit: new ColdLimit(target, profiles, settings, startedAt) };
 }
 
 /** Openings that pass when one is tried each ten milliseconds. */
@@ -39,8 +53,8 @@
 }
 
 test('a cold target gets its rate with overshoot and slack in any second, a warm one more', (t) => {
-  const { target, limit } = createLimit();
-  limit.learn(RATES);
+  const { target, profiles, limit } = createLimit();
+  profiles.learn(RATES);
   target.heartbeat(heartbeat(1, 3_000), 0);
   t.is(countPassing(limit, 0, 1_000), 8);
   t.is(countPassing(limit, 1_000, 2_000), 8);
@@ -48,8 +62,8 @@
 });
 
 test('openings to a warm target count in the second in which it becomes cold', (t) => {
-  const { target, limit } = createLimit();
-  limit.learn(RATES);
+  const { target, profiles, limit } = createLimit();
+  profiles.learn(RATES);
   target.heartbeat(heartbeat(1, 0), 0);
   t.is(countPassing(limit, 0, 60), 6);
   target.heartbeat(heartbeat(2, 2_000), 60);
@@ -57,9 +71,9 @@
 });
 
 test('an agent that knows neither age nor rate passes what holds for any rate', (t) => {
-  const { target, limit } = createLimit();
+  const { target, profiles, limit } = createLimit();
   t.is(countPassing(limit, 0, 1_000), 5);
-  limit.learn(RATES);
+  profiles.learn(RATES);
   t.is(countPassing(limit, 1_060, 1_900), 8);
   target.heartbeat(heartbeat(9, 0), 1_900);
   t.is(countPassing(limit, 1_900, 2_000), 10);
@@ -68,24 +82,23 @@
 });
 
 test('a new agent leaves a second for what its earlier run may have let pass', (t) => {
-  const { target, limit } = createLimit(0);
-  limit.learn(RATES);
+  const { target, profiles, limit } = createLimit(0);
+  profiles.learn(RATES);
   target.heartbeat(heartbeat(5, 2_000), 10);
   t.is(countPassing(limit, 0, 1_050), 0);
   t.is(countPassing(limit, 1_050, 1_800), 8);
   const fresh = createLimit(0);
-  fresh.limit.learn(RATES);
+  fresh.profiles.learn(RATES);
   fresh.target.heartbeat(heartbeat(1, 2_000), 10);
   t.is(countPassing(fresh.limit, 10, 900), 8);
 });
 
 test('rates of an earlier table change nothing; a service without a rate has no limit', (t) => {
-  const { limit } = createLimit();
-  limit.learn({ version: 5, services: [] });
-  limit.learn(RATES);
+  const { profiles, limit } = createLimit();
+  profiles.learn({ version: 5, services: [] });
+  profiles.learn(RATES);
   t.is(countPassing(limit, 0, 1_000), 100);
-  const unlimited = new ColdLimit(new TargetLifecycle('map', 770), undefined, 0);
-  unlimited.learn(RATES);
+  const unlimited = new ColdLimit(new TargetLifecycle('map', 770), profiles, undefined, 0);
   t.is(countPassing(unlimited, 0, 1_000), 100);
 });
 
@@ -110,7 +123,7 @@
   const world = new PacketWorld(seed);
   startModelDeployment(world);
   world.configure(2, MODEL_ROUTES, [
-    { service: 'map', duration: 2_000, flowsPerSecond: WORLD_RATE },
+    { service: 'map', latencyGoal: 0, coldTime: 2_000, coldRate: WORLD_RATE },
   ]);
   world.runFor(1_000);
   return world;
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -117,9 +117,9 @@
       interval: 500,
       listing: 1,
       evacuations: { revision: 14, zones: ['south'] },
-      coldStarts: {
+      profiles: {
         version: 3,
-        services: [{ service: 'map', duration: 2_000, flowsPerSecond: 2.5 }],
+        services: [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 2.5 }],
       },
     },
     createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -30,6 +30,13 @@
   t.is(queue.take(150, PATIENCE), undefined);
 });
 
+test('what can still be answered in time goes before what is late, the oldest of it first', (t) => {
+  const queue = new RequestQueue();
+  ['a', 'b', 'c', 'd'].forEach((flow, index) => queue.add(createRequest(flow, index * 30)));
+  const order = Array.from({ length: 4 }, () => queue.take(135, PATIENCE)!.packet.flow);
+  t.deepEqual(order, ['c', 'd', 'b', 'a']);
+});
+
 test('a copy of a waiting request keeps its place and shows that its client is there', (t) => {
   const queue = new RequestQueue();
   queue.add(createRequest('a', 0));
@@ -56,6 +63,8 @@
     time.answered(20);
   }
   t.true(Math.abs(time.patience - 40) < 1);
+  t.true(Math.abs(time.patienceFor(200) - 110) < 1);
+  t.is(time.patienceFor(40), 0);
 });
 
 function decodeClient(flags: number, sequence: number, ack: number, data = ''): FlowPacket {
@@ -131,6 +140,7 @@
   const admission = new TargetAdmission({
     target,
     tracker,
+    latencyGoal: () => 0,
     handOver: (packet, balancer) => {
       tracker.delivered(packet, balancer, 0);
       handedOver.push(packet.flow);
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -239,8 +239,8 @@
 });
 
 test('a snapshot survives its encoding, and nothing else passes for one', (t) => {
-  const coldStarts = [{ service: 'map', duration: 2_000, flowsPerSecond: 3.5 }];
-  const routingTable = { version: 4, idleTimeout: 9, routes: [ROUTE], coldStarts };
+  const profiles = [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 3.5 }];
+  const routingTable = { version: 4, idleTimeout: 9, routes: [ROUTE], profiles };
   const agents = [{ address: 1, service: 's', zone: 'z', revision: 7 }];
   const snapshot = { routingTable, viewComplete: true, agents, registryRevision: 8 };
   t.deepEqual(decodeSnapshot(encodeSnapshot(snapshot)).unwrap(), snapshot);
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -94,7 +94,7 @@
   balancer!.node.router.apply({
     version: 1,
     idleTimeout: 1,
-    coldStarts: [],
+    profiles: [],
     routes: [
       { name: 'map', destination: MAP, services: [{ service: 'map', weight: 1 }] },
       { name: 'tiles', destination: TILES, services: [{ service: 'tiles', weight: 1 }] },
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -107,17 +107,31 @@
         },
         { name: 'b', host: '198.18.0.2', 'path-prefix': '/80/', service: 'y' },
         { name: 'broken', host: 'not an address', 'path-prefix': '/80/', service: 'y' },
+        { name: 'c', host: '198.18.0.3', 'path-prefix': '/80/', service: 'y', 'slo-ms': 300 },
+        { name: 'd', host: '198.18.0.3', 'path-prefix': '/81/', service: 'y', 'slo-ms': 200 },
+      ],
+      services: [
+        { name: 'x', 'cold-start-s': 2.5, 'cold-per-s': 4 },
+        { name: 'y' },
+        { name: 'z', 'cold-start-s': 'soon' },
+        null,
       ],
       limits: { 'idle-timeout-ms': 9_000 },
     },
   })!;
   t.is(table.version, 7);
   t.is(table.idleTimeout, 9_000);
+  t.deepEqual(table.profiles, [
+    { service: 'x', latencyGoal: 0, coldTime: 2_500, coldRate: 4 },
+    { service: 'y', latencyGoal: 200, coldTime: 0, coldRate: 0 },
+  ]);
   t.deepEqual(
     table.routes.map(({ destination, services }) => [formatEndpoint(destination), services.length]),
     [
       ['198.18.0.1:8443', 2],
       ['198.18.0.2:80', 1],
+      ['198.18.0.3:80', 1],
+      ['198.18.0.3:81', 1],
     ],
   );
   t.is(
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -10,7 +10,7 @@
   type SubscribeMessage,
 } from '../src/packets/packet-messages';
 import { decodeSnapshot, encodeSnapshot } from '../src/packets/peer-snapshot';
-import { UNKNOWN_COLD_STARTS } from '../src/packets/routing-table';
+import { UNKNOWN_PROFILES } from '../src/packets/routing-table';
 import { UNKNOWN_EVACUATIONS } from '../src/packets/zone-evacuations';
 import { BODY_OFFSET } from '../src/wire/frame-codec';
 
@@ -38,7 +38,7 @@
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
-  coldStarts: { version: 3, services: [] },
+  profiles: { version: 3, services: [] },
   evacuations: { revision: 12, zones: ['south'] },
 };
 
@@ -66,7 +66,7 @@
   const subscription = codec.decode(spoilt).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
-  t.deepEqual(subscription.coldStarts, UNKNOWN_COLD_STARTS);
+  t.deepEqual(subscription.profiles, UNKNOWN_PROFILES);
 });
 
 test('readers, deltas and listings of any other form are malformed', (t) => {
--- a/test/snapshot-exchange.test.ts
+++ b/test/snapshot-exchange.test.ts
@@ -15,7 +15,7 @@
     version: 4,
     idleTimeout: 9_000,
     routes: [{ name: 'r', destination: 5, services: [{ service: 'map', weight: 1 }] }],
-    coldStarts: [{ service: 'map', duration: 2_000, flowsPerSecond: 2 }],
+    profiles: [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 2 }],
   },
   viewComplete: true,
   agents: [{ address: 6, service: 'map', zone: 'north', revision: 3 }],
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -78,7 +78,7 @@
     this.router.apply({
       version: 1,
       idleTimeout: 60_000,
-      coldStarts: [],
+      profiles: [],
       routes: [
         { name: 'map', destination: DESTINATION, services: [{ service: 'map', weight: 1 }] },
       ],
