--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -90,6 +90,7 @@
       slots: 4,
       busyRequests: 0,
       openFlows: 0,
+      answerTime: 50,
       coldLeft: 0,
       failurePercent: 0,
       frameVersion: this.frameVersion,
--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -1,8 +1,17 @@
 /** Chooses the agent for a new flow: the one whose target will be least loaded. */
 import type { AgentEntry } from './agent-directory';
 import { CANDIDATES } from './flow-candidates';
-import { TargetState } from './packet-messages';
+import { TargetState, type ReportMessage } from './packet-messages';
 
+/**
+ * Answers of a target in whose time what a report says of its queue falls to about a third of its
+ * weight. Balancers that hear of an idle target all choose it: with 19 of them, one of 12 ms an
+ * answer got 15 openings in 100 ms and a queue of 180 ms, at a goal of 211. Of 9,842 requests at
+ * 1,230 a second before 41 such targets 386 were late without this, 321 with 40 ms, 372 with 120.
+ */
+const ANSWERS_REMEMBERED = 3;
+/** Milliseconds of an answer assumed of a target that has not told it. */
+const DEFAULT_ANSWER_TIME = 50;
 /** Slots assumed for a target that has not said how many it has. */
 const DEFAULT_SLOTS = 4;
 /** Added to the load of a target in another zone: sending across zones costs. */
@@ -28,6 +37,8 @@
   /** Zone of the balancer. */
   readonly zone: string;
   isHeard(entry: AgentEntry): boolean;
+  /** Milliseconds since an agent's latest report. */
+  ageOf(entry: AgentEntry): number;
   /** Whether the agent is so new that other balancers may not know it. */
   isSettling(entry: AgentEntry): boolean;
   /** Uniform in [0, 1). */
@@ -51,10 +62,24 @@
   return flows > 0 ? busy / flows : 0;
 }
 
+/** Milliseconds for which a report says something of the target's queue. */
+function memoryOf({ answerTime }: ReportMessage): number {
+  return ANSWERS_REMEMBERED * (answerTime || DEFAULT_ANSWER_TIME);
+}
+
+/** Mean number of busy requests at the agents that have reported. */
+function meanBusy(entries: readonly AgentEntry[]): number {
+  const reports = entries.flatMap(({ report }) => (report ? [report] : []));
+  const busy = reports.reduce((sum, { busyRequests }) => sum + busyRequests, 0);
+  return reports.length > 0 ? busy / reports.length : 0;
+}
+
 /** What the choice depends on of all agents of a service. */
 interface ServiceLoad {
   /** Mean number of busy requests for each open flow. */
   readonly busyPerFlow: number;
+  /** Mean number of busy requests at an agent. */
+  readonly meanBusy: number;
   /** Part of the other balancers that choose among the same agents as this one. */
   readonly echo: number;
 }
@@ -65,14 +90,20 @@
  * Balancers see the same reports and choose alike, so each opening of this balancer that
  * no report shows yet stands for one of every balancer with the same candidates.
  */
-function expectedUse(entry: AgentEntry, { busyPerFlow: perFlow, echo }: ServiceLoad): number {
+function expectedUse(
+  entry: AgentEntry,
+  { busyPerFlow: perFlow, echo, meanBusy }: ServiceLoad,
+  context: SelectionContext,
+): number {
   const balancers = Math.max(1, (entry.report?.balancerCount ?? 1) * echo);
   const openings = entry.recentOpenings.length * balancers;
   if (!entry.report) {
     return openings / DEFAULT_SLOTS;
   }
   const { busyRequests, openFlows, slots } = entry.report;
-  const busy = busyRequests + openFlows * perFlow + openings;
+  const weight = Math.exp(-context.ageOf(entry) / memoryOf(entry.report));
+  const queued = meanBusy + (busyRequests - meanBusy) * weight;
+  const busy = queued + openFlows * perFlow + openings;
   return busy / (slots || DEFAULT_SLOTS);
 }
 
@@ -80,7 +111,7 @@
 function loadOf(entry: AgentEntry, service: ServiceLoad, context: SelectionContext): number {
   const isCold = entry.report !== undefined && entry.report.coldLeft > 0;
   const isReady = entry.report?.state === TargetState.ready;
-  let load = expectedUse(entry, service);
+  let load = expectedUse(entry, service, context);
   load += entry.zone === context.zone ? 0 : OTHER_ZONE_PENALTY;
   load += isCold ? COLD_PENALTY : 0;
   load += isReady ? 0 : UNKNOWN_STATE_PENALTY;
@@ -107,6 +138,7 @@
   const accepting = ordered.filter((entry) => acceptsNewFlows(entry));
   const service: ServiceLoad = {
     busyPerFlow: busyPerFlow(ordered),
+    meanBusy: meanBusy(accepting),
     echo: Math.min(1, CANDIDATES / accepting.length),
   };
   for (let width = CANDIDATES; ; width *= 2) {
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -112,6 +112,7 @@
     const { directory, environment, zone } = this.dependencies;
     return {
       zone,
+      ageOf: (entry) => now - (entry.heardAt ?? now),
       isHeard: (entry) => directory.isHeard(entry, now),
       isSettling: (entry) => directory.isSettling(entry, now),
       random: () => environment.random(),
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -28,6 +28,8 @@
   state(): TargetStateValue;
   /** Requests that wait at the agent or are under way at its target. */
   busyRequests(): number;
+  /** Milliseconds that the target takes for an answer of late. */
+  answerTime(): number;
   /** Whether the agent has seen every flow open that its target can hold. */
   knowsAllFlows(): boolean;
 }
@@ -82,6 +84,7 @@
       slots: target.slots,
       busyRequests: this.dependencies.busyRequests(),
       openFlows: tracker.openFlows,
+      answerTime: Math.round(this.dependencies.answerTime()),
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
       frameVersion: SURE_SEARCH_VERSION,
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -106,6 +106,7 @@
       health: this.health,
       state: () => this.state,
       busyRequests: () => this.busyRequests,
+      answerTime: () => this.admission.answerTime,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -200,6 +200,7 @@
       field('slots', 'l', integer),
       field('busyRequests', 'b', integer),
       field('openFlows', 'o', integer),
+      field('answerTime', 'w', integerOrZero),
       field('coldLeft', 'c', integer),
       field('failurePercent', 'f', integer),
       field('frameVersion', 'v', versionOrFirst),
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -189,6 +189,8 @@
   /** Requests under way or waiting at the target. */
   readonly busyRequests: number;
   readonly openFlows: number;
+  /** Milliseconds that the target takes for an answer of late; 0 when it has not told. */
+  readonly answerTime: number;
   /** Milliseconds for which the target is still slow after its start. */
   readonly coldLeft: number;
   /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
--- a/src/packets/service-time.ts
+++ b/src/packets/service-time.ts
@@ -17,6 +17,11 @@
 export class ServiceTime {
   private mean = ASSUMED_TIME;
 
+  /** Milliseconds of an answer, the latest weighing most. */
+  get answerTime(): number {
+    return this.mean;
+  }
+
   /** A request was answered so many milliseconds after it was handed over. */
   answered(milliseconds: number): void {
     this.mean += WEIGHT * (milliseconds - this.mean);
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -51,6 +51,11 @@
     return false;
   }
 
+  /** Milliseconds that the target takes for an answer of late. */
+  get answerTime(): number {
+    return this.serviceTime.answerTime;
+  }
+
   /** The target has answered a request well, so many milliseconds after it got it. */
   answered(milliseconds: number): void {
     this.serviceTime.answered(milliseconds);
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -197,7 +197,13 @@
 }
 
 test('the least loaded ready target is chosen; draining ones never', (t) => {
-  const context = { zone: 'north', isHeard: () => true, isSettling: () => false, random: () => 0 };
+  const context = {
+    zone: 'north',
+    ageOf: () => 0,
+    isHeard: () => true,
+    isSettling: () => false,
+    random: () => 0,
+  };
   const busy = entryWith(1, { busyRequests: 4 });
   const idle = entryWith(2, { busyRequests: 1 });
   const draining = entryWith(3, { state: TargetState.draining });
@@ -213,6 +219,17 @@
   t.is(selectAgent([far, near], context), far);
 });
 
+test('what a report says of a queue fades with its age, by the time of an answer', (t) => {
+  const far = entryWith(1, { busyRequests: 0, slots: 1, answerTime: 10 }, 'south');
+  const near = entryWith(2, { busyRequests: 1, slots: 1, answerTime: 10 });
+  const choose = (age: number): AgentEntry | undefined => {
+    const heard = { isHeard: () => true, isSettling: () => false };
+    return selectAgent([far, near], { zone: 'north', ageOf: () => age, ...heard, random: () => 0 });
+  };
+  t.is(choose(5), far);
+  t.is(choose(300), near, 'both are thirty answers old');
+});
+
 test('a burst at several balancers with the same reports spreads over all targets', (t) => {
   const random = new SeededRandom(5);
   const taken = new Map<number, number>();
@@ -223,6 +240,7 @@
     );
     const context = {
       zone: 'north',
+      ageOf: () => 0,
       isHeard: () => true,
       isSettling: () => false,
       random: () => random.next(),
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -17,6 +17,7 @@
     slots: 5,
     busyRequests: 0,
     openFlows: 0,
+    answerTime: 50,
     coldLeft: 0,
     failurePercent: 0,
     frameVersion: 2,
