--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -88,7 +88,7 @@
       routingTables: ROUTING_TABLES,
       registry: REGISTRY,
       evacuatedZones: undefined,
-      storeProbe: { probe: () => undefined },
+      storeProbe: { check: () => undefined },
       snapshots: { fetch: () => undefined },
       sendToClient: (client, packet) => clients.send(client, packet),
       relay: () => undefined,
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -59,7 +59,7 @@
   }
 
   /** Makes subscriptions due at once at the agents of some zones. */
-  renewIn(zones: readonly string[]): void {
+  forgetIn(zones: readonly string[]): void {
     for (const { address, zone } of this.directory.all()) {
       if (zones.includes(zone)) {
         this.subscribedAt.delete(address);
@@ -68,7 +68,7 @@
   }
 
   /** Makes subscriptions due at once at all agents. */
-  renewAll(): void {
+  forgetAll(): void {
     this.subscribedAt.clear();
   }
 
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -49,7 +49,7 @@
    * within `timeout` milliseconds all open connections are dropped, so that calls which wait on
    * them end and can be repeated.
    */
-  probe(timeout: number, answer: Answer<void>): void;
+  check(timeout: number, answer: Answer<void>): void;
 }
 
 /** The registry of agents. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -404,7 +404,7 @@
     });
     this.peers.tellWaiting();
     if (hasOtherProfiles) {
-      this.subscriptions.renewAll();
+      this.subscriptions.forgetAll();
       this.subscribe();
     }
     this.updateReadiness();
@@ -412,7 +412,7 @@
 
   /** Zones went out of service or came back: tells their agents, and other balancers. */
   private tellOfZones(zones: readonly string[]): void {
-    this.subscriptions.renewIn(zones);
+    this.subscriptions.forgetIn(zones);
     this.subscribe();
     if (this.reading.isReading) {
       this.peers.announce();
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -77,7 +77,7 @@
     const now = environment.now();
     const entry = directory.find(agent);
     if (entry && !packet.opens && !directory.isHeard(entry, now)) {
-      if (this.detour(packet, entry, now)) {
+      if (this.sendByDetour(packet, entry, now)) {
         return;
       }
       this.delayed.add(agent, message, now);
@@ -91,7 +91,7 @@
   }
 
   /** Sends a packet to a zone out of reach through a third one; false when there is no such way. */
-  private detour(packet: FlowPacket, { address, zone }: AgentEntry, now: number): boolean {
+  private sendByDetour(packet: FlowPacket, { address, zone }: AgentEntry, now: number): boolean {
     const { detours, directory, link } = this.dependencies;
     if (this.detoured.has(packet) || !directory.isZoneSilent(zone, now)) {
       return false;
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -134,10 +134,10 @@
   start(): void {
     this.run();
     const { environment } = this.dependencies;
-    this.discoveryTimer = environment.startTimer(DISCOVERY_DELAY, () => this.discover());
+    this.discoveryTimer = environment.startTimer(DISCOVERY_DELAY, () => this.findOthers());
   }
 
-  private discover(): void {
+  private findOthers(): void {
     const { hasView, registry, takeListing, environment } = this.dependencies;
     if (this.stopped || this.isReading || hasView()) {
       return;
@@ -160,11 +160,11 @@
       return;
     }
     this.follow(this.readers.decide(this.circumstances));
-    this.probe();
+    this.checkConnections();
   }
 
   /** Where calls wait long, a probe shows in between whether their connections are alive. */
-  private probe(): void {
+  private checkConnections(): void {
     const { environment, applyTime, storeProbe } = this.dependencies;
     const now = environment.now();
     const interval = applyTime * PROBE_SHARE;
@@ -174,7 +174,7 @@
     }
     this.probedAt = now;
     this.probes++;
-    storeProbe.probe(interval, (result) => {
+    storeProbe.check(interval, (result) => {
       if (result.err) {
         this.reportProbe(result.val);
       }
--- a/src/packets/target-guard.ts
+++ b/src/packets/target-guard.ts
@@ -78,7 +78,7 @@
   private zonesChanged(zones: readonly string[]): void {
     const { target, zone } = this.dependencies;
     if (zones.includes(zone) && !this.evacuations.isEvacuated(zone)) {
-      target.doubtAge();
+      target.forgetAge();
     }
   }
 }
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -146,7 +146,7 @@
   }
 
   /** The target may have become cold without a heartbeat that says so yet. */
-  doubtAge(): void {
+  forgetAge(): void {
     this.isAgeUnknown = true;
   }
 
--- a/src/runtime/snapshot-exchange.ts
+++ b/src/runtime/snapshot-exchange.ts
@@ -34,7 +34,7 @@
 
   constructor(private readonly read: () => PeerSnapshot) {}
 
-  get(): Buffer {
+  encode(): Buffer {
     const now = performance.now();
     if (!this.bytes || now - this.encodedAt > REUSE_TIME) {
       this.bytes = deflateSync(encodeSnapshotText(this.read()));
@@ -54,7 +54,7 @@
   const server = createServer((call, response) => {
     switch (call.url) {
       case TEXT_PATH:
-        send(response, 200, encoded.get());
+        send(response, 200, encoded.encode());
         return;
       case BSON_PATH:
         send(response, 200, encodeSnapshot(read()));
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -120,7 +120,7 @@
   /** The probe of one process's connections, which never fall silent here. */
   probePort(process: SimulatedProcess): StoreProbePort {
     return {
-      probe: (_timeout, answer) => this.call(process, answer, () => new Ok(undefined)),
+      check: (_timeout, answer) => this.call(process, answer, () => new Ok(undefined)),
     };
   }
 
--- a/test/cold-targets.test.ts
+++ b/test/cold-targets.test.ts
@@ -77,7 +77,7 @@
   t.is(countPassing(limit, 1_060, 1_900), 8);
   target.heartbeat(heartbeat(9, 0), 1_900);
   t.is(countPassing(limit, 1_900, 2_000), 10);
-  target.doubtAge();
+  target.forgetAge();
   t.true(limit.isReached(2_000));
 });
 
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -174,15 +174,15 @@
     tables.awaitChanges(1, 10_000, answer),
   );
   await untilCalled(standin, 1);
-  t.true((await answerOf<void>((answer) => api.probe(1_000, answer))).ok);
+  t.true((await answerOf<void>((answer) => api.check(1_000, answer))).ok);
   gate.silence();
   const startedAt = performance.now();
-  const probe = await answerOf<void>((answer) => api.probe(300, answer));
+  const probe = await answerOf<void>((answer) => api.check(300, answer));
   const ended = await waiting;
   t.is(probe.err && probe.val.resultCode, ResultCodes.storeUnavailable);
   t.is(ended.err && ended.val.resultCode, ResultCodes.storeUnavailable);
   t.true(performance.now() - startedAt < 5_000, 'far less than the call would have waited');
-  t.true((await answerOf<void>((answer) => api.probe(1_000, answer))).ok);
+  t.true((await answerOf<void>((answer) => api.check(1_000, answer))).ok);
 });
 
 async function untilCalled(standin: ObjectApiStandin, calls: number): Promise<void> {
