--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -1,6 +1,7 @@
 /** A balancer's requests for reports: often at agents that are silent, else now and then. */
 import type { Endpoint } from '../environment';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { NewsLedger, NO_NEWS, type DeploymentNews } from './deployment-news';
 import {
   ListingState,
   PacketMessageType,
@@ -8,8 +9,6 @@
   type SubscribeMessage,
 } from './packet-messages';
 import { reportInterval } from './report-interval';
-import type { ServiceProfiles } from './routing-table';
-import type { ZoneEvacuations } from './zone-evacuations';
 
 /** Milliseconds between subscriptions at an agent that is heard. */
 const SUBSCRIPTION_INTERVAL = 2_000;
@@ -24,15 +23,16 @@
 /** Sends one subscription to many. */
 export type SubscriptionSender = (agents: readonly Endpoint[], message: SubscribeMessage) => void;
 
-/** What every subscription tells an agent of the deployment. */
-export interface DeploymentNews {
-  readonly evacuations: ZoneEvacuations;
-  readonly profiles: ServiceProfiles;
+/** What one subscription says; agents that are told the same get the same datagram. */
+interface SubscriptionContent {
+  readonly listing: ListingStateValue;
+  readonly tellsNews: boolean;
 }
 
 /** Subscriptions of one balancer. */
 export class AgentSubscriptions {
   private readonly subscribedAt = new Map<Endpoint, number>();
+  private readonly ledger = new NewsLedger();
 
   constructor(
     private readonly zone: string,
@@ -46,16 +46,18 @@
    * @param isRecent whether what is known of the registry is recent
    */
   run(now: number, isRecent: boolean): void {
-    const due = new Map<ListingStateValue, Endpoint[]>();
+    const news = this.news();
+    const isRegistryKnown = isRecent && this.directory.isComplete;
+    const due = new DueSubscriptions();
     for (const entry of this.directory.all()) {
-      const last = this.subscribedAt.get(entry.address) ?? -Infinity;
-      if (now - last >= this.intervalOf(entry, now) - TOLERANCE) {
+      if (this.isDue(entry, now)) {
         this.subscribedAt.set(entry.address, now);
-        const listing = listingOf(entry, isRecent && this.directory.isComplete);
-        due.set(listing, [...(due.get(listing) ?? []), entry.address]);
+        const listing = listingOf(entry, isRegistryKnown);
+        const tellsNews = this.ledger.takeTelling(entry.address, entry.report?.run, news);
+        due.add({ listing, tellsNews }, entry.address);
       }
     }
-    due.forEach((agents, listing) => this.send(agents, this.createMessage(listing)));
+    due.forEach((content, agents) => this.send(agents, this.createMessage(content, news)));
   }
 
   /** Makes subscriptions due at once at the agents of some zones. */
@@ -79,18 +81,29 @@
         this.subscribedAt.delete(address);
       }
     }
+    this.ledger.expire((agent) => this.directory.find(agent) !== undefined);
   }
 
-  private createMessage(listing: ListingStateValue): SubscribeMessage {
+  private createMessage(
+    { listing, tellsNews }: SubscriptionContent,
+    news: DeploymentNews,
+  ): SubscribeMessage {
     return {
       type: PacketMessageType.subscribe,
       zone: this.zone,
       interval: reportInterval(this.directory.size),
       listing,
-      ...this.news(),
+      ...(tellsNews ? news : NO_NEWS),
     };
   }
 
+  /** An agent that has begun another run is told the news at once. */
+  private isDue(entry: AgentEntry, now: number): boolean {
+    const last = this.subscribedAt.get(entry.address) ?? -Infinity;
+    const isOver = now - last >= this.intervalOf(entry, now) - TOLERANCE;
+    return isOver || this.ledger.hasNewRun(entry.address, entry.report?.run);
+  }
+
   private intervalOf(entry: AgentEntry, now: number): number {
     const silence = now - (entry.heardAt ?? entry.knownSince);
     const knocking = !this.directory.isHeard(entry, now) && silence < KNOCK_TIME;
@@ -104,3 +117,27 @@
   }
   return entry.registryRevision === undefined ? ListingState.missing : ListingState.listed;
 }
+
+/** Agents that are due for a subscription, by what it says. */
+class DueSubscriptions {
+  private readonly groups: {
+    readonly content: SubscriptionContent;
+    readonly agents: Endpoint[];
+  }[] = [];
+
+  add(content: SubscriptionContent, agent: Endpoint): void {
+    const { listing, tellsNews } = content;
+    const group = this.groups.find(
+      (one) => one.content.listing === listing && one.content.tellsNews === tellsNews,
+    );
+    if (group) {
+      group.agents.push(agent);
+    } else {
+      this.groups.push({ content, agents: [agent] });
+    }
+  }
+
+  forEach(action: (content: SubscriptionContent, agents: readonly Endpoint[]) => void): void {
+    this.groups.forEach(({ content, agents }) => action(content, agents));
+  }
+}
--- a/src/packets/zone-reach.ts
+++ b/src/packets/zone-reach.ts
@@ -58,7 +58,10 @@
    */
   isSilent(zone: string, agents: number, now: number): boolean {
     const contact = this.zones.get(zone);
-    if (!contact || contact.agents < AGENTS_NEEDED || contact.heardAt === -Infinity) {
+    if (!contact || now - contact.heardAt <= SHORTEST_SILENCE) {
+      return false;
+    }
+    if (contact.agents < AGENTS_NEEDED || contact.heardAt === -Infinity) {
       return false;
     }
     const limit = Math.max(SHORTEST_SILENCE, reportInterval(agents) * SILENT_SHARE);
