--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -79,6 +79,7 @@
       seeds: [],
       flowLifetime: BenchSetup.lifetime,
       applyTime: BenchSetup.applyTime,
+      repairHops: true,
     },
     {
       environment,
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -4,6 +4,7 @@
 import {
   ListingState,
   PacketMessageType,
+  REPAIR_VERSION,
   type ListingStateValue,
   type SubscribeMessage,
 } from './packet-messages';
@@ -87,6 +88,7 @@
       zone: this.zone,
       interval: reportInterval(this.directory.size),
       listing,
+      frameVersion: REPAIR_VERSION,
       ...this.news(),
     };
   }
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -3,8 +3,8 @@
 import type { FlowTracker } from './flow-tracker';
 import type { PacketLink } from './packet-link';
 import {
-  SURE_SEARCH_VERSION,
   PacketMessageType,
+  REPAIR_VERSION,
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
@@ -87,7 +87,7 @@
       answerTime: Math.round(this.dependencies.answerTime()),
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
-      frameVersion: SURE_SEARCH_VERSION,
+      frameVersion: REPAIR_VERSION,
       knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -4,6 +4,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
+import type { HopCounters } from './repair/hop-repair';
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -19,6 +20,8 @@
   readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** Whether refusals lost on the way to a balancer are sent once more. */
+  readonly repairHops: boolean;
 }
 
 /** What a packet agent needs from its process. */
@@ -44,7 +47,7 @@
 }
 
 /** Figures of a packet agent. */
-export interface PacketAgentFigures {
+export interface PacketAgentFigures extends HopCounters {
   readonly busyRequests: number;
   readonly openFlows: number;
   /** Calls made to keep the agent in the registry. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -19,7 +19,6 @@
   PacketAgentSettings,
 } from './packet-agent-contracts';
 import {
-  COMPACT_FRAME_VERSION,
   PacketMessageType,
   RefusalReason,
   SearchPhase,
@@ -27,7 +26,6 @@
   type AgentRecord,
   type DeliverMessage,
   type ListingStateValue,
-  type PacketMessage,
   type RefusalReasonValue,
   type SearchMessage,
   type SearchPhaseValue,
@@ -36,6 +34,8 @@
 } from './packet-messages';
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
+import type { PlainMessage } from './repair/hop-messages';
+import { HopRepair } from './repair/hop-repair';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { stepAfter } from './search-steps';
 import { TargetAdmission } from './target-admission';
@@ -59,6 +59,7 @@
     heartbeats: 0,
   };
   private readonly link: PacketLink;
+  private readonly hops: HopRepair;
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
@@ -86,6 +87,13 @@
       () => this.isTargetHeard,
     );
     this.link = new PacketLink(codec, transport, environment);
+    this.hops = new HopRepair({
+      environment,
+      link: this.link,
+      isEnabled: settings.repairHops,
+      // Which balancers are there, an agent does not know; acknowledgements alone tell.
+      isReachable: () => true,
+    });
     this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
     const { coldLimit, zone } = settings;
     const { health, target } = this;
@@ -116,9 +124,10 @@
     const { environment } = this.dependencies;
     this.reporter.reportTo(this.settings.seeds);
     this.timers.repeat(SHORTEST_REPORT_INTERVAL, () => this.report());
-    this.timers.repeat(EXPIRY_INTERVAL, () =>
-      this.tracker.expire(this.settings.flowLifetime, environment.now()),
-    );
+    this.timers.repeat(EXPIRY_INTERVAL, () => {
+      this.tracker.expire(this.settings.flowLifetime, environment.now());
+      this.hops.expire(environment.now());
+    });
     this.registration.start(this.settings.seeds.length > 0);
   }
 
@@ -130,6 +139,7 @@
   /** Ends all timers. */
   stop(): void {
     this.registration.stop();
+    this.hops.stop();
     this.timers.cancel();
   }
 
@@ -159,6 +169,7 @@
       busyRequests: this.busyRequests,
       openFlows: this.tracker.openFlows,
       registrations: this.registration.calls,
+      ...this.hops.counters,
     };
   }
 
@@ -195,12 +206,13 @@
   /** A frame of another node. */
   frame(bytes: Buffer, from: Endpoint): void {
     const message = this.link.receiveFrom(from, bytes);
-    if (message) {
-      this.take(message, from);
+    const unpacked = message && this.hops.unpack(from, message);
+    if (unpacked) {
+      this.take(unpacked, from);
     }
   }
 
-  private take(message: PacketMessage, from: Endpoint): void {
+  private take(message: PlainMessage, from: Endpoint): void {
     switch (message.type) {
       case PacketMessageType.deliver:
         this.deliver(message, from);
@@ -212,6 +224,7 @@
         this.answerLocate(message.flow, from);
         return;
       case PacketMessageType.subscribe:
+        this.link.noteRepairs(from, message.frameVersion);
         this.learnNews(message, from);
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
@@ -314,7 +327,7 @@
     if (!packet) {
       return;
     }
-    this.link.noteVersion(balancer, COMPACT_FRAME_VERSION);
+    this.link.noteCompact(balancer);
     const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
@@ -475,7 +488,8 @@
       busy: this.tracker.busyRequests,
     });
     const { bytes: payload } = packet;
-    this.link.send(balancer, { type: PacketMessageType.notHeld, searchId, reason, payload });
+    const message = { type: PacketMessageType.notHeld, searchId, reason, payload };
+    this.hops.send(balancer, message, packet);
   }
 
   /** Tells every balancer of a change at once, and again shortly after. */
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -4,6 +4,7 @@
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
 import type { SnapshotPort } from './peer-exchange';
+import type { HopCounters } from './repair/hop-repair';
 import type { RoutingTable } from './routing-table';
 import type { StoreCalls } from './store-reading';
 import type { EvacuatedZone } from './zone-evacuations';
@@ -25,6 +26,8 @@
   readonly applyTime: number;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** Whether packets lost on the way to an agent are sent once more. */
+  readonly repairHops: boolean;
 }
 
 /** What a packet balancer needs from its process. */
@@ -45,7 +48,7 @@
 }
 
 /** Figures of a packet balancer. */
-export interface PacketBalancerFigures extends StoreCalls {
+export interface PacketBalancerFigures extends StoreCalls, HopCounters {
   readonly routingVersion: number;
   readonly agentsKnown: number;
   readonly agentsHeard: number;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -14,9 +14,11 @@
 import { FlowRouter } from './flow-router';
 import { NodeTimers } from './node-timers';
 import { PacketLink } from './packet-link';
-import { PacketMessageType, type ListedAgent, type PacketMessage } from './packet-messages';
+import { PacketMessageType, type ListedAgent } from './packet-messages';
 import { PeerExchange } from './peer-exchange';
 import type { PeerSnapshot } from './peer-snapshot';
+import type { PlainMessage } from './repair/hop-messages';
+import { HopRepair } from './repair/hop-repair';
 import type {
   PacketBalancerDependencies,
   PacketBalancerFigures,
@@ -51,6 +53,7 @@
   private readonly detours: ZoneDetour;
   private readonly cache: FlowCache;
   private readonly link: PacketLink;
+  private readonly hops: HopRepair;
   private readonly peers: PeerExchange;
   private readonly reports: AgentReports;
   private readonly view: RegistryView;
@@ -78,6 +81,7 @@
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
+    this.hops = this.createHopRepair();
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
     this.router = new FlowRouter({
       environment,
@@ -88,6 +92,7 @@
       directory: this.directory,
       cache: this.cache,
       link: this.link,
+      hops: this.hops,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
       detours: this.detours,
@@ -153,6 +158,7 @@
     this.reading.stop();
     this.peers.stop();
     this.router.stop();
+    this.hops.stop();
     this.timers.cancel();
   }
 
@@ -188,6 +194,7 @@
       zonesEvacuated: this.evacuations.current.zones.length,
       registryCalls: this.upkeep.calls,
       ...this.reading.calls,
+      ...this.hops.counters,
     };
   }
 
@@ -221,8 +228,9 @@
   /** A frame of another node. */
   frame(bytes: Buffer, from: Endpoint): void {
     const message = this.link.receiveFrom(from, bytes);
-    if (message) {
-      this.take(message, from);
+    const unpacked = message && this.hops.unpack(from, message);
+    if (unpacked) {
+      this.take(unpacked, from);
     }
   }
 
@@ -278,7 +286,7 @@
     return packet && this.relay.destinationOf(packet.flow, environment.now());
   }
 
-  private take(message: PacketMessage, from: Endpoint): void {
+  private take(message: PlainMessage, from: Endpoint): void {
     switch (message.type) {
       case PacketMessageType.notHeld:
         this.router.refused(from, message);
@@ -309,6 +317,20 @@
     }
   }
 
+  /** Nothing is repeated for an agent, or a zone, that is silent. */
+  private createHopRepair(): HopRepair {
+    const { directory, link } = this;
+    return new HopRepair({
+      environment: this.dependencies.environment,
+      link,
+      isEnabled: this.settings.repairHops,
+      isReachable: (agent, now) => {
+        const entry = directory.find(agent);
+        return entry !== undefined && directory.isHeard(entry, now);
+      },
+    });
+  }
+
   private createPeerExchange(): PeerExchange {
     const { environment, snapshots } = this.dependencies;
     return new PeerExchange({
@@ -434,6 +456,7 @@
       this.routeBacklog();
     }
     this.router.expire(this.dependencies.environment.now());
+    this.hops.expire(now);
     this.upkeep.run(this.reading.isReading);
     this.subscriptions.expire();
     this.updateReadiness();
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -10,6 +10,9 @@
  *   held: flow
  *   search: search (4), balancer (6), phase (1), position (2), agents, services, packet
  *   noneHolds, noneKnows: search (4), agents, packet
+ *   received: session (4), one to 64 sequence numbers (4 each)
+ *   numberedDeliver: session (4), sequence number (4), search (4), services, packet
+ *   numberedRefusal: session (4), sequence number (4), search (4), reason (1), packet
  * where services are a length (2) and names parted by zero bytes, agents a count (2) and
  * addresses (6 each), and the last field takes the rest.
  */
@@ -21,20 +24,28 @@
 import { PACKET_MESSAGE_FIELDS } from './packet-message-schema';
 import {
   COMPACT_FRAME_VERSION,
+  MAXIMUM_ACKNOWLEDGED,
   MAXIMUM_SEARCH_LENGTH,
   PacketMessageType,
   RefusalReason,
   SearchPhase,
   type DeliverMessage,
+  type Delivery,
   type HeldMessage,
+  type HopNumber,
   type NoneHoldsMessage,
   type NoneKnowsMessage,
   type NotHeldMessage,
+  type NumberedDeliverMessage,
+  type NumberedRefusalMessage,
   type PacketMessage,
+  type ReceivedMessage,
+  type Refusal,
   type RefusalReasonValue,
   type SearchMessage,
   type SearchPhaseValue,
 } from './packet-messages';
+import type { HopMessage } from './repair/hop-messages';
 
 /** A message that has a compact form. */
 export type CompactMessage =
@@ -43,7 +54,8 @@
   | HeldMessage
   | SearchMessage
   | NoneHoldsMessage
-  | NoneKnowsMessage;
+  | NoneKnowsMessage
+  | HopMessage;
 
 type SearchEndMessage = NoneHoldsMessage | NoneKnowsMessage;
 
@@ -51,29 +63,43 @@
 const SERVICE_LISTS_KEPT = 4_096;
 const ID_RANGE = 2 ** 32;
 /** Bytes of the fields before those of variable length, type included. */
-const HeadBytes = { deliver: 5, notHeld: 6, held: 1, search: 14, noneHolds: 5 } as const;
+const HeadBytes = {
+  deliver: 5,
+  notHeld: 6,
+  held: 1,
+  search: 14,
+  noneHolds: 5,
+  received: 5,
+} as const;
+/** Bytes by which a numbered message is longer: session and sequence number after the type. */
+const NUMBER_BYTES = 8;
+const SEQUENCE_BYTES = 4;
 const COUNT_BYTES = 2;
 const ENDPOINT_BYTES = 6;
 const REASONS: readonly number[] = Object.values(RefusalReason);
 const PHASES: readonly number[] = Object.values(SearchPhase);
 
+/** Whether messages of each type have a compact form. */
+const HAS_COMPACT_FORM: Readonly<Record<PacketMessage['type'], boolean>> = {
+  [PacketMessageType.deliver]: true,
+  [PacketMessageType.notHeld]: true,
+  [PacketMessageType.held]: true,
+  [PacketMessageType.search]: true,
+  [PacketMessageType.noneHolds]: true,
+  [PacketMessageType.noneKnows]: true,
+  [PacketMessageType.received]: true,
+  [PacketMessageType.numberedDeliver]: true,
+  [PacketMessageType.numberedRefusal]: true,
+  [PacketMessageType.locate]: false,
+  [PacketMessageType.detour]: false,
+  [PacketMessageType.subscribe]: false,
+  [PacketMessageType.report]: false,
+  [PacketMessageType.peerStatus]: false,
+};
+
 /** Whether a message has a compact form. */
 export function isCompact(message: PacketMessage): message is CompactMessage {
-  switch (message.type) {
-    case PacketMessageType.deliver:
-    case PacketMessageType.notHeld:
-    case PacketMessageType.held:
-    case PacketMessageType.search:
-    case PacketMessageType.noneHolds:
-    case PacketMessageType.noneKnows:
-      return true;
-    case PacketMessageType.locate:
-    case PacketMessageType.detour:
-    case PacketMessageType.subscribe:
-    case PacketMessageType.report:
-    case PacketMessageType.peerStatus:
-      return false;
-  }
+  return HAS_COMPACT_FORM[message.type];
 }
 
 /** Encodes and decodes both versions of frames. */
@@ -111,19 +137,16 @@
 
   private write(message: CompactMessage): Buffer {
     switch (message.type) {
-      case PacketMessageType.deliver: {
-        const services = this.packServices(message.services);
-        const frame = allocateFrame(HeadBytes.deliver + services.length, message.payload);
-        frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
-        frame.set(services, BODY_OFFSET + HeadBytes.deliver);
-        return frame;
-      }
-      case PacketMessageType.notHeld: {
-        const frame = allocateFrame(HeadBytes.notHeld, message.payload);
-        frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + 1);
-        frame[BODY_OFFSET + 5] = message.reason;
-        return frame;
-      }
+      case PacketMessageType.deliver:
+        return this.writeDelivery(message, 0);
+      case PacketMessageType.numberedDeliver:
+        return writeNumber(this.writeDelivery(message, NUMBER_BYTES), message);
+      case PacketMessageType.notHeld:
+        return writeRefusal(message, 0);
+      case PacketMessageType.numberedRefusal:
+        return writeNumber(writeRefusal(message, NUMBER_BYTES), message);
+      case PacketMessageType.received:
+        return writeReceived(message);
       case PacketMessageType.held:
         return allocateFrame(HeadBytes.held, message.flow);
       case PacketMessageType.search:
@@ -139,6 +162,15 @@
     }
   }
 
+  /** @param shift bytes left free behind the type */
+  private writeDelivery(message: Delivery, shift: number): Buffer {
+    const services = this.packServices(message.services);
+    const frame = allocateFrame(shift + HeadBytes.deliver + services.length, message.payload);
+    frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + shift + 1);
+    frame.set(services, BODY_OFFSET + shift + HeadBytes.deliver);
+    return frame;
+  }
+
   private writeSearch(message: SearchMessage): Buffer {
     const { agents, payload } = message;
     const services = this.packServices(message.services);
@@ -158,8 +190,14 @@
     switch (body[0]) {
       case PacketMessageType.deliver:
         return this.readDeliver(body);
+      case PacketMessageType.numberedDeliver:
+        return this.readNumberedDeliver(body);
       case PacketMessageType.notHeld:
         return readNotHeld(body);
+      case PacketMessageType.numberedRefusal:
+        return readNumberedRefusal(body);
+      case PacketMessageType.received:
+        return readReceived(body);
       case PacketMessageType.held:
         return { type: PacketMessageType.held, flow: body.subarray(HeadBytes.held) };
       case PacketMessageType.search:
@@ -173,14 +211,26 @@
   }
 
   private readDeliver(body: Buffer): DeliverMessage | undefined {
-    const end = endOfServices(body, HeadBytes.deliver);
+    const delivery = this.readDelivery(body, 0);
+    return delivery && { type: PacketMessageType.deliver, ...delivery };
+  }
+
+  private readNumberedDeliver(body: Buffer): NumberedDeliverMessage | undefined {
+    const delivery = this.readDelivery(body, NUMBER_BYTES);
+    const type = PacketMessageType.numberedDeliver;
+    return delivery && { type, ...readNumber(body), ...delivery };
+  }
+
+  /** @param shift bytes between the type and the fields of a delivery */
+  private readDelivery(body: Buffer, shift: number): Delivery | undefined {
+    const servicesOffset = shift + HeadBytes.deliver;
+    const end = endOfServices(body, servicesOffset);
     if (end === undefined) {
       return undefined;
     }
     return {
-      type: PacketMessageType.deliver,
-      searchId: body.readUInt32BE(1),
-      services: this.unpackServices(body, HeadBytes.deliver, end),
+      searchId: body.readUInt32BE(shift + 1),
+      services: this.unpackServices(body, servicesOffset, end),
       payload: body.subarray(end),
     };
   }
@@ -244,19 +294,70 @@
   return frame;
 }
 
+/** @param shift bytes left free behind the type */
+function writeRefusal(message: Refusal, shift: number): Buffer {
+  const frame = allocateFrame(shift + HeadBytes.notHeld, message.payload);
+  frame.writeUInt32BE(message.searchId % ID_RANGE, BODY_OFFSET + shift + 1);
+  frame[BODY_OFFSET + shift + 5] = message.reason;
+  return frame;
+}
+
+/** Writes a message's number into the bytes left free for it. */
+function writeNumber(frame: Buffer, { session, sequence }: HopNumber): Buffer {
+  frame.writeUInt32BE(session, BODY_OFFSET + 1);
+  frame.writeUInt32BE(sequence, BODY_OFFSET + 5);
+  return frame;
+}
+
+function writeReceived({ session, sequences }: ReceivedMessage): Buffer {
+  const numbers = Buffer.allocUnsafe(sequences.length * SEQUENCE_BYTES);
+  sequences.forEach((sequence, index) => numbers.writeUInt32BE(sequence, index * SEQUENCE_BYTES));
+  const frame = allocateFrame(HeadBytes.received, numbers);
+  frame.writeUInt32BE(session, BODY_OFFSET + 1);
+  return frame;
+}
+
 function readNotHeld(body: Buffer): NotHeldMessage | undefined {
-  const reason = body[5];
+  const refusal = readRefusal(body, 0);
+  return refusal && { type: PacketMessageType.notHeld, ...refusal };
+}
+
+function readNumberedRefusal(body: Buffer): NumberedRefusalMessage | undefined {
+  const refusal = readRefusal(body, NUMBER_BYTES);
+  const type = PacketMessageType.numberedRefusal;
+  return refusal && { type, ...readNumber(body), ...refusal };
+}
+
+/** @param shift bytes between the type and the fields of a refusal */
+function readRefusal(body: Buffer, shift: number): Refusal | undefined {
+  const reason = body[shift + 5];
   if (reason === undefined || !REASONS.includes(reason)) {
     return undefined;
   }
   return {
-    type: PacketMessageType.notHeld,
-    searchId: body.readUInt32BE(1),
+    searchId: body.readUInt32BE(shift + 1),
     reason: reason as RefusalReasonValue,
-    payload: body.subarray(HeadBytes.notHeld),
+    payload: body.subarray(shift + HeadBytes.notHeld),
   };
 }
 
+/** The number of a body that is long enough for one. */
+function readNumber(body: Buffer): HopNumber {
+  return { session: body.readUInt32BE(1), sequence: body.readUInt32BE(5) };
+}
+
+function readReceived(body: Buffer): ReceivedMessage | undefined {
+  const count = (body.length - HeadBytes.received) / SEQUENCE_BYTES;
+  if (!Number.isInteger(count) || count < 1 || count > MAXIMUM_ACKNOWLEDGED) {
+    return undefined;
+  }
+  const sequences: number[] = [];
+  for (let index = 0; index < count; index++) {
+    sequences.push(body.readUInt32BE(HeadBytes.received + index * SEQUENCE_BYTES));
+  }
+  return { type: PacketMessageType.received, session: body.readUInt32BE(1), sequences };
+}
+
 function readSearchEnd(type: SearchEndMessage['type'], body: Buffer): SearchEndMessage | undefined {
   const end = endOfList(body, HeadBytes.noneHolds);
   if (end === undefined) {
--- a/src/packets/packet-link.ts
+++ b/src/packets/packet-link.ts
@@ -8,23 +8,25 @@
 import {
   COMPACT_FRAME_VERSION,
   GROUP_SEARCH_VERSION,
+  REPAIR_VERSION,
   SURE_SEARCH_VERSION,
   PacketMessageType,
   type PacketMessage,
 } from './packet-messages';
+import { isHopMessage } from './repair/hop-messages';
 
 /** Nodes noted; beyond that all are forgotten, and noted anew by their next frames. */
 const MAXIMUM_NODES = 20_000;
 
 /** Whether a message came with compact frames, and goes only to those who understand them. */
-function hasOnlyCompactForm({ type }: PacketMessage): boolean {
-  switch (type) {
+function hasOnlyCompactForm(message: PacketMessage): boolean {
+  switch (message.type) {
     case PacketMessageType.search:
     case PacketMessageType.noneHolds:
     case PacketMessageType.noneKnows:
       return true;
     default:
-      return false;
+      return isHopMessage(message);
   }
 }
 
@@ -33,6 +35,7 @@
   private readonly compactNodes = new Set<Endpoint>();
   private readonly groupNodes = new Set<Endpoint>();
   private readonly sureNodes = new Set<Endpoint>();
+  private readonly repairNodes = new Set<Endpoint>();
 
   constructor(
     private readonly packetCodec: PacketFrameCodec,
@@ -57,18 +60,37 @@
     return this.sureNodes.has(agent);
   }
 
+  /** Whether a node is known to acknowledge numbered messages. */
+  repairsHops(node: Endpoint): boolean {
+    return this.repairNodes.has(node);
+  }
+
   /** Notes which version of frames a node has said that it understands. */
   noteVersion(node: Endpoint, version: number): void {
     noteNode(this.compactNodes, node, version >= COMPACT_FRAME_VERSION);
     noteNode(this.groupNodes, node, version >= GROUP_SEARCH_VERSION);
     noteNode(this.sureNodes, node, version >= SURE_SEARCH_VERSION);
+    this.noteRepairs(node, version);
+  }
+
+  /** Notes that a node understands compact frames, and nothing else of it. */
+  noteCompact(node: Endpoint): void {
+    noteNode(this.compactNodes, node, true);
+  }
+
+  /**
+   * Notes by the version of a node only whether it acknowledges numbered messages: balancers of
+   * an earlier version name none where later ones do, and yet may understand compact frames.
+   */
+  noteRepairs(node: Endpoint, version: number): void {
+    noteNode(this.repairNodes, node, version >= REPAIR_VERSION);
   }
 
   /** The message of a received frame; a node that sends compact frames also understands them. */
   receiveFrom(node: Endpoint, frame: Buffer): PacketMessage | undefined {
     const message = this.receive(frame);
     if (message && frame[0] === COMPACT_FRAME_VERSION) {
-      noteNode(this.compactNodes, node, true);
+      this.noteCompact(node);
     }
     return message;
   }
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -187,6 +187,7 @@
       field('listing', 'l', unpackListing),
       evacuations,
       field('profiles', 'c', unpackVersionedProfiles, packVersionedProfiles),
+      field('frameVersion', 'v', versionOrFirst),
     ],
   ],
   [
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -17,6 +17,9 @@
   noneHolds: 109,
   noneKnows: 110,
   detour: 111,
+  received: 112,
+  numberedDeliver: 113,
+  numberedRefusal: 114,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -27,8 +30,12 @@
 export const GROUP_SEARCH_VERSION = 3;
 /** Frames as of version 3, from an agent that also knows sure searches ({@link SearchPhase}). */
 export const SURE_SEARCH_VERSION = 4;
+/** Frames as of version 4, from a node that also knows the messages 112 to 116. */
+export const REPAIR_VERSION = 5;
 /** Agents in one search. */
 export const MAXIMUM_SEARCH_LENGTH = 64;
+/** Numbers in one acknowledgement. */
+export const MAXIMUM_ACKNOWLEDGED = 64;
 
 /** What an agent knows of its target. */
 export const TargetState = {
@@ -62,9 +69,8 @@
 } as const;
 export type RefusalReasonValue = (typeof RefusalReason)[keyof typeof RefusalReason];
 
-/** Balancer to agent: a client's packet for the agent's target. */
-export interface DeliverMessage {
-  readonly type: typeof PacketMessageType.deliver;
+/** A client's packet for an agent's target. */
+export interface Delivery {
   /** The search that this packet belongs to; 0 when the balancer knows the flow's agent. */
   readonly searchId: number;
   /** Services that may receive it. */
@@ -72,14 +78,49 @@
   readonly payload: Buffer;
 }
 
-/** Agent to balancer: the target does not hold the packet's flow, or did not open it. */
-export interface NotHeldMessage {
-  readonly type: typeof PacketMessageType.notHeld;
+/** Balancer to agent: a client's packet for the agent's target. */
+export interface DeliverMessage extends Delivery {
+  readonly type: typeof PacketMessageType.deliver;
+}
+
+/** A packet whose flow the target does not hold, or did not open. */
+export interface Refusal {
   readonly searchId: number;
   readonly reason: RefusalReasonValue;
   readonly payload: Buffer;
 }
 
+/** Agent to balancer: the target did not take a packet. */
+export interface NotHeldMessage extends Refusal {
+  readonly type: typeof PacketMessageType.notHeld;
+}
+
+/** The number of a message that its sender repeats until it is acknowledged. */
+export interface HopNumber {
+  /** Differs each time that a sender begins to number its messages to a node; 32 bits. */
+  readonly session: number;
+  /** Rises by one with each message to that node and wraps; 32 bits. */
+  readonly sequence: number;
+}
+
+/** As {@link DeliverMessage}; the agent acknowledges it and takes it once. */
+export interface NumberedDeliverMessage extends Delivery, HopNumber {
+  readonly type: typeof PacketMessageType.numberedDeliver;
+}
+
+/** As {@link NotHeldMessage}; the balancer acknowledges it and takes it once. */
+export interface NumberedRefusalMessage extends Refusal, HopNumber {
+  readonly type: typeof PacketMessageType.numberedRefusal;
+}
+
+/** Agent to balancer and back: numbered messages of a session that have come. */
+export interface ReceivedMessage {
+  readonly type: typeof PacketMessageType.received;
+  readonly session: number;
+  /** At least one; bounded by `MAXIMUM_ACKNOWLEDGED`. */
+  readonly sequences: readonly number[];
+}
+
 /** Agent to balancer: the target holds this flow. */
 export interface HeldMessage {
   readonly type: typeof PacketMessageType.held;
@@ -172,6 +213,8 @@
   readonly evacuations: ZoneEvacuations;
   /** How targets behave after their start, by the balancer's routing table. */
   readonly profiles: ServiceProfiles;
+  /** Latest version of frames that the balancer understands; 1 for one that names none. */
+  readonly frameVersion: number;
 }
 
 /** Agent to balancer: state and load of the target. */
@@ -270,6 +313,9 @@
   | NoneHoldsMessage
   | NoneKnowsMessage
   | DetourMessage
+  | ReceivedMessage
+  | NumberedDeliverMessage
+  | NumberedRefusalMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -8,6 +8,7 @@
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import type { PacketLink } from './packet-link';
 import { PacketMessageType, type DeliverMessage } from './packet-messages';
+import type { HopRepair } from './repair/hop-repair';
 import type { ZoneDetour } from './zone-detour';
 
 /** Counters of what became of clients' packets. */
@@ -31,6 +32,7 @@
   readonly format: PacketFormat;
   readonly directory: AgentDirectory;
   readonly link: PacketLink;
+  readonly hops: HopRepair;
   readonly detours: ZoneDetour;
   /** Sends a reset to a client. */
   sendToClient(client: Endpoint, packet: Buffer): void;
@@ -57,7 +59,8 @@
   constructor(private readonly dependencies: PacketOutletDependencies) {}
 
   /**
-   * Sends a packet to an agent; keeps it for a while when the agent is away.
+   * Sends a packet to an agent; keeps it for a while when the agent is away. One that is heard
+   * acknowledges packets whose loss matters, and gets them once more if it doesn't.
    * @param services services that may receive it
    * @param searchId the search that it belongs to; 0 for none
    */
@@ -67,7 +70,7 @@
     agent: Endpoint,
     searchId: number,
   ): void {
-    const { directory, environment, link } = this.dependencies;
+    const { directory, environment, hops, link } = this.dependencies;
     const message: DeliverMessage = {
       type: PacketMessageType.deliver,
       searchId,
@@ -76,7 +79,11 @@
     };
     const now = environment.now();
     const entry = directory.find(agent);
-    if (entry && !packet.opens && !directory.isHeard(entry, now)) {
+    if (entry && directory.isHeard(entry, now)) {
+      hops.send(agent, message, packet);
+      return;
+    }
+    if (entry && !packet.opens) {
       if (this.sendByDetour(packet, entry, now)) {
         return;
       }
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -12,6 +12,7 @@
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
+const DEFAULT_REPAIR_HOPS = true;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -55,6 +56,8 @@
   readonly capacity: number;
   /** Megabits a second that the machine's link carries. */
   readonly linkSpeed: number;
+  /** Whether packets lost between balancer and agent are sent once more by the two of them. */
+  readonly repairHops: boolean;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -128,6 +131,19 @@
     return value;
   }
 
+  /** 1 for true, 0 for false. */
+  toggle(key: string, fallback: boolean): boolean {
+    const value = this.given(key);
+    if (value === undefined) {
+      return fallback;
+    }
+    if (value !== 0 && value !== 1) {
+      this.problems.push(`${key}: must be 1 or 0`);
+      return fallback;
+    }
+    return value === 1;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -204,6 +220,7 @@
     evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
+    repairHops: reader.toggle('repairHops', DEFAULT_REPAIR_HOPS),
     metrics: reader.optionalText('metrics'),
   };
 }
--- /dev/null
+++ b/src/packets/repair/hop-receiver.ts
@@ -0,0 +1,123 @@
+/**
+ * The receiving half of hop repair: takes each numbered message once, and gathers the numbers
+ * that are to be acknowledged. Pure.
+ *
+ * A window belongs to a session, not to a node: a sender that restarts or has forgotten its
+ * numbers draws another session, so its messages are never taken for repeats. A jump of the
+ * numbers could not tell that, since new numbers may begin anywhere, close to the old ones too.
+ * The session before is kept as well, for its messages that are still under way.
+ */
+import type { Endpoint } from '../../environment';
+import {
+  MAXIMUM_ACKNOWLEDGED,
+  PacketMessageType,
+  type HopNumber,
+  type ReceivedMessage,
+} from '../packet-messages';
+import { HopWindow } from './hop-window';
+
+/** Nodes noted; beyond that the one noted first is forgotten. As many as `PacketLink` notes. */
+const MAXIMUM_PEERS = 20_000;
+/**
+ * Milliseconds after the last message of a node after which its windows are dropped: repeats end
+ * after 150 ms (`hop-sender.ts`), and a frozen process holds datagrams back for seconds.
+ */
+const WINDOW_LIFETIME = 30_000;
+
+interface SessionWindow {
+  readonly session: number;
+  readonly window: HopWindow;
+}
+
+interface PeerWindows {
+  present: SessionWindow;
+  previous: SessionWindow | undefined;
+  usedAt: number;
+}
+
+/** An acknowledgement and the node that it is for. */
+export interface Acknowledgement {
+  readonly peer: Endpoint;
+  readonly message: ReceivedMessage;
+}
+
+interface GatheredNumbers {
+  readonly session: number;
+  readonly sequences: number[];
+}
+
+/** The receiver of one node. */
+export class HopReceiver {
+  private readonly peers = new Map<Endpoint, PeerWindows>();
+  private readonly gathered = new Map<Endpoint, GatheredNumbers>();
+
+  /**
+   * Takes the number of a message.
+   * @returns whether the message comes for the first time
+   */
+  admit(peer: Endpoint, { session, sequence }: HopNumber, now: number): boolean {
+    return this.windowOf(peer, session, now).add(sequence);
+  }
+
+  /**
+   * Gathers a number for the next acknowledgement of its node, repeats included: the first
+   * acknowledgement may be lost.
+   * @returns an acknowledgement that can gather no more and is to be sent now, if any
+   */
+  gather(peer: Endpoint, { session, sequence }: HopNumber): Acknowledgement | undefined {
+    const known = this.gathered.get(peer);
+    if (known?.session === session && known.sequences.length < MAXIMUM_ACKNOWLEDGED) {
+      known.sequences.push(sequence);
+      return undefined;
+    }
+    this.gathered.set(peer, { session, sequences: [sequence] });
+    return known && createAcknowledgement(peer, known);
+  }
+
+  /** Takes out all acknowledgements gathered. */
+  takeAcknowledgements(): Acknowledgement[] {
+    const all = [...this.gathered].map(([peer, numbers]) => createAcknowledgement(peer, numbers));
+    this.gathered.clear();
+    return all;
+  }
+
+  /** Drops the windows of nodes that have sent nothing for long. */
+  expire(now: number): void {
+    for (const [peer, { usedAt }] of this.peers) {
+      if (now - usedAt > WINDOW_LIFETIME) {
+        this.peers.delete(peer);
+      }
+    }
+  }
+
+  private windowOf(peer: Endpoint, session: number, now: number): HopWindow {
+    const known = this.peers.get(peer);
+    if (!known) {
+      return this.addPeer(peer, session, now);
+    }
+    known.usedAt = now;
+    if (known.present.session === session) {
+      return known.present.window;
+    }
+    if (known.previous?.session === session) {
+      return known.previous.window;
+    }
+    known.previous = known.present;
+    known.present = { session, window: new HopWindow() };
+    return known.present.window;
+  }
+
+  private addPeer(peer: Endpoint, session: number, now: number): HopWindow {
+    if (this.peers.size >= MAXIMUM_PEERS) {
+      const [first] = this.peers.keys();
+      this.peers.delete(first!);
+    }
+    const window = new HopWindow();
+    this.peers.set(peer, { present: { session, window }, previous: undefined, usedAt: now });
+    return window;
+  }
+}
+
+function createAcknowledgement(peer: Endpoint, numbers: GatheredNumbers): Acknowledgement {
+  return { peer, message: { type: PacketMessageType.received, ...numbers } };
+}
--- /dev/null
+++ b/src/packets/repair/hop-window.ts
@@ -0,0 +1,73 @@
+/**
+ * Which numbers of one session have come: the highest, and a bit for each of those shortly below
+ * it (the anti-replay window of RFC 4303, section 3.4.3).
+ */
+
+/**
+ * Numbers that are told apart below the highest. A repeat comes at most 150 ms after the message
+ * itself (`hop-sender.ts`); a balancer that sends one agent 6,800 messages a second, more than a
+ * processor can, gets that far ahead meanwhile.
+ */
+export const WINDOW_LENGTH = 1_024;
+const WORD_BITS = 32;
+const WORDS = WINDOW_LENGTH / WORD_BITS;
+
+/** The window of one session. */
+export class HopWindow {
+  private readonly words = new Uint32Array(WORDS);
+  private highest: number | undefined;
+
+  /**
+   * Notes a number.
+   * @param sequence 32 bits, wrapping
+   * @returns whether it comes for the first time; false for one so old that nothing tells
+   */
+  add(sequence: number): boolean {
+    if (this.highest === undefined) {
+      this.highest = sequence;
+      this.mark(sequence);
+      return true;
+    }
+    const distance = (sequence - this.highest) | 0;
+    if (distance > 0) {
+      this.advance(this.highest, distance);
+      this.highest = sequence;
+      this.mark(sequence);
+      return true;
+    }
+    if (distance <= -WINDOW_LENGTH || this.isMarked(sequence)) {
+      return false;
+    }
+    this.mark(sequence);
+    return true;
+  }
+
+  /** Clears the bits that numbers after `highest` take over. */
+  private advance(highest: number, distance: number): void {
+    if (distance >= WINDOW_LENGTH) {
+      this.words.fill(0);
+      return;
+    }
+    for (let step = 1; step <= distance; step++) {
+      const bit = bitOf(highest + step);
+      this.words[wordOf(highest + step)]! &= ~bit;
+    }
+  }
+
+  private mark(sequence: number): void {
+    this.words[wordOf(sequence)]! |= bitOf(sequence);
+  }
+
+  private isMarked(sequence: number): boolean {
+    return (this.words[wordOf(sequence)]! & bitOf(sequence)) !== 0;
+  }
+}
+
+/** The window's length divides 2^32, so a number keeps its place when the numbers wrap. */
+function wordOf(sequence: number): number {
+  return Math.floor((sequence % WINDOW_LENGTH) / WORD_BITS);
+}
+
+function bitOf(sequence: number): number {
+  return 1 << (sequence % WORD_BITS);
+}
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -84,6 +84,8 @@
   seeds: Endpoint[] | undefined;
   /** Milliseconds for which targets that start from now on are slow. */
   coldTime = COLD_TIME;
+  /** Whether processes that start from now on repair losses between balancer and agent. */
+  repairHops = true;
   private readonly codec = new PacketFrameCodec([KEY]);
   private nextAddress = 1;
   private nextClient = 1;
@@ -178,6 +180,7 @@
         seeds: this.currentSeeds(),
         flowLifetime: FLOW_LIFETIME,
         applyTime: APPLY_TIME,
+        repairHops: this.repairHops,
       },
       {
         environment: process,
@@ -217,6 +220,7 @@
         heartbeatInterval: HEARTBEAT_INTERVAL,
         coldLimit: COLD_LIMIT,
         flowLifetime: FLOW_LIFETIME,
+        repairHops: this.repairHops,
       },
       {
         environment: process,
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -116,6 +116,7 @@
       zone: 'north',
       interval: 500,
       listing: 1,
+      frameVersion: 5,
       evacuations: { revision: 14, zones: ['south'] },
       profiles: {
         version: 3,
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -4,6 +4,7 @@
 import { ResultCodes } from '../src/errors/result-codes';
 import { PacketFrameCodec } from '../src/packets/packet-frames';
 import {
+  FIRST_FRAME_VERSION,
   ListingState,
   PacketMessageType,
   type PeerStatusMessage,
@@ -38,6 +39,7 @@
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
+  frameVersion: 5,
   profiles: { version: 3, services: [] },
   evacuations: { revision: 12, zones: ['south'] },
 };
@@ -62,9 +64,15 @@
     [0, [], undefined, 3],
   );
   t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
-  const spoilt = codec.spoil(SUBSCRIPTION, { l: undefined, e: undefined, c: undefined });
+  const spoilt = codec.spoil(SUBSCRIPTION, {
+    l: undefined,
+    e: undefined,
+    c: undefined,
+    v: undefined,
+  });
   const subscription = codec.decode(spoilt).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
+  t.is(subscription.frameVersion, FIRST_FRAME_VERSION);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
   t.deepEqual(subscription.profiles, UNKNOWN_PROFILES);
 });
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -6,6 +6,7 @@
 import { PacketFrameCodec } from '../../src/packets/packet-frames';
 import { ZoneDetour } from '../../src/packets/zone-detour';
 import { PacketLink } from '../../src/packets/packet-link';
+import { HopRepair } from '../../src/packets/repair/hop-repair';
 import type { PacketMessage } from '../../src/packets/packet-messages';
 import {
   encodeModelPacket,
@@ -39,6 +40,7 @@
   readonly agents: Endpoint[];
   readonly environment = this.createEnvironment();
   readonly router: FlowRouter;
+  readonly hops: HopRepair;
   now = 1_000;
   readonly detours = new ZoneDetour('north');
   /** Zones out of service. */
@@ -62,6 +64,7 @@
       return address;
     });
     this.directory.markComplete(0);
+    this.hops = new HopRepair({ environment, link, isEnabled: true, isReachable: () => true });
     this.router = new FlowRouter({
       environment,
       zone: 'north',
@@ -71,6 +74,7 @@
       directory: this.directory,
       cache: new FlowCache(1_000, 60_000),
       link,
+      hops: this.hops,
       sendToClient: (client) => this.resets.push(client),
       detours: this.detours,
       isEvacuated: (zone) => this.evacuatedZones.includes(zone),
