--- a/src/bench/packets-contract.ts
+++ b/src/bench/packets-contract.ts
@@ -3,10 +3,10 @@
 import type { RoutingTable } from '../packets/routing-table';
 
 /**
- * A path that packets take: a bare relay, a balancer whose agents understand compact frames,
- * and one whose agents know only documents.
+ * A path that packets take: a bare relay, a balancer whose agents understand compact frames, one
+ * whose agents also acknowledge each numbered packet, and one whose agents know only documents.
  */
-export type PacketPath = 'relay' | 'compact' | 'document';
+export type PacketPath = 'relay' | 'compact' | 'repaired' | 'document';
 
 /** Numbers of packets after which the processor time is told. */
 export const PACKETS_MEASURED: readonly number[] = [200, 2_000, 18_000, 20_000];
--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -11,7 +11,9 @@
   COMPACT_FRAME_VERSION,
   FIRST_FRAME_VERSION,
   PacketMessageType,
+  REPAIR_VERSION,
   TargetState,
+  type NumberedDeliverMessage,
   type ReportMessage,
 } from '../packets/packet-messages';
 import { UdpSocket } from '../runtime/udp-socket';
@@ -33,6 +35,14 @@
 const PAYLOAD = 'x'.repeat(200);
 const FIRST_CLIENT = 0x6440_0000_0000;
 
+/** Versions of frames that the agents of each path understand. */
+const AGENT_VERSIONS: Readonly<Record<PacketPath, number>> = {
+  relay: FIRST_FRAME_VERSION,
+  compact: COMPACT_FRAME_VERSION,
+  repaired: REPAIR_VERSION,
+  document: FIRST_FRAME_VERSION,
+};
+
 /** Microseconds of processor time a packet. */
 export interface PacketFigures {
   readonly path: PacketPath;
@@ -67,10 +77,16 @@
     this.sockets.forEach((socket) => socket.close());
   }
 
-  /** Tells the balancer that a flow is held, at its second packet. */
+  /** Tells the balancer that a flow is held, at its second packet, and that a number has come. */
   private confirm(index: number, frame: Buffer, balancer: Endpoint): void {
     const message = this.codec.decode(frame).unwrap();
-    if (message.type === PacketMessageType.deliver && message.searchId === 0) {
+    if (message.type === PacketMessageType.numberedDeliver) {
+      this.acknowledge(index, message, balancer);
+    }
+    const isDelivery =
+      message.type === PacketMessageType.deliver ||
+      message.type === PacketMessageType.numberedDeliver;
+    if (isDelivery && message.searchId === 0) {
       const flow = message.payload.subarray(1, 13);
       const held = { type: PacketMessageType.held, flow } as const;
       const isCompact = this.frameVersion >= COMPACT_FRAME_VERSION;
@@ -79,6 +95,13 @@
     }
   }
 
+  /** One acknowledgement a packet, which is the most that an agent sends. */
+  private acknowledge(index: number, number: NumberedDeliverMessage, balancer: Endpoint): void {
+    const { session, sequence } = number;
+    const message = { type: PacketMessageType.received, session, sequences: [sequence] } as const;
+    this.sockets[index]!.send(balancer, this.codec.encodeCompact(message));
+  }
+
   private report(balancer: Endpoint): void {
     const report: ReportMessage = {
       type: PacketMessageType.report,
@@ -153,8 +176,7 @@
 
 /** Measures one path in a process of its own. */
 async function measurePath(path: PacketPath): Promise<PacketFigures> {
-  const version = path === 'document' ? FIRST_FRAME_VERSION : COMPACT_FRAME_VERSION;
-  const agents = new PlayedAgents(version);
+  const agents = new PlayedAgents(AGENT_VERSIONS[path]);
   const sink = (await UdpSocket.bind(ADDRESS, 0, () => undefined)).unwrap();
   const child = fork(join(__dirname, 'packets-child.js'), [path, String(sink.endpoint)]);
   const { clients, frames } = await awaitBound(child);
@@ -178,7 +200,7 @@
 /** Measures all paths one after the other. */
 export async function benchPackets(progress: (line: string) => void): Promise<PacketFigures[]> {
   const figures: PacketFigures[] = [];
-  for (const path of ['relay', 'compact', 'document'] as const) {
+  for (const path of ['relay', 'compact', 'repaired', 'document'] as const) {
     progress(`measuring: ${path}`);
     figures.push(await measurePath(path));
   }
--- a/src/cli/bench-commands.ts
+++ b/src/cli/bench-commands.ts
@@ -55,8 +55,8 @@
   static override usage = Command.Usage({
     description: 'Measure processor time a packet at a packet balancer, cold and warm.',
     details:
-      'Three paths, each in a process of its own: a bare relay, a balancer with compact ' +
-      'frames, and one whose agents know only documents.',
+      'Four paths, each in a process of its own: a bare relay, a balancer with compact ' +
+      'frames, one whose agents also acknowledge packets, and one whose agents know only documents.',
     examples: [['As one JSON line', '$0 bench packets --json']],
   });
 
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -225,6 +225,11 @@
     this.dependencies.relay(destination, bytes);
   }
 
+  /** Smoothed round trip to an agent in milliseconds; undefined before it is measured. */
+  roundTripTo(agent: Endpoint): number | undefined {
+    return this.hops.roundTripTo(agent);
+  }
+
   /** A frame of another node. */
   frame(bytes: Buffer, from: Endpoint): void {
     const message = this.link.receiveFrom(from, bytes);
--- /dev/null
+++ b/test/hop-repair.test.ts
@@ -0,0 +1,671 @@
+/** Losses between a balancer and an agent, repaired by the two of them. */
+import test from 'ava';
+import { ResultCodes } from '../src/errors/result-codes';
+import { Events } from '../src/logging/events';
+import { PacketFrameCodec } from '../src/packets/packet-frames';
+import {
+  FIRST_FRAME_VERSION,
+  MAXIMUM_ACKNOWLEDGED,
+  PacketMessageType,
+  REPAIR_VERSION,
+  SURE_SEARCH_VERSION,
+  type PacketMessage,
+} from '../src/packets/packet-messages';
+import { HopBudget } from '../src/packets/repair/hop-budget';
+import { HopReceiver } from '../src/packets/repair/hop-receiver';
+import { HopWindow, WINDOW_LENGTH } from '../src/packets/repair/hop-window';
+import { RoundTripEstimator } from '../src/packets/repair/round-trip';
+import { ModelFlag } from '../src/simulation/packets/model-packet-format';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import {
+  countViolations,
+  MAP_DESTINATION,
+  openModelFlows,
+  startModelDeployment,
+} from '../src/simulation/packets/random-faults';
+import { HopNetwork, HopNode, loseFirst, ONE_WAY } from './support/hop-pair';
+import { RouterHarness } from './support/router-harness';
+
+const BALANCER = 1;
+const AGENT = 2;
+const { deliver, notHeld, numberedDeliver, numberedRefusal, received } = PacketMessageType;
+/** Milliseconds after which no message is under way or kept any more. */
+const ALL_OVER = 1_000;
+
+interface Pair {
+  readonly network: HopNetwork;
+  readonly balancer: HopNode;
+  readonly agent: HopNode;
+}
+
+/** A balancer and an agent that know of each other what they understand. */
+function startPair(balancerVersion = REPAIR_VERSION, agentVersion = REPAIR_VERSION): Pair {
+  const network = new HopNetwork();
+  const balancer = network.attach(new HopNode(BALANCER, network, () => 0.5));
+  const agent = network.attach(new HopNode(AGENT, network, () => 0.25));
+  balancer.link.noteVersion(AGENT, agentVersion);
+  agent.link.noteRepairs(BALANCER, balancerVersion);
+  return { network, balancer, agent };
+}
+
+/** Lets the pair measure its round trip. */
+function warmUp({ network, balancer, agent }: Pair, messages = 10): void {
+  for (let count = 0; count < messages; count++) {
+    balancer.send(AGENT, 'warm');
+    agent.refuse(BALANCER, 'warm');
+    network.pass(10);
+  }
+  network.frames.length = 0;
+  balancer.taken.length = 0;
+  agent.taken.length = 0;
+}
+
+test('a lost delivery is sent once more, long before the client would, and taken once', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = loseFirst(numberedDeliver);
+  const sentAt = network.clock.now;
+  balancer.send(AGENT);
+  network.pass(ALL_OVER);
+  const frames = balancer.sent(numberedDeliver);
+  t.deepEqual(
+    frames.map(({ at }) => at - sentAt),
+    [0, 20],
+  );
+  t.deepEqual(frames[0]!.message, frames[1]!.message);
+  t.is(agent.taken.length, 1);
+  t.is(agent.taken[0]!.type, deliver);
+  t.is(balancer.hops.counters.hopRepeats, 1);
+  t.is(agent.hops.counters.hopDuplicates, 0);
+});
+
+test('a delivery whose acknowledgement is lost is acknowledged again and not taken again', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = loseFirst(received);
+  balancer.send(AGENT);
+  network.pass(ALL_OVER);
+  t.is(balancer.sent(numberedDeliver).length, 2);
+  t.is(agent.sent(received).length, 2);
+  t.is(agent.taken.length, 1);
+  t.is(agent.hops.counters.hopDuplicates, 1);
+  t.is(balancer.hops.counters.hopRepeats, 1);
+});
+
+test('a lost refusal is sent once more and taken once', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = loseFirst(numberedRefusal);
+  agent.refuse(BALANCER);
+  network.pass(ALL_OVER);
+  t.is(agent.sent(numberedRefusal).length, 2);
+  t.deepEqual(
+    balancer.taken.map(({ type }) => type),
+    [notHeld],
+  );
+});
+
+test('a message is repeated three times within 150 ms, and then left to the client', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer } = pair;
+  network.isLost = () => true;
+  const sentAt = network.clock.now;
+  balancer.send(AGENT);
+  network.pass(ALL_OVER);
+  t.deepEqual(
+    balancer.sent(numberedDeliver).map(({ at }) => at - sentAt),
+    [0, 20, 60, 140],
+  );
+});
+
+test('before the first acknowledgement a message waits longer, and is repeated twice', (t) => {
+  const { network, balancer } = startPair();
+  network.isLost = () => true;
+  balancer.send(AGENT);
+  network.pass(ALL_OVER);
+  t.deepEqual(
+    balancer.sent(numberedDeliver).map(({ at }) => at),
+    [0, 30, 90],
+  );
+});
+
+test('openings, data, ends and resets are numbered; acknowledgements and searched ones are not', (t) => {
+  const { network, balancer, agent } = startPair();
+  balancer.send(AGENT, '', { flags: ModelFlag.opens, searchId: 9 });
+  balancer.send(AGENT, '', { flags: ModelFlag.ends });
+  balancer.send(AGENT, '', { flags: ModelFlag.resets });
+  balancer.send(AGENT, 'request');
+  balancer.send(AGENT, '');
+  balancer.send(AGENT, 'request', { searchId: 9 });
+  network.pass(ALL_OVER);
+  t.is(balancer.sent(numberedDeliver).length, 4);
+  t.is(balancer.sent(deliver).length, 2);
+  t.is(agent.taken.length, 6);
+  t.is(agent.sent(received).length, 1);
+});
+
+test('an old agent gets deliveries, an old balancer refusals, as they were', (t) => {
+  const { network, balancer, agent } = startPair(FIRST_FRAME_VERSION, SURE_SEARCH_VERSION);
+  balancer.send(AGENT);
+  agent.refuse(BALANCER);
+  network.pass(ALL_OVER);
+  t.deepEqual(
+    network.frames.map(({ message }) => message.type),
+    [deliver, notHeld],
+  );
+});
+
+test('a balancer that numbers its packets understands numbered refusals', (t) => {
+  const { network, balancer, agent } = startPair(FIRST_FRAME_VERSION);
+  balancer.send(AGENT);
+  network.pass(10);
+  agent.refuse(BALANCER);
+  network.pass(10);
+  t.is(agent.sent(numberedRefusal).length, 1);
+  t.is(balancer.taken.length, 1);
+});
+
+test('a balancer whose version is told late or never keeps its compact frames', (t) => {
+  const { network, agent, balancer } = startPair(FIRST_FRAME_VERSION, SURE_SEARCH_VERSION);
+  balancer.send(AGENT);
+  network.pass(10);
+  agent.link.noteRepairs(BALANCER, FIRST_FRAME_VERSION);
+  t.true(agent.link.speaksCompact(BALANCER));
+  agent.link.noteRepairs(BALANCER, REPAIR_VERSION);
+  agent.link.noteCompact(BALANCER);
+  t.true(agent.link.repairsHops(BALANCER));
+});
+
+test('with the setting off nothing is numbered, and what others number is acknowledged', (t) => {
+  const { network, agent } = startPair();
+  const silent = network.attach(new HopNode(BALANCER, network, () => 0.5, false));
+  silent.link.noteVersion(AGENT, REPAIR_VERSION);
+  silent.send(AGENT);
+  agent.refuse(BALANCER);
+  network.pass(ALL_OVER);
+  t.is(silent.sent(deliver).length, 1);
+  t.is(agent.sent(numberedRefusal).length, 1);
+  t.is(silent.sent(received).length, 1);
+  t.is(silent.taken.length, 1);
+});
+
+test('an agent that restarts has forgotten what came: each of its runs takes a message once', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = loseFirst(received, 2);
+  balancer.send(AGENT);
+  network.pass(10);
+  const next = network.attach(new HopNode(AGENT, network, () => 0.75));
+  network.pass(ALL_OVER);
+  t.is(agent.taken.length, 1);
+  t.is(next.taken.length, 1);
+  t.is(next.hops.counters.hopDuplicates, 1);
+  balancer.send(AGENT, 'another');
+  network.pass(ALL_OVER);
+  t.is(next.taken.length, 2);
+});
+
+test('the numbers of a balancer that restarts are not taken for repeats, wherever they begin', (t) => {
+  for (const draws of [0.5000001, 0.4999999, 0.1, 0.9]) {
+    const pair = startPair();
+    warmUp(pair);
+    const { network, agent } = pair;
+    let drawn = 0;
+    // The session differs; the numbers begin close to those of the run before.
+    const random = (): number => (drawn++ === 0 ? 0.3 : draws);
+    const next = network.attach(new HopNode(BALANCER, network, random));
+    next.link.noteVersion(AGENT, REPAIR_VERSION);
+    for (let count = 0; count < 30; count++) {
+      next.send(AGENT, `packet ${count}`);
+    }
+    network.pass(ALL_OVER);
+    t.is(agent.taken.length, 30);
+    t.is(agent.hops.counters.hopDuplicates, 0);
+    t.is(next.hops.counters.hopRepeats, 0);
+  }
+});
+
+test('a late repeat of the run before a restart is still known for what it is', (t) => {
+  const receiver = new HopReceiver();
+  const before = { session: 1, sequence: 10 };
+  t.true(receiver.admit(BALANCER, before, 0));
+  t.true(receiver.admit(BALANCER, { session: 2, sequence: 10 }, 1));
+  t.false(receiver.admit(BALANCER, before, 2));
+  t.true(receiver.admit(BALANCER, { session: 1, sequence: 11 }, 3));
+  t.false(receiver.admit(BALANCER, { session: 2, sequence: 10 }, 4));
+});
+
+test('an acknowledgement of the run before acknowledges nothing of the present one', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer } = pair;
+  network.isLost = ({ message }) => message.type === numberedDeliver;
+  balancer.send(AGENT);
+  const [frame] = balancer.sent(numberedDeliver);
+  const { message } = frame!;
+  if (message.type === numberedDeliver) {
+    const { session, sequence } = message;
+    const late = { type: received, session: session + 1, sequences: [sequence] } as const;
+    t.is(balancer.hops.unpack(AGENT, late), undefined);
+  }
+  network.pass(ALL_OVER);
+  t.is(balancer.hops.counters.hopRepeats, 3);
+});
+
+test('nothing is repeated for an agent that is silent', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer } = pair;
+  network.isLost = () => true;
+  balancer.isReachable = false;
+  balancer.send(AGENT);
+  network.pass(ALL_OVER);
+  t.is(balancer.sent(numberedDeliver).length, 1);
+  t.is(balancer.hops.counters.hopRepeatsSuppressed, 3);
+});
+
+test('on a cut link repeats stop after six timeouts, and begin again once it is healed', (t) => {
+  const pair = startPair();
+  warmUp(pair, 100);
+  const { network, balancer, agent } = pair;
+  network.isLost = () => true;
+  for (let count = 0; count < 50; count++) {
+    balancer.send(AGENT);
+    network.pass(5);
+  }
+  network.pass(ALL_OVER);
+  t.is(balancer.hops.counters.hopRepeats, 6);
+  network.isLost = loseFirst(numberedDeliver);
+  balancer.send(AGENT, 'lost');
+  balancer.send(AGENT, 'not lost');
+  network.pass(ALL_OVER);
+  t.is(agent.taken.length, 2);
+  t.is(balancer.hops.counters.hopRepeats, 7);
+});
+
+test('what was lost in a short cut is repeated after it', (t) => {
+  const pair = startPair();
+  warmUp(pair, 200);
+  const { network, balancer, agent } = pair;
+  network.isLost = () => true;
+  for (let count = 0; count < 10; count++) {
+    balancer.send(AGENT, `packet ${count}`);
+  }
+  network.pass(50);
+  network.isLost = () => false;
+  balancer.send(AGENT, 'after the cut');
+  network.pass(ALL_OVER);
+  t.is(agent.taken.length, 11);
+});
+
+test('repeats never go beyond the budget, which is told at most once a second', (t) => {
+  const pair = startPair();
+  warmUp(pair, 200);
+  const { network, balancer } = pair;
+  // Each agent is its own, so that none is taken to be silent.
+  network.isLost = ({ to }) => to !== BALANCER;
+  const messages = 400;
+  for (let count = 0; count < messages; count++) {
+    const other = AGENT + 1 + count;
+    balancer.link.noteVersion(other, REPAIR_VERSION);
+    balancer.send(other);
+    network.pass(2);
+  }
+  network.pass(ALL_OVER);
+  const { hopRepeats, hopRepeatsSuppressed } = balancer.hops.counters;
+  const seconds = (messages * 2 + 200) / 1_000;
+  t.true(hopRepeats <= 20 + messages / 10 + 10 * seconds, `${hopRepeats} repeats`);
+  t.true(hopRepeats >= messages / 10);
+  t.true(hopRepeatsSuppressed > 0);
+  const limited = balancer.events.filter((event) => event === Events.hopRepairsLimited);
+  t.is(limited.length, 1);
+});
+
+test('a budget holds a burst, earns by what is sent and by time, and no more', (t) => {
+  const budget = new HopBudget();
+  const takeAll = (now: number): number => {
+    let taken = 0;
+    while (budget.take(now)) {
+      taken++;
+    }
+    return taken;
+  };
+  t.is(takeAll(0), 20);
+  t.is(takeAll(500), 5);
+  for (let count = 0; count < 35; count++) {
+    budget.noteSent();
+  }
+  t.is(takeAll(500), 3);
+  t.is(takeAll(1_000_000), 20);
+});
+
+test('after a pause of its process acknowledgements are read before anything is repeated', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer } = pair;
+  balancer.send(AGENT);
+  balancer.pause(70);
+  network.pass(ALL_OVER);
+  t.is(balancer.sent(numberedDeliver).length, 1);
+});
+
+test('timers end with the node', (t) => {
+  const { network, balancer, agent } = startPair();
+  balancer.send(AGENT);
+  network.pass(1.5);
+  balancer.hops.stop();
+  agent.hops.stop();
+  network.pass(ALL_OVER);
+  t.is(network.frames.length, 1);
+});
+
+test('a window tells repeats from numbers that come out of order', (t) => {
+  const window = new HopWindow();
+  const numbers = [100, 103, 101, 103, 102, 100, 101, 90, 90];
+  t.deepEqual(
+    numbers.map((number) => window.add(number)),
+    [true, true, true, false, true, false, false, true, false],
+  );
+});
+
+test('a window goes on where 32 bits wrap, and forgets what lies far behind', (t) => {
+  const window = new HopWindow();
+  t.true(window.add(0xffff_fffe));
+  t.true(window.add(1));
+  t.true(window.add(0xffff_ffff));
+  t.true(window.add(0));
+  t.deepEqual(
+    [0xffff_fffe, 0xffff_ffff, 0, 1].map((number) => window.add(number)),
+    [false, false, false, false],
+  );
+  t.true(window.add(WINDOW_LENGTH));
+  t.false(window.add(1));
+  t.true(window.add(2));
+  t.false(window.add(0), 'so far behind that nothing tells');
+  t.true(window.add(5 * WINDOW_LENGTH));
+  t.true(window.add(5 * WINDOW_LENGTH - 1));
+  t.false(window.add(WINDOW_LENGTH));
+});
+
+test('a window agrees with a set of all numbers, in any order within its length', (t) => {
+  const random = new SeededRandom(9);
+  const window = new HopWindow();
+  const seen = new Set<number>();
+  let highest = 0xffff_f000;
+  for (let round = 0; round < 20_000; round++) {
+    highest += random.next() < 0.5 ? Math.floor(random.next() * 3) : 0;
+    const number = (highest - Math.floor(random.next() * 200)) >>> 0;
+    t.is(window.add(number), !seen.has(number));
+    seen.add(number);
+  }
+});
+
+test('the sender numbers on where 32 bits wrap', (t) => {
+  const network = new HopNetwork();
+  const draws = [0.25, 1 - 2 ** -32];
+  const balancer = network.attach(new HopNode(BALANCER, network, () => draws.shift() ?? 0));
+  const agent = network.attach(new HopNode(AGENT, network, () => 0));
+  balancer.link.noteVersion(AGENT, REPAIR_VERSION);
+  network.isLost = loseFirst(numberedDeliver, 3);
+  ['one', 'two', 'three'].forEach((data) => balancer.send(AGENT, data));
+  network.pass(ALL_OVER);
+  const sequences = balancer
+    .sent(numberedDeliver)
+    .map(({ message }) => message.type === numberedDeliver && message.sequence);
+  t.deepEqual(sequences, [0xffff_ffff, 0, 1, 0xffff_ffff, 0, 1]);
+  t.is(agent.taken.length, 3);
+});
+
+test('windows are bounded in number and dropped after a while', (t) => {
+  const receiver = new HopReceiver();
+  const number = { session: 1, sequence: 1 };
+  for (let peer = 0; peer < 20_001; peer++) {
+    receiver.admit(peer, number, 0);
+  }
+  t.false(receiver.admit(20_000, number, 1));
+  t.true(receiver.admit(0, number, 1), 'the one noted first is forgotten');
+  receiver.expire(29_000);
+  t.false(receiver.admit(20_000, number, 29_000));
+  receiver.expire(59_001);
+  t.true(receiver.admit(20_000, number, 59_001));
+});
+
+test('numbers gather for one acknowledgement, bounded and of one session', (t) => {
+  const receiver = new HopReceiver();
+  for (let sequence = 0; sequence < MAXIMUM_ACKNOWLEDGED; sequence++) {
+    t.is(receiver.gather(AGENT, { session: 1, sequence }), undefined);
+  }
+  const full = receiver.gather(AGENT, { session: 1, sequence: 64 });
+  t.is(full?.message.sequences.length, MAXIMUM_ACKNOWLEDGED);
+  const other = receiver.gather(AGENT, { session: 2, sequence: 5 });
+  t.deepEqual(other?.message.sequences, [64]);
+  t.deepEqual(receiver.takeAcknowledgements(), [
+    { peer: AGENT, message: { type: received, session: 2, sequences: [5] } },
+  ]);
+  t.deepEqual(receiver.takeAcknowledgements(), []);
+});
+
+test('round trips are estimated as RFC 6298 says, within bounds', (t) => {
+  const estimator = new RoundTripEstimator({ initial: 30, floor: 5, ceiling: 100 });
+  t.is(estimator.smoothed, undefined);
+  t.is(estimator.timeout, 30);
+  estimator.sample(8);
+  t.is(estimator.smoothed, 8);
+  t.is(estimator.timeout, 8 + 4 * 4);
+  estimator.sample(16);
+  t.is(estimator.smoothed, 9);
+  t.is(estimator.timeout, 9 + 4 * 5);
+  for (let count = 0; count < 100; count++) {
+    estimator.sample(1);
+  }
+  t.is(estimator.timeout, 5);
+  estimator.sample(10_000);
+  t.is(estimator.timeout, 100);
+});
+
+test('a repeated message gives no sample, and the timeout stays doubled until one comes', (t) => {
+  const pair = startPair();
+  warmUp(pair, 50);
+  const { network, balancer } = pair;
+  const before = balancer.hops.roundTripTo(AGENT)!;
+  t.true(Math.abs(before - 2 * ONE_WAY - 2) < 0.5, `${before} ms`);
+  t.is(balancer.hops.roundTripTo(AGENT + 1), undefined);
+  // The way becomes slower than the timeout at once.
+  network.delay = 13;
+  const sentAt = network.clock.now;
+  balancer.send(AGENT);
+  network.pass(100);
+  t.is(balancer.sent(numberedDeliver).length, 2);
+  t.is(balancer.hops.roundTripTo(AGENT), before);
+  balancer.send(AGENT);
+  network.pass(100);
+  t.is(balancer.sent(numberedDeliver).filter(({ at }) => at > sentAt).length, 2);
+  t.true(balancer.hops.roundTripTo(AGENT)! > before);
+});
+
+/** Signs any body, as a faulty program with the right key would. */
+class BodySigner extends PacketFrameCodec {
+  sign(body: Buffer): Buffer {
+    const frame = Buffer.concat([Buffer.alloc(18), body]);
+    this.seal(frame, 2);
+    return frame;
+  }
+}
+
+const KEY = { id: 1, secret: Buffer.from('a-test-key-of-the-cluster') };
+const NUMBER = { session: 0xffff_ffff, sequence: 0x8000_0001 };
+const PAYLOAD = Buffer.from('a packet of a client');
+const HOP_MESSAGES = [
+  { type: numberedDeliver, ...NUMBER, searchId: 7, services: ['map', 'tiles'], payload: PAYLOAD },
+  { type: numberedRefusal, ...NUMBER, searchId: 7, reason: 5, payload: PAYLOAD },
+  { type: received, session: 0xffff_ffff, sequences: [0xffff_ffff, 0, 1] },
+] as const;
+
+test('numbered messages and acknowledgements survive their frames, and no damage does', (t) => {
+  const codec = new PacketFrameCodec([KEY]);
+  for (const message of HOP_MESSAGES) {
+    const frame = codec.encodeCompact(message);
+    t.deepEqual(codec.decode(frame).unwrap(), message as PacketMessage);
+    for (let length = 0; length < frame.length; length++) {
+      t.true(codec.decode(frame.subarray(0, length)).err);
+    }
+    for (let index = 0; index < frame.length; index++) {
+      const changed = Buffer.from(frame);
+      changed[index]! ^= 0x55;
+      t.true(codec.decode(changed).err);
+    }
+  }
+});
+
+test('an authentic body of hop repair that is cut or too long is malformed', (t) => {
+  const signer = new BodySigner([KEY]);
+  const isMalformed = (body: Buffer): boolean => {
+    const decoded = signer.decode(signer.sign(body));
+    return decoded.err && decoded.val.resultCode === ResultCodes.frameMalformed;
+  };
+  const head = Buffer.from([received, 0, 0, 0, 1]);
+  const lengths = [0, 1, 3, 5, 4 * MAXIMUM_ACKNOWLEDGED + 4];
+  lengths.forEach((length) => t.true(isMalformed(Buffer.concat([head, Buffer.alloc(length)]))));
+  const longest = Buffer.concat([head, Buffer.alloc(4 * MAXIMUM_ACKNOWLEDGED)]);
+  t.false(isMalformed(longest));
+  t.true(isMalformed(head.subarray(0, 3)));
+  const [delivery, refusal] = HOP_MESSAGES;
+  for (const [message, shortest] of [
+    [delivery, 8 + 5 + 2 + 9],
+    [refusal, 8 + 6],
+  ] as const) {
+    const body = signer.encodeCompact(message).subarray(18);
+    for (let length = 1; length < shortest; length++) {
+      t.true(isMalformed(body.subarray(0, length)));
+    }
+    t.false(isMalformed(body.subarray(0, shortest)));
+  }
+  const refused = Buffer.from(signer.encodeCompact(refusal).subarray(18));
+  refused[13] = 200;
+  t.true(isMalformed(refused));
+});
+
+test('a router numbers packets for agents that are heard, and only for those', (t) => {
+  const harness = new RouterHarness([REPAIR_VERSION]);
+  const [agent] = harness.agents;
+  harness.router.route(harness.createOpening(5));
+  t.deepEqual(
+    harness.sent.map(({ to, message }) => [to, message.type]),
+    [[agent, numberedDeliver]],
+  );
+  harness.pass(29);
+  t.is(harness.sent.length, 1);
+  harness.pass(1);
+  t.is(harness.sent.length, 2);
+  t.deepEqual(harness.sent[1]!.message, harness.sent[0]!.message);
+  // The agent falls silent: packets go out as they did before, and wait for it.
+  harness.pass(10_000);
+  harness.sent.length = 0;
+  harness.router.confirmed(harness.createData(6).toString('latin1', 1, 13), agent!);
+  harness.router.route(harness.createData(6));
+  t.deepEqual(
+    harness.sent.map(({ message }) => message.type),
+    [deliver],
+  );
+});
+
+test('a router acts on a refusal once', (t) => {
+  const harness = new RouterHarness([REPAIR_VERSION, REPAIR_VERSION]);
+  harness.router.route(harness.createOpening(5));
+  const [first] = harness.sent;
+  const { message, to } = first!;
+  if (message.type === numberedDeliver) {
+    const { searchId, payload } = message;
+    const refusal = { type: numberedRefusal, ...NUMBER, searchId, reason: 1, payload } as const;
+    for (let copy = 0; copy < 2; copy++) {
+      const unpacked = harness.hops.unpack(to, refusal);
+      if (unpacked?.type === notHeld) {
+        harness.router.refused(to, unpacked);
+      }
+    }
+  }
+  t.deepEqual(
+    harness.sent.map(({ message: { type } }) => type),
+    [numberedDeliver, numberedDeliver],
+  );
+  t.not(harness.sent[1]!.to, to);
+});
+
+function sumOf(world: PacketWorld, counter: 'hopRepeats' | 'hopDuplicates'): number {
+  const nodes = [...world.balancers, ...world.agents];
+  return nodes.reduce((sum, { node }) => sum + node.figures[counter], 0);
+}
+
+test('flows open without the client copy where links between balancers and agents lose much', (t) => {
+  const openingsLate = (repairHops: boolean): number => {
+    const world = new PacketWorld(31);
+    world.repairHops = repairHops;
+    startModelDeployment(world);
+    const lossy = world.agents.map(({ name }) => name);
+    loseBetween(world, new Set([...lossy, ...world.balancers.map(({ name }) => name)]), 0.03);
+    const flows = Array.from({ length: 300 }, () => {
+      const flow = world.openFlow(MAP_DESTINATION, 1, 0);
+      world.runFor(20);
+      return flow;
+    });
+    world.runFor(5_000);
+    t.is(countViolations(world), 0);
+    t.is(sumOf(world, 'hopRepeats') > 0, repairHops);
+    return flows.filter(({ answeredAt, startedAt }) => !(answeredAt[0]! - startedAt < 190)).length;
+  };
+  const without = openingsLate(false);
+  const repaired = openingsLate(true);
+  t.true(without > 20, `${without} late without`);
+  t.true(repaired <= without / 10, `${repaired} late with, ${without} without`);
+});
+
+/** Loses a part of the datagrams among some processes. */
+function loseBetween(world: PacketWorld, names: ReadonlySet<string>, part: number): void {
+  const { network, random } = world;
+  const isCut = network.isCut.bind(network);
+  network.isCut = (sender, receiver) => {
+    const isLossy = names.has(sender.name) && names.has(receiver.name);
+    return (isLossy && random.next() < part) || isCut(sender, receiver);
+  };
+}
+
+test('loss, duplication and reordering together break no promise', (t) => {
+  for (const seed of [41, 42, 43]) {
+    const world = new PacketWorld(seed);
+    startModelDeployment(world);
+    Object.assign(world.network.quality, {
+      loss: 0.02,
+      duplication: 0.02,
+      reordering: 0.05,
+      reorderDelay: 60,
+    });
+    openModelFlows(world, 60, 12, 250);
+    world.runFor(1_500);
+    world.startAgent(world.agents[0]!);
+    world.startBalancer(world.balancers[0]!);
+    world.runFor(20_000);
+    t.is(countViolations(world), 0);
+    t.true(sumOf(world, 'hopRepeats') > 0);
+    t.true(sumOf(world, 'hopDuplicates') > 0);
+    const done = world.clients.filter(({ state }) => state === 'done').length;
+    t.true(done >= 55, `${done} of 60 flows done`);
+  }
+});
+
+test('agents and balancers tell each other that they repair losses', (t) => {
+  const world = new PacketWorld(44);
+  startModelDeployment(world, 1);
+  const [balancer] = world.balancers;
+  openModelFlows(world, 20, 2, 50);
+  world.runFor(3_000);
+  const acknowledged = world.agents.map(({ node }) => node.figures.hopAcknowledgements);
+  t.true(acknowledged.every((count) => count > 0));
+  t.is(balancer!.node.figures.hopRepeats, 0);
+  t.true(balancer!.node.roundTripTo(world.agents[0]!.address)! > 0);
+});
