--- a/src/packets/repair/hop-repair.ts
+++ b/src/packets/repair/hop-repair.ts
@@ -71,6 +71,8 @@
   private overdueTimer: TimerHandle | undefined;
   /** Time for which that timer is set; Infinity while it is not. */
   private overdueAt = Infinity;
+  /** Whether that timer only gives time for reading, after one that was late. */
+  private isReading = false;
   private gatheringTimer: TimerHandle | undefined;
   private repeats = 0;
   private suppressed = 0;
@@ -98,7 +100,7 @@
 
   /**
    * Sends a message with a client's packet: numbered if its loss matters and the node
-   * acknowledges, in today's form otherwise.
+   * acknowledges, without a number otherwise.
    */
   send(to: Endpoint, message: RepairableMessage, packet: FlowPacket): void {
     const { environment, isEnabled, link } = this.dependencies;
@@ -181,10 +183,12 @@
 
   private takeOverdue(): void {
     const now = this.dependencies.environment.now();
-    const lateBy = now - this.overdueAt;
+    const isLate = now - this.overdueAt > TIMER_TOLERANCE;
     this.overdueTimer = undefined;
     this.overdueAt = Infinity;
-    if (lateBy > TIMER_TOLERANCE) {
+    // Once only: a process whose timers are all late would never repeat or give up anything.
+    this.isReading = isLate && !this.isReading;
+    if (this.isReading) {
       this.setOverdueTimer(now + READING_TIME);
       return;
     }
--- a/test/hop-repair.test.ts
+++ b/test/hop-repair.test.ts
@@ -355,6 +355,23 @@
   t.is(balancer.sent(numberedDeliver).length, 1);
 });
 
+test('a process whose timers are always late repeats what is lost all the same', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = loseFirst(numberedDeliver);
+  balancer.send(AGENT);
+  network.pass(10);
+  // Longer than a timer may be late, from a time on that makes each timer late.
+  const turn = 20;
+  for (let elapsed = 0; elapsed < 100; elapsed += turn) {
+    balancer.pause(turn);
+    network.pass(turn);
+  }
+  t.is(balancer.sent(numberedDeliver).length, 2);
+  t.is(agent.taken.length, 1);
+});
+
 test('timers end with the node', (t) => {
   const { network, balancer, agent } = startPair();
   balancer.send(AGENT);
