--- a/src/packets/repair/hop-repair.ts
+++ b/src/packets/repair/hop-repair.ts
@@ -200,8 +200,9 @@
   }
 
   private findOverdue(now: number): OverdueOutcome {
+    const { link } = this.dependencies;
     return this.sender.takeOverdue(now, {
-      isReachable: (peer) => this.dependencies.isReachable(peer, now),
+      isReachable: (peer) => link.repairsHops(peer) && this.dependencies.isReachable(peer, now),
       takeFromBudget: () => this.budget.take(now),
     });
   }
--- a/src/packets/repair/hop-sender.ts
+++ b/src/packets/repair/hop-sender.ts
@@ -79,7 +79,7 @@
 
 /** What the sender asks when a message is overdue. */
 export interface RepeatRules {
-  /** Whether a node can be reached, as far as is known. */
+  /** Whether a node can be reached and still acknowledges, as far as is known. */
   isReachable(peer: Endpoint): boolean;
   /** Takes a repeat from the budget; false when there is none left. */
   takeFromBudget(): boolean;
--- a/test/hop-repair.test.ts
+++ b/test/hop-repair.test.ts
@@ -372,6 +372,21 @@
   t.is(agent.taken.length, 1);
 });
 
+test('nothing is repeated for a node that has come back with an earlier version', (t) => {
+  const pair = startPair();
+  warmUp(pair);
+  const { network, balancer, agent } = pair;
+  network.isLost = () => true;
+  balancer.send(AGENT);
+  agent.refuse(BALANCER);
+  network.pass(10);
+  balancer.link.noteVersion(AGENT, SURE_SEARCH_VERSION);
+  agent.link.noteRepairs(BALANCER, FIRST_FRAME_VERSION);
+  network.pass(ALL_OVER);
+  t.is(balancer.sent(numberedDeliver).length, 1);
+  t.is(agent.sent(numberedRefusal).length, 1);
+});
+
 test('timers end with the node', (t) => {
   const { network, balancer, agent } = startPair();
   balancer.send(AGENT);
