--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -5,6 +5,7 @@
 import {
   ListingState,
   PacketMessageType,
+  REPAIR_VERSION,
   type ListingStateValue,
   type SubscribeMessage,
 } from './packet-messages';
@@ -93,6 +94,7 @@
       zone: this.zone,
       interval: reportInterval(this.directory.size),
       listing,
+      frameVersion: REPAIR_VERSION,
       ...(tellsNews ? news : NO_NEWS),
     };
   }
