--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -93,6 +93,7 @@
       answerTime: 50,
       coldLeft: 0,
       failurePercent: 0,
+      flowBytes: 0,
       frameVersion: this.frameVersion,
 
       knowsAllFlows: 0,
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -3,8 +3,8 @@
 import type { FlowTracker } from './flow-tracker';
 import type { PacketLink } from './packet-link';
 import {
-  SURE_SEARCH_VERSION,
   PacketMessageType,
+  REPAIR_VERSION,
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
@@ -30,6 +30,8 @@
   busyRequests(): number;
   /** Milliseconds that the target takes for an answer of late. */
   answerTime(): number;
+  /** Mean bytes of a flow of the target of late; 0 while unknown. */
+  flowBytes(): number;
   /** Whether the agent has seen every flow open that its target can hold. */
   knowsAllFlows(): boolean;
 }
@@ -87,7 +89,8 @@
       answerTime: Math.round(this.dependencies.answerTime()),
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
-      frameVersion: SURE_SEARCH_VERSION,
+      flowBytes: this.dependencies.flowBytes(),
+      frameVersion: REPAIR_VERSION,
       knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
--- /dev/null
+++ b/src/packets/locality/flow-bytes.ts
@@ -0,0 +1,35 @@
+/** What a flow of an agent's target carries, both ways, as its agent sees it in passing. */
+import type { FlowPacket } from '../flow-packet';
+
+/** Flows below which the mean says little: the first ones have not had their answers yet. */
+const FLOWS_NEEDED = 4;
+/** Flows after which those before weigh half: some hundred follow a change of the work. */
+const FLOWS_REMEMBERED = 64;
+
+/** Fading mean of one target. */
+export class FlowBytes {
+  private bytes = 0;
+  private flows = 0;
+
+  /** A client's packet goes to the target. */
+  delivered({ bytes }: FlowPacket): void {
+    this.bytes += bytes.length;
+  }
+
+  /** The target has sent a packet; with its answer to an opening one a flow begins. */
+  sent({ bytes, opens }: FlowPacket): void {
+    this.bytes += bytes.length;
+    if (opens) {
+      this.flows++;
+    }
+    if (this.flows >= 2 * FLOWS_REMEMBERED) {
+      this.flows /= 2;
+      this.bytes /= 2;
+    }
+  }
+
+  /** Mean bytes of a flow of late, heads of packets included; 0 while unknown. */
+  get mean(): number {
+    return this.flows < FLOWS_NEEDED ? 0 : Math.round(this.bytes / this.flows);
+  }
+}
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -11,6 +11,7 @@
 import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
 import { LoadReporter } from './load-reporter';
+import { FlowBytes } from './locality/flow-bytes';
 import { NodeTimers } from './node-timers';
 import type {
   PacketAgentCounters,
@@ -62,6 +63,7 @@
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
+  private readonly flowBytes = new FlowBytes();
   private readonly admission: TargetAdmission;
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
@@ -107,6 +109,7 @@
       state: () => this.state,
       busyRequests: () => this.busyRequests,
       answerTime: () => this.admission.answerTime,
+      flowBytes: () => this.flowBytes.mean,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
@@ -216,13 +219,10 @@
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         return;
-      case PacketMessageType.detour:
-      case PacketMessageType.notHeld:
-      case PacketMessageType.held:
-      case PacketMessageType.noneHolds:
-      case PacketMessageType.noneKnows:
-      case PacketMessageType.report:
-      case PacketMessageType.peerStatus:
+      case PacketMessageType.distanceProbe:
+        this.link.send(from, { ...message, type: PacketMessageType.distanceReply });
+        return;
+      default:
         this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
   }
@@ -265,6 +265,7 @@
       return;
     }
     this.counters.packetsSent++;
+    this.flowBytes.sent(packet);
     sendToClient(packet.client, bytes);
     this.noteTargetSends();
     this.judgeAnswer(packet);
@@ -373,6 +374,7 @@
   private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
     const { environment, format, sendToTarget } = this.dependencies;
     this.counters.packetsDelivered++;
+    this.flowBytes.delivered(packet);
     this.tracker.delivered(packet, balancer, environment.now());
     if (packet.opens) {
       this.guard.openingDelivered();
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -67,11 +67,7 @@
     case PacketMessageType.noneHolds:
     case PacketMessageType.noneKnows:
       return true;
-    case PacketMessageType.locate:
-    case PacketMessageType.detour:
-    case PacketMessageType.subscribe:
-    case PacketMessageType.report:
-    case PacketMessageType.peerStatus:
+    default:
       return false;
   }
 }
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -179,6 +179,8 @@
   [PacketMessageType.held, [field('flow', 'f', binary)]],
   [PacketMessageType.locate, [field('flow', 'f', binary)]],
   [PacketMessageType.detour, [field('agent', 'a', integer), payload]],
+  [PacketMessageType.distanceProbe, [field('sentAt', 'a', positive)]],
+  [PacketMessageType.distanceReply, [field('sentAt', 'a', positive)]],
   [
     PacketMessageType.subscribe,
     [
@@ -203,6 +205,7 @@
       field('answerTime', 'w', integerOrZero),
       field('coldLeft', 'c', integer),
       field('failurePercent', 'f', integer),
+      field('flowBytes', 'y', integerOrZero),
       field('frameVersion', 'v', versionOrFirst),
       field('knowsAllFlows', 'k', integerOrZero),
       field('balancerCount', 'n', integer),
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -17,6 +17,8 @@
   noneHolds: 109,
   noneKnows: 110,
   detour: 111,
+  distanceProbe: 115,
+  distanceReply: 116,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -27,6 +29,8 @@
 export const GROUP_SEARCH_VERSION = 3;
 /** Frames as of version 3, from an agent that also knows sure searches ({@link SearchPhase}). */
 export const SURE_SEARCH_VERSION = 4;
+/** Frames as of version 4, from a node that also knows the messages 112 to 116. */
+export const REPAIR_VERSION = 5;
 /** Agents in one search. */
 export const MAXIMUM_SEARCH_LENGTH = 64;
 
@@ -151,6 +155,20 @@
   readonly payload: Buffer;
 }
 
+/** Balancer to agent: answer at once, so that the round trip between us shows how far you are. */
+export interface DistanceProbeMessage {
+  readonly type: typeof PacketMessageType.distanceProbe;
+  /** Milliseconds by the balancer's clock, which only it can read. */
+  readonly sentAt: number;
+}
+
+/** Agent to balancer: the answer to a probe. */
+export interface DistanceReplyMessage {
+  readonly type: typeof PacketMessageType.distanceReply;
+  /** As in the probe. */
+  readonly sentAt: number;
+}
+
 /** Whether the registry lists an agent, as far as a balancer knows. */
 export const ListingState = {
   /** The balancer does not know the registry well enough to say. */
@@ -195,6 +213,8 @@
   readonly coldLeft: number;
   /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
   readonly failurePercent: number;
+  /** Mean bytes of a flow of the target of late, both ways; 0 while unknown. */
+  readonly flowBytes: number;
   /** Latest version of frames that the agent understands; 1 for one that names none. */
   readonly frameVersion: number;
   /** 1 when the agent has seen every flow open that its target can hold. */
@@ -270,6 +290,8 @@
   | NoneHoldsMessage
   | NoneKnowsMessage
   | DetourMessage
+  | DistanceProbeMessage
+  | DistanceReplyMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -20,6 +20,7 @@
     answerTime: 50,
     coldLeft: 0,
     failurePercent: 0,
+    flowBytes: 0,
     frameVersion: 2,
     knowsAllFlows: 0,
     balancerCount: 1,
