--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -79,6 +79,8 @@
       seeds: [],
       flowLifetime: BenchSetup.lifetime,
       applyTime: BenchSetup.applyTime,
+      locality: 1,
+      transferCost: 400,
     },
     {
       environment,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -70,6 +70,7 @@
   flowPlaced: event(2704, 'flow-placed', 'info'),
   flowReset: event(2705, 'flow-reset', 'info'),
   requestDelivered: event(2706, 'request-delivered', 'info'),
+  zoneSpillChanged: event(2709, 'zone-spill-changed', 'info'),
   routingApplied: event(2711, 'routing-applied', 'info'),
   storeRegained: event(2712, 'store-regained', 'info'),
   viewComplete: event(2713, 'view-complete', 'info'),
--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -14,8 +14,6 @@
 const DEFAULT_ANSWER_TIME = 50;
 /** Slots assumed for a target that has not said how many it has. */
 const DEFAULT_SLOTS = 4;
-/** Added to the load of a target in another zone: sending across zones costs. */
-const OTHER_ZONE_PENALTY = 0.15;
 /** Added while the target is slow after its start. */
 const COLD_PENALTY = 0.5;
 /** Added while no heartbeat has confirmed that the target is ready. */
@@ -41,6 +39,8 @@
   ageOf(entry: AgentEntry): number;
   /** Whether the agent is so new that other balancers may not know it. */
   isSettling(entry: AgentEntry): boolean;
+  /** Milliseconds of waiting that it is worth to stay in the balancer's zone; 0 within that. */
+  transferCost(entry: AgentEntry): number;
   /** Uniform in [0, 1). */
   random(): number;
 }
@@ -112,7 +112,7 @@
   const isCold = entry.report !== undefined && entry.report.coldLeft > 0;
   const isReady = entry.report?.state === TargetState.ready;
   let load = expectedUse(entry, service, context);
-  load += entry.zone === context.zone ? 0 : OTHER_ZONE_PENALTY;
+  load += transferLoad(entry, context);
   load += isCold ? COLD_PENALTY : 0;
   load += isReady ? 0 : UNKNOWN_STATE_PENALTY;
   load += (FAILURE_PENALTY * (entry.report?.failurePercent ?? 0)) / 100;
@@ -121,6 +121,11 @@
   return load;
 }
 
+/** The cost of another zone, in answers of the target. */
+function transferLoad(entry: AgentEntry, context: SelectionContext): number {
+  return context.transferCost(entry) / (entry.report?.answerTime || DEFAULT_ANSWER_TIME);
+}
+
 interface Choice {
   readonly entry: AgentEntry;
   readonly load: number;
@@ -143,7 +148,10 @@
   };
   for (let width = CANDIDATES; ; width *= 2) {
     const choice = chooseLeastLoaded(accepting.slice(0, width), service, context);
-    if (width >= accepting.length || (choice && choice.load < 1)) {
+    if (
+      width >= accepting.length ||
+      (choice && choice.load < 1 + transferLoad(choice.entry, context))
+    ) {
       return choice?.entry;
     }
   }
--- a/src/packets/flow-candidates.ts
+++ b/src/packets/flow-candidates.ts
@@ -62,7 +62,7 @@
 }
 
 /** A 32-bit hash of an address and a flow's hash (the finalizer of MurmurHash3). */
-function scoreOf(address: Endpoint, seed: number): number {
+export function scoreOf(address: Endpoint, seed: number): number {
   let hash =
     seed ^ (address % WORD_RANGE) ^ Math.imul(Math.floor(address / WORD_RANGE), 0x9e3779b1);
   hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -5,9 +5,9 @@
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { selectAgent, type SelectionContext } from './agent-selection';
 import type { FlowCache } from './flow-cache';
-import { orderCandidates } from './flow-candidates';
 import type { FlowPacket } from './flow-packet';
 import type { FlowSearch, FlowSearches } from './flow-search';
+import type { Locality } from './locality/locality';
 import type { PacketOutlet } from './packet-outlet';
 import { servicesOf, type Route } from './routing-table';
 import { ServiceRotation } from './service-rotation';
@@ -16,6 +16,7 @@
 export interface FlowPlacementDependencies {
   readonly environment: Environment;
   readonly zone: string;
+  readonly locality: Locality;
   readonly directory: AgentDirectory;
   readonly cache: FlowCache;
   readonly searches: FlowSearches;
@@ -62,15 +63,15 @@
 
   /** Offers an opening packet to the best agent that has not refused it. */
   offer(packet: FlowPacket, search: FlowSearch): void {
-    const { directory, environment, cache, isEvacuated, outlet } = this.dependencies;
+    const { directory, environment, cache, isEvacuated, locality, outlet } = this.dependencies;
     const now = environment.now();
     const [service] = search.services;
     const candidates = directory
       .ofServices(search.services)
       .filter(({ zone, limitedUntil }) => !isEvacuated(zone) && limitedUntil <= now);
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
-    const ordered = orderCandidates(packet.flow, untried, this.dependencies.zone);
-    const chosen = selectAgent(ordered, this.selectionContext(now));
+    const ordered = locality.orderForPlacement(packet.flow, untried);
+    const chosen = this.select(ordered, now);
     if (!chosen) {
       this.refuse(packet, search, candidates);
       return;
@@ -78,6 +79,7 @@
     chosen.recentOpenings.push(now);
     cache.noteOpening(packet.flow, chosen.address, service!, now);
     outlet.counters.flowsPlaced++;
+    const spill = locality.notePlaced(chosen, ordered, outlet.counters);
     outlet.report(Events.flowPlaced, packet, {
       agent: formatEndpoint(chosen.address),
       service,
@@ -86,6 +88,7 @@
       busy: chosen.report?.busyRequests,
       flows: chosen.report?.openFlows,
       failing: chosen.report?.failurePercent,
+      spill,
       reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
     });
     outlet.deliver(packet, search.services, chosen.address, search.id);
@@ -108,13 +111,22 @@
     }
   }
 
+  /** The agent for a new flow; one of another zone only after a look at the rest of the own one. */
+  private select(ordered: readonly AgentEntry[], now: number): AgentEntry | undefined {
+    const context = this.selectionContext(now);
+    const first = selectAgent(ordered, context);
+    const second = first && this.dependencies.locality.orderSecondChoice(first, ordered);
+    return second ? selectAgent(second, context) : first;
+  }
+
   private selectionContext(now: number): SelectionContext {
-    const { directory, environment, zone } = this.dependencies;
+    const { directory, environment, locality, zone } = this.dependencies;
     return {
       zone,
       ageOf: (entry) => now - (entry.heardAt ?? now),
       isHeard: (entry) => directory.isHeard(entry, now),
       isSettling: (entry) => directory.isSettling(entry, now),
+      transferCost: (entry) => locality.costOf(entry, now),
       random: () => environment.random(),
     };
   }
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -12,6 +12,7 @@
 import { FlowPlacement } from './flow-placement';
 import { FlowSearches, type FlowSearch } from './flow-search';
 import { HolderSearch } from './holder-search';
+import type { Locality } from './locality/locality';
 import {
   RefusalReason,
   type NoneHoldsMessage,
@@ -27,6 +28,7 @@
 /** What the router works with. */
 export interface FlowRouterDependencies extends PacketOutletDependencies {
   readonly zone: string;
+  readonly locality: Locality;
   /** Where agents reach this balancer. */
   readonly address: Endpoint;
   /** Milliseconds that a search for the holder of a flow has. */
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -9,10 +9,10 @@
 import type { Endpoint, Environment, TimerHandle } from '../environment';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import type { FlowCache } from './flow-cache';
-import { orderCandidates } from './flow-candidates';
 import { FlowLocator, type WaitingPacket } from './flow-locator';
 import type { FlowKey, FlowPacket } from './flow-packet';
 import { nextToAsk, noteOffer, type FlowSearch, type FlowSearches } from './flow-search';
+import type { Locality } from './locality/locality';
 import type { PacketLink } from './packet-link';
 import {
   MAXIMUM_SEARCH_LENGTH,
@@ -31,7 +31,7 @@
 /** What the search works with. */
 export interface HolderSearchDependencies {
   readonly environment: Environment;
-  readonly zone: string;
+  readonly locality: Locality;
   /** Where agents send the outcome. */
   readonly address: Endpoint;
   /** Milliseconds that a search has before the next packet of its flow begins another. */
@@ -166,14 +166,14 @@
 
   /** Sends a packet through agents; further packets of its flow wait for the outcome. */
   private send(packet: FlowPacket, search: FlowSearch, agents: readonly AgentEntry[]): void {
-    const { link, zone } = this.dependencies;
-    const ordered = orderCandidates(packet.flow, agents, zone);
+    const { link, locality } = this.dependencies;
+    const ordered = locality.orderForSearch(packet.flow, agents);
     const isInGroups =
       search.attempts > 0 &&
       agents.length > GROUP_LENGTH &&
       agents.every(({ address }) => link.searchesInGroups(address));
     const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
-    const order = orderSearch(ordered, search.attempts, maximum);
+    const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
     search.attempts++;
     search.round = isInGroups ? { agents: order, unasked: new Set(order) } : undefined;
     const visited = new Set(order);
--- /dev/null
+++ b/src/packets/locality/candidate-order.ts
@@ -0,0 +1,118 @@
+/**
+ * Orders of agents that belong to a flow: one for its placement, in which the balancer's zone
+ * comes first, and one for the search for its holder, which is the same at every balancer.
+ *
+ * In both, agents of one zone stand by the same scores (rendezvous hashing), so that the few of a
+ * zone where a flow may have been placed are the first of that zone in the search.
+ */
+import { hashText } from '../../core/hashing';
+import { CANDIDATES, scoreOf, type Candidate } from '../flow-candidates';
+import type { FlowKey } from '../flow-packet';
+import { GROUP_LENGTH, type SearchOrder } from '../search-order';
+
+/**
+ * Agents of the home zone among the candidates; the rest are the first of the other zones. With
+ * a quarter of all slots busy all of seven are busy for one flow in sixteen thousand.
+ */
+export const HOME_CANDIDATES = 7;
+/** Scores have 32 bits; with so many of an agent's index a number holds both exactly. */
+const INDEX_RANGE = 2 ** 20;
+
+/** Milliseconds there and back to a zone. */
+export type DistanceReader = (zone: string) => number;
+
+/** Agents by zone; within a zone by their scores for a flow, the highest first. */
+type AgentsByZone<T> = ReadonlyMap<string, readonly T[]>;
+
+/**
+ * All agents in the order for placing a flow: the first few of the home zone, then one of each
+ * other zone in turn until there are {@link CANDIDATES}, the nearest zone first; then the rest of
+ * the home zone, and all others. A home zone of few agents leaves more places to others.
+ */
+export function orderForPlacement<T extends Candidate>(
+  flow: FlowKey,
+  agents: readonly T[],
+  home: string,
+  distanceOf: DistanceReader,
+): T[] {
+  const seed = hashText(flow);
+  const byZone = groupByScore(seed, agents);
+  const own = byZone.get(home) ?? [];
+  const zones = orderZones(seed, byZone).filter((zone) => zone !== home);
+  // Whole milliseconds: zones that differ by less take turns by the flow's hash.
+  const near = zones.map((zone) => ({ zone, distance: Math.round(distanceOf(zone)) }));
+  near.sort((one, other) => one.distance - other.distance);
+  const others = takeInTurn(near.map(({ zone }) => byZone.get(zone)!));
+  const first = own.slice(0, HOME_CANDIDATES);
+  const places = CANDIDATES - first.length;
+  return first.concat(others.slice(0, places), own.slice(HOME_CANDIDATES), others.slice(places));
+}
+
+/**
+ * All agents in the order for the search for a flow's holder: the likely ones of each zone, one
+ * zone after the other, so that a search crosses between zones once for each; then the rest. The
+ * first search visits all likely ones.
+ */
+export function orderForSearch<T extends Candidate>(
+  flow: FlowKey,
+  agents: readonly T[],
+): SearchOrder<T> {
+  const seed = hashText(flow);
+  const byZone = groupByScore(seed, agents);
+  const groups = orderZones(seed, byZone).map((zone) => byZone.get(zone)!);
+  const share = shareOf(groups.length);
+  const likely = groups.flatMap((group) => group.slice(0, share));
+  const rest = groups.flatMap((group) => group.slice(share));
+  return { agents: [...likely, ...rest], likely: Math.min(likely.length, GROUP_LENGTH) };
+}
+
+/** Likely agents of each zone: all candidates of the only one, fewer of each of many. */
+function shareOf(zones: number): number {
+  if (zones <= 1) {
+    return CANDIDATES;
+  }
+  return Math.max(1, Math.min(HOME_CANDIDATES, Math.floor(GROUP_LENGTH / zones)));
+}
+
+/** The zones in an order that belongs to a flow: by name, beginning with another for each hash. */
+function orderZones<T>(seed: number, byZone: AgentsByZone<T>): string[] {
+  const names = [...byZone.keys()].sort();
+  const begin = names.length > 0 ? seed % names.length : 0;
+  return [...names.slice(begin), ...names.slice(0, begin)];
+}
+
+/** Sorts numbers that hold score and index: each score is computed once, without a comparator. */
+function groupByScore<T extends Candidate>(seed: number, agents: readonly T[]): AgentsByZone<T> {
+  const keys = new Float64Array(agents.length);
+  for (let index = 0; index < agents.length; index++) {
+    keys[index] = scoreOf(agents[index]!.address, seed) * INDEX_RANGE + index;
+  }
+  keys.sort();
+  const byZone = new Map<string, T[]>();
+  for (let rank = keys.length - 1; rank >= 0; rank--) {
+    const agent = agents[keys[rank]! % INDEX_RANGE]!;
+    const group = byZone.get(agent.zone);
+    if (group) {
+      group.push(agent);
+    } else {
+      byZone.set(agent.zone, [agent]);
+    }
+  }
+  return byZone;
+}
+
+/** The first of each group, then the second of each, and so on. */
+function takeInTurn<T>(groups: readonly (readonly T[])[]): T[] {
+  const taken: T[] = [];
+  let isOver = false;
+  for (let index = 0; !isOver; index++) {
+    isOver = true;
+    for (const group of groups) {
+      if (index < group.length) {
+        taken.push(group[index]!);
+        isOver = false;
+      }
+    }
+  }
+  return taken;
+}
--- a/src/packets/locality/flow-bytes.ts
+++ b/src/packets/locality/flow-bytes.ts
@@ -28,6 +28,12 @@
     }
   }
 
+  /** The target was replaced: nothing is known of the flows of the next one. */
+  clear(): void {
+    this.bytes = 0;
+    this.flows = 0;
+  }
+
   /** Mean bytes of a flow of late, heads of packets included; 0 while unknown. */
   get mean(): number {
     return this.flows < FLOWS_NEEDED ? 0 : Math.round(this.bytes / this.flows);
--- /dev/null
+++ b/src/packets/locality/locality.ts
@@ -0,0 +1,150 @@
+/**
+ * Locality of one balancer: how far zones are, what a flow in another zone costs, in which order
+ * agents are considered, and how many flows leave the zone (docs/design/locality.md).
+ */
+import type { Endpoint, Environment } from '../../environment';
+import { Events } from '../../logging/events';
+import type { AgentDirectory, AgentEntry } from '../agent-directory';
+import { CANDIDATES, orderCandidates } from '../flow-candidates';
+import type { FlowKey } from '../flow-packet';
+import type { DistanceReplyMessage } from '../packet-messages';
+import type { SearchOrder } from '../search-order';
+import { orderForPlacement, orderForSearch } from './candidate-order';
+import { DistanceProbes, type ProbeSender } from './distance-probes';
+import { FlowTraffic } from './flow-traffic';
+import { judgePlacement, orderSecondChoice, SpillReason, type SpillReasonValue } from './spill';
+import { SpillWatch } from './spill-watch';
+import { ConstantCosts, MeasuredCosts, type TransferCosts } from './transfer-costs';
+import { ZoneDistances } from './zone-distances';
+
+/** Settings of locality. */
+export interface LocalitySettings {
+  readonly zone: string;
+  /** 1 or 0; without it the order has a fixed share of other zones, all at the same cost. */
+  readonly locality: number;
+  /** Milliseconds of waiting that a megabyte between zones is worth. */
+  readonly transferCost: number;
+}
+
+/** Counters of where new flows went. */
+export interface SpillCounters {
+  flowsPlacedAtHome: number;
+  flowsSpilledForWait: number;
+  flowsSpilledWithoutTarget: number;
+  flowsSpilledHomeUnknown: number;
+}
+
+/** Figures of locality. */
+export interface LocalityFigures {
+  /** Zones with a measured round trip, the own one included. */
+  readonly zonesMeasured: number;
+  /** Milliseconds there and back to the farthest zone measured. */
+  readonly largestZoneDistance: number;
+}
+
+/** Locality of one balancer. */
+export class Locality {
+  private readonly distances: ZoneDistances;
+  private readonly probes: DistanceProbes;
+  private readonly costs: TransferCosts;
+  private readonly watch = new SpillWatch();
+
+  constructor(
+    private readonly settings: LocalitySettings,
+    private readonly environment: Environment,
+    private readonly directory: AgentDirectory,
+    sendProbe: ProbeSender,
+  ) {
+    const { transferCost, zone } = settings;
+    this.distances = new ZoneDistances(zone);
+    this.probes = new DistanceProbes(directory, this.distances, sendProbe);
+    this.costs = this.isOn
+      ? new MeasuredCosts(zone, transferCost, this.distances, new FlowTraffic(directory))
+      : new ConstantCosts(zone);
+  }
+
+  /** Measures distances where it is due; to be called at every `FIRST_PROBES_INTERVAL`. */
+  measure(): void {
+    if (this.isOn) {
+      this.probes.run(this.environment.now());
+    }
+  }
+
+  /** Takes an agent's reply to a probe. */
+  takeReply(from: Endpoint, reply: DistanceReplyMessage): void {
+    this.probes.take(from, reply, this.environment.now());
+  }
+
+  /** Milliseconds of waiting at home that a flow at an agent is worth. */
+  costOf(entry: AgentEntry, now: number): number {
+    return this.costs.costOf(entry, now);
+  }
+
+  /** All agents in the order in which a new flow is offered to them. */
+  orderForPlacement(flow: FlowKey, agents: readonly AgentEntry[]): AgentEntry[] {
+    const { zone } = this.settings;
+    return this.isOn
+      ? orderForPlacement(flow, agents, zone, (other) => this.distances.distanceOf(other))
+      : orderCandidates(flow, agents, zone);
+  }
+
+  /** All agents in the order in which a flow's holder is searched for. */
+  orderForSearch(flow: FlowKey, agents: readonly AgentEntry[]): SearchOrder<AgentEntry> {
+    if (this.isOn) {
+      return orderForSearch(flow, agents);
+    }
+    return { agents: orderCandidates(flow, agents, this.settings.zone), likely: CANDIDATES };
+  }
+
+  /** The order for a second choice before a flow leaves the zone; undefined when none is needed. */
+  orderSecondChoice(chosen: AgentEntry, ordered: readonly AgentEntry[]): AgentEntry[] | undefined {
+    return this.isOn ? orderSecondChoice(chosen, ordered, this.settings.zone) : undefined;
+  }
+
+  /**
+   * Counts a placed flow.
+   * @param candidates the agents that it could have gone to
+   * @returns why it has left the zone; undefined when it has not
+   */
+  notePlaced(
+    chosen: AgentEntry,
+    candidates: readonly AgentEntry[],
+    counters: SpillCounters,
+  ): SpillReasonValue | undefined {
+    const now = this.environment.now();
+    const isHeard = (entry: AgentEntry): boolean => this.directory.isHeard(entry, now);
+    const placed = judgePlacement(chosen, candidates, this.settings.zone, isHeard);
+    const reason = placed.kind === 'spilled' ? placed.reason : undefined;
+    countFlow(reason, counters);
+    const change = this.watch.note(chosen.service, reason, now);
+    if (change) {
+      this.environment.report(Events.zoneSpillChanged, { ...change });
+    }
+    return reason;
+  }
+
+  get figures(): LocalityFigures {
+    const { largest, zonesMeasured } = this.distances;
+    return { zonesMeasured, largestZoneDistance: largest };
+  }
+
+  private get isOn(): boolean {
+    return this.settings.locality === 1;
+  }
+}
+
+function countFlow(reason: SpillReasonValue | undefined, counters: SpillCounters): void {
+  switch (reason) {
+    case undefined:
+      counters.flowsPlacedAtHome++;
+      return;
+    case SpillReason.wait:
+      counters.flowsSpilledForWait++;
+      return;
+    case SpillReason.noTarget:
+      counters.flowsSpilledWithoutTarget++;
+      return;
+    case SpillReason.homeUnknown:
+      counters.flowsSpilledHomeUnknown++;
+  }
+}
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -177,6 +177,7 @@
     if (change === 'incarnation') {
       this.tracker.clear();
       this.health.clear();
+      this.flowBytes.clear();
       this.admission.releaseAll();
     }
     if (change !== 'none') {
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -2,6 +2,7 @@
 import type { Endpoint, Environment, FrameTransport } from '../environment';
 import type { AgentRegistryPort, CollectionPort, StoreProbePort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
+import type { LocalityFigures, LocalitySettings } from './locality/locality';
 import type { PacketFrameCodec } from './packet-frames';
 import type { SnapshotPort } from './peer-exchange';
 import type { RoutingTable } from './routing-table';
@@ -9,8 +10,7 @@
 import type { EvacuatedZone } from './zone-evacuations';
 
 /** Settings of a packet balancer. */
-export interface PacketBalancerSettings {
-  readonly zone: string;
+export interface PacketBalancerSettings extends LocalitySettings {
   /** Where other nodes reach this balancer. */
   readonly address: Endpoint;
   /** Where clients' packets arrive. */
@@ -45,7 +45,7 @@
 }
 
 /** Figures of a packet balancer. */
-export interface PacketBalancerFigures extends StoreCalls {
+export interface PacketBalancerFigures extends StoreCalls, LocalityFigures {
   readonly routingVersion: number;
   readonly agentsKnown: number;
   readonly agentsHeard: number;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -12,6 +12,8 @@
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
+import { FIRST_PROBES_INTERVAL } from './locality/distance-probes';
+import { Locality } from './locality/locality';
 import { NodeTimers } from './node-timers';
 import { PacketLink } from './packet-link';
 import { PacketMessageType, type ListedAgent, type PacketMessage } from './packet-messages';
@@ -58,6 +60,7 @@
   private readonly subscriptions: AgentSubscriptions;
   private readonly reading: StoreReading;
   private readonly evacuations: ZoneEvacuationView;
+  private readonly locality: Locality;
   private readonly timers: NodeTimers;
   private table: RoutingTable | undefined;
   private stopping = false;
@@ -79,9 +82,13 @@
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
+    this.locality = new Locality(settings, environment, this.directory, (agent, probe) =>
+      this.link.send(agent, probe),
+    );
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
+      locality: this.locality,
       address: settings.address,
       locateTimeout: locateTimeout(settings.capacity),
       format,
@@ -132,6 +139,7 @@
       this.reading.run();
       this.subscribe();
     });
+    this.timers.repeat(FIRST_PROBES_INTERVAL, () => this.locality.measure());
     this.timers.repeat(UPKEEP_INTERVAL, () => this.maintain());
   }
 
@@ -188,6 +196,7 @@
       zonesEvacuated: this.evacuations.current.zones.length,
       registryCalls: this.upkeep.calls,
       ...this.reading.calls,
+      ...this.locality.figures,
     };
   }
 
@@ -301,10 +310,10 @@
       case PacketMessageType.detour:
         this.router.routeDetoured(message.payload, message.agent);
         return;
-      case PacketMessageType.deliver:
-      case PacketMessageType.locate:
-      case PacketMessageType.search:
-      case PacketMessageType.subscribe:
+      case PacketMessageType.distanceReply:
+        this.locality.takeReply(from, message);
+        return;
+      default:
         this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
     }
   }
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -6,12 +6,13 @@
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { DelayedDeliveries } from './delayed-deliveries';
 import type { FlowPacket, PacketFormat } from './flow-packet';
+import type { SpillCounters } from './locality/locality';
 import type { PacketLink } from './packet-link';
 import { PacketMessageType, type DeliverMessage } from './packet-messages';
 import type { ZoneDetour } from './zone-detour';
 
 /** Counters of what became of clients' packets. */
-export interface RoutingCounters {
+export interface RoutingCounters extends SpillCounters {
   packetsReceived: number;
   packetsMalformed: number;
   packetsWithoutRoute: number;
@@ -44,6 +45,10 @@
     packetsWithoutRoute: 0,
     packetsDropped: 0,
     flowsPlaced: 0,
+    flowsPlacedAtHome: 0,
+    flowsSpilledForWait: 0,
+    flowsSpilledWithoutTarget: 0,
+    flowsSpilledHomeUnknown: 0,
     flowsFound: 0,
     searchesStarted: 0,
     resetsSent: 0,
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -12,6 +12,12 @@
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
+const DEFAULT_LOCALITY = 1;
+/**
+ * Milliseconds of waiting that a megabyte between zones is worth: 32 for an answer of 80,000 bytes,
+ * which its client awaits for a good part of a second anyway, and 2 for one of 4,000 with its heads.
+ */
+const DEFAULT_TRANSFER_COST = 400;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -55,6 +61,10 @@
   readonly capacity: number;
   /** Megabits a second that the machine's link carries. */
   readonly linkSpeed: number;
+  /** 1 for new flows that stay in their zone as far as that pays, 0 for a fixed share of others. */
+  readonly locality: number;
+  /** Milliseconds of waiting that a megabyte between zones is worth. */
+  readonly transferCost: number;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -128,6 +138,16 @@
     return value;
   }
 
+  /** 1 or 0. */
+  optionalSwitch(key: string): number | undefined {
+    const value = this.optionalCount(key);
+    if (value !== undefined && value > 1) {
+      this.problems.push(`${key}: must be 1 or 0`);
+      return undefined;
+    }
+    return value;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -204,6 +224,8 @@
     evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
+    locality: reader.optionalSwitch('locality') ?? DEFAULT_LOCALITY,
+    transferCost: reader.positive('transferCost', DEFAULT_TRANSFER_COST),
     metrics: reader.optionalText('metrics'),
   };
 }
--- a/src/packets/search-order.ts
+++ b/src/packets/search-order.ts
@@ -2,6 +2,13 @@
 import type { Endpoint } from '../environment';
 import { CANDIDATES } from './flow-candidates';
 
+/** Agents in the order that belongs to a flow's search. */
+export interface SearchOrder<T> {
+  readonly agents: readonly T[];
+  /** So many of the first are where the flow was placed in all likelihood. */
+  readonly likely: number;
+}
+
 /**
  * Those of some agents that a search visits, in order. The first one goes only through those
  * where the flow was placed in all likelihood. A search that had no outcome may have been
@@ -10,17 +17,19 @@
  * @param agents in the order that belongs to the flow
  * @param attempts searches for this flow before
  * @param maximum agents that a search after the first visits at most
+ * @param likely agents that the first one visits at most
  */
 export function orderSearch(
   agents: readonly { readonly address: Endpoint }[],
   attempts: number,
   maximum: number,
+  likely = CANDIDATES,
 ): Endpoint[] {
   const isForward = attempts % 2 === 0;
   const begin = Math.floor(attempts / 2);
   const first = isForward ? begin : begin + agents.length - 1;
   const step = isForward ? 1 : agents.length - 1;
-  const length = Math.min(agents.length, attempts === 0 ? CANDIDATES : maximum);
+  const length = Math.min(agents.length, attempts === 0 ? likely : maximum);
   const order: Endpoint[] = [];
   for (let index = 0; index < length; index++) {
     order.push(agents[(first + index * step) % agents.length]!.address);
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -35,6 +35,7 @@
 const SNAPSHOT_TIME = 3;
 const FLOW_LIFETIME = 60_000;
 const APPLY_TIME = 6_000;
+const TRANSFER_COST = 400;
 const WORK_TIME = 20;
 const SLOTS = 5;
 /** No more than the rates of a routing table, and nothing without them. */
@@ -50,6 +51,8 @@
   readonly capacity: number;
   /** Megabits a second. */
   readonly linkSpeed: number;
+  /** 1 or 0, as in the settings; takes effect with its next start. */
+  locality: number;
   readonly address: Endpoint;
   node: PacketBalancer;
   process: SimulatedProcess;
@@ -140,7 +143,15 @@
     const address = this.createAddress(FRAME_PORT);
     const name = `balancer-${this.balancers.length}`;
     const misses = MISSES_ALLOWED;
-    const balancer = { name, zone, address, capacity, linkSpeed, misses } as WorldBalancer;
+    const balancer = {
+      name,
+      zone,
+      address,
+      capacity,
+      linkSpeed,
+      locality: 1,
+      misses,
+    } as WorldBalancer;
     this.balancers.push(balancer);
     this.startBalancer(balancer);
     return balancer;
@@ -178,6 +189,8 @@
         seeds: this.currentSeeds(),
         flowLifetime: FLOW_LIFETIME,
         applyTime: APPLY_TIME,
+        locality: balancer.locality,
+        transferCost: TRANSFER_COST,
       },
       {
         environment: process,
--- /dev/null
+++ b/test/locality.test.ts
@@ -0,0 +1,595 @@
+/** Locality: distances of zones, what another zone costs, the orders of agents, and spilled flows. */
+import test from 'ava';
+import { Events, type EventFields, type EventKind } from '../src/logging/events';
+import { AgentDirectory, type AgentEntry } from '../src/packets/agent-directory';
+import { CANDIDATES, orderCandidates } from '../src/packets/flow-candidates';
+import type { FlowPacket } from '../src/packets/flow-packet';
+import {
+  HOME_CANDIDATES,
+  orderForPlacement,
+  orderForSearch,
+} from '../src/packets/locality/candidate-order';
+import { DistanceProbes } from '../src/packets/locality/distance-probes';
+import { FlowBytes } from '../src/packets/locality/flow-bytes';
+import { DEFAULT_FLOW_BYTES, FlowTraffic } from '../src/packets/locality/flow-traffic';
+import { SpillReason } from '../src/packets/locality/spill';
+import { SpillWatch } from '../src/packets/locality/spill-watch';
+import { ConstantCosts, MeasuredCosts } from '../src/packets/locality/transfer-costs';
+import { DEFAULT_DISTANCE, ZoneDistances } from '../src/packets/locality/zone-distances';
+import { checkPacketSettings } from '../src/packets/packet-settings';
+import {
+  PacketMessageType,
+  SearchPhase,
+  TargetState,
+  type DistanceProbeMessage,
+  type ReportMessage,
+} from '../src/packets/packet-messages';
+import { PacketFrameCodec } from '../src/packets/packet-frames';
+import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
+import { PacketWorld, type WorldBalancer } from '../src/simulation/packets/packet-world';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { createReport } from './support/reports';
+import { FIRST_AGENT, NEXT_MACHINE, RouterHarness } from './support/router-harness';
+
+const CLIENT = 0x6440_0007_9c41;
+const ZONES = ['north', 'south', 'east', 'west'] as const;
+
+/** Agents of zones in turn. */
+function createAgents(zones: readonly string[], each: number): { address: number; zone: string }[] {
+  return Array.from({ length: zones.length * each }, (_, index) => ({
+    address: FIRST_AGENT + index * NEXT_MACHINE,
+    zone: zones[index % zones.length]!,
+  }));
+}
+
+function entryWith(address: number, fields: Partial<ReportMessage>): AgentEntry {
+  return new AgentDirectory().hear(address, createReport(fields), 0)!;
+}
+
+test('the distance of a zone is the shortest round trip beyond that of the own zone', (t) => {
+  const random = new SeededRandom(3);
+  const distances = new ZoneDistances('north');
+  for (let sample = 0; sample < 15; sample++) {
+    distances.add('north', 0.4 + 30 * random.next() ** 3, sample * 2_000);
+    distances.add('south', 9.2 + 30 * random.next() ** 3, sample * 2_000);
+  }
+  t.true(Math.abs(distances.distanceOf('south') - 8.8) < 0.6, `${distances.distanceOf('south')}`);
+  t.is(distances.distanceOf('north'), 0);
+  t.is(distances.largest, distances.distanceOf('south'));
+});
+
+test('a zone is at a default distance until sampled, and never nearer than the own one', (t) => {
+  const distances = new ZoneDistances('north');
+  t.is(distances.distanceOf('south'), DEFAULT_DISTANCE);
+  t.is(distances.largest, 0);
+  distances.add('south', 0.3, 0);
+  t.is(distances.distanceOf('south'), 0.3, 'no agent of the own zone has answered');
+  distances.add('north', 0.5, 0);
+  t.is(distances.distanceOf('south'), 0);
+});
+
+test('a longer route shows once the samples before have aged; a silent zone stays as it was', (t) => {
+  const distances = new ZoneDistances('north');
+  distances.add('south', 2, 0);
+  distances.add('east', 3, 0);
+  distances.add('south', 9, 20_000);
+  t.is(distances.distanceOf('south'), 2);
+  distances.add('south', 9, 40_000);
+  t.is(distances.distanceOf('south'), 9);
+  t.is(distances.distanceOf('east'), 3);
+});
+
+/** Probes of a directory, with what has been sent. */
+function startProbes(reports: readonly Partial<ReportMessage>[]): {
+  readonly directory: AgentDirectory;
+  readonly distances: ZoneDistances;
+  readonly probes: DistanceProbes;
+  readonly sent: { readonly agent: number; readonly probe: DistanceProbeMessage }[];
+} {
+  const directory = new AgentDirectory();
+  reports.forEach((fields, index) => directory.hear(index + 1, createReport(fields), 0));
+  const distances = new ZoneDistances('north');
+  const sent: { agent: number; probe: DistanceProbeMessage }[] = [];
+  const probes = new DistanceProbes(directory, distances, (agent, probe) =>
+    sent.push({ agent, probe }),
+  );
+  return { directory, distances, probes, sent };
+}
+
+test('agents of a zone are probed in turn, often until the zone is known, then seldom', (t) => {
+  const { directory, distances, probes, sent } = startProbes([
+    { frameVersion: 5 },
+    { frameVersion: 5 },
+    { frameVersion: 5, zone: 'south' },
+  ]);
+  for (let now = 0; now <= 7_000; now += 250) {
+    for (const agent of [1, 2, 3]) {
+      const { report } = directory.find(agent)!;
+      directory.hear(agent, { ...report!, sequence: report!.sequence + 1 }, now);
+    }
+    const before = sent.length;
+    probes.run(now);
+    for (const { agent, probe } of sent.slice(before)) {
+      const reply = { type: PacketMessageType.distanceReply, sentAt: probe.sentAt } as const;
+      probes.take(agent, reply, now + (agent === 3 ? 9 : 1));
+    }
+  }
+  t.deepEqual(
+    sent.filter(({ agent }) => agent < 3).map(({ agent, probe }) => [agent, probe.sentAt]),
+    [
+      [1, 0],
+      [2, 250],
+      [1, 500],
+      [2, 2_500],
+      [1, 4_500],
+      [2, 6_500],
+    ],
+  );
+  t.is(distances.distanceOf('south'), 8);
+});
+
+test('lost probes are followed by others; replies to earlier ones or of others say nothing', (t) => {
+  const { distances, probes, sent } = startProbes([{ frameVersion: 5, zone: 'south' }]);
+  probes.run(0);
+  probes.run(250);
+  t.is(sent.length, 2);
+  const type = PacketMessageType.distanceReply;
+  probes.take(1, { type, sentAt: 0 }, 400);
+  probes.take(2, { type, sentAt: 250 }, 400);
+  t.is(distances.zonesMeasured, 0);
+  probes.take(1, { type, sentAt: 250 }, 259);
+  probes.take(1, { type, sentAt: 250 }, 250);
+  t.is(distances.distanceOf('south'), 9, 'a reply counts once');
+});
+
+test('agents of an earlier version and silent ones are not probed', (t) => {
+  const { probes, sent } = startProbes([
+    { frameVersion: 4 },
+    { frameVersion: 1, zone: 'south' },
+    { frameVersion: 5, zone: 'east', state: TargetState.agentRestarting },
+  ]);
+  probes.run(0);
+  probes.run(2_000);
+  t.deepEqual(sent, []);
+});
+
+test('a probe and its reply survive their frames; a report without bytes of flows has none', (t) => {
+  const codec = new PacketFrameCodec([{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }]);
+  const probe = { type: PacketMessageType.distanceProbe, sentAt: 12.625 };
+  const reply = { type: PacketMessageType.distanceReply, sentAt: 12.625 };
+  const { flowBytes, ...old } = createReport({ flowBytes: 4_700 });
+  t.deepEqual(codec.decode(codec.encode(probe)).unwrap(), probe);
+  t.deepEqual(codec.decode(codec.encode(reply)).unwrap(), reply);
+  t.deepEqual(codec.decode(codec.encode({ ...old, flowBytes })).unwrap(), { ...old, flowBytes });
+  const decoded = codec.decode(codec.encode(old as ReportMessage)).unwrap();
+  t.deepEqual(decoded, createReport({ flowBytes: 0 }));
+});
+
+test('balancers measure zones by their agents, also after a restart, and keep them in a cut', (t) => {
+  const world = new PacketWorld(31);
+  startModelDeployment(world, 3);
+  const [first] = world.balancers as [(typeof world.balancers)[number]];
+  t.is(first.node.figures.zonesMeasured, 3);
+  const distance = first.node.figures.largestZoneDistance;
+  t.true(distance > 1.5 && distance < 4, `${distance} ms there and back at 1.4 ms a way`);
+  const far = world.agents.filter(({ zone }) => zone !== first.zone);
+  const cuts = far.map(({ name }) => ({ from: name, to: first.name }));
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.runFor(40_000);
+  t.is(first.node.figures.zonesMeasured, 3);
+  t.true(Math.abs(first.node.figures.largestZoneDistance - distance) < 1);
+  cuts.forEach((cut) => world.network.heal(cut));
+  world.startBalancer(first);
+  t.is(first.node.figures.zonesMeasured, 0);
+  world.runFor(3_000);
+  t.is(first.node.figures.zonesMeasured, 3);
+});
+
+test('a balancer without locality sends no probes', (t) => {
+  const world = new PacketWorld(32);
+  startModelDeployment(world, 2);
+  world.balancers.forEach((balancer) => {
+    balancer.locality = 0;
+    world.startBalancer(balancer);
+  });
+  world.runFor(3_000);
+  world.balancers.forEach(({ node }) => t.is(node.figures.zonesMeasured, 0));
+});
+
+for (const placesBy of [0, 1]) {
+  test(`balancers of the other rule find flows that were placed with locality ${placesBy}`, (t) => {
+    const world = new PacketWorld(33 + placesBy);
+    startModelDeployment(world, 4);
+    for (let index = 0; index < 24; index++) {
+      world.addAgent('map', ZONES[index % 3]!);
+    }
+    const [first, second, ...others] = world.balancers as [
+      WorldBalancer,
+      WorldBalancer,
+      ...WorldBalancer[],
+    ];
+    others.forEach((balancer) => {
+      balancer.locality = 1 - placesBy;
+      world.startBalancer(balancer);
+    });
+    [first, second].forEach((balancer) => {
+      balancer.locality = placesBy;
+      world.startBalancer(balancer);
+    });
+    world.runFor(3_000);
+    others.forEach(({ process }) => process.freeze());
+    world.runFor(2_000);
+    openModelFlows(world, 40, 15, 200);
+    world.runFor(600);
+    others.forEach(({ node }) => t.is(node.router.counters.flowsPlaced, 0));
+    others.forEach(({ process }) => process.wake());
+    [first, second].forEach(({ process }) => process.kill());
+    world.runFor(20_000);
+    t.deepEqual(world.violations.flowsReset, []);
+    t.deepEqual(world.violations.strayed, []);
+    t.is(world.clients.filter(({ state }) => state === 'done').length, 40);
+  });
+}
+
+function packetOf(length: number, opens = false): FlowPacket {
+  return { bytes: Buffer.alloc(length), opens } as FlowPacket;
+}
+
+test('an agent tells the mean bytes of its flows of late', (t) => {
+  const traffic = new FlowBytes();
+  const carry = (flows: number, answer: number): void => {
+    for (let flow = 0; flow < flows; flow++) {
+      traffic.delivered(packetOf(31, true));
+      traffic.sent(packetOf(31, true));
+      traffic.delivered(packetOf(100));
+      traffic.sent(packetOf(answer));
+    }
+  };
+  carry(3, 838);
+  t.is(traffic.mean, 0, 'too few');
+  carry(20, 838);
+  t.is(traffic.mean, 1_000);
+  carry(1_000, 79_838);
+  t.true(Math.abs(traffic.mean - 80_000) < 1_000, `${traffic.mean}`);
+  traffic.clear();
+  t.is(traffic.mean, 0);
+});
+
+test('bytes of a service are the mean of its agents that tell them, kept for a moment', (t) => {
+  const directory = new AgentDirectory();
+  const traffic = new FlowTraffic(directory);
+  directory.hear(1, createReport(), 0);
+  t.is(traffic.bytesOf('map', 0), DEFAULT_FLOW_BYTES);
+  directory.hear(2, createReport({ flowBytes: 4_000 }), 0);
+  directory.hear(3, createReport({ flowBytes: 6_000 }), 0);
+  directory.hear(4, createReport({ flowBytes: 80_000, service: 'files' }), 0);
+  t.is(traffic.bytesOf('map', 50), DEFAULT_FLOW_BYTES);
+  t.is(traffic.bytesOf('map', 100), 5_000);
+  t.is(traffic.bytesOf('files', 100), 80_000);
+});
+
+/** Costs in a world of one service with flows of some bytes and a zone at some distance. */
+function createCosts(flowBytes: number, distance: number, transferCost: number): MeasuredCosts {
+  const directory = new AgentDirectory();
+  directory.hear(1, createReport({ flowBytes }), 0);
+  const distances = new ZoneDistances('north');
+  distances.add('south', distance, 0);
+  return new MeasuredCosts('north', transferCost, distances, new FlowTraffic(directory));
+}
+
+test('another zone costs the way there and what the bytes are worth', (t) => {
+  const south = entryWith(1, { zone: 'south', answerTime: 10 });
+  const costOf = (bytes: number, distance: number, transferCost: number): number =>
+    Math.round(10 * createCosts(bytes, distance, transferCost).costOf(south, 0)) / 10;
+  t.is(costOf(5_000, 8.8, 400), 10.8, 'handshake and request each go one way');
+  t.is(costOf(80_000, 8.8, 400), 58.4, 'with acknowledgements of four windows');
+  t.is(costOf(80_000, 8.8, 0.001), 26.4);
+  t.is(costOf(600, 0.4, 0.001), 3, 'never less than what tells equal targets apart');
+  t.is(createCosts(5_000, 8.8, 400).costOf(entryWith(1, {}), 0), 0);
+});
+
+test('without locality each other zone costs the same part of an answer', (t) => {
+  const costs = new ConstantCosts('north');
+  t.is(costs.costOf(entryWith(1, { zone: 'south', answerTime: 20 })), 3);
+  t.is(costs.costOf(entryWith(1, { zone: 'south', answerTime: 0 })), 7.5);
+  t.is(costs.costOf(entryWith(1, {})), 0);
+});
+
+test('a placement considers the home zone first, then the first of each other, nearest first', (t) => {
+  const agents = createAgents(ZONES, 12);
+  const distances: Record<string, number> = { south: 8.8, east: 0.4, west: 9.1 };
+  const nearestFirst = new Set<string>();
+  for (let flow = 0; flow < 50; flow++) {
+    const order = orderForPlacement(`f${flow}`, agents, 'north', (zone) => distances[zone]!);
+    t.is(new Set(order).size, agents.length);
+    const zones = order.slice(0, CANDIDATES).map(({ zone }) => zone);
+    t.is(zones.filter((zone) => zone === 'north').length, HOME_CANDIDATES);
+    t.is(zones[HOME_CANDIDATES], 'east');
+    nearestFirst.add(zones[HOME_CANDIDATES + 1]!);
+    t.true(order.slice(CANDIDATES, 15).every(({ zone }) => zone === 'north'));
+  }
+  t.deepEqual([...nearestFirst].sort(), ['south', 'west'], 'equal distances take turns');
+});
+
+test('where the home zone has few agents others come early; without any there are others only', (t) => {
+  const others = createAgents(['south', 'east'], 12);
+  const home = [1, 2].map((address) => ({ address, zone: 'north' }));
+  const order = orderForPlacement('f', [...others, ...home], 'north', () => 5);
+  const zones = order.slice(0, CANDIDATES).map(({ zone }) => zone);
+  t.deepEqual(
+    ['north', 'south', 'east'].map((zone) => zones.filter((one) => one === zone).length),
+    [2, 4, 4],
+  );
+  t.is(orderForPlacement('f', others, 'north', () => 5).length, others.length);
+  t.deepEqual(
+    orderForPlacement('f', [], 'north', () => 5),
+    [],
+  );
+  t.deepEqual(orderForSearch('f', []), { agents: [], likely: 0 });
+});
+
+test('in a fleet of one zone both orders are as ever', (t) => {
+  const agents = createAgents(['north'], 40);
+  for (let flow = 0; flow < 20; flow++) {
+    const before = orderCandidates(`f${flow}`, agents, 'north');
+    t.deepEqual(
+      orderForPlacement(`f${flow}`, agents, 'north', () => 5),
+      before,
+    );
+    t.deepEqual(orderForSearch(`f${flow}`, agents), { agents: before, likely: CANDIDATES });
+  }
+});
+
+test('a search has the same order everywhere, and begins where any zone places a flow', (t) => {
+  const agents = createAgents(ZONES, 12);
+  const reversed = [...agents].reverse();
+  const begins = new Set<string>();
+  for (let flow = 0; flow < 50; flow++) {
+    const { agents: order, likely } = orderForSearch(`f${flow}`, agents);
+    t.deepEqual(orderForSearch(`f${flow}`, reversed).agents, order);
+    t.is(new Set(order).size, agents.length);
+    t.true(likely <= 25);
+    begins.add(order[0]!.zone);
+    const first = order.slice(0, likely);
+    for (const zone of ZONES) {
+      const placed = orderForPlacement(`f${flow}`, agents, zone, () => 5).slice(0, CANDIDATES);
+      const found = placed.filter((agent) => first.includes(agent));
+      t.true(found.length >= CANDIDATES - 1, `${found.length} of those of ${zone}`);
+      const old = orderCandidates(`f${flow}`, agents, zone).slice(0, CANDIDATES);
+      t.true(
+        old.every((agent) => first.includes(agent)),
+        'placed by the version before',
+      );
+    }
+  }
+  t.is(begins.size, ZONES.length);
+});
+
+/** Two zones of one-slot targets, all in one order at both balancers. */
+function createPair(busy: (index: number) => number, fields: Partial<ReportMessage> = {}) {
+  const reports = Array.from({ length: 16 }, (_, index) => ({
+    zone: index % 2 === 0 ? 'north' : 'south',
+    slots: 1,
+    answerTime: 16,
+    busyRequests: busy(index),
+    ...fields,
+  }));
+  return (zone: string): RouterHarness => {
+    const versions = new Array<number>(reports.length).fill(5);
+    return new RouterHarness(versions, { zone, reports });
+  };
+}
+
+test('a flow placed by the balancer of one zone is found at once by that of another', (t) => {
+  const create = createPair(() => 0);
+  for (let client = CLIENT; client < CLIENT + 50; client++) {
+    const opening = create('north');
+    opening.router.route(opening.createOpening(client));
+    const searching = create('south');
+    searching.router.route(searching.createData(client));
+    const { message } = searching.sent[0]!;
+    t.true(
+      message.type === PacketMessageType.search &&
+        message.phase === SearchPhase.ask &&
+        message.agents.includes(opening.sent[0]!.to),
+    );
+  }
+});
+
+test('a flow stays in its zone while a target there is as good, and leaves when none is', (t) => {
+  const idle = createPair(() => 0)('north');
+  const partly = createPair((index) => (index === 14 ? 0 : 2))('north');
+  const busy = createPair((index) => (index % 2 === 0 ? 3 : 0))('north');
+  const equal = createPair(() => 3)('north');
+  for (const harness of [idle, partly, busy, equal]) {
+    harness.router.route(harness.createOpening(CLIENT));
+  }
+  t.like(idle.router.counters, { flowsPlacedAtHome: 1, flowsSpilledForWait: 0 });
+  t.like(partly.router.counters, { flowsPlacedAtHome: 1, flowsSpilledForWait: 0 });
+  t.is(partly.sent[0]!.to, partly.agents[14], 'the only idle target of all');
+  t.like(busy.router.counters, { flowsPlacedAtHome: 0, flowsSpilledForWait: 1 });
+  t.like(equal.router.counters, { flowsPlacedAtHome: 1, flowsSpilledForWait: 0 });
+});
+
+test('without targets at home, or without word of them, flows go elsewhere, by reason', (t) => {
+  const draining = createPair(() => 0)('north');
+  draining.agents.forEach((agent, index) => {
+    const zone = index % 2 === 0 ? 'north' : 'south';
+    const state = index % 2 === 0 ? TargetState.draining : TargetState.ready;
+    draining.directory.hear(agent, createReport({ sequence: 2, zone, state }), 1_000);
+  });
+  const evacuated = createPair(() => 0)('north');
+  evacuated.evacuatedZones = ['north'];
+  const silent = createPair(() => 0)('north');
+  silent.now += 20_000;
+  silent.agents.forEach((agent, index) => {
+    if (index % 2 === 1) {
+      silent.directory.hear(agent, createReport({ sequence: 2, zone: 'south' }), silent.now);
+    }
+  });
+  for (const harness of [draining, evacuated, silent]) {
+    harness.router.route(harness.createOpening(CLIENT));
+    t.is(harness.agents.indexOf(harness.sent[0]!.to) % 2, 1);
+  }
+  t.is(draining.router.counters.flowsSpilledWithoutTarget, 1);
+  t.is(evacuated.router.counters.flowsSpilledWithoutTarget, 1);
+  t.is(silent.router.counters.flowsSpilledHomeUnknown, 1);
+});
+
+test('a silent zone gets no flow, however busy the own one is', (t) => {
+  const harness = createPair(() => 4)('north');
+  harness.now += 20_000;
+  harness.agents.forEach((agent, index) => {
+    if (index % 2 === 0) {
+      const busy = { busyRequests: 4, slots: 1, answerTime: 16 };
+      harness.directory.hear(agent, createReport({ sequence: 2, ...busy }), harness.now);
+    }
+  });
+  harness.router.route(harness.createOpening(CLIENT));
+  t.is(harness.router.counters.flowsPlacedAtHome, 1);
+});
+
+test('two zones with the same reports never spill at each other', (t) => {
+  const random = new SeededRandom(11);
+  let spilled = 0;
+  for (let trial = 0; trial < 300; trial++) {
+    const busy = Array.from({ length: 16 }, () => Math.floor(random.next() * 3));
+    const create = createPair((index) => busy[index]!);
+    const spills = ['north', 'south'].map((zone) => {
+      let flows = 0;
+      for (let client = CLIENT; client < CLIENT + 8; client++) {
+        const harness = create(zone);
+        harness.random = () => random.next();
+        harness.router.route(harness.createOpening(client));
+        flows += harness.router.counters.flowsSpilledForWait;
+      }
+      return flows;
+    });
+    t.is(Math.min(...spills), 0, `${spills.join(' and ')} with ${busy.join(', ')}`);
+    spilled += Math.max(...spills);
+  }
+  t.true(spilled > 0);
+});
+
+test('a service with heavy flows spills later than one with light ones', (t) => {
+  const spillsFrom = (flowBytes: number): number => {
+    for (let busy = 1; ; busy++) {
+      const create = createPair((index) => (index % 2 === 0 ? busy : 0), { flowBytes });
+      const harness = create('north');
+      harness.router.route(harness.createOpening(CLIENT));
+      if (harness.router.counters.flowsSpilledForWait === 1) {
+        return busy;
+      }
+    }
+  };
+  t.is(spillsFrom(4_700), 1);
+  t.true(spillsFrom(83_000) >= 3, `${spillsFrom(83_000)}`);
+});
+
+/** Two zones of equal targets with so many flows in 4 ms; the mean wait of each one's in ms. */
+function playDemand(flowsEach: readonly number[]): number[] {
+  const work = 16;
+  const reports = Array.from({ length: 16 }, (_, index) => ({
+    zone: ZONES[index % 2]!,
+    slots: 1,
+    answerTime: work,
+  }));
+  const versions = new Array<number>(reports.length).fill(5);
+  const balancers = [0, 1].map(
+    (index) => new RouterHarness(versions, { zone: ZONES[index]!, reports }),
+  );
+  const freeAt = new Array<number>(reports.length).fill(0);
+  const waits = [0, 0];
+  const counts = [0, 0];
+  let client = CLIENT;
+  for (let step = 0; step < 2_000; step++) {
+    const now = 1_000 + step * 4;
+    balancers.forEach((balancer) => {
+      balancer.now = now;
+      balancer.agents.forEach((agent, index) => {
+        const busyRequests = Math.ceil(Math.max(0, freeAt[index]! - now) / work);
+        const fields = { ...reports[index]!, busyRequests, sequence: step + 2 };
+        balancer.directory.hear(agent, createReport(fields), now);
+        balancer.directory.find(agent)!.recentOpenings = [];
+      });
+    });
+    balancers.forEach((balancer, zone) => {
+      const due = Math.floor((step + 1) * flowsEach[zone]!) - Math.floor(step * flowsEach[zone]!);
+      for (let flow = 0; flow < due; flow++) {
+        balancer.router.route(balancer.createOpening(client++));
+        const target = balancer.agents.indexOf(balancer.sent.at(-1)!.to);
+        waits[zone] = waits[zone]! + Math.max(0, freeAt[target]! - now);
+        freeAt[target] = Math.max(freeAt[target]!, now) + work;
+        counts[zone]!++;
+      }
+    });
+  }
+  return waits.map((wait, zone) => wait / counts[zone]!);
+}
+
+test('the callers of a zone with twice the demand wait little longer than others', (t) => {
+  // Eight targets of 16 ms bear two flows in 4 ms: the first zone has more than they can serve.
+  const [north, south] = playDemand([2.2, 1.1]) as [number, number];
+  const cost = 16;
+  t.true(north - south < cost, `${north} and ${south} ms`);
+  t.true(north < 2 * cost, `${north} ms`);
+});
+
+test('a spilled flow is logged with its reason, and a service that spills once', (t) => {
+  const harness = createPair((index) => (index % 2 === 0 ? 3 : 0))('north');
+  for (let client = CLIENT; client < CLIENT + 30; client++) {
+    harness.router.route(harness.createOpening(client));
+    harness.now += 50;
+    harness.agents.forEach((agent) => {
+      const { report } = harness.directory.find(agent)!;
+      const next = { ...report!, sequence: report!.sequence + 1 };
+      harness.directory.hear(agent, next, harness.now);
+    });
+  }
+  const of = (event: EventKind): EventFields[] =>
+    harness.events.filter(({ kind }) => kind === event).map(({ fields }) => fields);
+  t.is(of(Events.flowPlaced)[0]!['spill'], SpillReason.wait);
+  const changes = of(Events.zoneSpillChanged);
+  t.is(changes.length, 1);
+  t.like(changes[0], { service: 'map', isSpilling: true, reason: SpillReason.wait });
+});
+
+test('a service that begins or ends to spill is told, at most once a second', (t) => {
+  const watch = new SpillWatch();
+  const told: { at: number; service: string; isSpilling: boolean }[] = [];
+  for (let now = 0; now < 10_000; now += 10) {
+    for (const service of ['map', 'tiles']) {
+      const spills = now >= 3_000 && now < 6_000 && now % 50 === 0;
+      const change = watch.note(service, spills ? SpillReason.wait : undefined, now);
+      if (change) {
+        told.push({ at: now, service: change.service, isSpilling: change.isSpilling });
+      }
+    }
+  }
+  t.deepEqual(
+    told.map(({ service, isSpilling }) => [service, isSpilling]),
+    [
+      ['map', true],
+      ['tiles', true],
+      ['map', false],
+      ['tiles', false],
+    ],
+  );
+  told.slice(1).forEach(({ at }, index) => t.true(at - told[index]!.at >= 1_000));
+});
+
+test('locality is on unless switched off, and its settings are checked', (t) => {
+  const document = {
+    name: 'n',
+    zone: 'z',
+    address: '10.0.0.1:1',
+    clientPort: 5,
+    storeAddress: '10.0.0.9:1',
+  };
+  const settings = checkPacketSettings('f', document).unwrap();
+  t.like(settings, { locality: 1, transferCost: 400 });
+  t.is(checkPacketSettings('f', { ...document, locality: 0 }).unwrap().locality, 0);
+  for (const wrong of [{ locality: 2 }, { locality: true }, { transferCost: 0 }]) {
+    t.true(checkPacketSettings('f', { ...document, ...wrong }).err);
+  }
+});
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -196,6 +196,11 @@
   return directory.hear(address, report, 0)!;
 }
 
+/** A tenth and a half of an answer for each target outside north. */
+function transferCost({ zone, report }: AgentEntry): number {
+  return zone === 'north' ? 0 : 0.15 * report!.answerTime;
+}
+
 test('the least loaded ready target is chosen; draining ones never', (t) => {
   const context = {
     zone: 'north',
@@ -203,6 +208,7 @@
     isHeard: () => true,
     isSettling: () => false,
     random: () => 0,
+    transferCost,
   };
   const busy = entryWith(1, { busyRequests: 4 });
   const idle = entryWith(2, { busyRequests: 1 });
@@ -224,7 +230,8 @@
   const near = entryWith(2, { busyRequests: 1, slots: 1, answerTime: 10 });
   const choose = (age: number): AgentEntry | undefined => {
     const heard = { isHeard: () => true, isSettling: () => false };
-    return selectAgent([far, near], { zone: 'north', ageOf: () => age, ...heard, random: () => 0 });
+    const context = { zone: 'north', ageOf: () => age, ...heard, random: () => 0, transferCost };
+    return selectAgent([far, near], context);
   };
   t.is(choose(5), far);
   t.is(choose(300), near, 'both are thirty answers old');
@@ -244,6 +251,7 @@
       isHeard: () => true,
       isSettling: () => false,
       random: () => random.next(),
+      transferCost,
     };
     for (let flow = 0; flow < 20; flow++) {
       const chosen = selectAgent(entries, context)!;
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -1,12 +1,14 @@
 /** One balancer's router alone: its agents are played by the test, frame by frame. */
 import type { Endpoint, Environment } from '../../src/environment';
+import type { EventFields, EventKind } from '../../src/logging/events';
 import { AgentDirectory } from '../../src/packets/agent-directory';
 import { FlowCache } from '../../src/packets/flow-cache';
 import { FlowRouter } from '../../src/packets/flow-router';
+import { Locality } from '../../src/packets/locality/locality';
 import { PacketFrameCodec } from '../../src/packets/packet-frames';
 import { ZoneDetour } from '../../src/packets/zone-detour';
 import { PacketLink } from '../../src/packets/packet-link';
-import type { PacketMessage } from '../../src/packets/packet-messages';
+import type { PacketMessage, ReportMessage } from '../../src/packets/packet-messages';
 import {
   encodeModelPacket,
   ModelFlag,
@@ -30,15 +32,29 @@
   readonly message: PacketMessage;
 }
 
+/** What a harness may have otherwise than by default. */
+export interface HarnessOptions {
+  /** The balancer's zone; north by default. */
+  readonly zone?: string;
+  /** The setting of locality; 1 by default. */
+  readonly locality?: number;
+  /** Fields in which the agents' reports differ from an idle target's in north, by index. */
+  readonly reports?: readonly Partial<ReportMessage>[];
+}
+
 /** A router with agents that all serve one route. */
 export class RouterHarness {
   readonly codec = new PacketFrameCodec([KEY]);
   readonly directory = new AgentDirectory();
   readonly sent: SentMessage[] = [];
   readonly resets: Endpoint[] = [];
+  readonly events: { readonly kind: EventKind; readonly fields: EventFields }[] = [];
   readonly agents: Endpoint[];
   readonly environment = this.createEnvironment();
   readonly router: FlowRouter;
+  readonly locality: Locality;
+  /** What the balancer's random source gives. */
+  random = (): number => 0.5;
   now = 1_000;
   readonly detours = new ZoneDetour('north');
   /** Zones out of service. */
@@ -46,8 +62,9 @@
   private readonly timers: { readonly at: number; readonly action: () => void }[] = [];
 
   /** @param frameVersions latest version of frames that each agent understands */
-  constructor(frameVersions: readonly number[]) {
+  constructor(frameVersions: readonly number[], options: HarnessOptions = {}) {
     const { environment } = this;
+    const { locality = 1, reports = [], zone = 'north' } = options;
     const transport = {
       send: (to: Endpoint, frame: Buffer): void => {
         const message = this.codec.decode(frame).unwrap();
@@ -57,14 +74,21 @@
     const link = new PacketLink(this.codec, transport, environment);
     this.agents = frameVersions.map((frameVersion, index) => {
       const address = FIRST_AGENT + index * NEXT_MACHINE;
-      this.directory.hear(address, createReport({ frameVersion }), this.now);
+      this.directory.hear(address, createReport({ frameVersion, ...reports[index] }), this.now);
       link.noteVersion(address, frameVersion);
       return address;
     });
     this.directory.markComplete(0);
+    this.locality = new Locality(
+      { zone, locality, transferCost: 400 },
+      environment,
+      this.directory,
+      (agent, probe) => link.send(agent, probe),
+    );
     this.router = new FlowRouter({
       environment,
-      zone: 'north',
+      zone,
+      locality: this.locality,
       address: BALANCER,
       locateTimeout: LOCATE_TIMEOUT,
       format: modelPacketFormat,
@@ -124,8 +148,8 @@
         this.timers.push(timer);
         return { cancel: () => void this.timers.splice(this.timers.indexOf(timer), 1) };
       },
-      random: () => 0.5,
-      report: () => undefined,
+      random: () => this.random(),
+      report: (kind, fields) => this.events.push({ kind, fields }),
     };
   }
 }
