--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -111,6 +111,8 @@
     { type: PacketMessageType.held, flow },
     { type: PacketMessageType.locate, flow },
     { type: PacketMessageType.detour, agent: 0x0a00_0001_0000, payload: flow },
+    { type: PacketMessageType.distanceProbe, sentAt: 12.625 },
+    { type: PacketMessageType.distanceReply, sentAt: 12.625 },
     {
       type: PacketMessageType.subscribe,
       zone: 'north',
@@ -122,7 +124,7 @@
         services: [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 2.5 }],
       },
     },
-    createReport({ failurePercent: 33, balancers: [0x0a00_0001_0000] }),
+    createReport({ failurePercent: 33, flowBytes: 4_700, balancers: [0x0a00_0001_0000] }),
     {
       type: PacketMessageType.peerStatus,
       routingVersion: 3,
