--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -80,6 +80,8 @@
       flowLifetime: BenchSetup.lifetime,
       applyTime: BenchSetup.applyTime,
       repairHops: true,
+      locality: true,
+      transferCost: 400,
     },
     {
       environment,
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -30,6 +30,8 @@
   busyRequests(): number;
   /** Milliseconds that the target takes for an answer of late. */
   answerTime(): number;
+  /** Mean bytes of a flow of the target of late; 0 while unknown. */
+  flowBytes(): number;
   /** Whether the agent has seen every flow open that its target can hold. */
   knowsAllFlows(): boolean;
 }
@@ -87,6 +89,7 @@
       answerTime: Math.round(this.dependencies.answerTime()),
       coldLeft: target.coldLeft(now),
       failurePercent: Math.round(100 * health.failureShare(now)),
+      flowBytes: this.dependencies.flowBytes(),
       frameVersion: REPAIR_VERSION,
       knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
       balancerCount: this.subscribers.count,
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -11,6 +11,7 @@
 import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
 import { LoadReporter } from './load-reporter';
+import { FlowBytes } from './locality/flow-bytes';
 import { NodeTimers } from './node-timers';
 import type {
   PacketAgentCounters,
@@ -26,6 +27,7 @@
   type AgentRecord,
   type DeliverMessage,
   type ListingStateValue,
+  type MessageToBalancer,
   type RefusalReasonValue,
   type SearchMessage,
   type SearchPhaseValue,
@@ -63,6 +65,7 @@
   private readonly target: TargetLifecycle;
   private readonly tracker = new FlowTracker();
   private readonly health = new TargetHealth();
+  private readonly flowBytes = new FlowBytes();
   private readonly admission: TargetAdmission;
   private readonly reporter: LoadReporter;
   private readonly pending: PendingDeliveries;
@@ -115,6 +118,7 @@
       state: () => this.state,
       busyRequests: () => this.busyRequests,
       answerTime: () => this.admission.answerTime,
+      flowBytes: () => this.flowBytes.mean,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
@@ -185,6 +189,7 @@
     if (change === 'incarnation') {
       this.tracker.clear();
       this.health.clear();
+      this.flowBytes.clear();
       this.admission.releaseAll();
     }
     if (change !== 'none') {
@@ -229,17 +234,18 @@
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         return;
-      case PacketMessageType.detour:
-      case PacketMessageType.notHeld:
-      case PacketMessageType.held:
-      case PacketMessageType.noneHolds:
-      case PacketMessageType.noneKnows:
-      case PacketMessageType.report:
-      case PacketMessageType.peerStatus:
-        this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
+      case PacketMessageType.distanceProbe:
+        this.link.send(from, { ...message, type: PacketMessageType.distanceReply });
+        return;
+      default:
+        this.refuseMessage(message);
     }
   }
 
+  private refuseMessage({ type }: MessageToBalancer): void {
+    this.dependencies.environment.report(Events.frameUnexpected, { type });
+  }
+
   /** Balancers are told at once if the agent knows its target from its start, by what it learns. */
   private learnNews(message: SubscribeMessage, balancer: Endpoint): void {
     const wasKnown = this.target.isKnownFromStart;
@@ -278,6 +284,7 @@
       return;
     }
     this.counters.packetsSent++;
+    this.flowBytes.sent(packet);
     sendToClient(packet.client, bytes);
     this.noteTargetSends();
     this.judgeAnswer(packet);
@@ -386,6 +393,7 @@
   private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
     const { environment, format, sendToTarget } = this.dependencies;
     this.counters.packetsDelivered++;
+    this.flowBytes.delivered(packet);
     this.tracker.delivered(packet, balancer, environment.now());
     if (packet.opens) {
       this.guard.openingDelivered();
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -12,9 +12,11 @@
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
+import { FIRST_PROBES_INTERVAL } from './locality/distance-probes';
+import { Locality } from './locality/locality';
 import { NodeTimers } from './node-timers';
 import { PacketLink } from './packet-link';
-import { PacketMessageType, type ListedAgent } from './packet-messages';
+import { PacketMessageType, type ListedAgent, type MessageToAgent } from './packet-messages';
 import { PeerExchange } from './peer-exchange';
 import type { PeerSnapshot } from './peer-snapshot';
 import type { PlainMessage } from './repair/hop-messages';
@@ -61,6 +63,7 @@
   private readonly subscriptions: AgentSubscriptions;
   private readonly reading: StoreReading;
   private readonly evacuations: ZoneEvacuationView;
+  private readonly locality: Locality;
   private readonly timers: NodeTimers;
   private table: RoutingTable | undefined;
   private stopping = false;
@@ -83,9 +86,13 @@
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
+    this.locality = new Locality(settings, environment, this.directory, (agent, probe) =>
+      this.link.send(agent, probe),
+    );
     this.router = new FlowRouter({
       environment,
       zone: settings.zone,
+      locality: this.locality,
       address: settings.address,
       locateTimeout: locateTimeout(settings.capacity),
       format,
@@ -137,6 +144,7 @@
       this.reading.run();
       this.subscribe();
     });
+    this.timers.repeat(FIRST_PROBES_INTERVAL, () => this.locality.measure());
     this.timers.repeat(UPKEEP_INTERVAL, () => this.maintain());
   }
 
@@ -195,6 +203,7 @@
       registryCalls: this.upkeep.calls,
       ...this.reading.calls,
       ...this.hops.counters,
+      ...this.locality.figures,
     };
   }
 
@@ -314,14 +323,18 @@
       case PacketMessageType.detour:
         this.router.routeDetoured(message.payload, message.agent);
         return;
-      case PacketMessageType.deliver:
-      case PacketMessageType.locate:
-      case PacketMessageType.search:
-      case PacketMessageType.subscribe:
-        this.dependencies.environment.report(Events.frameUnexpected, { type: message.type });
+      case PacketMessageType.distanceReply:
+        this.locality.takeReply(from, message);
+        return;
+      default:
+        this.refuseMessage(message);
     }
   }
 
+  private refuseMessage({ type }: MessageToAgent): void {
+    this.dependencies.environment.report(Events.frameUnexpected, { type });
+  }
+
   /** Nothing is repeated for an agent, or a zone, that is silent. */
   private createHopRepair(): HopRepair {
     const { directory, link } = this;
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -92,6 +92,8 @@
   [PacketMessageType.numberedRefusal]: true,
   [PacketMessageType.locate]: false,
   [PacketMessageType.detour]: false,
+  [PacketMessageType.distanceProbe]: false,
+  [PacketMessageType.distanceReply]: false,
   [PacketMessageType.subscribe]: false,
   [PacketMessageType.report]: false,
   [PacketMessageType.peerStatus]: false,
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -20,6 +20,8 @@
   received: 112,
   numberedDeliver: 113,
   numberedRefusal: 114,
+  distanceProbe: 115,
+  distanceReply: 116,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -192,6 +194,20 @@
   readonly payload: Buffer;
 }
 
+/** Balancer to agent: answer at once, so that the round trip between us shows how far you are. */
+export interface DistanceProbeMessage {
+  readonly type: typeof PacketMessageType.distanceProbe;
+  /** Milliseconds by the balancer's clock, which only it can read. */
+  readonly sentAt: number;
+}
+
+/** Agent to balancer: the answer to a probe. */
+export interface DistanceReplyMessage {
+  readonly type: typeof PacketMessageType.distanceReply;
+  /** As in the probe. */
+  readonly sentAt: number;
+}
+
 /** Whether the registry lists an agent, as far as a balancer knows. */
 export const ListingState = {
   /** The balancer does not know the registry well enough to say. */
@@ -238,6 +254,8 @@
   readonly coldLeft: number;
   /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
   readonly failurePercent: number;
+  /** Mean bytes of a flow of the target of late, both ways; 0 while unknown. */
+  readonly flowBytes: number;
   /** Latest version of frames that the agent understands; 1 for one that names none. */
   readonly frameVersion: number;
   /** 1 when the agent has seen every flow open that its target can hold. */
@@ -316,6 +334,23 @@
   | ReceivedMessage
   | NumberedDeliverMessage
   | NumberedRefusalMessage
+  | DistanceProbeMessage
+  | DistanceReplyMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
+
+/** What an agent takes, its numbers taken off. */
+export type MessageToAgent =
+  DeliverMessage | SearchMessage | LocateMessage | SubscribeMessage | DistanceProbeMessage;
+
+/** What a balancer takes, its numbers taken off. */
+export type MessageToBalancer =
+  | NotHeldMessage
+  | HeldMessage
+  | NoneHoldsMessage
+  | NoneKnowsMessage
+  | DetourMessage
+  | ReportMessage
+  | PeerStatusMessage
+  | DistanceReplyMessage;
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -13,6 +13,12 @@
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
 const DEFAULT_REPAIR_HOPS = true;
+const DEFAULT_LOCALITY = true;
+/**
+ * Milliseconds of waiting that a megabyte between zones is worth: 32 for an answer of 80,000 bytes,
+ * which its client awaits for a good part of a second anyway, and 2 for one of 4,000 with its heads.
+ */
+const DEFAULT_TRANSFER_COST = 400;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -58,6 +64,10 @@
   readonly linkSpeed: number;
   /** Whether packets lost between balancer and agent are sent once more by the two of them. */
   readonly repairHops: boolean;
+  /** Whether new flows stay in their zone as far as that pays; else a fixed share goes to others. */
+  readonly locality: boolean;
+  /** Milliseconds of waiting that a megabyte between zones is worth. */
+  readonly transferCost: number;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -221,6 +231,8 @@
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
     repairHops: reader.toggle('repairHops', DEFAULT_REPAIR_HOPS),
+    locality: reader.toggle('locality', DEFAULT_LOCALITY),
+    transferCost: reader.positive('transferCost', DEFAULT_TRANSFER_COST),
     metrics: reader.optionalText('metrics'),
   };
 }
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -35,6 +35,7 @@
 const SNAPSHOT_TIME = 3;
 const FLOW_LIFETIME = 60_000;
 const APPLY_TIME = 6_000;
+const TRANSFER_COST = 400;
 const WORK_TIME = 20;
 const SLOTS = 5;
 /** No more than the rates of a routing table, and nothing without them. */
@@ -50,6 +51,8 @@
   readonly capacity: number;
   /** Megabits a second. */
   readonly linkSpeed: number;
+  /** Takes effect with its next start. */
+  locality: boolean;
   readonly address: Endpoint;
   node: PacketBalancer;
   process: SimulatedProcess;
@@ -142,7 +145,15 @@
     const address = this.createAddress(FRAME_PORT);
     const name = `balancer-${this.balancers.length}`;
     const misses = MISSES_ALLOWED;
-    const balancer = { name, zone, address, capacity, linkSpeed, misses } as WorldBalancer;
+    const balancer = {
+      name,
+      zone,
+      address,
+      capacity,
+      linkSpeed,
+      locality: true,
+      misses,
+    } as WorldBalancer;
     this.balancers.push(balancer);
     this.startBalancer(balancer);
     return balancer;
@@ -181,6 +192,8 @@
         flowLifetime: FLOW_LIFETIME,
         applyTime: APPLY_TIME,
         repairHops: this.repairHops,
+        locality: balancer.locality,
+        transferCost: TRANSFER_COST,
       },
       {
         environment: process,
