--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -91,10 +91,11 @@
       busyRequests: 0,
       openFlows: 0,
       answerTime: 50,
+      answers: 0,
+      targetChanges: 0,
       coldLeft: 0,
       failurePercent: 0,
       frameVersion: this.frameVersion,
-
       knowsAllFlows: 0,
       balancerCount: 1,
       balancers: [],
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -3,6 +3,7 @@
  * have a request under way, and which balancer last sent a packet of each.
  */
 import type { Endpoint } from '../environment';
+import { WorkClock } from './choice/work-clock';
 import type { FlowKey, FlowPacket } from './flow-packet';
 
 /** Flows tracked at once; the least recently used one is dropped beyond that. */
@@ -39,6 +40,14 @@
   private busy = 0;
   private working = 0;
   private held = 0;
+  private readonly clock: WorkClock<TrackedFlow>;
+  /** The latest time that the tracker was told. */
+  private lastTold = 0;
+
+  /** @param slots requests that the target works on at a time; 0 while unknown */
+  constructor(slots: () => number = () => 0) {
+    this.clock = new WorkClock(slots);
+  }
 
   /** Requests that have begun to arrive at the target and have no answer yet. */
   get busyRequests(): number {
@@ -85,10 +94,18 @@
     return flow.held || acknowledgesOpening(packet, flow.openingSequence);
   }
 
-  /** Milliseconds for which the target has had a flow's request; undefined when it has none. */
+  /**
+   * Milliseconds for which the target has worked on a flow's request; undefined when it has none,
+   * or has it waiting.
+   */
   workTime(key: FlowKey, now: number): number | undefined {
     const flow = this.flows.get(key);
-    return flow?.working ? now - flow.busySince : undefined;
+    return flow && this.clock.workTime(flow, now);
+  }
+
+  /** Milliseconds for which the target has worked on the request that it began with longest ago. */
+  longestWork(now: number): number {
+    return this.clock.longestWork(now);
   }
 
   /** Whether a flow's request has been delivered and its answer has not begun. */
@@ -148,6 +165,7 @@
   /** The target was replaced: no flow is left. */
   clear(): void {
     this.flows.clear();
+    this.clock.clear();
     this.busy = 0;
     this.working = 0;
     this.held = 0;
@@ -158,6 +176,7 @@
    * @returns their number
    */
   giveUpRequests(now: number): number {
+    this.lastTold = now;
     if (this.busy === 0) {
       return 0;
     }
@@ -182,6 +201,7 @@
   }
 
   private flowOf(key: FlowKey, now: number): TrackedFlow {
+    this.lastTold = now;
     const known = this.flows.get(key);
     if (known) {
       this.flows.delete(key);
@@ -223,6 +243,11 @@
     if (flow.working !== working) {
       flow.working = working;
       this.working += working ? 1 : -1;
+      if (working) {
+        this.clock.begin(flow, this.lastTold);
+      } else {
+        this.clock.end(flow, this.lastTold);
+      }
     }
   }
 
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -8,6 +8,7 @@
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
+import { ReportAlarm, type TargetFigures } from './choice/report-alarm';
 import { Subscribers } from './subscribers';
 import type { TargetHealth } from './target-health';
 import type { TargetLifecycle } from './target-lifecycle';
@@ -29,7 +30,9 @@
   /** Requests that wait at the agent or are under way at its target. */
   busyRequests(): number;
   /** Milliseconds that the target takes for an answer of late. */
-  answerTime(): number;
+  answerTime(now: number): number;
+  /** Answers of late that this time rests on, fading. */
+  answers(now: number): number;
   /** Whether the agent has seen every flow open that its target can hold. */
   knowsAllFlows(): boolean;
 }
@@ -39,6 +42,7 @@
   private readonly subscribers = new Subscribers();
   private readonly run: number;
   private reportsSent = 0;
+  private readonly alarm = new ReportAlarm();
 
   constructor(private readonly dependencies: LoadReporterDependencies) {
     this.run = Math.floor(dependencies.environment.random() * RUN_RANGE);
@@ -59,6 +63,14 @@
     this.reportTo(this.subscribers.present(this.dependencies.environment.now()));
   }
 
+  /** Reports to every subscriber at once if the target has become much worse. */
+  reportIfWorse(): void {
+    const now = this.dependencies.environment.now();
+    if (this.alarm.isDue(this.figuresAt(now), now)) {
+      this.report();
+    }
+  }
+
   /** Reports to the subscribers that are due for it. */
   reportWhereDue(): void {
     this.reportTo(this.subscribers.takeDue(this.dependencies.environment.now()));
@@ -84,13 +96,22 @@
       slots: target.slots,
       busyRequests: this.dependencies.busyRequests(),
       openFlows: tracker.openFlows,
-      answerTime: Math.round(this.dependencies.answerTime()),
+      ...this.figuresAt(now),
+      targetChanges: health.targetChanges,
       coldLeft: target.coldLeft(now),
-      failurePercent: Math.round(100 * health.failureShare(now)),
       frameVersion: SURE_SEARCH_VERSION,
       knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
   }
+
+  private figuresAt(now: number): TargetFigures {
+    const { answers, answerTime, health } = this.dependencies;
+    return {
+      answerTime: Math.round(answerTime(now)),
+      answers: Math.round(answers(now)),
+      failurePercent: Math.round(100 * health.failureShare(now)),
+    };
+  }
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -60,7 +60,7 @@
   };
   private readonly link: PacketLink;
   private readonly target: TargetLifecycle;
-  private readonly tracker = new FlowTracker();
+  private readonly tracker = new FlowTracker(() => this.target.slots);
   private readonly health = new TargetHealth();
   private readonly admission: TargetAdmission;
   private readonly reporter: LoadReporter;
@@ -106,7 +106,8 @@
       health: this.health,
       state: () => this.state,
       busyRequests: () => this.busyRequests,
-      answerTime: () => this.admission.answerTime,
+      answerTime: (now) => this.admission.answerTimeAt(now),
+      answers: (now) => this.admission.answersAt(now),
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
@@ -174,7 +175,7 @@
     if (change === 'incarnation') {
       this.tracker.clear();
       this.health.clear();
-      this.admission.releaseAll();
+      this.admission.targetReplaced();
     }
     if (change !== 'none') {
       this.health.stateTold();
@@ -403,12 +404,14 @@
     const { environment, format } = this.dependencies;
     const endsRequest = packet.payloadLength > 0 || packet.resets;
     if (endsRequest && this.tracker.awaitsAnswer(packet.flow)) {
+      const now = environment.now();
       const succeeded = !packet.resets && !format.isFailure(packet);
-      this.health.requestEnded(succeeded, environment.now());
-      const workTime = this.tracker.workTime(packet.flow, environment.now());
+      this.health.requestEnded(succeeded, now);
+      const workTime = this.tracker.workTime(packet.flow, now);
       if (succeeded && workTime !== undefined) {
-        this.admission.answered(workTime);
+        this.admission.answered(workTime, now);
       }
+      this.reporter.reportIfWorse();
     }
   }
 
@@ -426,6 +429,7 @@
     }
     this.admission.expire(now);
     this.admission.releaseWaiting(now);
+    this.reporter.reportIfWorse();
     this.reporter.reportWhereDue();
   }
 
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -201,6 +201,8 @@
       field('busyRequests', 'b', integer),
       field('openFlows', 'o', integer),
       field('answerTime', 'w', integerOrZero),
+      field('answers', 'an', integerOrZero),
+      field('targetChanges', 'tc', integerOrZero),
       field('coldLeft', 'c', integer),
       field('failurePercent', 'f', integer),
       field('frameVersion', 'v', versionOrFirst),
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -191,6 +191,13 @@
   readonly openFlows: number;
   /** Milliseconds that the target takes for an answer of late; 0 when it has not told. */
   readonly answerTime: number;
+  /**
+   * Answers of late that `answerTime` rests on, fading with time; 0 from an agent that does not
+   * count them.
+   */
+  readonly answers: number;
+  /** Targets that the agent has had before this one in its run; 0 from an agent that does not say. */
+  readonly targetChanges: number;
   /** Milliseconds for which the target is still slow after its start. */
   readonly coldLeft: number;
   /** Part of the target's requests that fail of late, in percent; 100 if it says nothing. */
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -51,14 +51,25 @@
     return false;
   }
 
-  /** Milliseconds that the target takes for an answer of late. */
-  get answerTime(): number {
-    return this.serviceTime.answerTime;
+  /** Milliseconds that the target takes for an answer of late, by what is under way as well. */
+  answerTimeAt(now: number): number {
+    return this.serviceTime.expectedTime(this.dependencies.tracker.longestWork(now));
   }
 
-  /** The target has answered a request well, so many milliseconds after it got it. */
-  answered(milliseconds: number): void {
-    this.serviceTime.answered(milliseconds);
+  /** Answers of late that this time rests on, fading. */
+  answersAt(now: number): number {
+    return this.serviceTime.answersAt(now);
+  }
+
+  /** The target has answered a request well, by so many milliseconds of work. */
+  answered(milliseconds: number, now: number): void {
+    this.serviceTime.answered(milliseconds, now);
+  }
+
+  /** Another target has taken its place: it gets all that waits, and nothing is known of it. */
+  targetReplaced(): void {
+    this.serviceTime.clear();
+    this.releaseAll();
   }
 
   /** The target has returned a packet: no request of its flow can be served here. */
--- a/src/packets/target-health.ts
+++ b/src/packets/target-health.ts
@@ -27,6 +27,13 @@
 const OUTCOME_TIME = 3_000;
 /** Good outcomes assumed, so that one failure is no verdict. */
 const ASSUMED_SUCCESSES = 3;
+/**
+ * Weight of one outcome in the share of the latest few: three failures in a row bring it to a third,
+ * however many requests went well before.
+ */
+const LATEST_WEIGHT = 0.2;
+/** Milliseconds in which that share falls to about a third while there are no outcomes. */
+const LATEST_LIFETIME = 10_000;
 
 /** Health of one target. */
 export class TargetHealth {
@@ -41,6 +48,9 @@
   private failures = 0;
   private successes = 0;
   private weighedAt = 0;
+  /** Fading share of failures among the latest few outcomes. */
+  private latestShare = 0;
+  private clearings = 0;
 
   /** An opening packet is handed to the target. */
   openingDelivered(now: number): void {
@@ -85,6 +95,7 @@
     this.weigh(now);
     this.successes += succeeded ? 1 : 0;
     this.failures += succeeded ? 0 : 1;
+    this.latestShare += LATEST_WEIGHT * ((succeeded ? 0 : 1) - this.latestShare);
   }
 
   /** A request has had no answer for longer than any takes. */
@@ -93,9 +104,16 @@
     this.requestEnded(false, now);
   }
 
+  /** Targets that were judged before this one. */
+  get targetChanges(): number {
+    return this.clearings;
+  }
+
   /** Another incarnation has started: nothing is known of it. */
   clear(): void {
+    this.clearings++;
     this.heard();
+    this.latestShare = 0;
     this.returnedOpenings = 0;
     this.failures = 0;
     this.successes = 0;
@@ -137,7 +155,13 @@
       return 1;
     }
     this.weigh(now);
-    return this.failures / (this.failures + this.successes + ASSUMED_SUCCESSES);
+    const share = this.failures / (this.failures + this.successes + ASSUMED_SUCCESSES);
+    return Math.max(share, this.repeatedFailures);
+  }
+
+  /** Share of failures among the latest few outcomes, less what a single one brings. */
+  private get repeatedFailures(): number {
+    return Math.max(0, this.latestShare - LATEST_WEIGHT) / (1 - LATEST_WEIGHT);
   }
 
   private takesNoFlows(now: number): boolean {
@@ -152,6 +176,7 @@
     const weight = Math.exp((this.weighedAt - now) / OUTCOME_TIME);
     this.failures *= weight;
     this.successes *= weight;
+    this.latestShare *= Math.exp((this.weighedAt - now) / LATEST_LIFETIME);
     this.weighedAt = now;
   }
 }
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -18,6 +18,8 @@
     busyRequests: 0,
     openFlows: 0,
     answerTime: 50,
+    answers: 20,
+    targetChanges: 0,
     coldLeft: 0,
     failurePercent: 0,
     frameVersion: 2,
