--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -83,4 +83,6 @@
   agentRegistered: event(2722, 'agent-registered', 'info'),
   agentRemoved: event(2723, 'agent-removed', 'warn'),
   targetStateChanged: event(2724, 'target-state-changed', 'info'),
+  targetSetAside: event(2725, 'target-set-aside', 'warn'),
+  targetRestored: event(2726, 'target-restored', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -1,165 +1,20 @@
-/** Chooses the agent for a new flow: the one whose target will be least loaded. */
+/** Chooses the agent for a new flow, by the rule that the settings name (docs/design/choice.md). */
 import type { AgentEntry } from './agent-directory';
-import { CANDIDATES } from './flow-candidates';
-import { TargetState, type ReportMessage } from './packet-messages';
+import { selectLeastWait } from './choice/expected-wait';
+import { selectLeastLoaded } from './choice/least-load';
+import type { Choice, SelectionContext } from './choice/selection';
 
-/**
- * Answers of a target in whose time what a report says of its queue falls to about a third of its
- * weight. Balancers that hear of an idle target all choose it: with 19 of them, one of 12 ms an
- * answer got 15 openings in 100 ms and a queue of 180 ms, at a goal of 211. Of 9,842 requests at
- * 1,230 a second before 41 such targets 386 were late without this, 321 with 40 ms, 372 with 120.
- */
-const ANSWERS_REMEMBERED = 3;
-/** Milliseconds of an answer assumed of a target that has not told it. */
-const DEFAULT_ANSWER_TIME = 50;
-/** Slots assumed for a target that has not said how many it has. */
-const DEFAULT_SLOTS = 4;
-/** Added to the load of a target in another zone: sending across zones costs. */
-const OTHER_ZONE_PENALTY = 0.15;
-/** Added while the target is slow after its start. */
-const COLD_PENALTY = 0.5;
-/** Added while no heartbeat has confirmed that the target is ready. */
-const UNKNOWN_STATE_PENALTY = 0.2;
-/** Added while the agent is not heard. */
-const SILENT_PENALTY = 5;
-
-/** Added while other balancers may not know the agent yet, and could not find its flows. */
-const SETTLING_PENALTY = 5;
-
-/** Added for a target all of whose requests fail; part of it for a part of them. */
-const FAILURE_PENALTY = 4;
-
-/** Loads closer than this count as equal; balancers then choose differently. */
-const TIE_BREAK = 0.1;
-
-/** What the choice depends on besides the agents. */
-export interface SelectionContext {
-  /** Zone of the balancer. */
-  readonly zone: string;
-  isHeard(entry: AgentEntry): boolean;
-  /** Milliseconds since an agent's latest report. */
-  ageOf(entry: AgentEntry): number;
-  /** Whether the agent is so new that other balancers may not know it. */
-  isSettling(entry: AgentEntry): boolean;
-  /** Uniform in [0, 1). */
-  random(): number;
-}
-
-/** Whether an agent may be offered a new flow. */
-export function acceptsNewFlows(entry: AgentEntry): boolean {
-  const state = entry.report?.state ?? TargetState.unknown;
-  return state === TargetState.ready || state === TargetState.unknown;
-}
-
-/** Mean number of busy requests for each open flow of a service. */
-function busyPerFlow(entries: readonly AgentEntry[]): number {
-  let busy = 0;
-  let flows = 0;
-  for (const { report } of entries) {
-    busy += report?.busyRequests ?? 0;
-    flows += report?.openFlows ?? 0;
-  }
-  return flows > 0 ? busy / flows : 0;
-}
-
-/** Milliseconds for which a report says something of the target's queue. */
-function memoryOf({ answerTime }: ReportMessage): number {
-  return ANSWERS_REMEMBERED * (answerTime || DEFAULT_ANSWER_TIME);
-}
-
-/** Mean number of busy requests at the agents that have reported. */
-function meanBusy(entries: readonly AgentEntry[]): number {
-  const reports = entries.flatMap(({ report }) => (report ? [report] : []));
-  const busy = reports.reduce((sum, { busyRequests }) => sum + busyRequests, 0);
-  return reports.length > 0 ? busy / reports.length : 0;
-}
-
-/** What the choice depends on of all agents of a service. */
-interface ServiceLoad {
-  /** Mean number of busy requests for each open flow. */
-  readonly busyPerFlow: number;
-  /** Mean number of busy requests at an agent. */
-  readonly meanBusy: number;
-  /** Part of the other balancers that choose among the same agents as this one. */
-  readonly echo: number;
-}
-
-/**
- * Busy slots to be expected at an agent's target, for each of its slots.
- *
- * Balancers see the same reports and choose alike, so each opening of this balancer that
- * no report shows yet stands for one of every balancer with the same candidates.
- */
-function expectedUse(
-  entry: AgentEntry,
-  { busyPerFlow: perFlow, echo, meanBusy }: ServiceLoad,
-  context: SelectionContext,
-): number {
-  const balancers = Math.max(1, (entry.report?.balancerCount ?? 1) * echo);
-  const openings = entry.recentOpenings.length * balancers;
-  if (!entry.report) {
-    return openings / DEFAULT_SLOTS;
-  }
-  const { busyRequests, openFlows, slots } = entry.report;
-  const weight = Math.exp(-context.ageOf(entry) / memoryOf(entry.report));
-  const queued = meanBusy + (busyRequests - meanBusy) * weight;
-  const busy = queued + openFlows * perFlow + openings;
-  return busy / (slots || DEFAULT_SLOTS);
-}
-
-/** Load of an agent's target for each of its slots, with what speaks against it; lower is better. */
-function loadOf(entry: AgentEntry, service: ServiceLoad, context: SelectionContext): number {
-  const isCold = entry.report !== undefined && entry.report.coldLeft > 0;
-  const isReady = entry.report?.state === TargetState.ready;
-  let load = expectedUse(entry, service, context);
-  load += entry.zone === context.zone ? 0 : OTHER_ZONE_PENALTY;
-  load += isCold ? COLD_PENALTY : 0;
-  load += isReady ? 0 : UNKNOWN_STATE_PENALTY;
-  load += (FAILURE_PENALTY * (entry.report?.failurePercent ?? 0)) / 100;
-  load += context.isHeard(entry) ? 0 : SILENT_PENALTY;
-  load += context.isSettling(entry) ? SETTLING_PENALTY : 0;
-  return load;
-}
-
-interface Choice {
-  readonly entry: AgentEntry;
-  readonly load: number;
-}
+export { acceptsNewFlows, type Choice, type SelectionContext } from './choice/selection';
 
 /**
- * The least loaded of the first agents that take new flows; of twice as many as long as
- * even that one has no slot free. Undefined when none takes any.
+ * The best of the first agents that take new flows, or undefined when none takes any.
  * @param ordered agents in the order that belongs to the flow
  */
 export function selectAgent(
   ordered: readonly AgentEntry[],
   context: SelectionContext,
-): AgentEntry | undefined {
-  const accepting = ordered.filter((entry) => acceptsNewFlows(entry));
-  const service: ServiceLoad = {
-    busyPerFlow: busyPerFlow(ordered),
-    meanBusy: meanBusy(accepting),
-    echo: Math.min(1, CANDIDATES / accepting.length),
-  };
-  for (let width = CANDIDATES; ; width *= 2) {
-    const choice = chooseLeastLoaded(accepting.slice(0, width), service, context);
-    if (width >= accepting.length || (choice && choice.load < 1)) {
-      return choice?.entry;
-    }
-  }
-}
-
-function chooseLeastLoaded(
-  entries: readonly AgentEntry[],
-  service: ServiceLoad,
-  context: SelectionContext,
 ): Choice | undefined {
-  let best: Choice | undefined;
-  for (const entry of entries) {
-    const load = loadOf(entry, service, context) + context.random() * TIE_BREAK;
-    if (!best || load < best.load) {
-      best = { entry, load };
-    }
-  }
-  return best;
+  return context.usesExpectedWait
+    ? selectLeastWait(ordered, context)
+    : selectLeastLoaded(ordered, context);
 }
--- /dev/null
+++ b/src/packets/choice/expected-wait.ts
@@ -0,0 +1,259 @@
+/**
+ * Chooses the agent for a new flow: of the best class that has any among the candidates, the one
+ * whose target will have answered first (docs/design/choice.md).
+ */
+import type { AgentEntry } from '../agent-directory';
+import { CANDIDATES } from '../flow-candidates';
+import { TargetState } from '../packet-messages';
+import {
+  acceptsNewFlows,
+  PlacementClass,
+  placementClassOf,
+  type Choice,
+  type PlacementClassValue,
+  type SelectionContext,
+} from './selection';
+import { answerTimeOf, outlookOf, slotsOf, type ServiceOutlook } from './service-outlook';
+
+/**
+ * Answers of a target, besides those that wait, in whose time what a report says of its queue falls
+ * to about a third: a queue that was seen is gone once it has been worked off.
+ */
+const ANSWERS_REMEMBERED = 1;
+/** Answers in whose time the weight of an opening that no report shows yet falls to a third. */
+const OPENING_ANSWERS = 2;
+/** Part of an answer's time by which equal targets are told apart at random. */
+const TIE_SHARE = 0.1;
+/**
+ * Times the service's median that an answer of a cold target takes at least, whatever its first ones
+ * took: twice keeps it for the moments in which the others have a request each waiting.
+ */
+const COLD_FACTOR = 2;
+/** Part of an answer's time added while no heartbeat has confirmed that the target is ready. */
+const UNKNOWN_STATE_SHARE = 0.2;
+/**
+ * Milliseconds that a failed request costs its client: it repeats after a timer of at least 200 ms
+ * (the least retransmission timeout in common use, below the second of RFC 6298).
+ */
+const FAILURE_COST = 200;
+/** Answers of waiting at every able target for which a doubtful one is the better choice. */
+const DOUBTFUL_ANSWERS = 5;
+const PERCENT = 100;
+
+/** One agent with what is expected of its target. */
+interface Candidate {
+  readonly entry: AgentEntry;
+  readonly placementClass: PlacementClassValue;
+  /** Milliseconds of an answer there, for each of its slots: by so much a request delays others. */
+  readonly delay: number;
+  /** Milliseconds until the answer to a request there, as of its report. */
+  readonly reportedTime: number;
+  /** Milliseconds that its failures cost the client of a request in the mean. */
+  readonly failureCost: number;
+  /** Milliseconds for which requests keep it busy that this balancer sent and no report shows yet. */
+  readonly ownTime: number;
+}
+
+/** A candidate with the milliseconds until the answer to a flow of this balancer. */
+interface Offer extends Candidate {
+  readonly time: number;
+}
+
+/**
+ * The target that answers first among the first agents that take new flows; among twice as many as
+ * long as those are worse than the service is in the mean. Undefined when none takes any.
+ * @param ordered agents in the order that belongs to the flow
+ */
+export function selectLeastWait(
+  ordered: readonly AgentEntry[],
+  context: SelectionContext,
+): Choice | undefined {
+  const accepting = ordered.filter((entry) => acceptsNewFlows(entry));
+  const outlook = outlookOf(accepting, context.openingRate);
+  const trial = findTrial(accepting.slice(0, CANDIDATES), context);
+  if (trial) {
+    return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, context), [], true, context);
+  }
+  for (let width = CANDIDATES; ; width *= 2) {
+    const offers = createOffers(accepting.slice(0, width), outlook, context);
+    const best = chooseOffer(offers, outlook, context);
+    if (width >= accepting.length || (best && isGoodEnough(best, outlook))) {
+      return best && choiceOf(best, offers, false, context);
+    }
+  }
+}
+
+function findTrial(
+  entries: readonly AgentEntry[],
+  context: SelectionContext,
+): AgentEntry | undefined {
+  return entries.find((entry) => {
+    const standing = context.standingOf(entry);
+    return standing.kind === 'setAside' && standing.isTrialDue && context.isHeard(entry);
+  });
+}
+
+/** Whether more candidates would most likely bring nothing better. */
+function isGoodEnough({ placementClass, time }: Offer, outlook: ServiceOutlook): boolean {
+  const { answerTime, meanWait } = outlook;
+  return (
+    placementClass === PlacementClass.able && time <= answerTime + Math.max(answerTime, meanWait)
+  );
+}
+
+function createOffers(
+  entries: readonly AgentEntry[],
+  outlook: ServiceOutlook,
+  context: SelectionContext,
+): Offer[] {
+  const candidates = entries.map((entry) => candidateOf(entry, outlook, context));
+  return Object.values(PlacementClass).flatMap((wanted) => {
+    const ofClass = candidates.filter(({ placementClass }) => placementClass === wanted);
+    const level = levelOf(ofClass, outlook);
+    return ofClass.map((candidate) => offerOf(candidate, level, context));
+  });
+}
+
+function candidateOf(
+  entry: AgentEntry,
+  outlook: ServiceOutlook,
+  context: SelectionContext,
+): Candidate {
+  const { report } = entry;
+  const coldTime = (report?.coldLeft ?? 0) > 0 ? outlook.answerTime * COLD_FACTOR : 0;
+  const answerTime = Math.max(coldTime, answerTimeOf(entry, outlook));
+  const delay = answerTime / slotsOf(entry);
+  const wait = delay * requestsAheadOf(entry, answerTime, outlook, context);
+  const doubt = report?.state === TargetState.ready ? 0 : answerTime * UNKNOWN_STATE_SHARE;
+  const failureCost = (FAILURE_COST * (report?.failurePercent ?? 0)) / PERCENT;
+  return {
+    entry,
+    placementClass: placementClassOf(entry, context),
+    delay,
+    reportedTime: answerTime + wait + doubt,
+    failureCost,
+    ownTime: delay * countOwnRequests(entry, answerTime, context.now),
+  };
+}
+
+/**
+ * Requests to be expected at a target as of its report, without those that other balancers have
+ * sent since. The older the report, the nearer to what its open flows bring in the mean; where a
+ * flow lasts for one request, those have ended as well and the service's mean is left.
+ */
+function requestsAheadOf(
+  entry: AgentEntry,
+  answerTime: number,
+  { meanBusy, meanFlows, flowTime }: ServiceOutlook,
+  context: SelectionContext,
+): number {
+  const { report } = entry;
+  if (!report) {
+    return meanBusy;
+  }
+  const age = context.ageOf(entry);
+  const queue = Math.max(report.busyRequests, meanBusy) / slotsOf(entry);
+  const seen = Math.exp(-age / (answerTime * (ANSWERS_REMEMBERED + queue)));
+  const busyPerFlow = meanFlows > 0 ? meanBusy / meanFlows : 0;
+  const extraFlows = (report.openFlows - meanFlows) * Math.exp(-age / Math.max(1, flowTime));
+  const lasting = Math.max(0, meanBusy + extraFlows * busyPerFlow);
+  return report.busyRequests * seen + lasting * (1 - seen);
+}
+
+/** Requests of this balancer that no report shows yet and that are not answered by now. */
+function countOwnRequests(entry: AgentEntry, answerTime: number, now: number): number {
+  let sum = 0;
+  for (const at of entry.recentOpenings) {
+    sum += Math.exp(-Math.max(0, now - at) / (OPENING_ANSWERS * answerTime));
+  }
+  return sum;
+}
+
+/**
+ * Milliseconds until an answer up to which other balancers have filled the best targets since the
+ * reports that all of them have seen. They choose as this one does, so its own openings of late tell
+ * how many theirs are, and they go first to where a report shows room: a target that is reported
+ * idle is so only for the first of them.
+ */
+function levelOf(candidates: readonly Candidate[], { balancers }: ServiceOutlook): number {
+  const filling = [...candidates].sort((one, other) => timeOf(one) - timeOf(other));
+  let left = 0;
+  for (const { delay, ownTime } of filling) {
+    left += (ownTime / delay) * (balancers - 1);
+  }
+  let level = 0;
+  /** Requests that raise the level by a millisecond. */
+  let width = 0;
+  for (const candidate of filling) {
+    const needed = (timeOf(candidate) - level) * width;
+    if (needed >= left) {
+      break;
+    }
+    left -= needed;
+    level = timeOf(candidate);
+    width += 1 / candidate.delay;
+  }
+  return width > 0 ? level + left / width : 0;
+}
+
+/** Milliseconds by which every balancer compares a candidate, each with its own costs besides. */
+function timeOf({ reportedTime, failureCost }: Candidate): number {
+  return reportedTime + failureCost;
+}
+
+function offerOf(candidate: Candidate, level: number, context: SelectionContext): Offer {
+  const { entry, reportedTime, failureCost, ownTime } = candidate;
+  const answeredAfter = Math.max(reportedTime, level) + ownTime;
+  return { ...candidate, time: answeredAfter + failureCost + context.transferCost(entry) };
+}
+
+/** The best of the best class; a doubtful one where every able one makes flows wait too long. */
+function chooseOffer(
+  offers: readonly Offer[],
+  outlook: ServiceOutlook,
+  context: SelectionContext,
+): Offer | undefined {
+  const window = outlook.answerTime * TIE_SHARE;
+  const able = chooseOfClass(offers, PlacementClass.able, window, context);
+  const doubtful = chooseOfClass(offers, PlacementClass.doubtful, window, context);
+  const patience = outlook.answerTime * DOUBTFUL_ANSWERS;
+  if (able && doubtful && able.time > doubtful.time + patience) {
+    return doubtful;
+  }
+  return able ?? doubtful ?? chooseOfClass(offers, PlacementClass.lastResort, window, context);
+}
+
+/** @param window milliseconds by which balancers that know the same tell equal offers apart */
+function chooseOfClass(
+  offers: readonly Offer[],
+  wanted: PlacementClassValue,
+  window: number,
+  context: SelectionContext,
+): Offer | undefined {
+  let best: Offer | undefined;
+  let bestTime = Infinity;
+  for (const offer of offers) {
+    if (offer.placementClass !== wanted) {
+      continue;
+    }
+    const time = offer.time + context.random() * window;
+    if (time < bestTime) {
+      best = offer;
+      bestTime = time;
+    }
+  }
+  return best;
+}
+
+function choiceOf(
+  { entry, placementClass, time }: Offer,
+  offers: readonly Offer[],
+  isTrial: boolean,
+  { zone }: SelectionContext,
+): Choice {
+  const home = offers.filter(
+    (one) => one.entry.zone === zone && one.placementClass <= placementClass,
+  );
+  const bestAtHome = home.length > 0 ? Math.min(...home.map((one) => one.time)) : undefined;
+  return { entry, placementClass, isTrial, expectedTime: time, bestAtHome };
+}
--- /dev/null
+++ b/src/packets/choice/service-outlook.ts
@@ -0,0 +1,93 @@
+/** What the reports of all agents of a service say together, by which each of them is judged. */
+import type { AgentEntry } from '../agent-directory';
+import type { ReportMessage } from '../packet-messages';
+
+/** Milliseconds of an answer assumed where no target has told it. */
+const DEFAULT_ANSWER_TIME = 50;
+/** Slots assumed for a target that has not said how many it has. */
+const DEFAULT_SLOTS = 4;
+/**
+ * Answers of a target for which the service's own figure counts beside them: one answer that takes
+ * long moves the estimate half of the way.
+ */
+const ASSUMED_ANSWERS = 1;
+/**
+ * Times the median within which targets count as equally fast. All balancers hear the same figures,
+ * so each would send its flows to whichever target has lately had some easy requests.
+ */
+const EQUAL_FACTOR = 1.5;
+
+/** The state of one service as this balancer knows it. */
+export interface ServiceOutlook {
+  /** Median time of an answer, in milliseconds. */
+  readonly answerTime: number;
+  /** Mean number of requests at an agent, waiting ones included. */
+  readonly meanBusy: number;
+  /** Milliseconds that a request waits in the mean. */
+  readonly meanWait: number;
+  /** Mean number of open flows at an agent. */
+  readonly meanFlows: number;
+  /** Milliseconds for which a flow stays open in the mean; infinite while no openings are known. */
+  readonly flowTime: number;
+  /** Balancers that agents report to, this one included. */
+  readonly balancers: number;
+}
+
+/**
+ * The outlook by the reports of some agents that take new flows.
+ * @param openingRate new flows that this balancer places with them in a millisecond
+ */
+export function outlookOf(entries: readonly AgentEntry[], openingRate: number): ServiceOutlook {
+  const reports = entries.flatMap(({ report }) => (report ? [report] : []));
+  let busy = 0;
+  let flows = 0;
+  let slots = 0;
+  let balancers = 1;
+  for (const { busyRequests, openFlows, balancerCount, slots: own } of reports) {
+    busy += busyRequests;
+    slots += own || DEFAULT_SLOTS;
+    flows += openFlows;
+    balancers = Math.max(balancers, balancerCount);
+  }
+  const agents = Math.max(1, reports.length);
+  const answerTime = medianOf(answerTimesOf(reports)) ?? DEFAULT_ANSWER_TIME;
+  return {
+    answerTime,
+    meanWait: slots > 0 ? (busy / slots) * answerTime : 0,
+    meanBusy: busy / agents,
+    meanFlows: flows / agents,
+    // Little's law: as many are open as begin in the time for which one stays open.
+    flowTime: openingRate > 0 ? flows / (openingRate * balancers) : Infinity,
+    balancers,
+  };
+}
+
+/**
+ * Milliseconds of an answer at one target: the fewer answers it has given of late, the more the
+ * service's median counts. So a slow target that gets no flows is tried again after a while.
+ */
+export function answerTimeOf(entry: AgentEntry, outlook: ServiceOutlook): number {
+  const answers = entry.report?.answers ?? 0;
+  const told = entry.report?.answerTime ?? 0;
+  const sum = answers * told + ASSUMED_ANSWERS * outlook.answerTime;
+  const expected = sum / (answers + ASSUMED_ANSWERS);
+  const ratio = expected / outlook.answerTime;
+  return ratio < EQUAL_FACTOR && ratio > 1 / EQUAL_FACTOR ? outlook.answerTime : expected;
+}
+
+/** Requests that a target works on at a time. */
+export function slotsOf(entry: AgentEntry): number {
+  return entry.report?.slots || DEFAULT_SLOTS;
+}
+
+/** The times of an answer that targets have told by answers of their own. */
+function answerTimesOf(reports: readonly ReportMessage[]): number[] {
+  const told = reports.filter(({ answers, answerTime }) => answers > 0 && answerTime > 0);
+  return told.map(({ answerTime }) => answerTime);
+}
+
+/** The lower median, so that half of a service is never judged by its worse half. */
+export function medianOf(values: readonly number[]): number | undefined {
+  const sorted = Float64Array.from(values).sort();
+  return sorted[Math.floor((sorted.length - 1) / 2)];
+}
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -3,7 +3,11 @@
 import type { Environment } from '../environment';
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
-import { selectAgent, type SelectionContext } from './agent-selection';
+import { selectAgent, type Choice, type SelectionContext } from './agent-selection';
+import { DEFAULT_CHOICE, type ChoiceSettings } from './choice/choice-settings';
+import { OpeningRates } from './choice/opening-rates';
+import { PlacementClass } from './choice/selection';
+import { SetAsideTargets } from './choice/set-aside-targets';
 import type { FlowCache } from './flow-cache';
 import { orderCandidates } from './flow-candidates';
 import type { FlowPacket } from './flow-packet';
@@ -12,6 +16,12 @@
 import { servicesOf, type Route } from './routing-table';
 import { ServiceRotation } from './service-rotation';
 
+/**
+ * Milliseconds that a flow to another zone costs while nobody measures it: a few kilometres there
+ * and back, and less than the wait for any answer.
+ */
+const OTHER_ZONE_COST = 2;
+
 /** What the placement works with. */
 export interface FlowPlacementDependencies {
   readonly environment: Environment;
@@ -20,6 +30,8 @@
   readonly cache: FlowCache;
   readonly searches: FlowSearches;
   readonly outlet: PacketOutlet;
+  /** How agents are chosen; `DEFAULT_CHOICE` when undefined. */
+  readonly choice?: ChoiceSettings;
   /** Whether a zone is out of service. */
   isEvacuated(zone: string): boolean;
 }
@@ -28,7 +40,26 @@
 export class FlowPlacement {
   private readonly rotation = new ServiceRotation();
 
-  constructor(private readonly dependencies: FlowPlacementDependencies) {}
+  private readonly openings = new OpeningRates();
+  private readonly choice: ChoiceSettings;
+  private readonly setAside: SetAsideTargets;
+
+  constructor(private readonly dependencies: FlowPlacementDependencies) {
+    const { choice = DEFAULT_CHOICE, directory, environment } = dependencies;
+    this.choice = choice;
+    const share = choice.expectedWait ? choice.setAsideShare : 0;
+    this.setAside = new SetAsideTargets({ environment, directory, share });
+  }
+
+  /** Targets that get no flows but trials, since they are far worse than their services. */
+  get agentsSetAside(): number {
+    return this.setAside.count;
+  }
+
+  /** Drops what is too old to matter. */
+  expire(now: number): void {
+    this.setAside.expire(now);
+  }
 
   /** A new routing table is in force: shares begin anew. */
   reset(): void {
@@ -70,12 +101,16 @@
       .filter(({ zone, limitedUntil }) => !isEvacuated(zone) && limitedUntil <= now);
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
     const ordered = orderCandidates(packet.flow, untried, this.dependencies.zone);
-    const chosen = selectAgent(ordered, this.selectionContext(now));
-    if (!chosen) {
+    search.services.forEach((one) => this.setAside.review(one, now));
+    const choice = selectAgent(ordered, this.selectionContext(packet, search, now));
+    if (!choice) {
       this.refuse(packet, search, candidates);
       return;
     }
+    const { entry: chosen } = choice;
+    this.count(choice, now);
     chosen.recentOpenings.push(now);
+    this.openings.note(chosen.service, now);
     cache.noteOpening(packet.flow, chosen.address, service!, now);
     outlet.counters.flowsPlaced++;
     outlet.report(Events.flowPlaced, packet, {
@@ -86,6 +121,8 @@
       busy: chosen.report?.busyRequests,
       flows: chosen.report?.openFlows,
       failing: chosen.report?.failurePercent,
+      expected: Math.round(choice.expectedTime),
+      class: choice.placementClass,
       reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
     });
     outlet.deliver(packet, search.services, chosen.address, search.id);
@@ -108,10 +145,27 @@
     }
   }
 
-  private selectionContext(now: number): SelectionContext {
+  private count({ entry, isTrial, placementClass }: Choice, now: number): void {
+    const { counters } = this.dependencies.outlet;
+    if (isTrial) {
+      counters.trialFlows++;
+      this.setAside.noteTrial(entry, now);
+      return;
+    }
+    counters.flowsPlacedDoubtful += placementClass === PlacementClass.doubtful ? 1 : 0;
+    counters.flowsPlacedLastResort += placementClass === PlacementClass.lastResort ? 1 : 0;
+  }
+
+  private selectionContext(packet: FlowPacket, search: FlowSearch, now: number): SelectionContext {
+    const isTrialFlow = isFitForTrial(packet, search);
     const { directory, environment, zone } = this.dependencies;
     return {
       zone,
+      now,
+      openingRate: this.openings.rate(search.services[0]!, now),
+      usesExpectedWait: this.choice.expectedWait,
+      transferCost: (entry) => (entry.zone === zone ? 0 : OTHER_ZONE_COST),
+      standingOf: (entry) => this.setAside.standingOf(entry, isTrialFlow, now),
       ageOf: (entry) => now - (entry.heardAt ?? now),
       isHeard: (entry) => directory.isHeard(entry, now),
       isSettling: (entry) => directory.isSettling(entry, now),
@@ -119,3 +173,8 @@
     };
   }
 }
+
+/** Whether a flow may be used for a trial: its request may be repeated and it has lost no time yet. */
+function isFitForTrial({ openingCopy }: FlowPacket, { refusedBy, route }: FlowSearch): boolean {
+  return route.isRepeatable === true && openingCopy === 0 && refusedBy.size === 0;
+}
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -7,6 +7,7 @@
  */
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
+import type { ChoiceSettings } from './choice/choice-settings';
 import type { FlowCache } from './flow-cache';
 import type { FlowKey, FlowPacket } from './flow-packet';
 import { FlowPlacement } from './flow-placement';
@@ -32,6 +33,8 @@
   /** Milliseconds that a search for the holder of a flow has. */
   readonly locateTimeout: number;
   readonly cache: FlowCache;
+  /** How agents are chosen; `DEFAULT_CHOICE` when undefined. */
+  readonly choice?: ChoiceSettings;
   /** Whether a zone is out of service: none of its targets gets new flows. */
   isEvacuated(zone: string): boolean;
 }
@@ -56,6 +59,11 @@
     return this.outlet.counters;
   }
 
+  /** Targets that get no flows but trials, since they are far worse than their services. */
+  get agentsSetAside(): number {
+    return this.placement.agentsSetAside;
+  }
+
   /** Puts a routing table in force. */
   apply(table: RoutingTable): void {
     this.routes = new Map(table.routes.map((route) => [route.destination, route]));
@@ -180,6 +188,7 @@
     this.searches.expire(now);
     this.outlet.expire(now);
     this.holders.expire(now);
+    this.placement.expire(now);
     this.dependencies.cache.expire(now);
   }
 
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -1,6 +1,7 @@
 /** Settings, needs and figures of a packet balancer. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
 import type { AgentRegistryPort, CollectionPort, StoreProbePort } from './collection-port';
+import type { ChoiceSettings } from './choice/choice-settings';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
 import type { SnapshotPort } from './peer-exchange';
@@ -25,6 +26,8 @@
   readonly applyTime: number;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** How agents are chosen for new flows; `DEFAULT_CHOICE` when undefined. */
+  readonly choice?: ChoiceSettings;
 }
 
 /** What a packet balancer needs from its process. */
@@ -58,6 +61,8 @@
   readonly registryRevision: number;
   /** Zones out of service. */
   readonly zonesEvacuated: number;
+  /** Targets that get no flows but trials, since they are far worse than their services. */
+  readonly agentsSetAside: number;
   /** Calls made to register or remove agents on their behalf. */
   readonly registryCalls: number;
 }
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -17,6 +17,12 @@
   packetsWithoutRoute: number;
   packetsDropped: number;
   flowsPlaced: number;
+  /** Placed at a target of which too little is known; part of `flowsPlaced`, as the next two. */
+  flowsPlacedDoubtful: number;
+  /** Placed at a target that is silent or set aside, as nothing better took them. */
+  flowsPlacedLastResort: number;
+  /** Placed at a target that is set aside, to see how it does. */
+  trialFlows: number;
   flowsFound: number;
   searchesStarted: number;
   resetsSent: number;
@@ -44,6 +50,9 @@
     packetsWithoutRoute: 0,
     packetsDropped: 0,
     flowsPlaced: 0,
+    flowsPlacedDoubtful: 0,
+    flowsPlacedLastResort: 0,
+    trialFlows: 0,
     flowsFound: 0,
     searchesStarted: 0,
     resetsSent: 0,
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from '../environment';
 import { failure, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
+import { DEFAULT_CHOICE, type ChoiceSettings } from './choice/choice-settings';
 import type { ColdLimitSettings } from './cold-limit';
 
 const DEFAULT_FLOW_LIFETIME = 60_000;
@@ -12,6 +13,8 @@
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
+/** Percent of a service's targets: with more than half aside, the rest is no measure for them. */
+const HIGHEST_SHARE = 50;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -51,6 +54,8 @@
    * a deployment that evacuates no zones, whose balancers then make no calls for it.
    */
   readonly evacuateTime: number | undefined;
+  /** How agents are chosen for new flows (balancer). */
+  readonly choice: ChoiceSettings;
   /** Processors that this process may use; may be a part of one. */
   readonly capacity: number;
   /** Megabits a second that the machine's link carries. */
@@ -128,6 +133,15 @@
     return value;
   }
 
+  /** A whole number from 0 to a highest one. */
+  countUpTo(key: string, highest: number, fallback: number): number {
+    const value = this.optionalCount(key) ?? fallback;
+    if (value > highest) {
+      this.problems.push(`${key}: must be ${highest} at most`);
+    }
+    return value;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -202,6 +216,7 @@
     stopTime: reader.positive('stopTime', DEFAULT_STOP_TIME),
     applyTime: reader.positive('applyTime', DEFAULT_APPLY_TIME),
     evacuateTime: reader.optionalPositive('evacuateTime'),
+    choice: readChoice(reader),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
     metrics: reader.optionalText('metrics'),
@@ -217,6 +232,14 @@
   return { overshoot, slack: slack ?? 0 };
 }
 
+function readChoice(reader: SettingsReader): ChoiceSettings {
+  const { expectedWait, setAsideShare } = DEFAULT_CHOICE;
+  return {
+    expectedWait: reader.countUpTo('expectedWait', 1, expectedWait ? 1 : 0) === 1,
+    setAsideShare: reader.countUpTo('setAsideShare', HIGHEST_SHARE, setAsideShare),
+  };
+}
+
 /** Keys whose values differ between two settings. */
 export function changedKeys(before: PacketSettings, after: PacketSettings): string[] {
   const keys = Object.keys(after) as (keyof PacketSettings)[];
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -56,6 +56,7 @@
     complete: viewComplete ? 1 : 0,
     // Beside the table, whose form earlier versions check.
     profiles: packServiceProfiles(routingTable?.profiles ?? []),
+    repeatable: listRepeatable(routingTable?.routes ?? []),
     agents: packListedAgents(agents),
     registryRevision,
   };
@@ -72,9 +73,10 @@
 }
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
-  const { table, complete, profiles, agents, registryRevision } = document;
+  const { table, complete, profiles, repeatable, agents, registryRevision } = document;
+  const positions = listOf(integer)(repeatable ?? []);
   return {
-    routingTable: table === null ? undefined : unpackTable(table, profiles ?? []),
+    routingTable: table === null ? undefined : unpackTable(table, profiles ?? [], positions),
     viewComplete: oneOf(0, 1)(complete) === 1,
     agents: listOf(unpackListedAgent)(agents),
     registryRevision: integer(registryRevision ?? 0),
@@ -90,12 +92,24 @@
   return [table.version, table.idleTimeout, routes];
 }
 
-function unpackTable(value: unknown, profiles: unknown): RoutingTable {
+/** Positions of the routes whose requests may be repeated. */
+function listRepeatable(routes: readonly Route[]): number[] {
+  return routes.flatMap(({ isRepeatable }, position) => (isRepeatable ? [position] : []));
+}
+
+function unpackTable(
+  value: unknown,
+  profiles: unknown,
+  repeatable: readonly number[],
+): RoutingTable {
   const [version, idleTimeout, routes] = tuple(value, 3);
+  const isRepeatable = new Set(repeatable);
   return {
     version: integer(version),
     idleTimeout: positive(idleTimeout),
-    routes: listOf(unpackRoute)(routes),
+    routes: listOf(unpackRoute)(routes).map((route, position) =>
+      isRepeatable.has(position) ? { ...route, isRepeatable: true } : route,
+    ),
     profiles: unpackServiceProfiles(profiles),
   };
 }
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -14,6 +14,8 @@
   readonly destination: Endpoint;
   /** At least one. */
   readonly services: readonly WeightedService[];
+  /** Whether a request that fails may be sent again without harm; false while unknown. */
+  readonly isRepeatable?: boolean;
 }
 
 /** What agents go by of the service of their targets. */
--- /dev/null
+++ b/test/expected-wait.test.ts
@@ -0,0 +1,318 @@
+/** The choice of an agent by the expected time of its answer, and what agents report for it. */
+import test from 'ava';
+import { AgentDirectory, type AgentEntry } from '../src/packets/agent-directory';
+import { selectAgent } from '../src/packets/agent-selection';
+import { OpeningRates } from '../src/packets/choice/opening-rates';
+import { ReportAlarm } from '../src/packets/choice/report-alarm';
+import {
+  PlacementClass,
+  type Choice,
+  type SelectionContext,
+} from '../src/packets/choice/selection';
+import { WorkClock } from '../src/packets/choice/work-clock';
+import { TargetState, type ReportMessage } from '../src/packets/packet-messages';
+import { checkPacketSettings } from '../src/packets/packet-settings';
+import { ServiceTime } from '../src/packets/service-time';
+import { TargetHealth } from '../src/packets/target-health';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { createReport } from './support/reports';
+import { createSelectionContext } from './support/selection-context';
+
+const ANSWER_TIME = 20;
+
+/** Agents of one-slot targets, each with some fields of its report replaced. */
+function createAgents(reports: readonly Partial<ReportMessage>[]): AgentEntry[] {
+  const directory = new AgentDirectory();
+  return reports.map((fields, address) => {
+    const report = createReport({ slots: 1, answerTime: ANSWER_TIME, ...fields });
+    return directory.hear(address + 1, report, 0)!;
+  });
+}
+
+/** Places flows, each half an answer of a target after the one before, and counts them by target. */
+function placeFlows(
+  entries: readonly AgentEntry[],
+  flows: number,
+  fields: Partial<SelectionContext> = {},
+): number[] {
+  const random = new SeededRandom(3);
+  const counts = entries.map(() => 0);
+  for (let flow = 0; flow < flows; flow++) {
+    const now = (flow * ANSWER_TIME) / 2;
+    const context = createSelectionContext({ now, random: () => random.next(), ...fields });
+    const { entry } = selectAgent(entries, context)!;
+    entry.recentOpenings.push(now);
+    counts[entries.indexOf(entry)]!++;
+  }
+  return counts;
+}
+
+test('a target known to fail gets next to nothing, also while the others are busy', (t) => {
+  const busy = { busyRequests: 3, balancerCount: 20 };
+  const failing = { busyRequests: 0, failurePercent: 86, balancerCount: 20 };
+  const entries = createAgents([failing, ...Array.from({ length: 9 }, () => busy)]);
+  const [atFailing] = placeFlows(entries, 100);
+  t.true(atFailing! <= 2, `${atFailing} of 100 flows`);
+});
+
+test('a slow target gets its share by time, not by number', (t) => {
+  const entries = createAgents([{ answerTime: 2.5 * ANSWER_TIME }, {}, {}, {}]);
+  // Two flows in an answer's time for each quick target: they queue there.
+  const counts = placeFlows(entries, 400, { random: () => 0 });
+  t.true(counts[0]! < counts[1]! / 2, counts.join(', '));
+  const { entry, expectedTime } = selectAgent(
+    createAgents([{ answerTime: 6 * ANSWER_TIME }, { busyRequests: 2 }]),
+    createSelectionContext(),
+  )!;
+  t.is(entry.address, 2, 'two requests ahead at a quick target are sooner done');
+  t.true(expectedTime > 2 * ANSWER_TIME && expectedTime < 6 * ANSWER_TIME);
+});
+
+test('chance in the times of targets moves no flows: all balancers hear the same figures', (t) => {
+  const entries = createAgents([{ answerTime: 15 }, {}, {}, { answerTime: 25 }]);
+  const counts = placeFlows(entries, 400);
+  t.true(Math.min(...counts) > 60, counts.join(', '));
+});
+
+test('a service that is slow or fails as a whole goes on getting flows everywhere', (t) => {
+  const slow = createAgents(Array.from({ length: 4 }, () => ({ answerTime: 6 * ANSWER_TIME })));
+  const failing = createAgents(Array.from({ length: 4 }, () => ({ failurePercent: 90 })));
+  for (const entries of [slow, failing]) {
+    const counts = placeFlows(entries, 200);
+    t.true(Math.min(...counts) > 20, counts.join(', '));
+  }
+});
+
+test('classes go before times: silent and set-aside targets come last, whoever else is busy', (t) => {
+  const [silent, aside, settling, busy] = createAgents([{}, {}, {}, { busyRequests: 3 }]);
+  const context = createSelectionContext({
+    isHeard: (entry) => entry !== silent,
+    isSettling: (entry) => entry === settling,
+    standingOf: (entry) =>
+      entry === aside ? { kind: 'setAside', isTrialDue: false } : { kind: 'usual' },
+  });
+  const choose = (...entries: AgentEntry[]): Choice | undefined => selectAgent(entries, context);
+  t.is(choose(silent!, aside!, settling!, busy!)?.entry, busy);
+  t.is(choose(silent!, aside!, settling!)?.entry, settling);
+  t.is(choose(silent!, aside!, settling!)?.placementClass, PlacementClass.doubtful);
+  t.is(choose(silent!, aside!)?.placementClass, PlacementClass.lastResort);
+});
+
+test('a doubtful target helps out where all others make flows wait for long', (t) => {
+  const busy = { busyRequests: 9 };
+  const entries = createAgents([{}, busy, busy, busy]);
+  const context = createSelectionContext({ isSettling: (entry) => entry === entries[0] });
+  t.is(selectAgent(entries, context)?.entry, entries[0]);
+});
+
+test('candidates are widened before a worse class is taken', (t) => {
+  const entries = createAgents(Array.from({ length: 25 }, () => ({})));
+  const isHeard = (entry: AgentEntry): boolean => entry === entries[24];
+  t.is(selectAgent(entries, createSelectionContext({ isHeard }))?.entry, entries[24]);
+});
+
+test('with a zone silent its targets get nothing; with all silent they get all', (t) => {
+  const entries = createAgents([{ zone: 'south' }, { zone: 'south' }, { busyRequests: 2 }, {}]);
+  const isHeard = ({ zone }: AgentEntry): boolean => zone === 'north';
+  const counts = placeFlows(entries, 100, { isHeard });
+  t.deepEqual(counts.slice(0, 2), [0, 0]);
+  t.truthy(selectAgent(entries, createSelectionContext({ isHeard: () => false })));
+});
+
+test('an agent whose target looks idle while it works is found out by its age and openings', (t) => {
+  const entries = createAgents([
+    { busyRequests: 0, balancerCount: 20 },
+    ...Array.from({ length: 9 }, () => ({ busyRequests: 1, balancerCount: 20 })),
+  ]);
+  const counts = placeFlows(entries, 100);
+  t.true(counts[0]! <= 20, counts.join(', '));
+});
+
+test('old agents that count no answers go by the median of the others, or by an assumption', (t) => {
+  const withMedian = createAgents([{ answers: 0, answerTime: 300 }, {}, {}]);
+  t.true(Math.min(...placeFlows(withMedian, 90)) > 15);
+  const untold = createAgents([
+    { answers: 0, answerTime: 0 },
+    { answers: 0, answerTime: 0 },
+  ]);
+  t.is(selectAgent(untold, createSelectionContext())?.expectedTime, 50);
+});
+
+test('a slow target that has given no answers for a while is tried again', (t) => {
+  const [slow, forgotten] = createAgents([
+    { answerTime: 6 * ANSWER_TIME },
+    { answerTime: 6 * ANSWER_TIME, answers: 0 },
+    {},
+    {},
+  ]);
+  const others = createAgents([{}, {}, {}]);
+  const timeOf = (entry: AgentEntry): number => {
+    const isHeard = (one: AgentEntry): boolean => one === entry;
+    return selectAgent([entry, ...others], createSelectionContext({ isHeard }))!.expectedTime;
+  };
+  t.is(timeOf(slow!) > 4 * ANSWER_TIME, true);
+  t.is(timeOf(forgotten!), ANSWER_TIME);
+});
+
+test('cold targets come second, and take all where all are cold', (t) => {
+  const [cold, warm] = createAgents([{ coldLeft: 900 }, {}]);
+  t.is(selectAgent([cold!, warm!], createSelectionContext())?.entry, warm);
+  const released = createAgents(Array.from({ length: 4 }, () => ({ coldLeft: 900 })));
+  t.true(Math.min(...placeFlows(released, 100)) > 10);
+});
+
+test('after agents have restarted, those that know their target again do not draw all', (t) => {
+  const unknown = { state: TargetState.unknown };
+  const entries = createAgents([{ balancerCount: 20 }, unknown, unknown, unknown, unknown]);
+  const counts = placeFlows(entries, 100);
+  t.true(counts[0]! < 40, counts.join(', '));
+});
+
+test('where flows last, those that are open count beyond the age of a report', (t) => {
+  const [many, few] = createAgents([
+    { openFlows: 40, busyRequests: 2, slots: 4 },
+    { openFlows: 4, busyRequests: 2, slots: 4 },
+  ]);
+  const late = { ageOf: () => 500 };
+  const lasting = createSelectionContext({ ...late, openingRate: 0.001 });
+  t.is(selectAgent([many!, few!], lasting)?.entry, few);
+  // A flow for each request: what was open half a second ago is closed.
+  const passing = createSelectionContext({ ...late, openingRate: 2 });
+  const one = selectAgent([many!, few!], passing)!;
+  const other = selectAgent([few!, many!], passing)!;
+  t.true(Math.abs(one.expectedTime - other.expectedTime) < 0.1);
+});
+
+test('the best of the home zone is told beside the choice', (t) => {
+  const entries = createAgents([{ zone: 'south' }, { busyRequests: 4 }, { busyRequests: 6 }]);
+  const choice = selectAgent(entries, createSelectionContext())!;
+  t.is(choice.entry, entries[0]);
+  t.true(choice.bestAtHome! > choice.expectedTime);
+  t.is(selectAgent([entries[0]!], createSelectionContext())?.bestAtHome, undefined);
+});
+
+test('a transfer that costs more than the wait at home keeps a flow at home', (t) => {
+  const entries = createAgents([{ zone: 'south' }, { busyRequests: 2 }]);
+  const costly = createSelectionContext({
+    transferCost: ({ zone }) => (zone === 'south' ? 90 : 0),
+  });
+  t.is(selectAgent(entries, costly)?.entry, entries[1]);
+});
+
+test('a report follows a sixfold slowing within five answers, and its end', (t) => {
+  const time = new ServiceTime();
+  const random = new SeededRandom(1);
+  let steadiest = 0;
+  for (let answer = 0; answer < 500; answer++) {
+    time.answered(random.between(10, 30), answer * 40);
+    steadiest = answer < 20 ? 0 : Math.max(steadiest, Math.abs(time.answerTime - 20));
+  }
+  t.true(steadiest < 10, `normal spread moves the mean by ${steadiest} ms`);
+  for (let answer = 0; answer < 5; answer++) {
+    time.answered(120, 20_000 + answer);
+  }
+  t.true(time.answerTime > 80, `${time.answerTime}`);
+  t.is(Math.round(time.answersAt(20_005)) > 3, true);
+  t.true(time.answersAt(40_000) < 0.5, 'answers of long ago count for little');
+  for (let answer = 0; answer < 8; answer++) {
+    time.answered(20, 40_000 + answer);
+  }
+  t.true(time.answerTime < 40, `${time.answerTime}`);
+});
+
+test('the first answers replace the assumed time; a request under way tells before it ends', (t) => {
+  const time = new ServiceTime();
+  t.is(time.expectedTime(400), 50, 'nothing to compare with');
+  time.answered(12, 0);
+  t.is(time.answerTime, 12);
+  t.is(time.expectedTime(20), 12, 'within the normal spread');
+  t.is(time.expectedTime(90), 90);
+  time.clear();
+  t.is(time.answerTime, 50);
+  t.is(time.answersAt(0), 0);
+});
+
+test('time that a request waits inside its target is no work', (t) => {
+  const clock = new WorkClock<string>(() => 1);
+  clock.begin('first', 0);
+  clock.begin('second', 5);
+  clock.begin('third', 6);
+  t.is(clock.workTime('second', 10), undefined);
+  t.is(clock.longestWork(15), 15);
+  clock.end('first', 20);
+  t.is(clock.workTime('second', 45), 25);
+  clock.end('third', 46);
+  clock.end('second', 50);
+  t.is(clock.longestWork(60), 0);
+  const unknown = new WorkClock<string>(() => 0);
+  unknown.begin('first', 0);
+  unknown.begin('second', 1);
+  t.is(unknown.workTime('second', 10), 9, 'slots are not known: all are worked on');
+});
+
+test('failures in a row tell soon after a thousand successes; a single one is no verdict', (t) => {
+  const health = new TargetHealth();
+  for (let request = 0; request < 1_000; request++) {
+    health.requestEnded(true, request);
+  }
+  health.requestEnded(false, 1_000);
+  t.true(health.failureShare(1_000) < 0.02);
+  for (let request = 0; request < 4; request++) {
+    health.requestEnded(false, 1_000);
+  }
+  t.true(health.failureShare(1_000) > 0.5, `${health.failureShare(1_000)}`);
+  for (let request = 0; request < 6; request++) {
+    health.requestEnded(true, 1_000);
+  }
+  t.true(health.failureShare(1_000) < 0.05);
+  health.clear();
+  t.is(health.failureShare(1_000), 0);
+  t.is(health.targetChanges, 1);
+});
+
+test('an agent tells at once that its target has become worse, and not again for a while', (t) => {
+  const alarm = new ReportAlarm();
+  const well = { answerTime: 20, answers: 9, failurePercent: 0 };
+  t.false(alarm.isDue(well, 0));
+  t.true(alarm.isDue({ ...well, failurePercent: 36 }, 10));
+  t.false(alarm.isDue({ ...well, failurePercent: 90 }, 20), 'a quarter of a second has not passed');
+  t.true(alarm.isDue({ ...well, failurePercent: 90 }, 300));
+  t.false(alarm.isDue({ ...well, failurePercent: 92 }, 900), 'told before');
+  t.false(alarm.isDue(well, 1_000), 'better can wait');
+  t.true(alarm.isDue({ ...well, answerTime: 60 }, 2_000));
+  const first = new ReportAlarm();
+  t.false(first.isDue({ answerTime: 50, answers: 0, failurePercent: 0 }, 0));
+  t.false(first.isDue({ answerTime: 120, answers: 1, failurePercent: 0 }, 900), 'the first figure');
+});
+
+test('rates of openings fade', (t) => {
+  const rates = new OpeningRates();
+  for (let now = 0; now < 30_000; now += 20) {
+    rates.note('map', now);
+  }
+  t.true(Math.abs(rates.rate('map', 30_000) - 0.05) < 0.001);
+  t.true(rates.rate('map', 60_000) < 0.001);
+  t.is(rates.rate('other', 0), 0);
+});
+
+test('settings switch the rule and bound the share; wrong ones are errors', (t) => {
+  const base = {
+    name: 'n',
+    zone: 'z',
+    address: '10.0.0.1:1',
+    clientPort: 1,
+    storeAddress: '10.0.0.1:2',
+  };
+  t.deepEqual(checkPacketSettings('s', base).unwrap().choice, {
+    expectedWait: true,
+    setAsideShare: 30,
+  });
+  const off = { ...base, expectedWait: 0, setAsideShare: 0 };
+  t.deepEqual(checkPacketSettings('s', off).unwrap().choice, {
+    expectedWait: false,
+    setAsideShare: 0,
+  });
+  for (const wrong of [{ expectedWait: 2 }, { setAsideShare: 51 }, { setAsideShare: 0.5 }]) {
+    t.true(checkPacketSettings('s', { ...base, ...wrong }).err);
+  }
+});
--- /dev/null
+++ b/test/outliers.test.ts
@@ -0,0 +1,333 @@
+/** Targets that are set aside since they are far worse than their service, and their way back. */
+import test from 'ava';
+import { readRoutingTable } from '../platform/routing-document';
+import type { Environment } from '../src/environment';
+import type { EventFields, EventKind } from '../src/logging/events';
+import { Events } from '../src/logging/events';
+import { AgentDirectory, type AgentEntry } from '../src/packets/agent-directory';
+import { selectAgent } from '../src/packets/agent-selection';
+import { findOutliers, type ComparedTarget } from '../src/packets/choice/outliers';
+import { PlacementClass, type Choice } from '../src/packets/choice/selection';
+import { SetAsideTargets } from '../src/packets/choice/set-aside-targets';
+import type { ReportMessage } from '../src/packets/packet-messages';
+import {
+  decodeSnapshot,
+  decodeSnapshotText,
+  encodeSnapshot,
+  encodeSnapshotText,
+} from '../src/packets/peer-snapshot';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { createReport } from './support/reports';
+import { DESTINATION, RouterHarness } from './support/router-harness';
+import { createSelectionContext } from './support/selection-context';
+
+const SHARE = 30;
+const STEP = 50;
+const SECOND = 1_000;
+const FAILING = { failurePercent: 86 };
+const SLOW = { answerTime: 120 };
+
+function createTargets(
+  fields: readonly Partial<ComparedTarget<number>>[],
+): ComparedTarget<number>[] {
+  const usual = {
+    failurePercent: 0,
+    answerTime: 20,
+    answers: 20,
+    isCold: false,
+    isSetAside: false,
+  };
+  return fields.map((one, id) => ({ id, ...usual, ...one }));
+}
+
+function findIds(fields: readonly Partial<ComparedTarget<number>>[], share = SHARE): number[] {
+  return [...findOutliers(createTargets(fields), share).keys()].sort();
+}
+
+const USUAL = [{}, {}, {}, {}, {}, {}, {}, {}];
+
+test('what fails or is slow among others is found; what is merely worse is not', (t) => {
+  t.deepEqual(findIds([FAILING, SLOW, ...USUAL]), [0, 1]);
+  t.deepEqual(findIds([{ failurePercent: 25 }, { answerTime: 45 }, ...USUAL]), []);
+  const found = findOutliers(createTargets([FAILING, SLOW, ...USUAL]), SHARE);
+  t.deepEqual(found.get(0), { kind: 'failing', figure: 86, median: 0 });
+  t.deepEqual(found.get(1), { kind: 'slow', figure: 120, median: 20 });
+});
+
+test('a service that fails or is slow as a whole has no outliers', (t) => {
+  t.deepEqual(findIds(Array.from({ length: 10 }, () => FAILING)), []);
+  t.deepEqual(findIds(Array.from({ length: 10 }, () => SLOW)), []);
+  const most = [...Array.from({ length: 6 }, () => FAILING), {}, {}, {}, {}];
+  t.deepEqual(findIds(most), [], 'most of them fail');
+});
+
+test('few requests are no evidence, and a cold target is slow by right', (t) => {
+  t.deepEqual(findIds([{ ...SLOW, answers: 2 }, { ...SLOW, isCold: true }, ...USUAL]), []);
+  const quiet = Array.from({ length: 8 }, () => ({ answers: 0 }));
+  t.deepEqual(findIds([SLOW, ...quiet]), [], 'hardly any other has told its time');
+  t.deepEqual(findIds([{ answerTime: 6 }, ...USUAL.map(() => ({ answerTime: 1 }))]), []);
+});
+
+test('at most a share is set aside, the worst of them', (t) => {
+  const failing = [40, 90, 60, 80, 70].map((failurePercent) => ({ failurePercent }));
+  t.deepEqual(findIds([...failing, {}, {}, {}, {}, {}, {}]), [1, 3, 4]);
+  t.deepEqual(findIds([FAILING, {}, {}]), [], 'a third is more than the share');
+  t.deepEqual(findIds([FAILING, ...USUAL], 0), []);
+});
+
+test('what is set aside must come well down again', (t) => {
+  const improved = { failurePercent: 20, isSetAside: true };
+  t.deepEqual(findIds([improved, ...USUAL]), [0]);
+  t.deepEqual(findIds([{ ...improved, failurePercent: 10 }, ...USUAL]), []);
+  t.deepEqual(findIds([{ answerTime: 45, isSetAside: true }, ...USUAL]), [0]);
+  t.deepEqual(findIds([{ answerTime: 35, isSetAside: true }, ...USUAL]), []);
+});
+
+/** A balancer that hears ten agents; each test says what the first of them reports. */
+class Watch {
+  readonly directory = new AgentDirectory();
+  readonly events: { readonly kind: EventKind; readonly fields: EventFields }[] = [];
+  readonly setAside: SetAsideTargets;
+  now = 0;
+  private readonly random = new SeededRandom(7);
+  private sequence = 0;
+
+  constructor(
+    share = SHARE,
+    private readonly balancers = 1,
+  ) {
+    const environment = {
+      random: () => this.random.next(),
+      report: (kind: EventKind, fields: EventFields) => this.events.push({ kind, fields }),
+    } as unknown as Environment;
+    this.setAside = new SetAsideTargets({ environment, directory: this.directory, share });
+  }
+
+  /** Lets all agents report, every 50 ms. */
+  run(
+    milliseconds: number,
+    first: Partial<ReportMessage>,
+    others: Partial<ReportMessage> = {},
+  ): void {
+    for (const end = this.now + milliseconds; this.now < end; this.now += STEP) {
+      for (let address = 1; address <= 10; address++) {
+        this.hear(address, address === 1 ? first : others);
+      }
+      this.setAside.review('map', this.now);
+      this.setAside.expire(this.now);
+    }
+  }
+
+  hear(address: number, fields: Partial<ReportMessage>): void {
+    const usual = { slots: 1, answerTime: 20, balancerCount: this.balancers };
+    const report = createReport({ ...usual, ...fields, sequence: ++this.sequence });
+    this.directory.hear(address, report, this.now);
+  }
+
+  get first(): AgentEntry {
+    return this.directory.find(1)!;
+  }
+
+  get kinds(): EventKind[] {
+    return this.events.map(({ kind }) => kind);
+  }
+
+  get standing(): string {
+    return this.setAside.standingOf(this.first, false, this.now).kind;
+  }
+
+  /** @param mayTry whether the flow's request may be repeated */
+  place(mayTry: boolean, entries = [...this.directory.all()]): Choice {
+    const context = createSelectionContext({
+      now: this.now,
+      standingOf: (entry) => this.setAside.standingOf(entry, mayTry, this.now),
+      isHeard: (entry) => this.directory.isHeard(entry, this.now),
+      random: () => this.random.next(),
+    });
+    const choice = selectAgent(entries, context)!;
+    if (choice.isTrial) {
+      this.setAside.noteTrial(choice.entry, this.now);
+    }
+    return choice;
+  }
+
+  /** Places a flow every 50 ms and counts those that go to the first target. */
+  placeMany(milliseconds: number, mayTry: boolean, first: Partial<ReportMessage>): number {
+    let atFirst = 0;
+    for (const end = this.now + milliseconds; this.now < end;) {
+      this.run(STEP, first);
+      atFirst += this.place(mayTry).entry === this.first ? 1 : 0;
+    }
+    return atFirst;
+  }
+}
+
+test('a target is set aside once it stays worse, gets trials, and comes back by degrees', (t) => {
+  const watch = new Watch();
+  watch.run(100, FAILING);
+  t.is(watch.standing, 'usual', 'the others may not have reported yet');
+  watch.run(300, FAILING);
+  t.is(watch.standing, 'setAside');
+  t.is(watch.setAside.count, 1);
+  t.deepEqual(watch.kinds, [Events.targetSetAside]);
+  t.like(watch.events[0]!.fields, { service: 'map', reason: 'failing', figure: 86, median: 0 });
+  const trials = watch.placeMany(10 * SECOND, true, FAILING);
+  t.true(trials >= 5 && trials <= 20, `${trials} trials in ten seconds`);
+  watch.run(2 * STEP, { failurePercent: 5 });
+  t.is(watch.standing, 'restored');
+  t.deepEqual(watch.kinds, [Events.targetSetAside, Events.targetRestored]);
+  t.is(watch.place(true, [watch.first]).placementClass, PlacementClass.doubtful);
+  watch.run(SECOND, { failurePercent: 2 });
+  t.is(watch.standing, 'usual');
+  t.is(watch.setAside.count, 0);
+});
+
+test('trials of all balancers together are about one a second', (t) => {
+  const watch = new Watch(SHARE, 20);
+  watch.run(400, FAILING);
+  const trials = watch.placeMany(40 * SECOND, true, { ...FAILING });
+  t.true(trials >= 1 && trials <= 4, `${trials} trials of one of twenty balancers in 40 s`);
+});
+
+test('flows whose requests must not run twice are no trials', (t) => {
+  const watch = new Watch();
+  watch.run(400, FAILING);
+  t.is(watch.placeMany(10 * SECOND, false, FAILING), 0);
+  t.is(watch.place(false, [watch.first]).entry, watch.first, 'unless no other takes them');
+});
+
+test('a slow target is set aside and restored likewise', (t) => {
+  const watch = new Watch();
+  watch.run(400, SLOW);
+  t.is(watch.standing, 'setAside');
+  t.like(watch.events[0]!.fields, { reason: 'slow', figure: 120, median: 20 });
+  watch.run(2 * STEP, { answerTime: 30 });
+  t.is(watch.standing, 'restored');
+});
+
+test('trouble that befalls all, one a moment before the others, sets nobody aside', (t) => {
+  const watch = new Watch();
+  watch.run(200, FAILING);
+  watch.run(2 * SECOND, FAILING, FAILING);
+  t.is(watch.setAside.count, 0);
+});
+
+test('an agent that restarts and knows nothing keeps its target aside until it does', (t) => {
+  const watch = new Watch();
+  watch.run(400, SLOW);
+  const blank = { run: 2, answers: 0, answerTime: 50, failurePercent: 0 };
+  watch.run(5 * SECOND, blank);
+  t.is(watch.standing, 'setAside');
+  watch.run(2 * STEP, { ...blank, answers: 3, answerTime: 21 });
+  t.is(watch.standing, 'restored');
+  const silent = new Watch();
+  silent.run(400, FAILING);
+  silent.run(11 * SECOND, blank);
+  t.is(silent.standing, 'usual', 'nothing is heard against it for long');
+});
+
+test('another target at the same address begins as usual', (t) => {
+  const watch = new Watch();
+  watch.run(400, FAILING);
+  watch.run(STEP, { targetChanges: 1, answers: 0, answerTime: 50 });
+  t.is(watch.standing, 'usual');
+  t.like(watch.events[1], { kind: Events.targetRestored, fields: { reason: 'replaced' } });
+});
+
+test('an agent that leaves, or serves another service, takes its standing with it', (t) => {
+  const watch = new Watch();
+  watch.run(400, FAILING);
+  watch.hear(1, { service: 'tiles' });
+  t.is(watch.standing, 'usual');
+  watch.setAside.expire(watch.now);
+  t.is(watch.setAside.count, 0);
+});
+
+test('agents of a version before are compared by their failures alone', (t) => {
+  const watch = new Watch();
+  const old = { answers: 0, targetChanges: 0 };
+  watch.run(SECOND, { ...old, ...SLOW }, old);
+  t.is(watch.setAside.count, 0);
+  watch.run(SECOND, { ...old, ...FAILING }, old);
+  t.is(watch.standing, 'setAside');
+});
+
+test('a share of 0 sets nothing aside', (t) => {
+  const watch = new Watch(0);
+  watch.run(2 * SECOND, FAILING);
+  t.is(watch.setAside.count, 0);
+});
+
+test('a silent zone is neither compared nor forgotten', (t) => {
+  const watch = new Watch();
+  watch.run(400, FAILING);
+  for (const end = watch.now + 3 * SECOND; watch.now < end; watch.now += STEP) {
+    for (let address = 2; address <= 10; address++) {
+      watch.hear(address, {});
+    }
+    watch.setAside.review('map', watch.now);
+  }
+  t.is(watch.standing, 'setAside');
+  t.not(watch.place(true).entry, watch.first, 'no trial at a silent agent');
+});
+
+/** Routes an opening every 50 ms for ten seconds, while the first of eight targets fails. */
+function openAtHarness(openingCopy: number): RouterHarness {
+  const harness = new RouterHarness([4, 4, 4, 4, 4, 4, 4, 4]);
+  const services = [{ service: 'map', weight: 1 }];
+  const route = { name: 'map', destination: DESTINATION, services, isRepeatable: true };
+  harness.router.apply({ version: 2, idleTimeout: 60_000, profiles: [], routes: [route] });
+  // Agents that are heard for the first time are doubtful for a while.
+  harness.pass(2 * SECOND);
+  for (let round = 0; round < 200; round++) {
+    harness.pass(STEP);
+    harness.agents.forEach((agent, index) => {
+      const fields = index === 0 ? FAILING : { busyRequests: 2 };
+      const report = createReport({ ...fields, sequence: round + 2 });
+      harness.directory.hear(agent, report, harness.now);
+    });
+    harness.router.route(harness.createOpening(100 + round, openingCopy));
+  }
+  return harness;
+}
+
+test('a balancer places, tries and counts by its own judgement', (t) => {
+  const { router, sent, agents } = openAtHarness(0);
+  const { flowsPlaced, flowsPlacedDoubtful, flowsPlacedLastResort, trialFlows } = router.counters;
+  t.is(flowsPlaced, 200);
+  t.is(router.agentsSetAside, 1);
+  t.true(trialFlows >= 5 && trialFlows <= 20, `${trialFlows} trials in ten seconds`);
+  t.is(sent.filter(({ to }) => to === agents[0]).length, trialFlows);
+  t.is(flowsPlacedDoubtful + flowsPlacedLastResort, 0);
+});
+
+test('a copy of an opening is no trial: its client has lost time already', (t) => {
+  const { router, sent, agents } = openAtHarness(1);
+  t.is(router.counters.trialFlows, 0);
+  t.is(sent.filter(({ to }) => to === agents[0]).length, 0);
+});
+
+test('the type of a route says whether its requests may be repeated', (t) => {
+  const routeOf = (type: unknown): unknown => ({
+    name: 'r',
+    host: '10.0.0.1',
+    'path-prefix': '/80/',
+    service: 'map',
+    type,
+  });
+  const routes = ['safe', 'download', 'unsafe', undefined].map(routeOf);
+  const spec = { version: 3, routes };
+  const table = readRoutingTable({ name: 'main', revision: 1, spec })!;
+  const repeatable = [true, true, undefined, undefined];
+  t.deepEqual(
+    table.routes.map(({ isRepeatable }) => isRepeatable),
+    repeatable,
+  );
+  const snapshot = { routingTable: table, viewComplete: true, agents: [], registryRevision: 1 };
+  t.deepEqual(decodeSnapshot(encodeSnapshot(snapshot)).unwrap(), snapshot);
+  t.deepEqual(decodeSnapshotText(encodeSnapshotText(snapshot)).unwrap(), snapshot);
+  const before = JSON.parse(encodeSnapshotText(snapshot)) as Record<string, unknown>;
+  delete before['repeatable'];
+  const old = decodeSnapshotText(JSON.stringify(before)).unwrap().routingTable!;
+  t.true(old.routes.every(({ isRepeatable }) => isRepeatable === undefined));
+});
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -29,6 +29,7 @@
 import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { SeededRandom } from '../src/simulation/seeded-random';
 import { createReport } from './support/reports';
+import { createSelectionContext } from './support/selection-context';
 import { parseMetricsPlace } from '../src/runtime/packet-metrics';
 
 function heartbeat(incarnation: string, sequence: number, draining = false): TargetHeartbeat {
@@ -196,65 +197,59 @@
   return directory.hear(address, report, 0)!;
 }
 
-test('the least loaded ready target is chosen; draining ones never', (t) => {
-  const context = {
-    zone: 'north',
-    ageOf: () => 0,
-    isHeard: () => true,
-    isSettling: () => false,
-    random: () => 0,
-  };
-  const busy = entryWith(1, { busyRequests: 4 });
-  const idle = entryWith(2, { busyRequests: 1 });
-  const draining = entryWith(3, { state: TargetState.draining });
-  const away = entryWith(4, { state: TargetState.agentRestarting });
-  t.is(selectAgent([busy, idle, draining, away], context), idle);
-  t.is(selectAgent([draining, away], context), undefined);
-  const cold = entryWith(5, { coldLeft: 900 });
-  t.is(selectAgent([idle, cold], context), idle);
-  const far = entryWith(6, {}, 'south');
-  const near = entryWith(7, {});
-  t.is(selectAgent([far, near], context), near);
-  near.recentOpenings.push(1, 2);
-  t.is(selectAgent([far, near], context), far);
-});
+for (const usesExpectedWait of [true, false]) {
+  const rule = usesExpectedWait ? 'expected wait' : 'least load';
 
-test('what a report says of a queue fades with its age, by the time of an answer', (t) => {
-  const far = entryWith(1, { busyRequests: 0, slots: 1, answerTime: 10 }, 'south');
-  const near = entryWith(2, { busyRequests: 1, slots: 1, answerTime: 10 });
-  const choose = (age: number): AgentEntry | undefined => {
-    const heard = { isHeard: () => true, isSettling: () => false };
-    return selectAgent([far, near], { zone: 'north', ageOf: () => age, ...heard, random: () => 0 });
-  };
-  t.is(choose(5), far);
-  t.is(choose(300), near, 'both are thirty answers old');
-});
+  test(`the least loaded ready target is chosen; draining ones never (${rule})`, (t) => {
+    const context = createSelectionContext({ usesExpectedWait });
+    const choose = (...entries: AgentEntry[]): AgentEntry | undefined =>
+      selectAgent(entries, context)?.entry;
+    const busy = entryWith(1, { busyRequests: 4 });
+    const idle = entryWith(2, { busyRequests: 1 });
+    const draining = entryWith(3, { state: TargetState.draining });
+    const away = entryWith(4, { state: TargetState.agentRestarting });
+    t.is(choose(busy, idle, draining, away), idle);
+    t.is(choose(draining, away), undefined);
+    const cold = entryWith(5, { coldLeft: 900 });
+    t.is(choose(idle, cold), idle);
+    const far = entryWith(6, {}, 'south');
+    const near = entryWith(7, {});
+    t.is(choose(far, near), near);
+    near.recentOpenings.push(1, 2);
+    t.is(choose(far, near), far);
+  });
 
-test('a burst at several balancers with the same reports spreads over all targets', (t) => {
-  const random = new SeededRandom(5);
-  const taken = new Map<number, number>();
-  for (let balancer = 0; balancer < 7; balancer++) {
-    // One target is reported idle, six are busy; no report comes during the burst.
-    const entries = [0, 1, 2, 3, 4, 5, 6].map((address) =>
-      entryWith(address, { busyRequests: address === 0 ? 0 : 4, balancerCount: 7 }),
-    );
-    const context = {
-      zone: 'north',
-      ageOf: () => 0,
-      isHeard: () => true,
-      isSettling: () => false,
-      random: () => random.next(),
+  test(`what a report says of a queue fades with its age, by an answer's time (${rule})`, (t) => {
+    const far = entryWith(1, { busyRequests: 0, slots: 1, answerTime: 10 }, 'south');
+    const near = entryWith(2, { busyRequests: 1, slots: 1, answerTime: 10 });
+    const choose = (age: number): AgentEntry | undefined => {
+      const context = createSelectionContext({ usesExpectedWait, ageOf: () => age });
+      return selectAgent([far, near], context)?.entry;
     };
-    for (let flow = 0; flow < 20; flow++) {
-      const chosen = selectAgent(entries, context)!;
-      chosen.recentOpenings.push(flow);
-      taken.set(chosen.address, (taken.get(chosen.address) ?? 0) + 1);
+    t.is(choose(5), far);
+    t.is(choose(300), near, 'both are thirty answers old');
+  });
+
+  test(`a burst at several balancers with the same reports spreads over all (${rule})`, (t) => {
+    const random = new SeededRandom(5);
+    const taken = new Map<number, number>();
+    for (let balancer = 0; balancer < 7; balancer++) {
+      // One target is reported idle, six are busy; no report comes during the burst.
+      const entries = [0, 1, 2, 3, 4, 5, 6].map((address) =>
+        entryWith(address, { busyRequests: address === 0 ? 0 : 4, balancerCount: 7 }),
+      );
+      const context = createSelectionContext({ usesExpectedWait, random: () => random.next() });
+      for (let flow = 0; flow < 20; flow++) {
+        const { entry: chosen } = selectAgent(entries, context)!;
+        chosen.recentOpenings.push(flow);
+        taken.set(chosen.address, (taken.get(chosen.address) ?? 0) + 1);
+      }
     }
-  }
-  const counts = [...taken.values()];
-  t.is(counts.length, 7);
-  t.true(Math.max(...counts) <= 28, `flows by target: ${counts.join(', ')}`);
-});
+    const counts = [...taken.values()];
+    t.is(counts.length, 7);
+    t.true(Math.max(...counts) <= 28, `flows by target: ${counts.join(', ')}`);
+  });
+}
 
 test('a snapshot survives its encoding, and nothing else passes for one', (t) => {
   const profiles = [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 3.5 }];
--- /dev/null
+++ b/test/support/selection-context.ts
@@ -0,0 +1,19 @@
+/** What a choice of an agent depends on, as tests need it. */
+import type { SelectionContext } from '../../src/packets/choice/selection';
+
+/** A balancer of the north that hears every agent at once and knows nothing against any. */
+export function createSelectionContext(fields: Partial<SelectionContext> = {}): SelectionContext {
+  return {
+    zone: 'north',
+    now: 0,
+    usesExpectedWait: true,
+    openingRate: 0,
+    isHeard: () => true,
+    ageOf: () => 0,
+    isSettling: () => false,
+    transferCost: ({ zone }) => (zone === 'north' ? 0 : 2),
+    standingOf: () => ({ kind: 'usual' }),
+    random: () => 0,
+    ...fields,
+  };
+}
