--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -3,7 +3,11 @@
 import type { Environment } from '../environment';
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
-import { selectAgent, type SelectionContext } from './agent-selection';
+import { selectAgent, type Choice, type SelectionContext } from './agent-selection';
+import { DEFAULT_CHOICE, type ChoiceSettings } from './choice/choice-settings';
+import { OpeningRates } from './choice/opening-rates';
+import { PlacementClass } from './choice/selection';
+import { SetAsideTargets } from './choice/set-aside-targets';
 import type { FlowCache } from './flow-cache';
 import type { FlowPacket } from './flow-packet';
 import type { FlowSearch, FlowSearches } from './flow-search';
@@ -21,6 +25,8 @@
   readonly cache: FlowCache;
   readonly searches: FlowSearches;
   readonly outlet: PacketOutlet;
+  /** How agents are chosen; `DEFAULT_CHOICE` when undefined. */
+  readonly choice?: ChoiceSettings;
   /** Whether a zone is out of service. */
   isEvacuated(zone: string): boolean;
 }
@@ -29,7 +35,26 @@
 export class FlowPlacement {
   private readonly rotation = new ServiceRotation();
 
-  constructor(private readonly dependencies: FlowPlacementDependencies) {}
+  private readonly openings = new OpeningRates();
+  private readonly choice: ChoiceSettings;
+  private readonly setAside: SetAsideTargets;
+
+  constructor(private readonly dependencies: FlowPlacementDependencies) {
+    const { choice = DEFAULT_CHOICE, directory, environment } = dependencies;
+    this.choice = choice;
+    const share = choice.expectedWait ? choice.setAsideShare : 0;
+    this.setAside = new SetAsideTargets({ environment, directory, share });
+  }
+
+  /** Targets that get no flows but trials, since they are far worse than their services. */
+  get agentsSetAside(): number {
+    return this.setAside.count;
+  }
+
+  /** Drops what is too old to matter. */
+  expire(now: number): void {
+    this.setAside.expire(now);
+  }
 
   /** A new routing table is in force: shares begin anew. */
   reset(): void {
@@ -71,12 +96,16 @@
       .filter(({ zone, limitedUntil }) => !isEvacuated(zone) && limitedUntil <= now);
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
     const ordered = locality.orderForPlacement(packet.flow, untried);
-    const chosen = this.select(ordered, now);
-    if (!chosen) {
+    search.services.forEach((one) => this.setAside.review(one, now));
+    const choice = this.select(ordered, this.selectionContext(packet, search, now));
+    if (!choice) {
       this.refuse(packet, search, candidates);
       return;
     }
+    const { entry: chosen } = choice;
+    this.count(choice, now);
     chosen.recentOpenings.push(now);
+    this.openings.note(chosen.service, now);
     cache.noteOpening(packet.flow, chosen.address, service!, now);
     outlet.counters.flowsPlaced++;
     const spill = locality.notePlaced(chosen, ordered, outlet.counters);
@@ -89,6 +118,8 @@
       flows: chosen.report?.openFlows,
       failing: chosen.report?.failurePercent,
       spill,
+      expected: Math.round(choice.expectedTime),
+      class: choice.placementClass,
       reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
     });
     outlet.deliver(packet, search.services, chosen.address, search.id);
@@ -111,18 +142,37 @@
     }
   }
 
-  /** The agent for a new flow; one of another zone only after a look at the rest of the own one. */
-  private select(ordered: readonly AgentEntry[], now: number): AgentEntry | undefined {
-    const context = this.selectionContext(now);
+  /** The choice for a new flow; one of another zone only after a look at the rest of the own one. */
+  private select(ordered: readonly AgentEntry[], context: SelectionContext): Choice | undefined {
     const first = selectAgent(ordered, context);
-    const second = first && this.dependencies.locality.orderSecondChoice(first, ordered);
+    if (!first || first.isTrial) {
+      return first;
+    }
+    const second = this.dependencies.locality.orderSecondChoice(first.entry, ordered);
     return second ? selectAgent(second, context) : first;
   }
 
-  private selectionContext(now: number): SelectionContext {
+  private count({ entry, isTrial, placementClass }: Choice, now: number): void {
+    const { counters } = this.dependencies.outlet;
+    if (isTrial) {
+      counters.trialFlows++;
+      this.setAside.noteTrial(entry, now);
+      return;
+    }
+    counters.flowsPlacedDoubtful += placementClass === PlacementClass.doubtful ? 1 : 0;
+    counters.flowsPlacedLastResort += placementClass === PlacementClass.lastResort ? 1 : 0;
+  }
+
+  private selectionContext(packet: FlowPacket, search: FlowSearch, now: number): SelectionContext {
+    const isTrialFlow = isFitForTrial(packet, search);
     const { directory, environment, locality, zone } = this.dependencies;
     return {
       zone,
+      now,
+      openingRate: this.openings.rate(search.services[0]!, now),
+      usesExpectedWait: this.choice.expectedWait,
+      rivalShare: locality.rivalShare,
+      standingOf: (entry) => this.setAside.standingOf(entry, isTrialFlow, now),
       ageOf: (entry) => now - (entry.heardAt ?? now),
       isHeard: (entry) => directory.isHeard(entry, now),
       isSettling: (entry) => directory.isSettling(entry, now),
@@ -131,3 +181,8 @@
     };
   }
 }
+
+/** Whether a flow may be used for a trial: its request may be repeated and it has lost no time yet. */
+function isFitForTrial({ openingCopy }: FlowPacket, { refusedBy, route }: FlowSearch): boolean {
+  return route.isRepeatable === true && openingCopy === 0 && refusedBy.size === 0;
+}
--- a/src/packets/locality/locality.ts
+++ b/src/packets/locality/locality.ts
@@ -80,6 +80,14 @@
     return this.costs.costOf(entry, now);
   }
 
+  /**
+   * Part of the other balancers that place among the same agents, 0 to 1: those of one zone of
+   * several, as far as flows stay in their zones.
+   */
+  get rivalShare(): number {
+    return this.isOn ? 1 / Math.max(1, this.distances.zonesMeasured) : 1;
+  }
+
   /** All agents in the order in which a new flow is offered to them. */
   orderForPlacement(flow: FlowKey, agents: readonly AgentEntry[]): AgentEntry[] {
     const { zone } = this.settings;
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -63,7 +63,7 @@
   private readonly link: PacketLink;
   private readonly hops: HopRepair;
   private readonly target: TargetLifecycle;
-  private readonly tracker = new FlowTracker();
+  private readonly tracker = new FlowTracker(() => this.target.slots);
   private readonly health = new TargetHealth();
   private readonly flowBytes = new FlowBytes();
   private readonly admission: TargetAdmission;
@@ -117,7 +117,8 @@
       health: this.health,
       state: () => this.state,
       busyRequests: () => this.busyRequests,
-      answerTime: () => this.admission.answerTime,
+      answerTime: (now) => this.admission.answerTimeAt(now),
+      answers: (now) => this.admission.answersAt(now),
       flowBytes: () => this.flowBytes.mean,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
@@ -190,7 +191,7 @@
       this.tracker.clear();
       this.health.clear();
       this.flowBytes.clear();
-      this.admission.releaseAll();
+      this.admission.targetReplaced();
     }
     if (change !== 'none') {
       this.health.stateTold();
@@ -424,12 +425,14 @@
     const { environment, format } = this.dependencies;
     const endsRequest = packet.payloadLength > 0 || packet.resets;
     if (endsRequest && this.tracker.awaitsAnswer(packet.flow)) {
+      const now = environment.now();
       const succeeded = !packet.resets && !format.isFailure(packet);
-      this.health.requestEnded(succeeded, environment.now());
-      const workTime = this.tracker.workTime(packet.flow, environment.now());
+      this.health.requestEnded(succeeded, now);
+      const workTime = this.tracker.workTime(packet.flow, now);
       if (succeeded && workTime !== undefined) {
-        this.admission.answered(workTime);
+        this.admission.answered(workTime, now);
       }
+      this.reporter.reportIfWorse();
     }
   }
 
@@ -447,6 +450,7 @@
     }
     this.admission.expire(now);
     this.admission.releaseWaiting(now);
+    this.reporter.reportIfWorse();
     this.reporter.reportWhereDue();
   }
 
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -1,6 +1,7 @@
 /** Settings, needs and figures of a packet balancer. */
 import type { Endpoint, Environment, FrameTransport } from '../environment';
 import type { AgentRegistryPort, CollectionPort, StoreProbePort } from './collection-port';
+import type { ChoiceSettings } from './choice/choice-settings';
 import type { PacketFormat } from './flow-packet';
 import type { LocalityFigures, LocalitySettings } from './locality/locality';
 import type { PacketFrameCodec } from './packet-frames';
@@ -28,6 +29,8 @@
   readonly flowLifetime: number;
   /** Whether packets lost on the way to an agent are sent once more. */
   readonly repairHops: boolean;
+  /** How agents are chosen for new flows; `DEFAULT_CHOICE` when undefined. */
+  readonly choice?: ChoiceSettings;
 }
 
 /** What a packet balancer needs from its process. */
@@ -61,6 +64,8 @@
   readonly registryRevision: number;
   /** Zones out of service. */
   readonly zonesEvacuated: number;
+  /** Targets that get no flows but trials, since they are far worse than their services. */
+  readonly agentsSetAside: number;
   /** Calls made to register or remove agents on their behalf. */
   readonly registryCalls: number;
 }
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -19,6 +19,12 @@
   packetsWithoutRoute: number;
   packetsDropped: number;
   flowsPlaced: number;
+  /** Placed at a target of which too little is known; part of `flowsPlaced`, as the next two. */
+  flowsPlacedDoubtful: number;
+  /** Placed at a target that is silent or set aside, as nothing better took them. */
+  flowsPlacedLastResort: number;
+  /** Placed at a target that is set aside, to see how it does. */
+  trialFlows: number;
   flowsFound: number;
   searchesStarted: number;
   resetsSent: number;
@@ -51,6 +57,9 @@
     flowsSpilledForWait: 0,
     flowsSpilledWithoutTarget: 0,
     flowsSpilledHomeUnknown: 0,
+    flowsPlacedDoubtful: 0,
+    flowsPlacedLastResort: 0,
+    trialFlows: 0,
     flowsFound: 0,
     searchesStarted: 0,
     resetsSent: 0,
