--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -70,6 +70,7 @@
   flowPlaced: event(2704, 'flow-placed', 'info'),
   flowReset: event(2705, 'flow-reset', 'info'),
   requestDelivered: event(2706, 'request-delivered', 'info'),
+  answerRepairsLimited: event(2708, 'answer-repairs-limited', 'warn'),
   routingApplied: event(2711, 'routing-applied', 'info'),
   storeRegained: event(2712, 'store-regained', 'info'),
   viewComplete: event(2713, 'view-complete', 'info'),
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -4,6 +4,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
+import type { AnswerRepairFigures } from './repair/answer-repair';
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -19,6 +20,8 @@
   readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** Whether the agent repeats packets of its target that a client does not acknowledge. */
+  readonly repairAnswers: boolean;
 }
 
 /** What a packet agent needs from its process. */
@@ -44,7 +47,7 @@
 }
 
 /** Figures of a packet agent. */
-export interface PacketAgentFigures {
+export interface PacketAgentFigures extends AnswerRepairFigures {
   readonly busyRequests: number;
   readonly openFlows: number;
   /** Calls made to keep the agent in the registry. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -36,6 +36,7 @@
 } from './packet-messages';
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
+import { AnswerRepair } from './repair/answer-repair';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { stepAfter } from './search-steps';
 import { TargetAdmission } from './target-admission';
@@ -68,6 +69,7 @@
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
   private readonly guard: TargetGuard;
+  private readonly answers: AnswerRepair;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -109,6 +111,11 @@
       answerTime: () => this.admission.answerTime,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
+    this.answers = new AnswerRepair({
+      environment,
+      isEnabled: settings.repairAnswers,
+      sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
+    });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
 
@@ -130,6 +137,7 @@
   /** Ends all timers. */
   stop(): void {
     this.registration.stop();
+    this.answers.stop();
     this.timers.cancel();
   }
 
@@ -159,6 +167,7 @@
       busyRequests: this.busyRequests,
       openFlows: this.tracker.openFlows,
       registrations: this.registration.calls,
+      ...this.answers.figures,
     };
   }
 
@@ -173,6 +182,7 @@
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
       this.tracker.clear();
+      this.answers.clear();
       this.health.clear();
       this.admission.releaseAll();
     }
@@ -266,6 +276,7 @@
     }
     this.counters.packetsSent++;
     sendToClient(packet.client, bytes);
+    this.answers.sent(packet);
     this.noteTargetSends();
     this.judgeAnswer(packet);
     const balancer = this.tracker.sent(packet, environment.now());
@@ -299,6 +310,7 @@
       return;
     }
     this.reporter.subscribe(balancer);
+    this.answers.received(packet);
     const refusal = this.guard.refusalOf(packet.opens, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
@@ -315,6 +327,7 @@
       return;
     }
     this.link.noteVersion(balancer, COMPACT_FRAME_VERSION);
+    this.answers.received(packet);
     const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
@@ -433,6 +446,7 @@
     const { format } = this.dependencies;
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
+    this.answers.drop(packet.flow);
     this.admission.returned(packet);
     if (packet.opens) {
       this.health.openingReturned(this.dependencies.environment.now());
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -53,6 +53,8 @@
   readonly evacuateTime: number | undefined;
   /** Processors that this process may use; may be a part of one. */
   readonly capacity: number;
+  /** Whether an agent repeats packets of its target that a client does not acknowledge. */
+  readonly repairAnswers: boolean;
   /** Megabits a second that the machine's link carries. */
   readonly linkSpeed: number;
   /** Port and path of the metrics page; undefined for none. */
@@ -128,6 +130,15 @@
     return value;
   }
 
+  /** Whether a part is on: 1 or 0, on when the key is missing. */
+  isOn(key: string): boolean {
+    const value = this.given(key) ?? 1;
+    if (value !== 0 && value !== 1) {
+      this.problems.push(`${key}: must be 1 or 0`);
+    }
+    return value !== 0;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -203,6 +214,7 @@
     applyTime: reader.positive('applyTime', DEFAULT_APPLY_TIME),
     evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
+    repairAnswers: reader.isOn('repairAnswers'),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
     metrics: reader.optionalText('metrics'),
   };
--- /dev/null
+++ b/src/packets/repair/answer-repair.ts
@@ -0,0 +1,270 @@
+/**
+ * Repeats what a target sent to its clients and what was lost on the way, before the target's own
+ * timer does.
+ *
+ * The agent sends the packets and sees the clients' acknowledgements come back, so it knows of a
+ * loss within a round trip. It sends copies of what the target wrote, byte for byte, and never
+ * acknowledges anything in a client's place: a target loses nothing of its own repeats. All of it
+ * may be forgotten at any time; then the target's timer is what it was before.
+ */
+import type { Endpoint, Environment, TimerHandle } from '../../environment';
+import { Events } from '../../logging/events';
+import type { FlowKey, FlowPacket } from '../flow-packet';
+import { AnswerFlow, type SentAnswer } from './answer-flow';
+import { AnswerTiming } from './answer-timing';
+import { RepairBudget } from './repair-budget';
+import { measureSequenceLength } from './sequence-numbers';
+
+/** Bytes kept over all flows: a small part of what an agent's machine has at least (200 MB). */
+const MAXIMUM_BYTES = 8 * 1_024 * 1_024;
+/** Flows known at once, with and without packets kept; some 200 bytes each. */
+const MAXIMUM_FLOWS = 4_096;
+/**
+ * Milliseconds after its target's latest packet for which a flow is known: longer than a target
+ * waits between two repeats (1.6 s), so that its own repeats are told from new packets.
+ */
+const FLOW_TIME = 2_000;
+/** Milliseconds between two looks at what is due, so that packets due together share a wake-up. */
+const STEP = 5;
+/** Milliseconds by which a timer may be late before acknowledgements not yet read come first. */
+const LATENESS_ALLOWED = 2 * STEP;
+/**
+ * Repeats for each packet sent, and at once beyond that: far above what links in order lose (a few
+ * in a thousand), so that it binds only when a link is full or cut.
+ */
+const BUDGET = { share: 0.1, burst: 20 } as const;
+/** Milliseconds between two log lines that repeats are limited. */
+const REPORT_INTERVAL = 1_000;
+
+/** Counters of answer repair. */
+export interface AnswerRepairCounters {
+  /** Packets repeated in a target's place. */
+  answersRepeated: number;
+  /** Of these, repeats of what the client had got already. */
+  answersRepeatedNeedlessly: number;
+  /** Packets of targets that a client acknowledged while they were kept. */
+  answersAcknowledged: number;
+  /** Repeats that the budget and packets that the room for copies did not allow. */
+  answerRepairsWithheld: number;
+}
+
+/** Counters, and what is kept at present. */
+export interface AnswerRepairFigures extends Readonly<AnswerRepairCounters> {
+  /** Bytes of packets that clients have not acknowledged. */
+  readonly answerBytesKept: number;
+}
+
+/** What answer repair works with. */
+export interface AnswerRepairDependencies {
+  readonly environment: Environment;
+  /** Repeats nothing when it is off. */
+  readonly isEnabled: boolean;
+  sendToClient(client: Endpoint, packet: Buffer): void;
+}
+
+/** Answer repair of one agent. */
+export class AnswerRepair {
+  private readonly counters: AnswerRepairCounters = {
+    answersRepeated: 0,
+    answersRepeatedNeedlessly: 0,
+    answersAcknowledged: 0,
+    answerRepairsWithheld: 0,
+  };
+  private readonly timing = new AnswerTiming();
+  private readonly budget = new RepairBudget(BUDGET);
+  /** In the order of their targets' latest packets. */
+  private readonly flows = new Map<FlowKey, AnswerFlow>();
+  /** Flows with packets kept. */
+  private readonly pending = new Set<AnswerFlow>();
+  private heldBytes = 0;
+  private timer: TimerHandle | undefined;
+  private timerAt = Infinity;
+  /** Repeats and copies withheld since the last log line. */
+  private unreported = 0;
+  private reportedAt = -Infinity;
+  private isStopped = false;
+  /** The present timer waits only until what came meanwhile has been read. */
+  private isReadingFirst = false;
+
+  constructor(private readonly dependencies: AnswerRepairDependencies) {}
+
+  get figures(): AnswerRepairFigures {
+    return { ...this.counters, answerBytesKept: this.heldBytes };
+  }
+
+  /**
+   * A target's packet has been sent to its client.
+   * @param packet its bytes are kept as they are, and must not be altered afterwards
+   */
+  sent(packet: FlowPacket): void {
+    const now = this.dependencies.environment.now();
+    const flow = this.isActive ? this.flowOf(packet, now) : undefined;
+    if (!flow) {
+      return;
+    }
+    this.budget.noteSent();
+    const mayKeep = this.heldBytes + packet.bytes.length <= MAXIMUM_BYTES;
+    if (!mayKeep) {
+      this.refuseRepair(now);
+    }
+    this.applyChange(flow, () => flow.sent(packet, mayKeep, now));
+    this.startTimer(flow.dueAt, now);
+  }
+
+  /** A client's packet has come here, whatever becomes of it. */
+  received(packet: FlowPacket): void {
+    const flow = this.flows.get(packet.flow);
+    if (!flow || packet.opens) {
+      return;
+    }
+    const now = this.dependencies.environment.now();
+    this.applyChange(flow, () => this.noteProgress(flow, packet, now));
+    this.startTimer(flow.dueAt, now);
+  }
+
+  /** The target does not hold a flow. */
+  drop(key: FlowKey): void {
+    const flow = this.flows.get(key);
+    if (flow) {
+      this.applyChange(flow, () => flow.end());
+      this.flows.delete(key);
+    }
+  }
+
+  /** The target was replaced: nothing of the one before is repeated. */
+  clear(): void {
+    this.flows.clear();
+    this.pending.clear();
+    this.heldBytes = 0;
+  }
+
+  /** Ends it for good. */
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+    this.clear();
+  }
+
+  private get isActive(): boolean {
+    return this.dependencies.isEnabled && !this.isStopped;
+  }
+
+  private noteProgress(flow: AnswerFlow, packet: FlowPacket, now: number): void {
+    const { acknowledged, needlessRepeats } = flow.acknowledged(packet, now);
+    this.counters.answersAcknowledged += acknowledged;
+    this.counters.answersRepeatedNeedlessly += needlessRepeats;
+    if (packet.ends || packet.resets) {
+      flow.end();
+    }
+  }
+
+  /** The flow of a target's packet, the latest now; undefined when there is nothing to note. */
+  private flowOf(packet: FlowPacket, now: number): AnswerFlow | undefined {
+    const known = this.flows.get(packet.flow);
+    if (known && !known.isReplacedBy(packet)) {
+      this.flows.delete(packet.flow);
+      this.flows.set(packet.flow, known);
+      return known;
+    }
+    this.drop(packet.flow);
+    if (packet.resets || measureSequenceLength(packet) === 0) {
+      return undefined;
+    }
+    this.forgetFlows(now);
+    const flow = new AnswerFlow(packet, this.timing, now);
+    this.flows.set(packet.flow, flow);
+    return flow;
+  }
+
+  /** Forgets flows that rest, and the one that rests longest when there is no room for another. */
+  private forgetFlows(now: number): void {
+    for (const [key, flow] of this.flows) {
+      if (now - flow.usedAt <= FLOW_TIME && this.flows.size < MAXIMUM_FLOWS) {
+        return;
+      }
+      this.drop(key);
+    }
+  }
+
+  /** Runs a change of one flow, and keeps what is counted over all flows. */
+  private applyChange(flow: AnswerFlow, action: () => void): void {
+    this.heldBytes -= flow.heldBytes;
+    action();
+    this.heldBytes += flow.heldBytes;
+    if (flow.isPending) {
+      this.pending.add(flow);
+    } else {
+      this.pending.delete(flow);
+    }
+  }
+
+  /** One timer for all flows, at the earliest time at which one of them is due. */
+  private startTimer(dueAt: number, now: number): void {
+    if (dueAt > this.timerAt - STEP) {
+      return;
+    }
+    this.timer?.cancel();
+    const delay = Math.max(STEP, Math.ceil(dueAt - now));
+    this.timerAt = now + delay;
+    this.timer = this.dependencies.environment.startTimer(delay, () => this.runTimer());
+  }
+
+  private runTimer(): void {
+    const now = this.dependencies.environment.now();
+    const wasHeldUp = now - this.timerAt > LATENESS_ALLOWED;
+    this.timerAt = Infinity;
+    this.isReadingFirst = wasHeldUp && !this.isReadingFirst;
+    if (this.isReadingFirst) {
+      this.startTimer(now, now);
+      return;
+    }
+    for (const flow of this.pending) {
+      this.repeatDue(flow, now);
+    }
+    this.startTimer(this.findDueAt(), now);
+  }
+
+  private findDueAt(): number {
+    let dueAt = Infinity;
+    for (const flow of this.pending) {
+      dueAt = Math.min(dueAt, flow.dueAt);
+    }
+    return dueAt;
+  }
+
+  private repeatDue(flow: AnswerFlow, now: number): void {
+    if (flow.dueAt > now) {
+      return;
+    }
+    this.applyChange(flow, () => {
+      const answer = flow.takeDue(now);
+      if (answer) {
+        this.repeat(flow, answer, now);
+      }
+    });
+  }
+
+  private repeat(flow: AnswerFlow, { bytes }: SentAnswer, now: number): void {
+    if (!this.budget.take()) {
+      this.refuseRepair(now);
+      return;
+    }
+    this.counters.answersRepeated++;
+    this.dependencies.sendToClient(flow.client, bytes);
+  }
+
+  /** Counts what the bounds do not allow; tells it at most once a second. */
+  private refuseRepair(now: number): void {
+    this.counters.answerRepairsWithheld++;
+    this.unreported++;
+    if (now - this.reportedAt >= REPORT_INTERVAL) {
+      this.dependencies.environment.report(Events.answerRepairsLimited, {
+        withheld: this.unreported,
+        bytesKept: this.heldBytes,
+        flows: this.pending.size,
+      });
+      this.reportedAt = now;
+      this.unreported = 0;
+    }
+  }
+}
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -217,6 +217,7 @@
         heartbeatInterval: HEARTBEAT_INTERVAL,
         coldLimit: COLD_LIMIT,
         flowLifetime: FLOW_LIFETIME,
+        repairAnswers: true,
       },
       {
         environment: process,
--- /dev/null
+++ b/test/answer-repair.test.ts
@@ -0,0 +1,590 @@
+/** Answers that are lost between an agent and a client, or seem to be. */
+import test from 'ava';
+import { packetFormat } from '../platform/packet-head';
+import { packEndpoint } from '../src/core/endpoint';
+import type { Endpoint, Environment } from '../src/environment';
+import { Events, type EventFields, type EventKind } from '../src/logging/events';
+import { PacketAgent } from '../src/packets/packet-agent';
+import { PacketFrameCodec } from '../src/packets/packet-frames';
+import { PacketMessageType } from '../src/packets/packet-messages';
+import { checkPacketSettings } from '../src/packets/packet-settings';
+import { AnswerRepair } from '../src/packets/repair/answer-repair';
+import { RepairBudget } from '../src/packets/repair/repair-budget';
+import { VirtualClock } from '../src/simulation/virtual-clock';
+import { encodePacket, Flag } from './support/packet-cluster';
+
+const ROUTE = ['198.18.0.1', 443] as const;
+const CLIENT_ADDRESS = '100.64.0.7';
+const ROUND_TRIP = 10;
+/** Sequence number of the target's answer to an opening. */
+const OPENING = 1_000;
+const FULL = 1_200;
+const DATA = 'x'.repeat(FULL);
+/** The target repeats by itself from here on. */
+const TARGET_TIMEOUT = 200;
+
+interface ReportedEvent {
+  readonly event: EventKind;
+  readonly fields: EventFields;
+}
+
+function createEnvironment(clock: VirtualClock, events: ReportedEvent[]): Environment {
+  return {
+    now: () => clock.now,
+    startTimer: (delay, action) => clock.schedule(delay, action),
+    random: () => 0.5,
+    report: (event, fields) => void events.push({ event, fields }),
+  };
+}
+
+/** One packet that reached a client. */
+interface Arrival {
+  readonly at: number;
+  readonly bytes: Buffer;
+}
+
+/** Answer repair with the target and the clients played by the test. */
+class RepairScene {
+  readonly clock = new VirtualClock();
+  readonly events: ReportedEvent[] = [];
+  readonly repeats: Arrival[] = [];
+  repair: AnswerRepair;
+
+  constructor(readonly isEnabled = true) {
+    this.repair = this.createRepair();
+  }
+
+  /** The agent's process starts anew, with nothing in it. */
+  restart(): void {
+    this.repair.stop();
+    this.repair = this.createRepair();
+  }
+
+  /** The target sends a packet; answers its bytes. */
+  send(sequence: number, data: string, flags: number = Flag.ack, port = 1): Buffer {
+    const client = [CLIENT_ADDRESS, port] as const;
+    const bytes = encodePacket(ROUTE, client, flags, sequence >>> 0, 7, data);
+    this.repair.sent(packetFormat.decodeFromTarget(bytes)!);
+    return bytes;
+  }
+
+  /** A packet of the client comes to the agent. */
+  receive(acknowledgement: number, flags: number = Flag.ack, data = '', port = 1): void {
+    const client = [CLIENT_ADDRESS, port] as const;
+    const bytes = encodePacket(client, ROUTE, flags, 7, acknowledgement >>> 0, data);
+    this.repair.received(packetFormat.decodeFromClient(bytes)!);
+  }
+
+  /** The target answers an opening and the client's next packet comes a round trip later. */
+  open(port = 1, sequence = OPENING): void {
+    this.send(sequence, '', Flag.syn | Flag.ack, port);
+    this.pass(ROUND_TRIP);
+    this.receive(sequence + 1, Flag.ack, 'GET', port);
+  }
+
+  /** Flows that lose nothing, by which the round trip is known. */
+  learn(): void {
+    for (let port = 100; port < 130; port++) {
+      this.open(port);
+    }
+  }
+
+  /** Sends an answer of full packets on an open flow; answers their bytes. */
+  answer(count: number, sequence = OPENING + 1): Buffer[] {
+    return Array.from({ length: count }, (_, index) => this.send(sequence + index * FULL, DATA));
+  }
+
+  pass(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  get limitReports(): EventFields[] {
+    return this.events
+      .filter(({ event }) => event === Events.answerRepairsLimited)
+      .map(({ fields }) => fields);
+  }
+
+  private createRepair(): AnswerRepair {
+    return new AnswerRepair({
+      environment: createEnvironment(this.clock, this.events),
+      isEnabled: this.isEnabled,
+      sendToClient: (_client, bytes) =>
+        this.repeats.push({ at: this.clock.now, bytes: Buffer.from(bytes) }),
+    });
+  }
+}
+
+function openScene(): RepairScene {
+  const scene = new RepairScene();
+  scene.learn();
+  scene.open();
+  return scene;
+}
+
+/** Sequence number after so many full packets of an answer. */
+function endOf(packets: number): number {
+  return OPENING + 1 + packets * FULL;
+}
+
+test('a packet lost in the middle is repeated once, as it was, when later ones have come', (t) => {
+  const scene = openScene();
+  const sentAt = scene.clock.now;
+  const packets = scene.answer(4);
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(1));
+  scene.receive(endOf(1));
+  scene.pass(ROUND_TRIP);
+  t.is(scene.repeats.length, 1);
+  t.deepEqual(scene.repeats[0]!.bytes, packets[1]);
+  t.true(scene.repeats[0]!.at - sentAt <= 2 * ROUND_TRIP);
+  scene.receive(endOf(4));
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+  t.is(scene.repair.figures.answersRepeated, 1);
+  t.is(scene.repair.figures.answersRepeatedNeedlessly, 0);
+  t.is(scene.repair.figures.answerBytesKept, 0);
+});
+
+test('packets that only overtake each other are not repeated', (t) => {
+  const scene = openScene();
+  scene.answer(4);
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(1));
+  scene.receive(endOf(1));
+  scene.pass(2);
+  scene.receive(endOf(4));
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+test('of two packets lost in one window the second follows the acknowledgement of the first', (t) => {
+  const scene = openScene();
+  const packets = scene.answer(6);
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(1));
+  scene.receive(endOf(1));
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(3));
+  scene.pass(ROUND_TRIP);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [packets[1], packets[3]],
+  );
+});
+
+test('the last packet of an answer is repeated after the timeout, well before its target does', (t) => {
+  const scene = openScene();
+  const sentAt = scene.clock.now;
+  const packets = scene.answer(4);
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(2));
+  scene.pass(40);
+  t.is(scene.repeats.length, 1);
+  t.deepEqual(scene.repeats[0]!.bytes, packets[3]);
+  t.true(scene.repeats[0]!.at - sentAt < 50);
+  scene.receive(endOf(4));
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('a lost answer to an opening is repeated, and not once the client goes on', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  const sentAt = scene.clock.now;
+  const opening = scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.pass(45);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [opening],
+  );
+  t.true(scene.repeats[0]!.at - sentAt < 45);
+  scene.receive(OPENING + 1);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('a lost acknowledgement costs a repeat and no more, and is counted once it is known', (t) => {
+  const scene = openScene();
+  scene.answer(2);
+  scene.pass(2 * ROUND_TRIP + 2);
+  t.is(scene.repeats.length, 1);
+  scene.receive(endOf(2));
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+  t.is(scene.repair.figures.answersRepeatedNeedlessly, 1);
+});
+
+test('acknowledgements that always come late for a single packet are learnt', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  for (let port = 200; port < 240; port++) {
+    scene.open(port);
+    scene.send(OPENING + 1, 'short', Flag.ack, port);
+    scene.pass(40);
+    scene.receive(OPENING + 6, Flag.ack, '', port);
+  }
+  t.is(scene.repeats.length, 0);
+});
+
+test('before anything is known of the way there is room for one repeat', (t) => {
+  const scene = new RepairScene();
+  scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.pass(TARGET_TIMEOUT / 2 - 5);
+  t.is(scene.repeats.length, 0);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('a client that has gone gets two repeats, none after the target begins to repeat', (t) => {
+  const scene = openScene();
+  const sentAt = scene.clock.now;
+  scene.answer(16);
+  scene.pass(5_000);
+  t.is(scene.repeats.length, 2);
+  t.true(scene.repeats.every(({ at }) => at - sentAt < TARGET_TIMEOUT));
+  t.is(scene.repair.figures.answerBytesKept, 0);
+});
+
+test('no packet is repeated more than twice, however often its loss is told', (t) => {
+  const scene = openScene();
+  scene.answer(4);
+  for (let told = 0; told < 40; told++) {
+    scene.pass(5);
+    scene.receive(endOf(0));
+  }
+  const [first] = scene.repeats;
+  t.true(scene.repeats.filter(({ bytes }) => bytes.equals(first!.bytes)).length <= 2);
+  t.true(scene.repeats.length <= 4);
+});
+
+test('what a target repeats by itself is not repeated, and repair goes on behind it', (t) => {
+  const scene = openScene();
+  scene.answer(2);
+  scene.pass(5);
+  scene.send(OPENING + 1, DATA);
+  scene.pass(400);
+  scene.send(OPENING + 1, DATA);
+  scene.pass(800);
+  t.is(scene.repeats.length, 0);
+  scene.receive(endOf(2));
+  const next = scene.answer(2, endOf(2));
+  scene.pass(30);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [next[1]],
+  );
+});
+
+const endings: readonly (readonly [string, (scene: RepairScene) => void])[] = [
+  ['the client ends it', (scene) => scene.receive(endOf(0), Flag.fin | Flag.ack)],
+  ['the client breaks it off', (scene) => scene.receive(0, Flag.rst)],
+  ['the target breaks it off', (scene) => void scene.send(endOf(3), '', Flag.rst)],
+  ['the target turns out not to hold it', (scene) => scene.repair.drop(flowKey())],
+  ['the target is replaced', (scene) => scene.repair.clear()],
+  ['the agent stops', (scene) => scene.repair.stop()],
+];
+
+function flowKey(): string {
+  const bytes = encodePacket([CLIENT_ADDRESS, 1], ROUTE, 0, 0, 0);
+  return packetFormat.decodeFromClient(bytes)!.flow;
+}
+
+for (const [name, end] of endings) {
+  test(`nothing of a flow is repeated once ${name}`, (t) => {
+    const scene = openScene();
+    scene.answer(3);
+    scene.pass(5);
+    end(scene);
+    scene.pass(1_000);
+    t.is(scene.repeats.length, 0);
+    t.is(scene.repair.figures.answerBytesKept, 0);
+  });
+}
+
+test('what a target still sends on a flow that its client has ended is not repeated', (t) => {
+  const scene = openScene();
+  scene.receive(endOf(0), Flag.fin | Flag.ack);
+  scene.answer(2);
+  scene.send(endOf(2), '', Flag.fin | Flag.ack);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+test("a target's end of a flow is repeated like data until the client has it", (t) => {
+  const scene = openScene();
+  const end = scene.send(endOf(0), '', Flag.fin | Flag.ack);
+  scene.pass(120);
+  t.deepEqual(scene.repeats[0]!.bytes, end);
+  scene.receive(endOf(0) + 1, Flag.fin | Flag.ack);
+  const { length } = scene.repeats;
+  scene.pass(1_000);
+  t.is(scene.repeats.length, length);
+});
+
+test('a flow between the same ends begins anew', (t) => {
+  const scene = openScene();
+  scene.receive(endOf(0), Flag.fin | Flag.ack);
+  const opening = scene.send(77, '', Flag.syn | Flag.ack);
+  scene.pass(30);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [opening],
+  );
+});
+
+test('an agent that restarts halfway repeats what it has seen since, and nothing else', (t) => {
+  const scene = openScene();
+  scene.answer(2);
+  scene.restart();
+  const [third] = scene.answer(1, endOf(2));
+  scene.receive(endOf(1));
+  scene.receive(endOf(1));
+  scene.pass(TARGET_TIMEOUT);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [third],
+  );
+  scene.receive(endOf(3));
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('sequence numbers wrap around within an answer', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  const opening = 2 ** 32 - 1_500;
+  scene.open(1, opening);
+  const packets = scene.answer(4, opening + 1);
+  scene.pass(ROUND_TRIP);
+  scene.receive(opening + 1 + FULL);
+  scene.receive(opening + 1 + FULL);
+  scene.pass(ROUND_TRIP);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [packets[1]],
+  );
+  scene.receive(opening + 1 + 4 * FULL);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('acknowledgements that are old, of another flow or of nothing sent change nothing', (t) => {
+  const scene = openScene();
+  scene.answer(2);
+  scene.receive(endOf(0) - 1);
+  scene.receive(endOf(2) + 1);
+  scene.receive(endOf(2), Flag.ack, '', 2);
+  scene.receive(endOf(2), Flag.syn);
+  scene.pass(30);
+  t.is(scene.repeats.length, 1);
+});
+
+test('a timer that comes late lets acknowledgements be read first', (t) => {
+  const clock = new VirtualClock();
+  let stalled = 0;
+  const repeats: Buffer[] = [];
+  const repair = new AnswerRepair({
+    environment: { ...createEnvironment(clock, []), now: () => clock.now + stalled },
+    isEnabled: true,
+    sendToClient: (_client, bytes) => repeats.push(bytes),
+  });
+  const client = [CLIENT_ADDRESS, 1] as const;
+  const opening = encodePacket(ROUTE, client, Flag.syn | Flag.ack, OPENING, 7);
+  repair.sent(packetFormat.decodeFromTarget(opening)!);
+  stalled = 60;
+  clock.runUntil(TARGET_TIMEOUT / 2);
+  t.is(repeats.length, 0);
+  const next = encodePacket(client, ROUTE, Flag.ack, 7, OPENING + 1);
+  repair.received(packetFormat.decodeFromClient(next)!);
+  clock.runUntil(1_000);
+  t.is(repeats.length, 0);
+});
+
+test('repeats are a small part of what is sent, and the log says so once a second', (t) => {
+  const scene = new RepairScene();
+  for (let port = 1; port <= 1_000; port++) {
+    scene.send(OPENING, '', Flag.syn | Flag.ack, port);
+  }
+  scene.pass(1_000);
+  const { answersRepeated, answerRepairsWithheld } = scene.repair.figures;
+  t.is(scene.repeats.length, answersRepeated);
+  t.is(answersRepeated, 20);
+  t.is(answerRepairsWithheld, 1_000 - answersRepeated);
+  t.is(scene.limitReports.length, 1);
+});
+
+test('a budget is earned by what is sent and never exceeds its burst', (t) => {
+  const budget = new RepairBudget({ share: 0.25, burst: 2 });
+  t.deepEqual([budget.take(), budget.take(), budget.take()], [true, true, false]);
+  for (let sent = 0; sent < 4; sent++) {
+    budget.noteSent();
+  }
+  t.deepEqual([budget.take(), budget.take()], [true, false]);
+  for (let sent = 0; sent < 100; sent++) {
+    budget.noteSent();
+  }
+  t.deepEqual([budget.take(), budget.take(), budget.take()], [true, true, false]);
+});
+
+test('copies stay within their room, whoever leaves answers unacknowledged', (t) => {
+  const scene = new RepairScene();
+  for (let port = 1; port <= 1_000; port++) {
+    for (let packet = 0; packet < 20; packet++) {
+      scene.send(OPENING + packet * FULL, DATA, Flag.ack, port);
+    }
+  }
+  const kept = scene.repair.figures.answerBytesKept;
+  t.true(kept > 7 * 1_024 * 1_024 && kept <= 8 * 1_024 * 1_024);
+  t.true(scene.repair.figures.answerRepairsWithheld > 0);
+  scene.pass(1_000);
+  t.is(scene.repair.figures.answerBytesKept, 0);
+});
+
+test('the number of flows is bounded: the longest resting one is forgotten', (t) => {
+  const scene = new RepairScene();
+  const opening = scene.send(OPENING, '', Flag.syn | Flag.ack, 1);
+  for (let port = 2; port <= 6_000; port++) {
+    scene.send(OPENING, '', Flag.syn | Flag.ack, port);
+  }
+  t.is(scene.repair.figures.answerBytesKept, 4_096 * opening.length);
+});
+
+test('switched off, nothing is kept and nothing repeated', (t) => {
+  const scene = new RepairScene(false);
+  scene.open();
+  scene.answer(4);
+  t.is(scene.repair.figures.answerBytesKept, 0);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+const SETTINGS = {
+  name: 'agent-1',
+  zone: 'north',
+  address: '10.0.0.1:7000',
+  clientPort: 7001,
+  storeAddress: '10.0.0.9:80',
+};
+
+test('the setting is on by default, 0 switches it off, and anything else is named', (t) => {
+  t.true(checkPacketSettings('s', SETTINGS).unwrap().repairAnswers);
+  t.false(checkPacketSettings('s', { ...SETTINGS, repairAnswers: 0 }).unwrap().repairAnswers);
+  const wrong = checkPacketSettings('s', { ...SETTINGS, repairAnswers: 'yes' });
+  t.deepEqual(wrong.err && wrong.val.details, ['repairAnswers: must be 1 or 0']);
+});
+
+const BALANCER = packEndpoint('10.0.0.2', 7_000);
+const AGENT = packEndpoint('10.0.0.1', 7_000);
+const CODEC = new PacketFrameCodec([{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }]);
+
+/** A whole agent whose target, clients and balancer are played by the test. */
+class AgentScene {
+  readonly clock = new VirtualClock();
+  readonly toClient: Arrival[] = [];
+  readonly toTarget: Buffer[] = [];
+  readonly agent: PacketAgent;
+
+  constructor(repairAnswers: boolean) {
+    this.agent = new PacketAgent(
+      {
+        zone: 'north',
+        address: AGENT,
+        service: 'map',
+        seeds: [],
+        heartbeatInterval: 1_000,
+        coldLimit: undefined,
+        flowLifetime: 60_000,
+        repairAnswers,
+      },
+      {
+        environment: createEnvironment(this.clock, []),
+        codec: CODEC,
+        transport: { send: () => undefined },
+        format: packetFormat,
+        registry: { add: () => undefined, remove: () => undefined } as never,
+        sendToClient: (_client: Endpoint, bytes) =>
+          this.toClient.push({ at: this.clock.now, bytes: Buffer.from(bytes) }),
+        sendToTarget: (bytes) => this.toTarget.push(Buffer.from(bytes)),
+      },
+    );
+    this.beat('i-1');
+  }
+
+  beat(incarnation: string): void {
+    const heartbeat = { service: 'map', slots: 1, draining: false, coldLeft: 0, sequence: 1 };
+    this.agent.heartbeat({ ...heartbeat, incarnation });
+  }
+
+  /** A balancer hands a client's packet over. */
+  deliver(flags: number, acknowledgement: number, data = ''): void {
+    const client = [CLIENT_ADDRESS, 1] as const;
+    const payload = encodePacket(client, ROUTE, flags, 7, acknowledgement, data);
+    const services = ['map'];
+    const message = { type: PacketMessageType.deliver, searchId: 1, services, payload } as const;
+    this.agent.frame(CODEC.encode(message), BALANCER);
+  }
+
+  send(sequence: number, data: string, flags: number = Flag.ack): Buffer {
+    const bytes = encodePacket(ROUTE, [CLIENT_ADDRESS, 1], flags, sequence, 7, data);
+    const asWritten = Buffer.from(bytes);
+    this.agent.targetDatagram(bytes);
+    return asWritten;
+  }
+
+  /** The flow opens and the client sends a request. */
+  open(): void {
+    this.deliver(Flag.syn, 0);
+    this.send(OPENING, '', Flag.syn | Flag.ack);
+    this.pass(ROUND_TRIP);
+    this.deliver(Flag.ack, OPENING + 1, 'GET');
+  }
+
+  pass(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+}
+
+test('an agent repeats what a client misses by the acknowledgements that pass through it', (t) => {
+  const scene = new AgentScene(true);
+  scene.open();
+  const packets = [0, 1, 2, 3].map((index) => scene.send(endOf(index), DATA));
+  scene.pass(ROUND_TRIP);
+  scene.deliver(Flag.ack, endOf(1));
+  scene.deliver(Flag.ack, endOf(1));
+  scene.pass(ROUND_TRIP);
+  t.is(scene.toClient.length, 6);
+  t.deepEqual(scene.toClient[5]!.bytes, packets[1]);
+  scene.deliver(Flag.ack, endOf(4));
+  scene.pass(1_000);
+  t.is(scene.toClient.length, 6);
+  t.is(scene.agent.figures.answersRepeated, 1);
+  t.is(scene.toTarget.length, 5);
+});
+
+test('an agent drops the answers of a target that is replaced at its address', (t) => {
+  const scene = new AgentScene(true);
+  scene.open();
+  scene.send(endOf(0), DATA);
+  scene.beat('i-2');
+  scene.pass(1_000);
+  t.is(scene.toClient.length, 2);
+});
+
+test('an agent with answer repair switched off repeats nothing', (t) => {
+  const scene = new AgentScene(false);
+  scene.open();
+  scene.send(endOf(0), DATA);
+  scene.pass(1_000);
+  t.is(scene.toClient.length, 2);
+});
+
+test('a packet that its target returns ends the repeats of its flow', (t) => {
+  const scene = new AgentScene(true);
+  scene.open();
+  scene.send(endOf(0), DATA);
+  const returned = Buffer.from(scene.toTarget.at(-1)!);
+  returned[30]! |= Flag.bounced;
+  scene.agent.targetDatagram(returned);
+  scene.pass(1_000);
+  t.is(scene.toClient.length, 2);
+});
