--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -12,6 +12,7 @@
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
+const DEFAULT_REPAIR_ANSWERS = true;
 
 /** Settings of a packet balancer or packet agent, checked. */
 export interface PacketSettings {
@@ -130,13 +131,17 @@
     return value;
   }
 
-  /** Whether a part is on: 1 or 0, on when the key is missing. */
-  isOn(key: string): boolean {
-    const value = this.given(key) ?? 1;
+  /** 1 for true, 0 for false. */
+  toggle(key: string, fallback: boolean): boolean {
+    const value = this.given(key);
+    if (value === undefined) {
+      return fallback;
+    }
     if (value !== 0 && value !== 1) {
       this.problems.push(`${key}: must be 1 or 0`);
+      return fallback;
     }
-    return value !== 0;
+    return value === 1;
   }
 
   port(key: string): number {
@@ -214,7 +219,7 @@
     applyTime: reader.positive('applyTime', DEFAULT_APPLY_TIME),
     evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
-    repairAnswers: reader.isOn('repairAnswers'),
+    repairAnswers: reader.toggle('repairAnswers', DEFAULT_REPAIR_ANSWERS),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
     metrics: reader.optionalText('metrics'),
   };
--- a/src/packets/repair/answer-flow.ts
+++ b/src/packets/repair/answer-flow.ts
@@ -210,8 +210,14 @@
     return Math.min(this.gapDueAt, this.probeDueAt, first.sentAt + TARGET_TIMEOUT);
   }
 
+  /** Once packets cannot have overtaken each other, and the first has had time to be told of. */
   private get gapDueAt(): number {
-    return this.gapSince === undefined ? Infinity : this.gapSince + this.timing.reorderingWindow;
+    const [first] = this.kept;
+    if (!first || this.gapSince === undefined) {
+      return Infinity;
+    }
+    const { reorderingWindow, roundTrip } = this.timing;
+    return Math.max(this.gapSince + reorderingWindow, first.sentAt + roundTrip);
   }
 
   private get probeDueAt(): number {
--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -12,7 +12,7 @@
 import type { FlowKey, FlowPacket } from '../flow-packet';
 import { AnswerFlow, type SentAnswer } from './answer-flow';
 import { AnswerTiming } from './answer-timing';
-import { RepairBudget } from './repair-budget';
+import { HopBudget } from './hop-budget';
 import { measureSequenceLength } from './sequence-numbers';
 
 /** Bytes kept over all flows: a small part of what an agent's machine has at least (200 MB). */
@@ -28,11 +28,6 @@
 const STEP = 5;
 /** Milliseconds by which a timer may be late before acknowledgements not yet read come first. */
 const LATENESS_ALLOWED = 2 * STEP;
-/**
- * Repeats for each packet sent, and at once beyond that: far above what links in order lose (a few
- * in a thousand), so that it binds only when a link is full or cut.
- */
-const BUDGET = { share: 0.1, burst: 20 } as const;
 /** Milliseconds between two log lines that repeats are limited. */
 const REPORT_INTERVAL = 1_000;
 
@@ -71,7 +66,7 @@
     answerRepairsWithheld: 0,
   };
   private readonly timing = new AnswerTiming();
-  private readonly budget = new RepairBudget(BUDGET);
+  private readonly budget = new HopBudget();
   /** In the order of their targets' latest packets. */
   private readonly flows = new Map<FlowKey, AnswerFlow>();
   /** Flows with packets kept. */
@@ -150,10 +145,14 @@
   }
 
   private noteProgress(flow: AnswerFlow, packet: FlowPacket, now: number): void {
+    if (packet.resets) {
+      flow.end();
+      return;
+    }
     const { acknowledged, needlessRepeats } = flow.acknowledged(packet, now);
     this.counters.answersAcknowledged += acknowledged;
     this.counters.answersRepeatedNeedlessly += needlessRepeats;
-    if (packet.ends || packet.resets) {
+    if (packet.ends) {
       flow.end();
     }
   }
@@ -245,7 +244,7 @@
   }
 
   private repeat(flow: AnswerFlow, { bytes }: SentAnswer, now: number): void {
-    if (!this.budget.take()) {
+    if (!this.budget.take(now)) {
       this.refuseRepair(now);
       return;
     }
--- a/src/packets/repair/answer-timing.ts
+++ b/src/packets/repair/answer-timing.ts
@@ -46,10 +46,14 @@
     return this.estimators[kind].timeout;
   }
 
+  /** Milliseconds from sending a packet to a prompt acknowledgement; the floor while unknown. */
+  get roundTrip(): number {
+    return this.estimators.prompt.smoothed ?? SHORTEST_TIMEOUT;
+  }
+
   /** Milliseconds for which a packet may be late without being lost. */
   get reorderingWindow(): number {
-    const { smoothed } = this.estimators.prompt;
-    return REORDERING_SHARE * (smoothed ?? SHORTEST_TIMEOUT);
+    return REORDERING_SHARE * this.roundTrip;
   }
 }
 
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -9,7 +9,6 @@
 import { PacketMessageType } from '../src/packets/packet-messages';
 import { checkPacketSettings } from '../src/packets/packet-settings';
 import { AnswerRepair } from '../src/packets/repair/answer-repair';
-import { RepairBudget } from '../src/packets/repair/repair-budget';
 import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { VirtualClock } from '../src/simulation/virtual-clock';
@@ -439,17 +438,17 @@
   t.is(scene.limitReports.length, 1);
 });
 
-test('a budget is earned by what is sent and never exceeds its burst', (t) => {
-  const budget = new RepairBudget({ share: 0.25, burst: 2 });
-  t.deepEqual([budget.take(), budget.take(), budget.take()], [true, true, false]);
-  for (let sent = 0; sent < 4; sent++) {
-    budget.noteSent();
-  }
-  t.deepEqual([budget.take(), budget.take()], [true, false]);
-  for (let sent = 0; sent < 100; sent++) {
-    budget.noteSent();
+test('what is sent after a burst of losses earns further repeats, a tenth of it', (t) => {
+  const scene = new RepairScene();
+  const seconds = 2;
+  for (let port = 1; port <= 2_000; port++) {
+    scene.send(OPENING, '', Flag.syn | Flag.ack, port);
+    scene.pass((seconds * 1_000) / 2_000);
   }
-  t.deepEqual([budget.take(), budget.take(), budget.take()], [true, true, false]);
+  scene.pass(1_000);
+  const { answersRepeated } = scene.repair.figures;
+  const earned = 2_000 / 10;
+  t.true(answersRepeated > earned && answersRepeated <= 20 + earned + 10 * (seconds + 1));
 });
 
 test('copies stay within their room, whoever leaves answers unacknowledged', (t) => {
