--- a/src/packets/repair/answer-flow.ts
+++ b/src/packets/repair/answer-flow.ts
@@ -5,6 +5,7 @@
  * Pure: times come from the caller. Acknowledgements are cumulative and tell nothing of single
  * packets, so a gap is told by repeated equal ones (RFC 5681) that last longer than packets
  * overtake each other (RFC 8985), and a lost tail by a timeout (RFC 6298, RFC 8985 section 7).
+ * Packets overtake each other on the way from the target too: their order here means nothing.
  */
 import type { Endpoint } from '../../environment';
 import type { FlowPacket } from '../flow-packet';
@@ -15,6 +16,8 @@
 const MAXIMUM_KEPT = 16;
 /** Repeats of one packet: one for the loss, one for the loss of the repeat. */
 const MAXIMUM_REPEATS = 2;
+/** Sequence numbers known as sent; a sender has 16 packets under way, some may be unaccounted. */
+const MAXIMUM_SENT = 64;
 
 /** A packet that was sent to the client and is not acknowledged. */
 export interface SentAnswer {
@@ -23,8 +26,12 @@
   readonly sequence: number;
   readonly end: number;
   readonly opens: boolean;
-  readonly sentAt: number;
+  /** Time at which the target sent it last. */
+  sentAt: number;
+  /** Repeats from here. */
   repeats: number;
+  /** Its target has repeated it. */
+  isRepeatedByTarget: boolean;
 }
 
 /** What a client's packet told. */
@@ -35,23 +42,26 @@
   readonly needlessRepeats: number;
 }
 
-/** How a flow stands: `targetRepeats` until what it repeats is acknowledged. */
+/** How a flow stands: `targetRepeats` after its target's timer, until that is acknowledged. */
 type FlowPhase = 'repaired' | 'targetRepeats' | 'over';
 
 const NO_PROGRESS: AnswerProgress = { acknowledged: 0, needlessRepeats: 0 };
 
 /** The answers of one flow. */
 export class AnswerFlow {
-  /** Unacknowledged packets, oldest first. */
+  /** Unacknowledged packets, by sequence number. */
   private kept: SentAnswer[] = [];
+  /** Sequence numbers of packets sent and not acknowledged, kept or not. */
+  private readonly sentNumbers = new Set<number>();
   private phase: FlowPhase = 'repaired';
   /** All before it is acknowledged. */
   private acknowledgedUpTo: number;
   private sentUpTo: number;
-  /** What was sent when a repeat was last necessary: until then further gaps are losses. */
+  /** What was sent when a gap or a loss was last known; all before it must come to close it. */
   private recoveredAt: number;
   /** Time since which a gap has been known; undefined without one. */
   private gapSince: number | undefined;
+  private lastSentAt = 0;
   private progressAt = 0;
   private repeatedAt = 0;
   /** Probes since the last progress. */
@@ -105,36 +115,76 @@
   }
 
   private noteNumbers(packet: FlowPacket, mayKeep: boolean, now: number): void {
-    if (measureDistance(this.sentUpTo, packet.sequence) < 0) {
-      this.releaseToTarget();
+    if (this.isRepeated(packet)) {
+      this.noteTargetRepeat(packet, now);
       return;
     }
-    this.sentUpTo = endOf(packet);
+    this.noteNumber(packet.sequence);
+    const end = endOf(packet);
+    this.sentUpTo = measureDistance(this.sentUpTo, end) > 0 ? end : this.sentUpTo;
     if (this.phase === 'repaired' && mayKeep) {
       this.keep(packet, now);
     }
   }
 
-  /** The target repeats by itself: what it sends now is what the client needs. */
-  private releaseToTarget(): void {
-    this.phase = 'targetRepeats';
-    this.recoveredAt = this.sentUpTo;
-    this.dropKept(this.kept.length);
+  /** Whether the target has sent these numbers before. */
+  private isRepeated({ sequence }: FlowPacket): boolean {
+    const isOld = measureDistance(this.acknowledgedUpTo, sequence) < 0;
+    return isOld || this.sentNumbers.has(sequence);
+  }
+
+  private noteNumber(sequence: number): void {
+    this.sentNumbers.add(sequence);
+    if (this.sentNumbers.size > MAXIMUM_SENT) {
+      const [oldest] = this.sentNumbers;
+      this.sentNumbers.delete(oldest!);
+    }
+  }
+
+  /**
+   * The target's own repeat takes the place of one from here. After repeated acknowledgements it
+   * is one packet, and the rest is still looked after; after its timer all is up to the target.
+   */
+  private noteTargetRepeat({ sequence }: FlowPacket, now: number): void {
+    const packet = this.kept.find((one) => one.sequence === sequence);
+    if (packet && now - packet.sentAt < LATEST_REPEAT) {
+      packet.sentAt = now;
+      packet.isRepeatedByTarget = true;
+      this.lastSentAt = now;
+      this.repeatedAt = now;
+      this.gapSince = undefined;
+    } else if (measureDistance(this.acknowledgedUpTo, sequence) >= 0) {
+      this.phase = 'targetRepeats';
+      this.recoveredAt = this.sentUpTo;
+      this.dropKept(() => true);
+    }
   }
 
   private keep(packet: FlowPacket, now: number): void {
     const { bytes, sequence, opens } = packet;
-    this.kept.push({ bytes, sequence, end: endOf(packet), opens, sentAt: now, repeats: 0 });
+    const next = this.kept.findIndex((one) => measureDistance(sequence, one.sequence) > 0);
+    const place = next < 0 ? this.kept.length : next;
+    this.kept.splice(place, 0, {
+      bytes,
+      sequence,
+      end: endOf(packet),
+      opens,
+      sentAt: now,
+      repeats: 0,
+      isRepeatedByTarget: false,
+    });
+    this.lastSentAt = now;
     this.bytesKept += bytes.length;
     if (this.kept.length > MAXIMUM_KEPT) {
-      this.dropKept(1);
+      const [first] = this.kept;
+      this.dropKept((one) => one === first);
     }
   }
 
   /** One side has ended the flow or broken it off: nothing is repeated any more. */
   end(): void {
     this.phase = 'over';
-    this.dropKept(this.kept.length);
+    this.dropKept(() => true);
   }
 
   /** A client's packet acknowledges what came before `packet.acknowledgement`. */
@@ -159,43 +209,67 @@
 
   /** The receiver has something from behind the first unacknowledged packet. */
   private noteRepeatedAcknowledgement(now: number): void {
-    const [first, next] = this.kept;
-    if (!first || !next || first.repeats > 0 || first.sequence !== this.acknowledgedUpTo) {
-      return;
-    }
-    const isOfNext = now - next.sentAt >= this.timing.reorderingWindow;
-    if (this.gapSince === undefined && isOfNext) {
-      this.gapSince = now;
+    if (this.kept.length > 1 && this.isFirstMissing) {
+      this.gapSince ??= now;
+      this.recoveredAt = this.sentUpTo;
     }
   }
 
-  /** After a repeat, what is still missing of that time is lost as well (RFC 6582). */
+  /** Whether the first packet is kept that the receiver lacks, and nobody has repeated it. */
+  private get isFirstMissing(): boolean {
+    const [first] = this.kept;
+    const isMissing = first?.sequence === this.acknowledgedUpTo;
+    return isMissing && first.repeats === 0 && !first.isRepeatedByTarget;
+  }
+
+  /** Whether something from behind the first missing packet has come, or may have been lost. */
+  private get isRecovering(): boolean {
+    return measureDistance(this.acknowledgedUpTo, this.recoveredAt) > 0;
+  }
+
+  /** What is still missing of the time of a gap or a repeat is another gap (RFC 6582). */
   private findNextGap(now: number): void {
-    const isRecovering = measureDistance(this.acknowledgedUpTo, this.recoveredAt) > 0;
+    const { isRecovering } = this;
     if (!isRecovering) {
       this.recoveredAt = this.acknowledgedUpTo;
       this.phase = 'repaired';
     }
-    const [first] = this.kept;
-    const isLost = isRecovering && first?.sequence === this.acknowledgedUpTo;
-    this.gapSince = isLost && first.repeats === 0 ? now : undefined;
+    this.gapSince = isRecovering && this.isFirstMissing ? now : undefined;
   }
 
   private takeAcknowledged(now: number): AnswerProgress {
-    const covered = this.kept.filter(({ end }) => measureDistance(end, this.acknowledgedUpTo) >= 0);
+    this.forgetNumbers();
+    const covered = this.takeCovered();
     const last = covered.at(-1);
     if (!last) {
       return NO_PROGRESS;
     }
     const repeats = covered.reduce((sum, { repeats: more }) => sum + more, 0);
+    const isAmbiguous = repeats > 0 || covered.some((one) => one.isRepeatedByTarget);
     const isNeedless = repeats > 0 && now - this.repeatedAt < this.timing.reorderingWindow;
-    if (repeats === 0 || isNeedless) {
-      this.timing.sample(covered.length > 1 ? 'prompt' : this.kindOf(last), now - last.sentAt);
+    if (!isAmbiguous || isNeedless) {
+      const isAlone = covered.length === 1 && this.kept.length === 0 && !last.opens;
+      this.timing.sample(isAlone ? 'delayed' : 'prompt', now - last.sentAt);
     }
-    this.dropKept(covered.length);
     return { acknowledged: covered.length, needlessRepeats: isNeedless ? repeats : 0 };
   }
 
+  /** Takes out what is acknowledged: the first of the packets kept. */
+  private takeCovered(): SentAnswer[] {
+    const open = this.kept.findIndex(({ end }) => measureDistance(end, this.acknowledgedUpTo) < 0);
+    const covered = this.kept.splice(0, open < 0 ? this.kept.length : open);
+    covered.forEach(({ bytes }) => (this.bytesKept -= bytes.length));
+    return covered;
+  }
+
+  private forgetNumbers(): void {
+    for (const sequence of this.sentNumbers) {
+      if (measureDistance(this.acknowledgedUpTo, sequence) < 0) {
+        this.sentNumbers.delete(sequence);
+      }
+    }
+  }
+
   /** A single packet may wait for another one before it is acknowledged; an opening does not. */
   private kindOf(last: SentAnswer): 'prompt' | 'delayed' {
     return this.kept.length === 1 && !last.opens ? 'delayed' : 'prompt';
@@ -207,17 +281,23 @@
     if (!first) {
       return Infinity;
     }
-    return Math.min(this.gapDueAt, this.probeDueAt, first.sentAt + TARGET_TIMEOUT);
+    return Math.min(this.gapDueAt, this.probeDueAt, this.forgetAt);
   }
 
-  /** Once packets cannot have overtaken each other, and the first has had time to be told of. */
+  /** Time at which the oldest copy is dropped: its target repeats it by itself then. */
+  private get forgetAt(): number {
+    const sentAt = this.kept.reduce((oldest, one) => Math.min(oldest, one.sentAt), Infinity);
+    return sentAt + TARGET_TIMEOUT;
+  }
+
+  /** Once packets cannot have overtaken each other, and the first has had its time. */
   private get gapDueAt(): number {
     const [first] = this.kept;
     if (!first || this.gapSince === undefined) {
       return Infinity;
     }
-    const { reorderingWindow, roundTrip } = this.timing;
-    return Math.max(this.gapSince + reorderingWindow, first.sentAt + roundTrip);
+    const timeout = this.timing.timeoutOf('prompt');
+    return Math.max(this.gapSince + this.timing.reorderingWindow, first.sentAt + timeout);
   }
 
   private get probeDueAt(): number {
@@ -225,7 +305,7 @@
     if (!last || this.probes >= MAXIMUM_REPEATS) {
       return Infinity;
     }
-    const since = Math.max(last.sentAt, this.progressAt, this.repeatedAt);
+    const since = Math.max(this.lastSentAt, this.progressAt, this.repeatedAt);
     return since + this.timing.timeoutOf(this.kindOf(last)) * 2 ** this.probes;
   }
 
@@ -240,9 +320,8 @@
       return this.repeat(this.kept[0], now);
     }
     if (this.probeDueAt <= now) {
-      const isFirstProbe = this.probes === 0;
       this.probes++;
-      return this.repeat(isFirstProbe ? this.kept.at(-1) : this.kept[0], now);
+      return this.repeat(this.isRecovering ? this.kept[0] : this.kept.at(-1), now);
     }
     return undefined;
   }
@@ -259,14 +338,12 @@
 
   /** Drops what the target repeats by itself from now on. */
   private forgetOld(now: number): void {
-    const old = this.kept.filter(({ sentAt }) => now - sentAt >= TARGET_TIMEOUT);
-    this.dropKept(old.length);
+    this.dropKept(({ sentAt }) => now - sentAt >= TARGET_TIMEOUT);
   }
 
-  private dropKept(count: number): void {
-    for (const { bytes } of this.kept.splice(0, count)) {
-      this.bytesKept -= bytes.length;
-    }
+  private dropKept(isDropped: (answer: SentAnswer) => boolean): void {
+    this.kept = this.kept.filter((answer) => !isDropped(answer));
+    this.bytesKept = this.kept.reduce((sum, { bytes }) => sum + bytes.length, 0);
     if (this.kept.length === 0) {
       this.gapSince = undefined;
     }
--- a/src/packets/repair/answer-timing.ts
+++ b/src/packets/repair/answer-timing.ts
@@ -15,7 +15,7 @@
 /** Milliseconds without any sample: half of the target's own timer leaves room for one repeat. */
 const FIRST_TIMEOUT = TARGET_TIMEOUT / 2;
 /** Milliseconds of pause in a busy client, balancer or agent that are no loss. */
-const SHORTEST_TIMEOUT = 20;
+const SHORTEST_TIMEOUT = 30;
 /**
  * Part of a round trip by which later packets may overtake earlier ones. RFC 8985 begins with a
  * quarter; delays that vary by a third each way make up to a third, and a needless repeat costs
@@ -46,14 +46,10 @@
     return this.estimators[kind].timeout;
   }
 
-  /** Milliseconds from sending a packet to a prompt acknowledgement; the floor while unknown. */
-  get roundTrip(): number {
-    return this.estimators.prompt.smoothed ?? SHORTEST_TIMEOUT;
-  }
-
   /** Milliseconds for which a packet may be late without being lost. */
   get reorderingWindow(): number {
-    return REORDERING_SHARE * this.roundTrip;
+    const { smoothed } = this.estimators.prompt;
+    return REORDERING_SHARE * (smoothed ?? SHORTEST_TIMEOUT);
   }
 }
 
