--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -114,6 +114,7 @@
     this.answers = new AnswerRepair({
       environment,
       isEnabled: settings.repairAnswers,
+      flowLifetime: settings.flowLifetime,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
     });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -17,13 +17,8 @@
 
 /** Bytes kept over all flows: a small part of what an agent's machine has at least (200 MB). */
 const MAXIMUM_BYTES = 8 * 1_024 * 1_024;
-/** Flows known at once, with and without packets kept; some 200 bytes each. */
+/** Flows known at once, with and without packets kept; less than a kilobyte each without. */
 const MAXIMUM_FLOWS = 4_096;
-/**
- * Milliseconds after its target's latest packet for which a flow is known: longer than a target
- * waits between two repeats (1.6 s), so that its own repeats are told from new packets.
- */
-const FLOW_TIME = 2_000;
 /** Milliseconds between two looks at what is due, so that packets due together share a wake-up. */
 const STEP = 5;
 /** Milliseconds by which a timer may be late before acknowledgements not yet read come first. */
@@ -54,6 +49,11 @@
   readonly environment: Environment;
   /** Repeats nothing when it is off. */
   readonly isEnabled: boolean;
+  /**
+   * Milliseconds for which a flow may rest. A flow is known as long, since the packets of an answer
+   * come in any order: only who knows where the answer before ended knows where one begins.
+   */
+  readonly flowLifetime: number;
   sendToClient(client: Endpoint, packet: Buffer): void;
 }
 
@@ -177,8 +177,9 @@
 
   /** Forgets flows that rest, and the one that rests longest when there is no room for another. */
   private forgetFlows(now: number): void {
+    const { flowLifetime } = this.dependencies;
     for (const [key, flow] of this.flows) {
-      if (now - flow.usedAt <= FLOW_TIME && this.flows.size < MAXIMUM_FLOWS) {
+      if (now - flow.usedAt <= flowLifetime && this.flows.size < MAXIMUM_FLOWS) {
         return;
       }
       this.drop(key);
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -23,6 +23,7 @@
 const DATA = 'x'.repeat(FULL);
 /** The target repeats by itself from here on. */
 const TARGET_TIMEOUT = 200;
+const FLOW_LIFETIME = 60_000;
 
 interface ReportedEvent {
   readonly event: EventKind;
@@ -118,6 +119,7 @@
     return new AnswerRepair({
       environment: createEnvironment(this.clock, this.events, this.delays),
       isEnabled: this.isEnabled,
+      flowLifetime: FLOW_LIFETIME,
       sendToClient: (_client, bytes) =>
         this.repeats.push({ at: this.clock.now, bytes: Buffer.from(bytes) }),
     });
@@ -289,6 +291,30 @@
   t.is(scene.repair.figures.answerBytesKept, 0);
 });
 
+test('an answer after a long pause is repaired, whichever of its packets comes first', (t) => {
+  const scene = openScene();
+  scene.pass(FLOW_LIFETIME - 1_000);
+  scene.send(endOf(1), 'short');
+  const [first] = scene.answer(1);
+  scene.pass(ROUND_TRIP);
+  scene.receive(endOf(0));
+  scene.pass(4 * ROUND_TRIP);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [first],
+  );
+});
+
+test('a flow that has rested for its lifetime is forgotten when others come', (t) => {
+  const scene = openScene();
+  scene.pass(FLOW_LIFETIME + 1);
+  scene.open(2);
+  scene.receive(endOf(0), Flag.fin | Flag.ack);
+  const [first] = scene.answer(1);
+  scene.pass(100);
+  t.deepEqual(scene.repeats[0]?.bytes, first);
+});
+
 test("a target's repeat after equal acknowledgements takes the place of one from here", (t) => {
   const scene = openScene();
   const packets = scene.answer(4);
@@ -453,6 +479,7 @@
   const repair = new AnswerRepair({
     environment: { ...createEnvironment(clock, []), now: () => clock.now + stalled },
     isEnabled: true,
+    flowLifetime: FLOW_LIFETIME,
     sendToClient: (_client, bytes) => repeats.push(bytes),
   });
   const client = [CLIENT_ADDRESS, 1] as const;
@@ -560,7 +587,7 @@
         seeds: [],
         heartbeatInterval: 1_000,
         coldLimit: undefined,
-        flowLifetime: 60_000,
+        flowLifetime: FLOW_LIFETIME,
         repairAnswers,
       },
       {
