--- a/src/packets/repair/answer-flow.ts
+++ b/src/packets/repair/answer-flow.ts
@@ -305,7 +305,8 @@
     if (!last || this.probes >= MAXIMUM_REPEATS) {
       return Infinity;
     }
-    const since = Math.max(this.lastSentAt, this.progressAt, this.repeatedAt);
+    const heardAt = Math.max(this.progressAt, this.gapSince ?? 0);
+    const since = Math.max(this.lastSentAt, heardAt, this.repeatedAt);
     return since + this.timing.timeoutOf(this.kindOf(last)) * 2 ** this.probes;
   }
 
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -8,9 +8,11 @@
 import { PacketFrameCodec } from '../src/packets/packet-frames';
 import { PacketMessageType } from '../src/packets/packet-messages';
 import { checkPacketSettings } from '../src/packets/packet-settings';
+import { AnswerFlow } from '../src/packets/repair/answer-flow';
 import { AnswerRepair } from '../src/packets/repair/answer-repair';
 import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { AnswerTiming } from '../src/packets/repair/answer-timing';
 import { VirtualClock } from '../src/simulation/virtual-clock';
 import { encodePacket, Flag } from './support/packet-cluster';
 
@@ -353,6 +355,44 @@
   );
 });
 
+test('what a target repeats although its client has acknowledged it is not looked after', (t) => {
+  const scene = openScene();
+  scene.answer(2);
+  scene.receive(endOf(2));
+  scene.answer(1);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+/** A flow alone, with two packets of an answer sent at time 0 over a way of 40 ms. */
+function createFlow(): AnswerFlow {
+  const timing = new AnswerTiming();
+  for (let samples = 0; samples < 100; samples++) {
+    timing.sample('prompt', 40);
+  }
+  const packets = [0, 1].map((index) =>
+    packetFormat.decodeFromTarget(
+      encodePacket(ROUTE, [CLIENT_ADDRESS, 1], Flag.ack, endOf(index), 7, DATA),
+    )!,
+  );
+  const flow = new AnswerFlow(packets[0]!, timing, 0);
+  packets.forEach((packet) => flow.sent(packet, true, 0));
+  return flow;
+}
+
+test('a gap is not a loss before packets cannot have overtaken each other any more', (t) => {
+  const flow = createFlow();
+  const client = encodePacket([CLIENT_ADDRESS, 1], ROUTE, Flag.ack, 7, endOf(0));
+  flow.acknowledged(packetFormat.decodeFromClient(client)!, 45);
+  t.is(flow.takeDue(60), undefined);
+  t.is(flow.takeDue(66)!.sequence, endOf(0));
+});
+
+test('just before its target is due to repeat it, a packet is left to its target', (t) => {
+  t.not(createFlow().takeDue(189), undefined);
+  t.is(createFlow().takeDue(195), undefined);
+});
+
 const endings: readonly (readonly [string, (scene: RepairScene) => void])[] = [
   ['the client ends it', (scene) => scene.receive(endOf(0), Flag.fin | Flag.ack)],
   ['the client breaks it off', (scene) => scene.receive(0, Flag.rst)],
