--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -71,6 +71,7 @@
   flowReset: event(2705, 'flow-reset', 'info'),
   requestDelivered: event(2706, 'request-delivered', 'info'),
   hopRepairsLimited: event(2707, 'hop-repairs-limited', 'warn'),
+  answerRepairsLimited: event(2708, 'answer-repairs-limited', 'warn'),
   zoneSpillChanged: event(2709, 'zone-spill-changed', 'info'),
   routingApplied: event(2711, 'routing-applied', 'info'),
   storeRegained: event(2712, 'store-regained', 'info'),
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -4,6 +4,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
+import type { AnswerRepairFigures } from './repair/answer-repair';
 import type { HopCounters } from './repair/hop-repair';
 
 /** Settings of a packet agent. */
@@ -22,6 +23,8 @@
   readonly flowLifetime: number;
   /** Whether refusals lost on the way to a balancer are sent once more. */
   readonly repairHops: boolean;
+  /** Whether the agent repeats packets of its target that a client does not acknowledge. */
+  readonly repairAnswers: boolean;
 }
 
 /** What a packet agent needs from its process. */
@@ -47,7 +50,7 @@
 }
 
 /** Figures of a packet agent. */
-export interface PacketAgentFigures extends HopCounters {
+export interface PacketAgentFigures extends HopCounters, AnswerRepairFigures {
   readonly busyRequests: number;
   readonly openFlows: number;
   /** Calls made to keep the agent in the registry. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -36,6 +36,7 @@
 } from './packet-messages';
 import { PacketLink } from './packet-link';
 import { PendingDeliveries } from './pending-deliveries';
+import { AnswerRepair } from './repair/answer-repair';
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
@@ -72,6 +73,7 @@
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
   private readonly guard: TargetGuard;
+  private readonly answers: AnswerRepair;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -122,6 +124,12 @@
       flowBytes: () => this.flowBytes.mean,
       knowsAllFlows: () => this.target.isKnownFromStart,
     });
+    this.answers = new AnswerRepair({
+      environment,
+      isEnabled: settings.repairAnswers,
+      flowLifetime: settings.flowLifetime,
+      sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
+    });
     this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
   }
 
@@ -145,6 +153,7 @@
   stop(): void {
     this.registration.stop();
     this.hops.stop();
+    this.answers.stop();
     this.timers.cancel();
   }
 
@@ -175,6 +184,7 @@
       openFlows: this.tracker.openFlows,
       registrations: this.registration.calls,
       ...this.hops.counters,
+      ...this.answers.figures,
     };
   }
 
@@ -189,6 +199,7 @@
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
       this.tracker.clear();
+      this.answers.clear();
       this.health.clear();
       this.flowBytes.clear();
       this.admission.targetReplaced();
@@ -287,6 +298,7 @@
     this.counters.packetsSent++;
     this.flowBytes.sent(packet);
     sendToClient(packet.client, bytes);
+    this.answers.sent(packet);
     this.noteTargetSends();
     this.judgeAnswer(packet);
     const balancer = this.tracker.sent(packet, environment.now());
@@ -320,6 +332,7 @@
       return;
     }
     this.reporter.subscribe(balancer);
+    this.answers.received(packet);
     const refusal = this.guard.refusalOf(packet.opens, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
@@ -336,6 +349,7 @@
       return;
     }
     this.link.noteCompact(balancer);
+    this.answers.received(packet);
     const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
@@ -458,6 +472,7 @@
     const { format } = this.dependencies;
     this.counters.packetsReturned++;
     this.tracker.returned(packet);
+    this.answers.drop(packet.flow);
     this.admission.returned(packet);
     if (packet.opens) {
       this.health.openingReturned(this.dependencies.environment.now());
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -14,6 +14,7 @@
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
 const DEFAULT_REPAIR_HOPS = true;
+const DEFAULT_REPAIR_ANSWERS = true;
 const DEFAULT_LOCALITY = true;
 /**
  * Milliseconds of waiting that a megabyte between zones is worth: 32 for an answer of 80,000 bytes,
@@ -65,6 +66,8 @@
   readonly choice: ChoiceSettings;
   /** Processors that this process may use; may be a part of one. */
   readonly capacity: number;
+  /** Whether an agent repeats packets of its target that a client does not acknowledge. */
+  readonly repairAnswers: boolean;
   /** Megabits a second that the machine's link carries. */
   readonly linkSpeed: number;
   /** Whether packets lost between balancer and agent are sent once more by the two of them. */
@@ -244,6 +247,7 @@
     evacuateTime: reader.optionalPositive('evacuateTime'),
     choice: readChoice(reader),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
+    repairAnswers: reader.toggle('repairAnswers', DEFAULT_REPAIR_ANSWERS),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
     repairHops: reader.toggle('repairHops', DEFAULT_REPAIR_HOPS),
     locality: reader.toggle('locality', DEFAULT_LOCALITY),
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -89,6 +89,8 @@
   coldTime = COLD_TIME;
   /** Whether processes that start from now on repair losses between balancer and agent. */
   repairHops = true;
+  /** Whether agents that start from now on repeat lost answers. */
+  repairAnswers = true;
   private readonly codec = new PacketFrameCodec([KEY]);
   private nextAddress = 1;
   private nextClient = 1;
@@ -234,6 +236,7 @@
         coldLimit: COLD_LIMIT,
         flowLifetime: FLOW_LIFETIME,
         repairHops: this.repairHops,
+        repairAnswers: this.repairAnswers,
       },
       {
         environment: process,
