--- a/src/packets/choice/expected-wait.ts
+++ b/src/packets/choice/expected-wait.ts
@@ -60,8 +60,9 @@
 }
 
 /**
- * The target that answers first among the first agents that take new flows; among twice as many as
- * long as those are worse than the service is in the mean. Undefined when none takes any.
+ * The target that answers first among the first agents that take new flows: as many as it takes to
+ * have an able one among them, and twice as many where those are worse than the service is in the
+ * mean. Undefined when none takes any.
  * @param ordered agents in the order that belongs to the flow
  */
 export function selectLeastWait(
@@ -74,13 +75,26 @@
   if (trial) {
     return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, context), [], true, context);
   }
-  for (let width = CANDIDATES; ; width *= 2) {
-    const offers = createOffers(accepting.slice(0, width), outlook, context);
-    const best = chooseOffer(offers, outlook, context);
-    if (width >= accepting.length || (best && isGoodEnough(best, outlook))) {
-      return best && choiceOf(best, offers, false, context);
+  const width = widthOf(accepting, context);
+  const offers = createOffers(accepting.slice(0, width), outlook, context);
+  const best = chooseOffer(offers, outlook, context);
+  if (!best || width >= accepting.length || isGoodEnough(best, outlook)) {
+    return best && choiceOf(best, offers, false, context);
+  }
+  const more = createOffers(accepting.slice(0, width * 2), outlook, context);
+  const bestOfMore = chooseOffer(more, outlook, context);
+  return bestOfMore && choiceOf(bestOfMore, more, false, context);
+}
+
+/** How many agents to consider: ten, or so many more that one of them is able. */
+function widthOf(accepting: readonly AgentEntry[], context: SelectionContext): number {
+  for (let width = CANDIDATES; width < accepting.length; width *= 2) {
+    const added = accepting.slice(width === CANDIDATES ? 0 : width / 2, width);
+    if (added.some((entry) => placementClassOf(entry, context) === PlacementClass.able)) {
+      return width;
     }
   }
+  return accepting.length;
 }
 
 function findTrial(
--- a/src/packets/choice/service-outlook.ts
+++ b/src/packets/choice/service-outlook.ts
@@ -1,6 +1,5 @@
 /** What the reports of all agents of a service say together, by which each of them is judged. */
 import type { AgentEntry } from '../agent-directory';
-import type { ReportMessage } from '../packet-messages';
 
 /** Milliseconds of an answer assumed where no target has told it. */
 const DEFAULT_ANSWER_TIME = 50;
@@ -38,24 +37,31 @@
  * @param openingRate new flows that this balancer places with them in a millisecond
  */
 export function outlookOf(entries: readonly AgentEntry[], openingRate: number): ServiceOutlook {
-  const reports = entries.flatMap(({ report }) => (report ? [report] : []));
+  const times: number[] = [];
+  let agents = 0;
   let busy = 0;
   let flows = 0;
   let slots = 0;
   let balancers = 1;
-  for (const { busyRequests, openFlows, balancerCount, slots: own } of reports) {
-    busy += busyRequests;
-    slots += own || DEFAULT_SLOTS;
-    flows += openFlows;
-    balancers = Math.max(balancers, balancerCount);
+  for (const { report } of entries) {
+    if (!report) {
+      continue;
+    }
+    agents++;
+    busy += report.busyRequests;
+    slots += report.slots || DEFAULT_SLOTS;
+    flows += report.openFlows;
+    balancers = Math.max(balancers, report.balancerCount);
+    if (report.answers > 0 && report.answerTime > 0) {
+      times.push(report.answerTime);
+    }
   }
-  const agents = Math.max(1, reports.length);
-  const answerTime = medianOf(answerTimesOf(reports)) ?? DEFAULT_ANSWER_TIME;
+  const answerTime = medianOf(times) ?? DEFAULT_ANSWER_TIME;
   return {
     answerTime,
     meanWait: slots > 0 ? (busy / slots) * answerTime : 0,
-    meanBusy: busy / agents,
-    meanFlows: flows / agents,
+    meanBusy: busy / Math.max(1, agents),
+    meanFlows: flows / Math.max(1, agents),
     // Little's law: as many are open as begin in the time for which one stays open.
     flowTime: openingRate > 0 ? flows / (openingRate * balancers) : Infinity,
     balancers,
@@ -80,12 +86,6 @@
   return entry.report?.slots || DEFAULT_SLOTS;
 }
 
-/** The times of an answer that targets have told by answers of their own. */
-function answerTimesOf(reports: readonly ReportMessage[]): number[] {
-  const told = reports.filter(({ answers, answerTime }) => answers > 0 && answerTime > 0);
-  return told.map(({ answerTime }) => answerTime);
-}
-
 /** The lower median, so that half of a service is never judged by its worse half. */
 export function medianOf(values: readonly number[]): number | undefined {
   const sorted = Float64Array.from(values).sort();
