--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -29,9 +29,9 @@
   state(): TargetStateValue;
   /** Requests that wait at the agent or are under way at its target. */
   busyRequests(): number;
-  /** Milliseconds that the target takes for an answer of late. */
   /** Mean bytes of a flow of the target of late; 0 while unknown. */
   flowBytes(): number;
+  /** Milliseconds that the target takes for an answer of late. */
   answerTime(now: number): number;
   /** Answers of late that this time rests on, fading. */
   answers(now: number): number;
