--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -55,6 +55,8 @@
   readonly capacity: number;
   /** Megabits a second that the machine's link carries. */
   readonly linkSpeed: number;
+  /** Whether a start is shortened by what docs/design/restart.md describes. */
+  readonly earlyStart: boolean;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -128,6 +130,15 @@
     return value;
   }
 
+  /** 1 or 0 for a mechanism that is on or off; on unless the document says otherwise. */
+  flag(key: string): boolean {
+    const value = this.given(key) ?? 1;
+    if (value !== 0 && value !== 1) {
+      this.problems.push(`${key}: must be 0 or 1`);
+    }
+    return value === 1;
+  }
+
   port(key: string): number {
     const value = this.given(key);
     if (typeof value !== 'number' || !Number.isInteger(value) || value < 1 || value > 65_535) {
@@ -204,6 +215,7 @@
     evacuateTime: reader.optionalPositive('evacuateTime'),
     capacity: reader.positive('capacity', DEFAULT_CAPACITY),
     linkSpeed: reader.positive('linkSpeed', DEFAULT_LINK_SPEED),
+    earlyStart: reader.flag('earlyStart'),
     metrics: reader.optionalText('metrics'),
   };
 }
--- a/src/runtime/udp-socket.ts
+++ b/src/runtime/udp-socket.ts
@@ -5,10 +5,9 @@
 import type { Endpoint } from '../environment';
 import { failure, messageOf, type HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
+import { resolveAddress, SOCKET_BUFFER_BYTES, takeEarly } from './early-sockets';
 
-const BUFFER_BYTES = 4 * 1_024 * 1_024;
 const DESTINATIONS_KEPT = 10_000;
-const IPV4 = 4;
 
 /** Receives one datagram. */
 export type DatagramHandler = (payload: Buffer, from: Endpoint) => void;
@@ -30,7 +29,8 @@
   }
 
   /**
-   * Binds an address; port 0 takes a free one. Error 1402 when it is taken.
+   * Binds an address, or takes the socket that the launcher has bound for it; port 0 takes a free
+   * one. Error 1402 when it is taken.
    * @param shared lets a successor bind the same address; the latest to bind receives
    */
   static bind(
@@ -39,6 +39,10 @@
     handler: DatagramHandler,
     shared = false,
   ): Promise<Result<UdpSocket, HallholdError>> {
+    const early = takeEarly(address, port);
+    if (early) {
+      return Promise.resolve(new Ok(UdpSocket.adopt(early, handler)));
+    }
     const socket = createSocket({ type: 'udp4', reuseAddr: shared, lookup: resolveAddress });
     return new Promise((resolve) => {
       socket.once('error', (error) => {
@@ -82,8 +86,8 @@
     socket.on('message', (payload, remote) => {
       handler(payload, packEndpoint(remote.address, remote.port));
     });
-    socket.setRecvBufferSize(BUFFER_BYTES);
-    socket.setSendBufferSize(BUFFER_BYTES);
+    socket.setRecvBufferSize(SOCKET_BUFFER_BYTES);
+    socket.setSendBufferSize(SOCKET_BUFFER_BYTES);
     return adopted;
   }
 
@@ -100,12 +104,3 @@
     return address;
   }
 }
-
-/** Destinations are addresses already: Node's own look-up would cost a turn of the queue. */
-function resolveAddress(
-  address: string,
-  _family: unknown,
-  callback: (error: null, address: string, family: number) => void,
-): void {
-  callback(null, address, IPV4);
-}
