--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -75,6 +75,7 @@
       address: frames.endpoint,
       packetAddress: clients.endpoint,
       capacity: 1,
+      earlyStart: true,
       linkSpeed: 1_000,
       seeds: [],
       flowLifetime: BenchSetup.lifetime,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -83,4 +83,5 @@
   agentRegistered: event(2722, 'agent-registered', 'info'),
   agentRemoved: event(2723, 'agent-removed', 'warn'),
   targetStateChanged: event(2724, 'target-state-changed', 'info'),
+  startupEnded: event(2727, 'startup-ended', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -63,6 +63,11 @@
     this.placement.reset();
   }
 
+  /** The route that a client's packet names; undefined for none, or without a routing table. */
+  routeOf({ destination }: FlowPacket): Route | undefined {
+    return this.routes?.get(destination);
+  }
+
   /** Routes one datagram of a client. */
   route(bytes: Buffer): void {
     const packet = this.receive(bytes);
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -25,6 +25,8 @@
   readonly applyTime: number;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** Whether a start is shortened (docs/design/restart.md). */
+  readonly earlyStart: boolean;
 }
 
 /** What a packet balancer needs from its process. */
@@ -52,6 +54,10 @@
   readonly flowsCached: number;
   readonly framesRejected: number;
   readonly packetsRelayed: number;
+  /** Clients' packets that have waited for the start of this balancer. */
+  readonly packetsKeptAtStart: number;
+  /** Those of them that waited too long, or were too many. */
+  readonly packetsDroppedAtStart: number;
   readonly ready: boolean;
   readonly readsStore: boolean;
   /** The store's revision through which the registry is known. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -25,7 +25,7 @@
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
 import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
-import { StartupBacklog } from './startup-backlog';
+import { LONGEST_BACKLOG, StartupGate } from './startup/startup-gate';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 import { ZoneDetour } from './zone-detour';
@@ -37,11 +37,6 @@
 const RELAY_SEARCH_TIME = 5_000;
 /** Milliseconds after its start in which the code of a weak balancer is still slow. */
 const WARM_UP_TIME = 8_000;
-/**
- * Milliseconds after its start from which on a balancer routes with what it has, ready or not,
- * and believes that there are no agents.
- */
-const LONGEST_BACKLOG = 3_000;
 
 /** One packet balancer. */
 export class PacketBalancer {
@@ -62,9 +57,7 @@
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
-  /** It could serve any flow in this life, or has waited for that long enough. */
-  private hasServed = false;
-  private readonly backlog = new StartupBacklog();
+  private readonly gate: StartupGate;
   private packetsRelayed = 0;
   private startedAt = 0;
 
@@ -118,6 +111,7 @@
       changed: () => this.updateReadiness(),
     });
     this.reading = this.createReading();
+    this.gate = this.createGate();
   }
 
   start(): void {
@@ -153,6 +147,7 @@
     this.reading.stop();
     this.peers.stop();
     this.router.stop();
+    this.gate.stop();
     this.timers.cancel();
   }
 
@@ -182,6 +177,8 @@
       flowsCached: this.cache.size,
       framesRejected: this.link.framesRejected,
       packetsRelayed: this.packetsRelayed,
+      packetsKeptAtStart: this.gate.kept,
+      packetsDroppedAtStart: this.gate.dropped,
       ready: this.isReady,
       readsStore: this.reading.isReading,
       registryRevision: this.view.revision,
@@ -203,12 +200,12 @@
 
   /** A datagram of a client. */
   clientDatagram(bytes: Buffer): void {
-    if (!this.hasServed) {
-      if (!this.canServe && this.keepForStart(bytes)) {
-        return;
-      }
-      this.routeBacklog();
+    if (!this.gate.keep(bytes)) {
+      this.routeDatagram(bytes);
     }
+  }
+
+  private routeDatagram(bytes: Buffer): void {
     const destination = this.relay.isWanted ? this.relayDestination(bytes) : undefined;
     if (destination === undefined) {
       this.router.route(bytes);
@@ -255,21 +252,20 @@
     return this.hasView && (maySeeNone || this.directory.hearsAny(now));
   }
 
-  /** Keeps a packet until any flow can be served; false for what is no packet. */
-  private keepForStart(bytes: Buffer): boolean {
+  /** Clients' packets wait here until any flow can be served. */
+  private createGate(): StartupGate {
     const { environment, format } = this.dependencies;
-    const packet = format.decodeFromClient(bytes);
-    if (!packet) {
-      return false;
-    }
-    this.backlog.add(packet.flow, bytes, environment.now());
-    return true;
-  }
-
-  private routeBacklog(): void {
-    this.hasServed = true;
-    const waiting = this.backlog.takeAll(this.dependencies.environment.now());
-    waiting.forEach((bytes) => this.clientDatagram(bytes));
+    return new StartupGate({
+      environment,
+      format,
+      directory: this.directory,
+      isPaced: this.settings.earlyStart,
+      canServe: () => this.canServe,
+      isRelaying: () => this.relay.isPossible(environment.now()),
+      table: () => this.table,
+      routeOf: (packet) => this.router.routeOf(packet),
+      route: (bytes) => this.routeDatagram(bytes),
+    });
   }
 
   private relayDestination(bytes: Buffer): Endpoint | undefined {
@@ -429,10 +425,7 @@
   }
 
   private maintain(): void {
-    const now = this.dependencies.environment.now();
-    if (!this.hasServed && now - this.startedAt > LONGEST_BACKLOG) {
-      this.routeBacklog();
-    }
+    this.gate.run();
     this.router.expire(this.dependencies.environment.now());
     this.upkeep.run(this.reading.isReading);
     this.subscriptions.expire();
@@ -441,9 +434,7 @@
 
   private updateReadiness(): void {
     const ready = this.isReady;
-    if (!this.hasServed && this.canServe) {
-      this.routeBacklog();
-    }
+    this.gate.run();
     if (ready !== this.wasReady) {
       this.wasReady = ready;
       const { routingVersion, agentsKnown, agentsHeard } = this.figures;
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -82,6 +82,8 @@
   readonly judge = new WorldJudge(this.clock);
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
+  /** Whether balancers that start from now on shorten their start. */
+  earlyStart = true;
   /** Milliseconds for which targets that start from now on are slow. */
   coldTime = COLD_TIME;
   private readonly codec = new PacketFrameCodec([KEY]);
@@ -178,6 +180,7 @@
         seeds: this.currentSeeds(),
         flowLifetime: FLOW_LIFETIME,
         applyTime: APPLY_TIME,
+        earlyStart: this.earlyStart,
       },
       {
         environment: process,
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -7,7 +7,7 @@
 import { ServiceTime } from '../src/packets/service-time';
 import { TargetAdmission } from '../src/packets/target-admission';
 import { TargetLifecycle } from '../src/packets/target-lifecycle';
-import { StartupBacklog } from '../src/packets/startup-backlog';
+import { StartupBacklog } from '../src/packets/startup/startup-backlog';
 import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
@@ -101,14 +101,22 @@
   t.is(tracker.busyRequests, 0);
 });
 
+function createData(flow: string, sequence: number): FlowPacket {
+  return { flow, opens: false, sequence } as FlowPacket;
+}
+
 test('the newest packet of each flow waits for a start, within bounds and not for long', (t) => {
   const backlog = new StartupBacklog();
-  backlog.add('a', Buffer.from('old'), 0);
-  backlog.add('b', Buffer.from('b'), 100);
-  backlog.add('a', Buffer.from('new'), 500);
-  t.deepEqual(backlog.takeAll(900).map(String), ['new']);
+  backlog.add(createData('a', 1), 0);
+  backlog.add(createData('b', 1), 100);
+  backlog.add(createData('a', 2), 500);
+  t.deepEqual(
+    backlog.takeAll(900, () => undefined),
+    [createData('a', 2)],
+  );
+  t.is(backlog.dropped, 1);
   for (let flow = 0; flow < 2_000; flow++) {
-    backlog.add(`f${flow}`, Buffer.from('x'), 0);
+    backlog.add(createData(`f${flow}`, 1), 0);
   }
   t.is(backlog.size, 1_024);
 });
