--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -45,12 +45,15 @@
   }
 
   /**
-   * A balancer is there: it gets reports for some seconds, the first at once.
+   * A balancer is there: it gets reports for some seconds, the first at once. That one names the
+   * others which have been here longest: one that has just started learns from whom it gets its view.
    * @param interval milliseconds between reports that it wants; as before when undefined
    */
   subscribe(balancer: Endpoint, interval?: number): void {
-    if (this.subscribers.renew(balancer, this.dependencies.environment.now(), interval)) {
-      this.reportTo([balancer]);
+    const now = this.dependencies.environment.now();
+    if (this.subscribers.renew(balancer, now, interval)) {
+      const others = this.subscribers.present(now).filter((one) => one !== balancer);
+      this.dependencies.link.send(balancer, this.createReport(others));
     }
   }
 
@@ -71,6 +74,7 @@
     }
   }
 
+  /** @param balancers balancers that the report names; as many of them as it has room for */
   private createReport(balancers: readonly Endpoint[]): ReportMessage {
     const { environment, zone, target, tracker, health } = this.dependencies;
     const now = environment.now();
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -56,7 +56,9 @@
   readonly packetsRelayed: number;
   /** Clients' packets that have waited for the start of this balancer. */
   readonly packetsKeptAtStart: number;
-  /** Those of them that waited too long, or were too many. */
+  /** Clients' packets that another balancer has got because this one had just started. */
+  readonly packetsRelayedAtStart: number;
+  /** Those of the waiting ones that waited too long, or were too many. */
   readonly packetsDroppedAtStart: number;
   readonly ready: boolean;
   readonly readsStore: boolean;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -26,6 +26,7 @@
 import { RegistryUpkeep } from './registry-upkeep';
 import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
 import { LONGEST_BACKLOG, StartupGate } from './startup/startup-gate';
+import { StartupRelay } from './startup/startup-relay';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 import { ZoneDetour } from './zone-detour';
@@ -58,6 +59,7 @@
   private stopping = false;
   private wasReady = false;
   private readonly gate: StartupGate;
+  private readonly startupRelay: StartupRelay;
   private packetsRelayed = 0;
   private startedAt = 0;
 
@@ -69,6 +71,7 @@
     this.timers = new NodeTimers(environment);
     this.detours = new ZoneDetour(settings.zone);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
+    this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
@@ -178,6 +181,7 @@
       framesRejected: this.link.framesRejected,
       packetsRelayed: this.packetsRelayed,
       packetsKeptAtStart: this.gate.kept,
+      packetsRelayedAtStart: this.gate.relayedOn,
       packetsDroppedAtStart: this.gate.dropped,
       ready: this.isReady,
       readsStore: this.reading.isReading,
@@ -262,6 +266,9 @@
       isPaced: this.settings.earlyStart,
       canServe: () => this.canServe,
       isRelaying: () => this.relay.isPossible(environment.now()),
+      relay: this.settings.earlyStart && !this.relay.isWanted ? this.startupRelay : undefined,
+      clusterSize: () => this.peers.clusterSize,
+      handOn: (to, bytes) => this.dependencies.relay(to, bytes),
       table: () => this.table,
       routeOf: (packet) => this.router.routeOf(packet),
       route: (bytes) => this.routeDatagram(bytes),
@@ -315,6 +322,7 @@
       link: this.link,
       snapshots,
       relay: this.relay,
+      statusReceived: (peer, status) => this.learnStatus(peer, status),
       detours: this.detours,
       lacksView: () => !this.hasView,
       evacuations: this.evacuations,
@@ -329,6 +337,11 @@
     });
   }
 
+  private learnStatus(peer: Endpoint, status: BalancerStatus): void {
+    this.startupRelay.learn(peer, status, this.dependencies.environment.now());
+    this.gate.run();
+  }
+
   /** A balancer that starts first asks others; those that others ask first read at once. */
   private createReading(): StoreReading {
     const { environment, registry, routingTables, evacuatedZones, storeProbe } = this.dependencies;
@@ -346,6 +359,7 @@
       storeProbe,
       clusterSize: () => this.peers.clusterSize,
       hasView: () => this.hasView,
+      isFetching: () => this.peers.isFetching,
       takeTable: (table) => this.takeTable(table, 'store'),
       takeListing: (listing) => {
         this.view.takeListing(listing);
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -56,6 +56,8 @@
   /** Whether this balancer cannot serve for want of a routing table or the agents. */
   lacksView(): boolean;
   routingVersion(): number;
+  /** A peer has said how it is. */
+  statusReceived(peer: Endpoint, status: BalancerStatus): void;
   /** What this balancer tells of itself. */
   ownStatus(): BalancerStatus;
   snapshotReceived(peer: Endpoint, snapshot: PeerSnapshot): void;
@@ -149,6 +151,11 @@
     }
   }
 
+  /** Whether a peer's snapshot is on its way. */
+  get isFetching(): boolean {
+    return this.fetching;
+  }
+
   /** Tells balancers that have asked without a view, once this one has it. */
   tellWaiting(): void {
     if (this.waiting.size > 0 && !this.dependencies.lacksView()) {
@@ -191,11 +198,12 @@
   }
 
   private learnStatus(peer: Endpoint, status: PeerStatusMessage): void {
-    const { detours, relay, environment } = this.dependencies;
+    const { detours, environment, relay, statusReceived } = this.dependencies;
     const { zone, packetAddress, capacity, ready } = status;
     detours.learn(peer, zone, ready === 1, environment.now());
     const told = { zone, packetAddress, capacity: capacity / MILLI, isReady: ready === 1 };
     relay.learn(peer, told, environment.now());
+    statusReceived(peer, told);
   }
 
   private fetch(peer: Endpoint): void {
--- a/src/packets/startup/startup-backlog.ts
+++ b/src/packets/startup/startup-backlog.ts
@@ -7,15 +7,12 @@
  * that has come in the dark, one behind the other.
  */
 import type { FlowKey, FlowPacket } from '../flow-packet';
+import { ageOfOpening, OPENING_LIFETIME } from './opening-age';
 
 /** Flows that wait at most; the oldest is dropped beyond that. */
 const MAXIMUM_FLOWS = 1_024;
 /** Milliseconds after which a packet of an open flow is dropped: its sender has repeated it. */
 const LONGEST_WAIT = 600;
-/** Milliseconds from a client's first opening packet to each of its copies. */
-const COPY_DELAYS = [0, 200, 600] as const;
-/** Milliseconds from a client's first opening packet until it gives the attempt up. */
-const OPENING_LIFETIME = 1_400;
 
 /** A packet that waits. */
 interface WaitingPacket {
@@ -61,9 +58,9 @@
 
   /** Keeps a packet in place of an earlier one of its flow. */
   add(packet: FlowPacket, now: number): void {
-    const delay = packet.opens ? (COPY_DELAYS[packet.openingCopy] ?? 0) : 0;
+    const age = packet.opens ? ageOfOpening(packet.openingCopy) : 0;
     this.waiting.delete(packet.flow);
-    this.waiting.set(packet.flow, { packet, since: now, begunAt: now - delay });
+    this.waiting.set(packet.flow, { packet, since: now, begunAt: now - age });
     if (this.waiting.size > MAXIMUM_FLOWS) {
       const [oldest] = this.waiting.keys();
       this.waiting.delete(oldest!);
@@ -87,9 +84,13 @@
   /** Takes out all that waits: opening packets first, then those of open flows as they came. */
   takeAll(now: number, groupOf: GroupFinder): FlowPacket[] {
     this.dropStale(now);
+    return this.takeOut(this.orderAll(now, groupOf));
+  }
+
+  private orderAll(now: number, groupOf: GroupFinder): WaitingPacket[] {
     const openings = this.orderOpenings(now, groupOf).map(({ waiting }) => waiting);
     const others = [...this.waiting.values()].filter(({ packet }) => !packet.opens);
-    return this.takeOut([...openings, ...others]);
+    return [...openings, ...others];
   }
 
   private takeOut(chosen: readonly WaitingPacket[]): FlowPacket[] {
--- a/src/packets/startup/startup-gate.ts
+++ b/src/packets/startup/startup-gate.ts
@@ -2,12 +2,13 @@
  * What a balancer that has just started does with clients' packets: they wait until it can serve,
  * then opening packets go out as its agents are heard, and after a moment everything else.
  */
-import type { Environment, TimerHandle } from '../../environment';
+import type { Endpoint, Environment, TimerHandle } from '../../environment';
 import { Events } from '../../logging/events';
 import type { AgentDirectory, AgentEntry } from '../agent-directory';
 import { KNOCK_INTERVAL } from '../agent-subscriptions';
 import type { FlowPacket, PacketFormat } from '../flow-packet';
 import { servicesOf, type Route, type RoutingTable } from '../routing-table';
+import type { StartupRelay } from './startup-relay';
 import { StartupBacklog, type GroupFinder, type OpeningGroup } from './startup-backlog';
 
 /**
@@ -16,6 +17,11 @@
  * missed two of these questions is down, or starts so late that nothing should wait for it.
  */
 const HEARING_TIME = 1.5 * KNOCK_INTERVAL;
+/**
+ * Milliseconds after the start for which packets of flows that were handed on go the same way: most
+ * flows carry one request and are over by then, and those that go on are searched for once.
+ */
+const RELAYED_FLOW_TIME = 2_000;
 /**
  * Milliseconds after its start from which on a balancer routes with what it has, ready or not,
  * and believes that there are no agents.
@@ -35,7 +41,13 @@
   isRelaying(): boolean;
   table(): RoutingTable | undefined;
   routeOf(packet: FlowPacket): Route | undefined;
-  /** Routes a packet, or relays it. */
+  /** Knows who takes packets meanwhile; undefined where nobody does. */
+  readonly relay: StartupRelay | undefined;
+  /** Balancers known, this one included. */
+  clusterSize(): number;
+  /** Hands a packet on to where another balancer takes clients' packets. */
+  handOn(to: Endpoint, bytes: Buffer): void;
+  /** Routes a packet, or relays it as a weak balancer does at all times. */
   route(bytes: Buffer): void;
 }
 
@@ -46,6 +58,7 @@
   private servesSince: number | undefined;
   private timer: TimerHandle | undefined;
   private keptPackets = 0;
+  private relayedPackets = 0;
   private isOver = false;
 
   constructor(private readonly dependencies: StartupGateDependencies) {
@@ -57,6 +70,11 @@
     return this.keptPackets;
   }
 
+  /** Packets that were handed on to other balancers. */
+  get relayedOn(): number {
+    return this.relayedPackets;
+  }
+
   /** Packets that have waited here in vain. */
   get dropped(): number {
     return this.backlog.dropped;
@@ -67,16 +85,26 @@
    * of open flows are from the moment on at which any flow can be served.
    */
   keep(bytes: Buffer): boolean {
-    if (this.isOver) {
+    const { environment, format, relay } = this.dependencies;
+    if (this.isOver && !relay?.hasFlows) {
       return false;
     }
-    const packet = this.dependencies.format.decodeFromClient(bytes);
-    const isOfServedFlow = this.servesSince !== undefined && packet?.opens === false;
-    if (!packet || isOfServedFlow) {
+    const packet = format.decodeFromClient(bytes);
+    if (!packet) {
+      return false;
+    }
+    const now = environment.now();
+    return this.relayed(packet, now) || this.keepPacket(packet, now);
+  }
+
+  /** Keeps a packet that nobody else takes; false when it is to be routed here at once. */
+  private keepPacket(packet: FlowPacket, now: number): boolean {
+    const isOfOpenFlow = this.servesSince !== undefined && !packet.opens;
+    if (this.isOver || isOfOpenFlow) {
       return false;
     }
     this.keptPackets++;
-    this.backlog.add(packet, this.dependencies.environment.now());
+    this.backlog.add(packet, now);
     this.run();
     return true;
   }
@@ -88,6 +116,7 @@
     }
     const { canServe, environment, route } = this.dependencies;
     const now = environment.now();
+    this.relayWaiting(now);
     if (!canServe()) {
       if (now - this.startedAt > LONGEST_BACKLOG) {
         this.end(now);
@@ -111,14 +140,37 @@
     this.timer?.cancel();
   }
 
+  /** Hands a packet on if another balancer takes its flow meanwhile. */
+  private relayed({ flow, bytes }: FlowPacket, now: number): boolean {
+    const { clusterSize, handOn, relay } = this.dependencies;
+    const to = this.isOver ? relay?.find(flow) : relay?.choose(flow, clusterSize(), now);
+    if (to === undefined) {
+      return false;
+    }
+    this.relayedPackets++;
+    handOn(to, bytes);
+    return true;
+  }
+
+  private relayWaiting(now: number): void {
+    const { clusterSize, relay } = this.dependencies;
+    if (!relay?.isPossible(clusterSize(), now)) {
+      return;
+    }
+    const waiting = this.backlog.takeAll(now, this.createGroupFinder(now));
+    waiting.forEach((packet) => this.relayed(packet, now));
+  }
+
   private end(now: number): void {
     this.isOver = true;
     this.timer?.cancel();
-    const { directory, environment, route } = this.dependencies;
+    const { directory, environment, relay, route } = this.dependencies;
+    this.timer = environment.startTimer(RELAYED_FLOW_TIME, () => relay?.clear());
     const waiting = this.backlog.takeAll(now, this.createGroupFinder(now));
     waiting.forEach(({ bytes }) => route(bytes));
     environment.report(Events.startupEnded, {
       kept: this.keptPackets,
+      relayed: this.relayedPackets,
       dropped: this.backlog.dropped,
       last: waiting.length,
       milliseconds: Math.round(now - this.startedAt),
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -41,11 +41,11 @@
 const PROBE_SHARE = 1 / 3;
 
 /**
- * Milliseconds after its start at which a balancer without a view lists the registry, if nobody has
- * helped it yet. That is a small answer, and the agents listed there name balancers: one whose
+ * Milliseconds after its start at which a balancer without a view lists the registry, if nobody helps
+ * it yet: a seed that runs answers within the round trip of a few ms between zones. That is a small answer, and the agents listed there name balancers: one whose
  * seeds are down or still starting finds the others that way.
  */
-const DISCOVERY_DELAY = 60;
+const DISCOVERY_DELAY = 20;
 
 /** What the reading works with. */
 export interface StoreReadingDependencies {
@@ -67,6 +67,8 @@
   clusterSize(): number;
   /** Whether this balancer has a routing table and knows all agents. */
   hasView(): boolean;
+  /** Whether a peer's view is on its way. */
+  isFetching(): boolean;
   takeTable(table: RoutingTable): void;
   takeListing(listing: Listing<AgentRecord>): void;
   takeChanges(changes: Changes<AgentRecord>): void;
@@ -133,15 +135,23 @@
   /** Once, at the start of this balancer. */
   start(): void {
     this.run();
+    this.waitForOthers();
+  }
+
+  private waitForOthers(): void {
     const { environment } = this.dependencies;
     this.discoveryTimer = environment.startTimer(DISCOVERY_DELAY, () => this.findOthers());
   }
 
   private findOthers(): void {
-    const { hasView, registry, takeListing, environment } = this.dependencies;
+    const { hasView, isFetching, registry, takeListing, environment } = this.dependencies;
     if (this.stopped || this.isReading || hasView()) {
       return;
     }
+    if (isFetching()) {
+      this.waitForOthers();
+      return;
+    }
     this.discoveries++;
     registry.list((result) => {
       if (result.ok) {
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -5,7 +5,12 @@
 import { bindEarly } from '../src/runtime/early-sockets';
 import type { FlowPacket } from '../src/packets/flow-packet';
 import { StartupBacklog, type OpeningGroup } from '../src/packets/startup/startup-backlog';
+import { StartupRelay } from '../src/packets/startup/startup-relay';
+import type { BalancerStatus } from '../src/packets/traffic-relay';
 import { UdpSocket } from '../src/runtime/udp-socket';
+import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
+import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { waitFor } from './support/packet-cluster';
 
 /** Sends from another process while this one stands still, as it does while it loads a program. */
@@ -103,3 +108,73 @@
   t.deepEqual(flowsOf(backlog.takeAll(900, () => createGroup(1))), ['first']);
   t.is(backlog.dropped, 1);
 });
+
+const OWN_ZONE = 'north';
+
+function createStatus(packetAddress: number, capacity: number, zone = OWN_ZONE): BalancerStatus {
+  return { zone, packetAddress, capacity, isReady: true };
+}
+
+test('a starting balancer hands packets on to stronger ones only, each flow to one of them', (t) => {
+  const relay = new StartupRelay(OWN_ZONE, 0.3);
+  relay.learn(1, createStatus(11, 0.3), 0);
+  t.is(relay.choose('f', 4, 0), undefined, 'an equal one is starting too');
+  relay.learn(2, createStatus(12, 1.35, 'south'), 0);
+  t.is(relay.choose('f', 4, 0), 12);
+  relay.learn(3, createStatus(13, 1.35), 0);
+  t.is(relay.choose('f', 4, 0), 12, 'where its opening went');
+  t.is(relay.choose('g', 4, 0), 13, 'the own zone first');
+  t.is(relay.choose('h', 4, 5_000), undefined, 'nothing heard for too long');
+  t.is(relay.find('g'), 13);
+  relay.clear();
+  t.false(relay.hasFlows);
+});
+
+test('one strong balancer does not take the traffic of a large cluster', (t) => {
+  const relay = new StartupRelay(OWN_ZONE, 0.324);
+  relay.learn(2, createStatus(12, 1.35), 0);
+  t.false(relay.isPossible(24, 0));
+  relay.learn(3, createStatus(13, 1.35), 0);
+  t.true(relay.isPossible(24, 0));
+  relay.learn(3, { ...createStatus(13, 1.35), isReady: false }, 10);
+  t.false(relay.isPossible(24, 10));
+});
+
+/** Balancers of which the first is strong, and agents, as they start again together. */
+function startMixedWorld(): PacketWorld {
+  const world = new PacketWorld(61);
+  startModelDeployment(world, 1);
+  world.addBalancer('south', 0.3);
+  world.runFor(3_000);
+  return world;
+}
+
+test('packets are served by a stronger balancer while a slow one starts', (t) => {
+  const world = startMixedWorld();
+  const [strong, slow] = world.balancers;
+  world.store.down = true;
+  world.startBalancer(slow!);
+  slow!.node.clientDatagram(
+    encodeModelPacket({
+      client: 0x6440_0007_9c41,
+      destination: MAP_DESTINATION,
+      flags: ModelFlag.opens,
+      sequence: 0,
+      acknowledgement: 0,
+    }),
+  );
+  const placed = strong!.node.router.counters.flowsPlaced;
+  world.runFor(10);
+  t.is(slow!.node.figures.packetsRelayedAtStart, 1);
+  t.is(strong!.node.router.counters.flowsPlaced, placed + 1);
+  t.is(slow!.node.router.counters.flowsPlaced, 0);
+});
+
+test('a balancer without help finds the others through agents within the time of two calls', (t) => {
+  const world = startMixedWorld();
+  const [, slow] = world.balancers;
+  world.seeds = [0x0a09_0909_1b58];
+  world.startBalancer(slow!);
+  world.runFor(60);
+  t.true(slow!.node.isReady);
+});
