--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -135,6 +135,19 @@
     return true;
   }
 
+  /**
+   * Whether a client's packet ends the handshake that the target has begun: its flow opens there and
+   * nowhere else. Its balancer counts as told then.
+   */
+  isOpenedBy(packet: FlowPacket, balancer: Endpoint): boolean {
+    const flow = this.flows.get(packet.flow);
+    if (!flow || flow.ended || !acknowledgesOpening(packet, flow.openingSequence)) {
+      return false;
+    }
+    flow.told = balancer;
+    return true;
+  }
+
   /** Whether any packet of a flow has been delivered that the target did not return. */
   hasSeen(flow: FlowKey): boolean {
     return this.flows.has(flow);
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -19,6 +19,8 @@
   readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
+  /** Whether flows that have just opened are found by their handshake (docs/design/restart.md). */
+  readonly earlyStart: boolean;
 }
 
 /** What a packet agent needs from its process. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -318,7 +318,7 @@
     const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
-    } else if (this.tracker.isHeldFor(packet.flow, balancer)) {
+    } else if (this.isHolderFor(packet, balancer)) {
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
       this.admit(packet, balancer, searchId);
@@ -329,6 +329,13 @@
     }
   }
 
+  /** Whether the target holds a packet's flow, or will as soon as it has this packet. */
+  private isHolderFor(packet: FlowPacket, balancer: Endpoint): boolean {
+    const { earlyStart } = this.settings;
+    const isHeld = this.tracker.isHeldFor(packet.flow, balancer);
+    return isHeld || (earlyStart && this.tracker.isOpenedBy(packet, balancer));
+  }
+
   /** Whether only the target itself can tell if it holds a searched packet's flow. */
   private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
     switch (phase) {
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -219,6 +219,7 @@
         seeds: this.currentSeeds(),
         heartbeatInterval: HEARTBEAT_INTERVAL,
         coldLimit: COLD_LIMIT,
+        earlyStart: this.earlyStart,
         flowLifetime: FLOW_LIFETIME,
       },
       {
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -8,7 +8,11 @@
 import { StartupRelay } from '../src/packets/startup/startup-relay';
 import type { BalancerStatus } from '../src/packets/traffic-relay';
 import { UdpSocket } from '../src/runtime/udp-socket';
-import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
+import {
+  encodeModelPacket,
+  ModelFlag,
+  modelPacketFormat,
+} from '../src/simulation/packets/model-packet-format';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { waitFor } from './support/packet-cluster';
@@ -178,3 +182,35 @@
   world.runFor(60);
   t.true(slow!.node.isReady);
 });
+
+const FLOWS = 12;
+
+test('a flow that moves between balancers before its first data is found without other targets', (t) => {
+  const world = new PacketWorld(62);
+  // So that no agent can tell how old its target is, and nobody knows all flows of a target.
+  world.coldTime = 0;
+  startModelDeployment(world, 2);
+  world.agents.forEach((agent) => world.startAgent(agent));
+  world.runFor(3_000);
+  const [first, second] = world.balancers;
+  for (let flow = 0; flow < FLOWS; flow++) {
+    const packet = {
+      client: 0x6440_0007_9c41 + flow,
+      destination: MAP_DESTINATION,
+      sequence: 1,
+      payload: '',
+    };
+    const opening = { ...packet, flags: ModelFlag.opens, acknowledgement: 0 };
+    first!.node.clientDatagram(encodeModelPacket(opening));
+    world.runFor(10);
+    const key = modelPacketFormat.decodeFromClient(encodeModelPacket(opening))!.flow;
+    const holder = world.agents.find(({ target }) => target.flows.has(key))!;
+    const acknowledgement = holder.target.flows.get(key)!.sequence;
+    const request = { ...packet, flags: 0, sequence: 2, acknowledgement, payload: `r${flow}` };
+    second!.node.clientDatagram(encodeModelPacket(request));
+    world.runFor(100);
+    t.true(holder.target.holds(key));
+  }
+  const returned = world.agents.reduce((sum, { node }) => sum + node.counters.packetsReturned, 0);
+  t.is(returned, 0);
+});
