--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -84,4 +84,5 @@
   agentRemoved: event(2723, 'agent-removed', 'warn'),
   targetStateChanged: event(2724, 'target-state-changed', 'info'),
   startupEnded: event(2727, 'startup-ended', 'info'),
+  targetMissing: event(2728, 'target-missing', 'warn'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/agent-registration.ts
+++ b/src/packets/agent-registration.ts
@@ -29,6 +29,8 @@
   private isCalling = false;
   /** A registration is due and waits for the target to be heard. */
   private isDue = false;
+  /** Whether the registry lists this agent, as far as balancers have told. */
+  private isListed: boolean | undefined;
   private registeredAt = -Infinity;
   private registrations = 0;
 
@@ -63,6 +65,15 @@
     }
   }
 
+  /** There is no target: the entry, if there is one, goes; a target that is heard brings it back. */
+  withdraw(): void {
+    this.waitTimer?.cancel();
+    this.isDue = true;
+    if (this.isListed !== false) {
+      this.remove(FIRST_RETRY);
+    }
+  }
+
   /** Ends the timer. */
   stop(): void {
     this.waitTimer?.cancel();
@@ -73,9 +84,11 @@
     switch (listing) {
       case ListingState.listed:
         this.waitTimer?.cancel();
+        this.isListed = true;
         this.isDue = false;
         return;
       case ListingState.missing:
+        this.isListed = false;
         this.registerAnew();
         return;
       case ListingState.unknown:
@@ -113,4 +126,18 @@
       this.timers.once(wait, () => this.register(next));
     });
   }
+
+  private remove(delay: number): void {
+    if (this.isTargetHeard()) {
+      return;
+    }
+    this.registrations++;
+    this.registry.remove(this.record(), undefined, (result) => {
+      if (result.err) {
+        const next = Math.min(delay * 2, LONGEST_RETRY);
+        const wait = delay * (0.5 + this.environment.random());
+        this.timers.once(wait, () => this.remove(next));
+      }
+    });
+  }
 }
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -4,6 +4,7 @@
 import type { AgentRegistryPort } from './collection-port';
 import type { PacketFormat } from './flow-packet';
 import type { PacketFrameCodec } from './packet-frames';
+import type { TargetProbePort } from './startup/target-presence';
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -19,7 +20,10 @@
   readonly coldLimit: ColdLimitSettings | undefined;
   /** Milliseconds for which a flow may rest. */
   readonly flowLifetime: number;
-  /** Whether flows that have just opened are found by their handshake (docs/design/restart.md). */
+  /**
+   * Whether flows that have just opened are found by their handshake, and an agent without a target
+   * takes itself out of the registry (docs/design/restart.md).
+   */
   readonly earlyStart: boolean;
 }
 
@@ -30,6 +34,7 @@
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
   readonly registry: AgentRegistryPort;
+  readonly targetProbe: TargetProbePort;
   sendToClient(client: Endpoint, packet: Buffer): void;
   sendToTarget(packet: Buffer): void;
 }
@@ -51,4 +56,6 @@
   readonly openFlows: number;
   /** Calls made to keep the agent in the registry. */
   readonly registrations: number;
+  /** Looks taken at the address of a target that has not been heard. */
+  readonly targetLooks: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -38,6 +38,7 @@
 import { PendingDeliveries } from './pending-deliveries';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { stepAfter } from './search-steps';
+import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
@@ -68,6 +69,7 @@
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
   private readonly guard: TargetGuard;
+  private readonly presence: TargetPresence;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -85,6 +87,7 @@
       () => this.record,
       () => this.isTargetHeard,
     );
+    this.presence = this.createPresence();
     this.link = new PacketLink(codec, transport, environment);
     this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
     const { coldLimit, zone } = settings;
@@ -120,6 +123,9 @@
       this.tracker.expire(this.settings.flowLifetime, environment.now()),
     );
     this.registration.start(this.settings.seeds.length > 0);
+    if (this.settings.earlyStart) {
+      this.presence.start();
+    }
   }
 
   /** Takes other seeds, which the settings name now, and makes itself known there. */
@@ -130,6 +136,7 @@
   /** Ends all timers. */
   stop(): void {
     this.registration.stop();
+    this.presence.stop();
     this.timers.cancel();
   }
 
@@ -150,7 +157,7 @@
   }
 
   get state(): TargetStateValue {
-    const { state } = this.target;
+    const state = this.presence.isMissing ? TargetState.gone : this.target.state;
     return this.restarting && state !== TargetState.gone ? TargetState.agentRestarting : state;
   }
 
@@ -159,6 +166,7 @@
       busyRequests: this.busyRequests,
       openFlows: this.tracker.openFlows,
       registrations: this.registration.calls,
+      targetLooks: this.presence.looks,
     };
   }
 
@@ -299,7 +307,7 @@
       return;
     }
     this.reporter.subscribe(balancer);
-    const refusal = this.guard.refusalOf(packet.opens, message.services);
+    const refusal = this.refusalOf(packet, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
@@ -307,6 +315,28 @@
     this.admit(packet, balancer, message.searchId);
   }
 
+  private refusalOf(
+    { opens }: FlowPacket,
+    services: readonly string[],
+  ): RefusalReasonValue | undefined {
+    return this.presence.isMissing ? RefusalReason.noTarget : this.guard.refusalOf(opens, services);
+  }
+
+  /** An agent without a target is none: it takes itself out, and is back with the target. */
+  private createPresence(): TargetPresence {
+    const { environment, targetProbe } = this.dependencies;
+    return new TargetPresence({
+      environment,
+      probe: targetProbe,
+      heartbeatInterval: this.settings.heartbeatInterval,
+      isTargetHeard: () => this.isTargetHeard,
+      missed: () => {
+        this.registration.withdraw();
+        this.announce();
+      },
+    });
+  }
+
   /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
   private search(message: SearchMessage): void {
     const { balancer, searchId } = message;
@@ -315,7 +345,7 @@
       return;
     }
     this.link.noteVersion(balancer, COMPACT_FRAME_VERSION);
-    const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
+    const isRefused = this.refusalOf(packet, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
     } else if (this.isHolderFor(packet, balancer)) {
--- /dev/null
+++ b/src/packets/startup/target-presence.ts
@@ -0,0 +1,85 @@
+/**
+ * Whether there is a target beside an agent that has started and heard nothing of any.
+ *
+ * The machine of a target that has left may come back with an agent and no target. Its entry in the
+ * registry would keep balancers from telling clients that their flows are dead. Silence proves nothing,
+ * since heartbeats may come late; that nobody listens at the target's address does: there is no process
+ * that could hold a flow. From then on until the target is heard the agent hands nothing to it, so
+ * no flow can open there unseen.
+ */
+import type { Environment, TimerHandle } from '../../environment';
+import { Events } from '../../logging/events';
+
+/** Heartbeats that may be missed before the target's address is looked at. */
+const HEARTBEATS_MISSED = 2;
+
+/** Looks whether anybody listens at the target's address. */
+export interface TargetProbePort {
+  /** Answers true only if the machine says that nobody does; false for anything else. */
+  isVacant(answer: (isVacant: boolean) => void): void;
+}
+
+/** What the presence is judged with. */
+export interface TargetPresenceDependencies {
+  readonly environment: Environment;
+  readonly probe: TargetProbePort;
+  /** Milliseconds between two heartbeats of a target. */
+  readonly heartbeatInterval: number;
+  /** Whether the target has said or sent anything in this run of the agent. */
+  isTargetHeard(): boolean;
+  /** There is no target. */
+  missed(): void;
+}
+
+/** The presence of one target, in one run of its agent. */
+export class TargetPresence {
+  private timer: TimerHandle | undefined;
+  private isVacant = false;
+  private probes = 0;
+
+  constructor(private readonly dependencies: TargetPresenceDependencies) {}
+
+  /** Whether there is no target, and has been none since that was found out. */
+  get isMissing(): boolean {
+    return this.isVacant && !this.dependencies.isTargetHeard();
+  }
+
+  /** Looks taken at the target's address. */
+  get looks(): number {
+    return this.probes;
+  }
+
+  start(): void {
+    this.wait();
+  }
+
+  /** Ends the timer. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  private wait(): void {
+    const { environment, heartbeatInterval } = this.dependencies;
+    this.timer = environment.startTimer(HEARTBEATS_MISSED * heartbeatInterval, () => this.check());
+  }
+
+  private check(): void {
+    const { environment, isTargetHeard, missed, probe } = this.dependencies;
+    if (isTargetHeard()) {
+      return;
+    }
+    this.probes++;
+    probe.isVacant((isVacant) => {
+      if (isTargetHeard()) {
+        return;
+      }
+      if (!isVacant) {
+        this.wait();
+        return;
+      }
+      this.isVacant = true;
+      environment.report(Events.targetMissing, { looks: this.probes });
+      missed();
+    });
+  }
+}
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -14,6 +14,7 @@
 import type { Figures } from './metrics';
 import { RealEnvironment, type EventReporter } from './real-environment';
 import { HttpSnapshots, serveSnapshots } from './snapshot-exchange';
+import { TcpTargetProbe } from './target-probe';
 import { UdpSocket, type DatagramHandler } from './udp-socket';
 
 /** A balancer that goes has forwarded nothing for so long before it ends. */
@@ -182,6 +183,7 @@
         transport: frames,
         format: ports.format,
         registry: ports.registry,
+        targetProbe: new TcpTargetProbe(target),
         sendToClient: (client, packet) =>
           packets.send(ports.clientSocket(client, settings.clientPort), packet),
         sendToTarget: (packet) => packets.send(target, packet),
--- /dev/null
+++ b/src/runtime/target-probe.ts
@@ -0,0 +1,30 @@
+/** Looks whether anybody listens at a target's address, over TCP, without a request. */
+import { connect } from 'node:net';
+import { endpointAddress, endpointPort } from '../core/endpoint';
+import type { Endpoint } from '../environment';
+import type { TargetProbePort } from '../packets/startup/target-presence';
+
+/** Milliseconds: on its own machine an answer comes at once; none within this proves nothing. */
+const TIMEOUT = 500;
+const REFUSED = 'ECONNREFUSED';
+
+/** The probe of one target. */
+export class TcpTargetProbe implements TargetProbePort {
+  constructor(private readonly target: Endpoint) {}
+
+  isVacant(answer: (isVacant: boolean) => void): void {
+    const place = { host: endpointAddress(this.target), port: endpointPort(this.target) };
+    const connection = connect({ ...place, timeout: TIMEOUT });
+    let answered = false;
+    const end = (isVacant: boolean): void => {
+      connection.destroy();
+      if (!answered) {
+        answered = true;
+        answer(isVacant);
+      }
+    };
+    connection.on('connect', () => end(false));
+    connection.on('timeout', () => end(false));
+    connection.on('error', (error: NodeJS.ErrnoException) => end(error.code === REFUSED));
+  }
+}
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -228,6 +228,7 @@
         transport: { send: (to, frame) => this.network.send(process, address, to, frame) },
         format: modelPacketFormat,
         registry: this.store.registryPort(process),
+        targetProbe: { isVacant: (answer) => answer(!(agent.target?.alive ?? false)) },
         sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
         sendToTarget: (packet) => this.deliverToTarget(agent, Buffer.from(packet)),
       },
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -1,19 +1,21 @@
 /** A start after all power is lost: what waits for a process, and in which order it is served. */
 import test from 'ava';
 import { execFileSync } from 'node:child_process';
+import { createServer } from 'node:net';
 import { parseEndpoint } from '../src/core/endpoint';
 import { bindEarly } from '../src/runtime/early-sockets';
 import type { FlowPacket } from '../src/packets/flow-packet';
 import { StartupBacklog, type OpeningGroup } from '../src/packets/startup/startup-backlog';
 import { StartupRelay } from '../src/packets/startup/startup-relay';
 import type { BalancerStatus } from '../src/packets/traffic-relay';
+import { TcpTargetProbe } from '../src/runtime/target-probe';
 import { UdpSocket } from '../src/runtime/udp-socket';
 import {
   encodeModelPacket,
   ModelFlag,
   modelPacketFormat,
 } from '../src/simulation/packets/model-packet-format';
-import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { waitFor } from './support/packet-cluster';
 
@@ -214,3 +216,89 @@
   const returned = world.agents.reduce((sum, { node }) => sum + node.counters.packetsReturned, 0);
   t.is(returned, 0);
 });
+
+/** A world whose last agent has come back without its target, with an entry in the registry. */
+function startWithoutTarget(earlyStart: boolean): { world: PacketWorld; lone: WorldAgent } {
+  const world = new PacketWorld(63);
+  world.earlyStart = earlyStart;
+  startModelDeployment(world, 2);
+  world.runFor(3_000);
+  const lone = world.agents[0]!;
+  lone.process.kill();
+  lone.target.alive = false;
+  world.balancers.forEach((balancer) => world.startBalancer(balancer));
+  world.startAgent(lone);
+  return { world, lone };
+}
+
+/** Sends data of a flow that no target holds and tells how many resets it brings in 100 ms. */
+function countResetsOfDeadFlow(world: PacketWorld): number {
+  const { node } = world.balancers[0]!;
+  const dead = {
+    client: 0x6440_0007_9c41,
+    destination: MAP_DESTINATION,
+    flags: 0,
+    sequence: 2,
+    acknowledgement: 7,
+    payload: 'request',
+  };
+  node.clientDatagram(encodeModelPacket(dead));
+  world.runFor(100);
+  return node.router.counters.resetsSent;
+}
+
+test('an agent without a target leaves the registry, and keeps no reset back', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(4_000);
+  t.false(world.store.agents.items.has(String(lone.address)));
+  t.is(countResetsOfDeadFlow(world), 1);
+});
+
+test('switched off, such an agent keeps its entry, and resets back', (t) => {
+  const { world, lone } = startWithoutTarget(false);
+  world.runFor(4_000);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  t.is(countResetsOfDeadFlow(world), 0);
+});
+
+test('an agent that restarts beside a silent target that lives keeps its entry', (t) => {
+  const world = new PacketWorld(64);
+  startModelDeployment(world, 2);
+  world.runFor(3_000);
+  const agent = world.agents[0]!;
+  agent.heartbeats = false;
+  world.startAgent(agent);
+  world.runFor(8_000);
+  t.true(world.store.agents.items.has(String(agent.address)));
+  t.true(agent.node.figures.targetLooks > 1);
+});
+
+test('an agent whose target comes at last is listed again and serves', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(4_000);
+  world.startTarget(lone);
+  world.runFor(5_000);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address)?.report?.state, 2));
+});
+
+test('the store is asked again until it has taken the entry out', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(1_000);
+  world.store.refused.add(lone.name);
+  world.runFor(3_000);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  world.store.refused.clear();
+  world.runFor(2_000);
+  t.false(world.store.agents.items.has(String(lone.address)));
+});
+
+test('a look at an address without a listener proves that there is no target', async (t) => {
+  const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21414').unwrap());
+  t.true(await new Promise<boolean>((done) => vacant.isVacant(done)));
+  const server = createServer().listen(21_415, '127.41.1.1');
+  t.teardown(() => server.close());
+  await new Promise((done) => server.once('listening', done));
+  const present = new TcpTargetProbe(parseEndpoint('127.41.1.1:21415').unwrap());
+  t.false(await new Promise<boolean>((done) => present.isVacant(done)));
+});
