--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -11,6 +11,11 @@
  * is held up for a moment.
  */
 const SLOTS_IN_RESERVE = 0.5;
+/**
+ * Slots assumed of a target that has not told them, as balancers do: targets work on a few requests
+ * and queue a few more, and turn away what comes beyond that.
+ */
+const ASSUMED_SLOTS = 4;
 
 /** What the admission works with. */
 export interface TargetAdmissionDependencies {
@@ -94,11 +99,12 @@
     return goal > 0 ? this.serviceTime.patienceFor(goal) : this.serviceTime.patience;
   }
 
-  /** Whether the target would begin with another request soon; true while its slots are unknown. */
+  /** Whether the target would begin with another request soon. */
   private get hasRoom(): boolean {
     const { target, tracker } = this.dependencies;
-    const limit = target.slots + Math.ceil(target.slots * SLOTS_IN_RESERVE);
-    return target.slots === 0 || tracker.workingRequests < limit;
+    const slots = target.slots || ASSUMED_SLOTS;
+    const limit = slots + Math.ceil(slots * SLOTS_IN_RESERVE);
+    return tracker.workingRequests < limit;
   }
 
   private release(request: WaitingRequest | undefined): void {
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -6,6 +6,9 @@
 import { bindEarly } from '../src/runtime/early-sockets';
 import type { FlowPacket } from '../src/packets/flow-packet';
 import { StartupBacklog, type OpeningGroup } from '../src/packets/startup/startup-backlog';
+import { FlowTracker } from '../src/packets/flow-tracker';
+import { TargetAdmission } from '../src/packets/target-admission';
+import { TargetLifecycle } from '../src/packets/target-lifecycle';
 import { StartupRelay } from '../src/packets/startup/startup-relay';
 import type { BalancerStatus } from '../src/packets/traffic-relay';
 import { TcpTargetProbe } from '../src/runtime/target-probe';
@@ -302,3 +305,33 @@
   const present = new TcpTargetProbe(parseEndpoint('127.41.1.1:21415').unwrap());
   t.false(await new Promise<boolean>((done) => present.isVacant(done)));
 });
+
+test('a target whose slots are not known yet does not get all that waits at once', (t) => {
+  const tracker = new FlowTracker();
+  const target = new TargetLifecycle('map', 770);
+  const admission = new TargetAdmission({
+    target,
+    tracker,
+    latencyGoal: () => 0,
+    handOver: (packet, balancer) => tracker.delivered(packet, balancer, 0),
+  });
+  const requests = Array.from({ length: 20 }, (_, index) => {
+    const common = { client: 0x6440_0007_9c41 + index, destination: MAP_DESTINATION };
+    const answer = { ...common, flags: ModelFlag.opens, sequence: 7, acknowledgement: 1 };
+    tracker.sent(
+      modelPacketFormat.decodeFromTarget(encodeModelPacket({ ...answer, payload: '' }))!,
+      0,
+    );
+    const request = { ...common, flags: 0, sequence: 2, acknowledgement: 7, payload: 'request' };
+    return modelPacketFormat.decodeFromClient(encodeModelPacket(request))!;
+  });
+  requests.forEach((packet) => admission.admit(packet, 1, 0, 0));
+  t.is(tracker.workingRequests, 6);
+  t.is(admission.waitingRequests, 14);
+  target.heartbeat(
+    { incarnation: 'a', service: 'map', draining: false, sequence: 1, slots: 8, coldLeft: 0 },
+    0,
+  );
+  admission.releaseWaiting(0);
+  t.is(tracker.workingRequests, 12);
+});
