--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -88,4 +88,6 @@
   targetStateChanged: event(2724, 'target-state-changed', 'info'),
   targetSetAside: event(2725, 'target-set-aside', 'warn'),
   targetRestored: event(2726, 'target-restored', 'info'),
+  startupEnded: event(2727, 'startup-ended', 'info'),
+  targetMissing: event(2728, 'target-missing', 'warn'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -6,6 +6,7 @@
 import type { PacketFrameCodec } from './packet-frames';
 import type { AnswerRepairFigures } from './repair/answer-repair';
 import type { HopCounters } from './repair/hop-repair';
+import type { TargetProbePort } from './startup/target-presence';
 
 /** Settings of a packet agent. */
 export interface PacketAgentSettings {
@@ -25,6 +26,11 @@
   readonly repairHops: boolean;
   /** Whether the agent repeats packets of its target that a client does not acknowledge. */
   readonly repairAnswers: boolean;
+  /**
+   * Whether flows that have just opened are found by their handshake, and an agent without a target
+   * takes itself out of the registry (docs/design/restart.md).
+   */
+  readonly earlyStart: boolean;
 }
 
 /** What a packet agent needs from its process. */
@@ -34,6 +40,7 @@
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
   readonly registry: AgentRegistryPort;
+  readonly targetProbe: TargetProbePort;
   sendToClient(client: Endpoint, packet: Buffer): void;
   sendToTarget(packet: Buffer): void;
 }
@@ -55,4 +62,6 @@
   readonly openFlows: number;
   /** Calls made to keep the agent in the registry. */
   readonly registrations: number;
+  /** Looks taken at the address of a target that has not been heard. */
+  readonly targetLooks: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -41,6 +41,7 @@
 import { HopRepair } from './repair/hop-repair';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { stepAfter } from './search-steps';
+import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
@@ -74,6 +75,7 @@
   private readonly registration: AgentRegistration;
   private readonly guard: TargetGuard;
   private readonly answers: AnswerRepair;
+  private readonly presence: TargetPresence;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -91,6 +93,7 @@
       () => this.record,
       () => this.isTargetHeard,
     );
+    this.presence = this.createPresence();
     this.link = new PacketLink(codec, transport, environment);
     this.hops = new HopRepair({
       environment,
@@ -142,6 +145,9 @@
       this.hops.expire(environment.now());
     });
     this.registration.start(this.settings.seeds.length > 0);
+    if (this.settings.earlyStart) {
+      this.presence.start();
+    }
   }
 
   /** Takes other seeds, which the settings name now, and makes itself known there. */
@@ -154,6 +160,7 @@
     this.registration.stop();
     this.hops.stop();
     this.answers.stop();
+    this.presence.stop();
     this.timers.cancel();
   }
 
@@ -174,7 +181,7 @@
   }
 
   get state(): TargetStateValue {
-    const { state } = this.target;
+    const state = this.presence.isMissing ? TargetState.gone : this.target.state;
     return this.restarting && state !== TargetState.gone ? TargetState.agentRestarting : state;
   }
 
@@ -185,6 +192,7 @@
       registrations: this.registration.calls,
       ...this.hops.counters,
       ...this.answers.figures,
+      targetLooks: this.presence.looks,
     };
   }
 
@@ -333,7 +341,7 @@
     }
     this.reporter.subscribe(balancer);
     this.answers.received(packet);
-    const refusal = this.guard.refusalOf(packet.opens, message.services);
+    const refusal = this.refusalOf(packet, message.services);
     if (refusal !== undefined) {
       this.refuse(packet, message.searchId, balancer, refusal);
       return;
@@ -341,6 +349,28 @@
     this.admit(packet, balancer, message.searchId);
   }
 
+  private refusalOf(
+    { opens }: FlowPacket,
+    services: readonly string[],
+  ): RefusalReasonValue | undefined {
+    return this.presence.isMissing ? RefusalReason.noTarget : this.guard.refusalOf(opens, services);
+  }
+
+  /** An agent without a target is none: it takes itself out, and is back with the target. */
+  private createPresence(): TargetPresence {
+    const { environment, targetProbe } = this.dependencies;
+    return new TargetPresence({
+      environment,
+      probe: targetProbe,
+      heartbeatInterval: this.settings.heartbeatInterval,
+      isTargetHeard: () => this.isTargetHeard,
+      missed: () => {
+        this.registration.withdraw();
+        this.announce();
+      },
+    });
+  }
+
   /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
   private search(message: SearchMessage): void {
     const { balancer, searchId } = message;
@@ -350,10 +380,10 @@
     }
     this.link.noteCompact(balancer);
     this.answers.received(packet);
-    const isRefused = this.guard.refusalOf(packet.opens, message.services) !== undefined;
+    const isRefused = this.refusalOf(packet, message.services) !== undefined;
     if (isRefused || packet.opens) {
       this.passOn(message);
-    } else if (this.tracker.isHeldFor(packet.flow, balancer)) {
+    } else if (this.isHolderFor(packet, balancer)) {
       const flow = Buffer.from(packet.flow, 'latin1');
       this.link.send(balancer, { type: PacketMessageType.held, flow });
       this.admit(packet, balancer, searchId);
@@ -364,6 +394,13 @@
     }
   }
 
+  /** Whether the target holds a packet's flow, or will as soon as it has this packet. */
+  private isHolderFor(packet: FlowPacket, balancer: Endpoint): boolean {
+    const { earlyStart } = this.settings;
+    const isHeld = this.tracker.isHeldFor(packet.flow, balancer);
+    return isHeld || (earlyStart && this.tracker.isOpenedBy(packet, balancer));
+  }
+
   /** Whether only the target itself can tell if it holds a searched packet's flow. */
   private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
     switch (phase) {
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -31,6 +31,8 @@
   readonly repairHops: boolean;
   /** How agents are chosen for new flows; `DEFAULT_CHOICE` when undefined. */
   readonly choice?: ChoiceSettings;
+  /** Whether a start is shortened (docs/design/restart.md). */
+  readonly earlyStart: boolean;
 }
 
 /** What a packet balancer needs from its process. */
@@ -58,6 +60,12 @@
   readonly flowsCached: number;
   readonly framesRejected: number;
   readonly packetsRelayed: number;
+  /** Clients' packets that have waited for the start of this balancer. */
+  readonly packetsKeptAtStart: number;
+  /** Clients' packets that another balancer has got because this one had just started. */
+  readonly packetsRelayedAtStart: number;
+  /** Those of the waiting ones that waited too long, or were too many. */
+  readonly packetsDroppedAtStart: number;
   readonly ready: boolean;
   readonly readsStore: boolean;
   /** The store's revision through which the registry is known. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -29,7 +29,8 @@
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
 import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
-import { StartupBacklog } from './startup-backlog';
+import { LONGEST_BACKLOG, StartupGate } from './startup/startup-gate';
+import { StartupRelay } from './startup/startup-relay';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 import { ZoneDetour } from './zone-detour';
@@ -41,11 +42,6 @@
 const RELAY_SEARCH_TIME = 5_000;
 /** Milliseconds after its start in which the code of a weak balancer is still slow. */
 const WARM_UP_TIME = 8_000;
-/**
- * Milliseconds after its start from which on a balancer routes with what it has, ready or not,
- * and believes that there are no agents.
- */
-const LONGEST_BACKLOG = 3_000;
 
 /** One packet balancer. */
 export class PacketBalancer {
@@ -68,9 +64,8 @@
   private table: RoutingTable | undefined;
   private stopping = false;
   private wasReady = false;
-  /** It could serve any flow in this life, or has waited for that long enough. */
-  private hasServed = false;
-  private readonly backlog = new StartupBacklog();
+  private readonly gate: StartupGate;
+  private readonly startupRelay: StartupRelay;
   private packetsRelayed = 0;
   private startedAt = 0;
 
@@ -82,6 +77,7 @@
     this.timers = new NodeTimers(environment);
     this.detours = new ZoneDetour(settings.zone);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
+    this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
@@ -131,6 +127,7 @@
       changed: () => this.updateReadiness(),
     });
     this.reading = this.createReading();
+    this.gate = this.createGate();
   }
 
   start(): void {
@@ -168,6 +165,7 @@
     this.peers.stop();
     this.router.stop();
     this.hops.stop();
+    this.gate.stop();
     this.timers.cancel();
   }
 
@@ -198,6 +196,9 @@
       flowsCached: this.cache.size,
       framesRejected: this.link.framesRejected,
       packetsRelayed: this.packetsRelayed,
+      packetsKeptAtStart: this.gate.kept,
+      packetsRelayedAtStart: this.gate.relayedOn,
+      packetsDroppedAtStart: this.gate.dropped,
       ready: this.isReady,
       readsStore: this.reading.isReading,
       registryRevision: this.view.revision,
@@ -221,12 +222,12 @@
 
   /** A datagram of a client. */
   clientDatagram(bytes: Buffer): void {
-    if (!this.hasServed) {
-      if (!this.canServe && this.keepForStart(bytes)) {
-        return;
-      }
-      this.routeBacklog();
+    if (!this.gate.keep(bytes)) {
+      this.routeDatagram(bytes);
     }
+  }
+
+  private routeDatagram(bytes: Buffer): void {
     const destination = this.relay.isWanted ? this.relayDestination(bytes) : undefined;
     if (destination === undefined) {
       this.router.route(bytes);
@@ -279,21 +280,23 @@
     return this.hasView && (maySeeNone || this.directory.hearsAny(now));
   }
 
-  /** Keeps a packet until any flow can be served; false for what is no packet. */
-  private keepForStart(bytes: Buffer): boolean {
+  /** Clients' packets wait here until any flow can be served. */
+  private createGate(): StartupGate {
     const { environment, format } = this.dependencies;
-    const packet = format.decodeFromClient(bytes);
-    if (!packet) {
-      return false;
-    }
-    this.backlog.add(packet.flow, bytes, environment.now());
-    return true;
-  }
-
-  private routeBacklog(): void {
-    this.hasServed = true;
-    const waiting = this.backlog.takeAll(this.dependencies.environment.now());
-    waiting.forEach((bytes) => this.clientDatagram(bytes));
+    return new StartupGate({
+      environment,
+      format,
+      directory: this.directory,
+      isPaced: this.settings.earlyStart,
+      canServe: () => this.canServe,
+      isRelaying: () => this.relay.isPossible(environment.now()),
+      relay: this.settings.earlyStart && !this.relay.isWanted ? this.startupRelay : undefined,
+      clusterSize: () => this.peers.clusterSize,
+      handOn: (to, bytes) => this.dependencies.relay(to, bytes),
+      table: () => this.table,
+      routeOf: (packet) => this.router.routeOf(packet),
+      route: (bytes) => this.routeDatagram(bytes),
+    });
   }
 
   private relayDestination(bytes: Buffer): Endpoint | undefined {
@@ -361,6 +364,7 @@
       link: this.link,
       snapshots,
       relay: this.relay,
+      statusReceived: (peer, status) => this.learnStatus(peer, status),
       detours: this.detours,
       lacksView: () => !this.hasView,
       evacuations: this.evacuations,
@@ -375,6 +379,11 @@
     });
   }
 
+  private learnStatus(peer: Endpoint, status: BalancerStatus): void {
+    this.startupRelay.learn(peer, status, this.dependencies.environment.now());
+    this.gate.run();
+  }
+
   /** A balancer that starts first asks others; those that others ask first read at once. */
   private createReading(): StoreReading {
     const { environment, registry, routingTables, evacuatedZones, storeProbe } = this.dependencies;
@@ -392,6 +401,7 @@
       storeProbe,
       clusterSize: () => this.peers.clusterSize,
       hasView: () => this.hasView,
+      isFetching: () => this.peers.isFetching,
       takeTable: (table) => this.takeTable(table, 'store'),
       takeListing: (listing) => {
         this.view.takeListing(listing);
@@ -471,12 +481,9 @@
   }
 
   private maintain(): void {
-    const now = this.dependencies.environment.now();
-    if (!this.hasServed && now - this.startedAt > LONGEST_BACKLOG) {
-      this.routeBacklog();
-    }
+    this.gate.run();
     this.router.expire(this.dependencies.environment.now());
-    this.hops.expire(now);
+    this.hops.expire(this.dependencies.environment.now());
     this.upkeep.run(this.reading.isReading);
     this.subscriptions.expire();
     this.updateReadiness();
@@ -484,9 +491,7 @@
 
   private updateReadiness(): void {
     const ready = this.isReady;
-    if (!this.hasServed && this.canServe) {
-      this.routeBacklog();
-    }
+    this.gate.run();
     if (ready !== this.wasReady) {
       this.wasReady = ready;
       const { routingVersion, agentsKnown, agentsHeard } = this.figures;
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -13,6 +13,7 @@
 const DEFAULT_CAPACITY = 1;
 const DEFAULT_LINK_SPEED = 1_000;
 const DEFAULT_APPLY_TIME = 6_000;
+const DEFAULT_EARLY_START = true;
 const DEFAULT_REPAIR_HOPS = true;
 const DEFAULT_REPAIR_ANSWERS = true;
 const DEFAULT_LOCALITY = true;
@@ -76,6 +77,8 @@
   readonly locality: boolean;
   /** Milliseconds of waiting that a megabyte between zones is worth. */
   readonly transferCost: number;
+  /** Whether a start is shortened by what docs/design/restart.md describes. */
+  readonly earlyStart: boolean;
   /** Port and path of the metrics page; undefined for none. */
   readonly metrics: string | undefined;
 }
@@ -252,6 +255,7 @@
     repairHops: reader.toggle('repairHops', DEFAULT_REPAIR_HOPS),
     locality: reader.toggle('locality', DEFAULT_LOCALITY),
     transferCost: reader.positive('transferCost', DEFAULT_TRANSFER_COST),
+    earlyStart: reader.toggle('earlyStart', DEFAULT_EARLY_START),
     metrics: reader.optionalText('metrics'),
   };
 }
@@ -268,7 +272,7 @@
 function readChoice(reader: SettingsReader): ChoiceSettings {
   const { expectedWait, setAsideShare } = DEFAULT_CHOICE;
   return {
-    expectedWait: reader.countUpTo('expectedWait', 1, expectedWait ? 1 : 0) === 1,
+    expectedWait: reader.toggle('expectedWait', expectedWait),
     setAsideShare: reader.countUpTo('setAsideShare', HIGHEST_SHARE, setAsideShare),
   };
 }
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -85,6 +85,8 @@
   readonly judge = new WorldJudge(this.clock);
   /** Seeds that starting processes are given; by default the first two balancers. */
   seeds: Endpoint[] | undefined;
+  /** Whether balancers that start from now on shorten their start. */
+  earlyStart = true;
   /** Milliseconds for which targets that start from now on are slow. */
   coldTime = COLD_TIME;
   /** Whether processes that start from now on repair losses between balancer and agent. */
@@ -196,6 +198,7 @@
         repairHops: this.repairHops,
         locality: balancer.locality,
         transferCost: TRANSFER_COST,
+        earlyStart: this.earlyStart,
       },
       {
         environment: process,
@@ -234,6 +237,7 @@
         seeds: this.currentSeeds(),
         heartbeatInterval: HEARTBEAT_INTERVAL,
         coldLimit: COLD_LIMIT,
+        earlyStart: this.earlyStart,
         flowLifetime: FLOW_LIFETIME,
         repairHops: this.repairHops,
         repairAnswers: this.repairAnswers,
@@ -244,6 +248,7 @@
         transport: { send: (to, frame) => this.network.send(process, address, to, frame) },
         format: modelPacketFormat,
         registry: this.store.registryPort(process),
+        targetProbe: { isVacant: (answer) => answer(!(agent.target?.alive ?? false)) },
         sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
         sendToTarget: (packet) => this.deliverToTarget(agent, Buffer.from(packet)),
       },
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -630,6 +630,7 @@
         flowLifetime: FLOW_LIFETIME,
         repairAnswers,
         repairHops: true,
+        earlyStart: false,
       },
       {
         environment: createEnvironment(this.clock, []),
@@ -637,6 +638,7 @@
         transport: { send: () => undefined },
         format: packetFormat,
         registry: { add: () => undefined, remove: () => undefined } as never,
+        targetProbe: { isVacant: () => undefined },
         sendToClient: (_client: Endpoint, bytes) =>
           this.toClient.push({ at: this.clock.now, bytes: Buffer.from(bytes) }),
         sendToTarget: (bytes) => this.toTarget.push(Buffer.from(bytes)),
