--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -12,7 +12,7 @@
 import type { FlowKey, FlowPacket } from '../flow-packet';
 import { AnswerFlow, type SentAnswer } from './answer-flow';
 import { AnswerTiming } from './answer-timing';
-import { HopBudget } from './hop-budget';
+import { RepairBudget } from './repair-budget';
 import { measureSequenceLength } from './sequence-numbers';
 
 /** Bytes kept over all flows: a small part of what an agent's machine has at least (200 MB). */
@@ -66,7 +66,7 @@
     answerRepairsWithheld: 0,
   };
   private readonly timing = new AnswerTiming();
-  private readonly budget = new HopBudget();
+  private readonly budget = new RepairBudget();
   /** In the order of their targets' latest packets. */
   private readonly flows = new Map<FlowKey, AnswerFlow>();
   /** Flows with packets kept. */
--- a/src/packets/repair/hop-repair.ts
+++ b/src/packets/repair/hop-repair.ts
@@ -16,7 +16,7 @@
   type HopNumber,
   type PacketMessage,
 } from '../packet-messages';
-import { HopBudget } from './hop-budget';
+import { RepairBudget } from './repair-budget';
 import {
   isHopMessage,
   unpackNumbered,
@@ -67,7 +67,7 @@
 export class HopRepair {
   private readonly sender: HopSender;
   private readonly receiver = new HopReceiver();
-  private readonly budget = new HopBudget();
+  private readonly budget = new RepairBudget();
   private overdueTimer: TimerHandle | undefined;
   /** Time for which that timer is set; Infinity while it is not. */
   private overdueAt = Infinity;
--- a/src/packets/repair/hop-budget.ts
+++ b/src/packets/repair/repair-budget.ts
@@ -19,7 +19,7 @@
 const SECOND = 1_000;
 
 /** The budget of one node. */
-export class HopBudget {
+export class RepairBudget {
   private tokens = MAXIMUM_TOKENS;
   private refilledAt: number | undefined;
 
--- a/test/hop-repair.test.ts
+++ b/test/hop-repair.test.ts
@@ -11,7 +11,7 @@
   SURE_SEARCH_VERSION,
   type PacketMessage,
 } from '../src/packets/packet-messages';
-import { HopBudget } from '../src/packets/repair/hop-budget';
+import { RepairBudget } from '../src/packets/repair/repair-budget';
 import { HopReceiver } from '../src/packets/repair/hop-receiver';
 import { HopWindow, WINDOW_LENGTH } from '../src/packets/repair/hop-window';
 import { RoundTripEstimator } from '../src/packets/repair/round-trip';
@@ -328,7 +328,7 @@
 });
 
 test('a budget holds a burst, earns by what is sent and by time, and no more', (t) => {
-  const budget = new HopBudget();
+  const budget = new RepairBudget();
   const takeAll = (now: number): number => {
     let taken = 0;
     while (budget.take(now)) {
