--- a/src/packets/repair/answer-flow.ts
+++ b/src/packets/repair/answer-flow.ts
@@ -311,30 +311,27 @@
   }
 
   /**
-   * Takes the packet that is to be repeated now, and counts it as repeated.
+   * Takes the packet that is to be repeated now; it counts as repeated by {@link noteRepeat} only.
    * @returns undefined when there is none
    */
   takeDue(now: number): SentAnswer | undefined {
     this.forgetOld(now);
     if (this.gapDueAt <= now) {
       this.gapSince = undefined;
-      return this.repeat(this.kept[0], now);
+      return findRepeatable(this.kept[0], now);
     }
     if (this.probeDueAt <= now) {
       this.probes++;
-      return this.repeat(this.isRecovering ? this.kept[0] : this.kept.at(-1), now);
+      return findRepeatable(this.isRecovering ? this.kept[0] : this.kept.at(-1), now);
     }
     return undefined;
   }
 
-  private repeat(packet: SentAnswer | undefined, now: number): SentAnswer | undefined {
-    if (!packet || packet.repeats >= MAXIMUM_REPEATS || now - packet.sentAt > LATEST_REPEAT) {
-      return undefined;
-    }
+  /** A packet that {@link takeDue} gave has been repeated; one that was withheld has not. */
+  noteRepeat(packet: SentAnswer, now: number): void {
     packet.repeats++;
     this.repeatedAt = now;
     this.recoveredAt = this.sentUpTo;
-    return packet;
   }
 
   /** Drops what the target repeats by itself from now on. */
@@ -355,3 +352,11 @@
 function isBare({ opens, ends, resets, payloadLength }: FlowPacket): boolean {
   return !opens && !ends && !resets && payloadLength === 0;
 }
+
+/** The packet if it may be repeated once more, and its target is not about to do so. */
+function findRepeatable(packet: SentAnswer | undefined, now: number): SentAnswer | undefined {
+  if (!packet || now - packet.sentAt > LATEST_REPEAT) {
+    return undefined;
+  }
+  return packet.repeats < MAXIMUM_REPEATS ? packet : undefined;
+}
--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -244,13 +244,14 @@
     });
   }
 
-  private repeat(flow: AnswerFlow, { bytes }: SentAnswer, now: number): void {
+  private repeat(flow: AnswerFlow, answer: SentAnswer, now: number): void {
     if (!this.budget.take(now)) {
       this.refuseRepair(now);
       return;
     }
+    flow.noteRepeat(answer, now);
     this.counters.answersRepeated++;
-    this.dependencies.sendToClient(flow.client, bytes);
+    this.dependencies.sendToClient(flow.client, answer.bytes);
   }
 
   /** Counts what the bounds do not allow; tells it at most once a second. */
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -560,6 +560,25 @@
   t.true(answersRepeated > earned && answersRepeated <= 20 + earned + 10 * (seconds + 1));
 });
 
+test('a repeat that the budget withholds does not spoil the sample of its packet', (t) => {
+  const scene = new RepairScene();
+  const roundTrip = 150;
+  for (let port = 1; port <= 100; port++) {
+    scene.send(OPENING, '', Flag.syn | Flag.ack, port);
+  }
+  scene.pass(roundTrip);
+  for (let port = 1; port <= 100; port++) {
+    scene.receive(OPENING + 1, Flag.ack, 'GET', port);
+  }
+  const { answersRepeated, answerRepairsWithheld } = scene.repair.figures;
+  t.true(answerRepairsWithheld > 0);
+  scene.pass(5_000);
+  scene.send(OPENING, '', Flag.syn | Flag.ack, 101);
+  scene.pass(roundTrip);
+  scene.receive(OPENING + 1, Flag.ack, 'GET', 101);
+  t.is(scene.repair.figures.answersRepeated, answersRepeated);
+});
+
 test('copies stay within their room, whoever leaves answers unacknowledged', (t) => {
   const scene = new RepairScene();
   for (let port = 1; port <= 1_000; port++) {
