--- a/src/packets/repair/answer-flow.ts
+++ b/src/packets/repair/answer-flow.ts
@@ -16,6 +16,11 @@
 const MAXIMUM_KEPT = 16;
 /** Repeats of one packet: one for the loss, one for the loss of the repeat. */
 const MAXIMUM_REPEATS = 2;
+/**
+ * Repeats of an answer to an opening: its client may have gone on with another target that got a
+ * copy of the opening, of which this agent sees nothing.
+ */
+const MAXIMUM_OPENING_REPEATS = 1;
 /** Sequence numbers known as sent; a sender has 16 packets under way, some may be unaccounted. */
 const MAXIMUM_SENT = 64;
 
@@ -358,5 +363,6 @@
   if (!packet || now - packet.sentAt > LATEST_REPEAT) {
     return undefined;
   }
-  return packet.repeats < MAXIMUM_REPEATS ? packet : undefined;
+  const maximum = packet.opens ? MAXIMUM_OPENING_REPEATS : MAXIMUM_REPEATS;
+  return packet.repeats < maximum ? packet : undefined;
 }
--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -108,8 +108,12 @@
 
   /** A client's packet has come here, whatever becomes of it. */
   received(packet: FlowPacket): void {
+    if (packet.opens) {
+      this.noteOpening(packet);
+      return;
+    }
     const flow = this.flows.get(packet.flow);
-    if (!flow || packet.opens) {
+    if (!flow) {
       return;
     }
     const now = this.dependencies.environment.now();
@@ -144,6 +148,13 @@
     return this.dependencies.isEnabled && !this.isStopped;
   }
 
+  /** A first copy begins another flow between the same ends: nothing of the one before is repeated. */
+  private noteOpening(packet: FlowPacket): void {
+    if (packet.openingCopy === 0) {
+      this.drop(packet.flow);
+    }
+  }
+
   private noteProgress(flow: AnswerFlow, packet: FlowPacket, now: number): void {
     if (packet.resets) {
       flow.end();
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -439,6 +439,34 @@
   t.is(scene.repeats.length, length);
 });
 
+test('the answer to an opening is repeated once: its client may have gone on elsewhere', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('nothing of a flow is repeated once its client opens another one between the same ends', (t) => {
+  const scene = openScene();
+  scene.answer(3);
+  scene.receive(0, Flag.syn);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+test('a further copy of an opening does not end the repair of the answer to the first', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  const opening = scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.receive(1, Flag.syn);
+  scene.pass(100);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [opening],
+  );
+});
+
 test('a flow between the same ends begins anew', (t) => {
   const scene = openScene();
   scene.receive(endOf(0), Flag.fin | Flag.ack);
