--- a/src/packets/repair/answer-repair.ts
+++ b/src/packets/repair/answer-repair.ts
@@ -12,7 +12,7 @@
 import type { FlowKey, FlowPacket } from '../flow-packet';
 import { AnswerFlow, type SentAnswer } from './answer-flow';
 import { AnswerTiming } from './answer-timing';
-import { HopBudget } from './hop-budget';
+import { RepairBudget } from './repair-budget';
 import { measureSequenceLength } from './sequence-numbers';
 
 /** Bytes kept over all flows: a small part of what an agent's machine has at least (200 MB). */
@@ -66,7 +66,7 @@
     answerRepairsWithheld: 0,
   };
   private readonly timing = new AnswerTiming();
-  private readonly budget = new HopBudget();
+  private readonly budget = new RepairBudget();
   /** In the order of their targets' latest packets. */
   private readonly flows = new Map<FlowKey, AnswerFlow>();
   /** Flows with packets kept. */
@@ -108,8 +108,12 @@
 
   /** A client's packet has come here, whatever becomes of it. */
   received(packet: FlowPacket): void {
+    if (packet.opens) {
+      this.noteOpening(packet);
+      return;
+    }
     const flow = this.flows.get(packet.flow);
-    if (!flow || packet.opens) {
+    if (!flow) {
       return;
     }
     const now = this.dependencies.environment.now();
@@ -144,6 +148,13 @@
     return this.dependencies.isEnabled && !this.isStopped;
   }
 
+  /** A first copy begins another flow between the same ends: nothing of the one before is repeated. */
+  private noteOpening(packet: FlowPacket): void {
+    if (packet.openingCopy === 0) {
+      this.drop(packet.flow);
+    }
+  }
+
   private noteProgress(flow: AnswerFlow, packet: FlowPacket, now: number): void {
     if (packet.resets) {
       flow.end();
@@ -244,13 +255,14 @@
     });
   }
 
-  private repeat(flow: AnswerFlow, { bytes }: SentAnswer, now: number): void {
+  private repeat(flow: AnswerFlow, answer: SentAnswer, now: number): void {
     if (!this.budget.take(now)) {
       this.refuseRepair(now);
       return;
     }
+    flow.noteRepeat(answer, now);
     this.counters.answersRepeated++;
-    this.dependencies.sendToClient(flow.client, bytes);
+    this.dependencies.sendToClient(flow.client, answer.bytes);
   }
 
   /** Counts what the bounds do not allow; tells it at most once a second. */
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -439,6 +439,34 @@
   t.is(scene.repeats.length, length);
 });
 
+test('the answer to an opening is repeated once: its client may have gone on elsewhere', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 1);
+});
+
+test('nothing of a flow is repeated once its client opens another one between the same ends', (t) => {
+  const scene = openScene();
+  scene.answer(3);
+  scene.receive(0, Flag.syn);
+  scene.pass(1_000);
+  t.is(scene.repeats.length, 0);
+});
+
+test('a further copy of an opening does not end the repair of the answer to the first', (t) => {
+  const scene = new RepairScene();
+  scene.learn();
+  const opening = scene.send(OPENING, '', Flag.syn | Flag.ack);
+  scene.receive(1, Flag.syn);
+  scene.pass(100);
+  t.deepEqual(
+    scene.repeats.map(({ bytes }) => bytes),
+    [opening],
+  );
+});
+
 test('a flow between the same ends begins anew', (t) => {
   const scene = openScene();
   scene.receive(endOf(0), Flag.fin | Flag.ack);
@@ -560,6 +588,25 @@
   t.true(answersRepeated > earned && answersRepeated <= 20 + earned + 10 * (seconds + 1));
 });
 
+test('a repeat that the budget withholds does not spoil the sample of its packet', (t) => {
+  const scene = new RepairScene();
+  const roundTrip = 150;
+  for (let port = 1; port <= 100; port++) {
+    scene.send(OPENING, '', Flag.syn | Flag.ack, port);
+  }
+  scene.pass(roundTrip);
+  for (let port = 1; port <= 100; port++) {
+    scene.receive(OPENING + 1, Flag.ack, 'GET', port);
+  }
+  const { answersRepeated, answerRepairsWithheld } = scene.repair.figures;
+  t.true(answerRepairsWithheld > 0);
+  scene.pass(5_000);
+  scene.send(OPENING, '', Flag.syn | Flag.ack, 101);
+  scene.pass(roundTrip);
+  scene.receive(OPENING + 1, Flag.ack, 'GET', 101);
+  t.is(scene.repair.figures.answersRepeated, answersRepeated);
+});
+
 test('copies stay within their room, whoever leaves answers unacknowledged', (t) => {
   const scene = new RepairScene();
   for (let port = 1; port <= 1_000; port++) {
