--- a/src/packets/agent-selection.ts
+++ b/src/packets/agent-selection.ts
@@ -39,7 +39,7 @@
   ageOf(entry: AgentEntry): number;
   /** Whether the agent is so new that other balancers may not know it. */
   isSettling(entry: AgentEntry): boolean;
-  /** Milliseconds of waiting that it is worth to stay in the balancer's zone; 0 within that. */
+  /** Milliseconds of waiting that it is worth to place a flow elsewhere, in the balancer's zone. */
   transferCost(entry: AgentEntry): number;
   /** Uniform in [0, 1). */
   random(): number;
--- a/src/packets/locality/locality.ts
+++ b/src/packets/locality/locality.ts
@@ -14,7 +14,7 @@
 import { FlowTraffic } from './flow-traffic';
 import { judgePlacement, orderSecondChoice, SpillReason, type SpillReasonValue } from './spill';
 import { SpillWatch } from './spill-watch';
-import { ConstantCosts, MeasuredCosts, type TransferCosts } from './transfer-costs';
+import { ConstantCosts, CostsWithDoubt, MeasuredCosts, type TransferCosts } from './transfer-costs';
 import { ZoneDistances } from './zone-distances';
 
 /** Settings of locality. */
@@ -58,9 +58,7 @@
     const { transferCost, zone } = settings;
     this.distances = new ZoneDistances(zone);
     this.probes = new DistanceProbes(directory, this.distances, sendProbe);
-    this.costs = this.isOn
-      ? new MeasuredCosts(zone, transferCost, this.distances, new FlowTraffic(directory))
-      : new ConstantCosts(zone);
+    this.costs = this.isOn ? this.createCosts(transferCost) : new ConstantCosts(zone);
   }
 
   /** Measures distances where it is due; to be called at every `FIRST_PROBES_INTERVAL`. */
@@ -128,6 +126,13 @@
     return { zonesMeasured, largestZoneDistance: largest };
   }
 
+  private createCosts(transferCost: number): TransferCosts {
+    const traffic = new FlowTraffic(this.directory);
+    const { zone } = this.settings;
+    const measured = new MeasuredCosts(zone, transferCost, this.distances, traffic);
+    return new CostsWithDoubt(measured, this.directory);
+  }
+
   private get isOn(): boolean {
     return this.settings.locality;
   }
--- a/src/packets/locality/transfer-costs.ts
+++ b/src/packets/locality/transfer-costs.ts
@@ -2,9 +2,9 @@
  * What it costs to place a flow in another zone, in milliseconds of waiting: the way there of all
  * that its client sends before it has the answer, and what the bytes between zones are worth.
  */
-import type { AgentEntry } from '../agent-directory';
+import type { AgentDirectory, AgentEntry } from '../agent-directory';
 import type { FlowTraffic } from './flow-traffic';
-import type { ZoneDistances } from './zone-distances';
+import { DEFAULT_DISTANCE, type ZoneDistances } from './zone-distances';
 
 /** Round trips of a flow without data: the handshake. Those of request and answer come on top. */
 const HANDSHAKE_TRIPS = 1;
@@ -32,7 +32,10 @@
 
 /** Costs of one balancer. */
 export interface TransferCosts {
-  /** Milliseconds of waiting at home that a flow at an agent is worth; 0 within the home zone. */
+  /**
+   * Milliseconds of waiting at home that a flow at an agent is worth; 0 within the home zone, but
+   * for an agent in doubt ({@link CostsWithDoubt}).
+   */
   costOf(entry: AgentEntry, now: number): number;
 }
 
@@ -60,14 +63,46 @@
   ) {}
 
   costOf(entry: AgentEntry, now: number): number {
-    const { service, zone } = entry;
-    if (zone === this.home) {
-      return 0;
-    }
-    const bytes = this.traffic.bytesOf(service, now);
+    const { zone } = entry;
+    return zone === this.home ? 0 : this.costAt(this.distances.distanceOf(zone), entry, now);
+  }
+
+  /** As much as the farthest zone would cost, a zone not measured yet included. */
+  largestCostOf(entry: AgentEntry, now: number): number {
+    return this.costAt(Math.max(this.distances.largest, DEFAULT_DISTANCE), entry, now);
+  }
+
+  private costAt(distance: number, entry: AgentEntry, now: number): number {
+    const bytes = this.traffic.bytesOf(entry.service, now);
     const trips = HANDSHAKE_TRIPS + Math.max(1, Math.ceil(bytes / WINDOW_BYTES));
-    const way = this.distances.distanceOf(zone) * WAY_THERE * trips;
+    const way = distance * WAY_THERE * trips;
     const cost = way + (bytes / MEGABYTE) * this.transferCost;
     return Math.max(cost, SPILL_MARGIN * answerTimeOf(entry));
   }
 }
+
+/**
+ * Measured costs, and as much as the farthest zone would cost on top for an agent that is silent, or
+ * so new that other balancers may not know it, and a part of it where a part of the requests
+ * fails. However dear the way to other zones is, it thus never outweighs such a doubt at home.
+ */
+export class CostsWithDoubt implements TransferCosts {
+  constructor(
+    private readonly costs: MeasuredCosts,
+    private readonly directory: AgentDirectory,
+  ) {}
+
+  costOf(entry: AgentEntry, now: number): number {
+    const cost = this.costs.costOf(entry, now);
+    const doubt = this.doubtOf(entry, now);
+    return doubt === 0 ? cost : cost + doubt * this.costs.largestCostOf(entry, now);
+  }
+
+  /** From 0 for none to 1. */
+  private doubtOf(entry: AgentEntry, now: number): number {
+    if (!this.directory.isHeard(entry, now) || this.directory.isSettling(entry, now)) {
+      return 1;
+    }
+    return (entry.report?.failurePercent ?? 0) / 100;
+  }
+}
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -436,6 +436,29 @@
   t.is(silent.router.counters.flowsSpilledHomeUnknown, 1);
 });
 
+test('flows leave silent, failing and settling targets, however dear the way is', (t) => {
+  // The way to the south and 83,000 bytes are worth more answers of 8 ms than any penalty.
+  const create = createPair(() => 0, { answerTime: 8, flowBytes: 83_000 });
+  const [silent, failing, settling] = [create('north'), create('north'), create('north')];
+  for (const harness of [silent, failing, settling]) {
+    harness.now += 20_000;
+    harness.agents.forEach((agent, index) => {
+      const isHome = index % 2 === 0;
+      const { report } = harness.directory.find(agent)!;
+      const failurePercent = isHome && harness === failing ? 100 : 0;
+      const next = { ...report!, sequence: 2, failurePercent };
+      if (isHome && harness === settling) {
+        harness.directory.forget(agent);
+      }
+      if (!isHome || harness !== silent) {
+        harness.directory.hear(agent, next, harness.now);
+      }
+    });
+    harness.router.route(harness.createOpening(CLIENT));
+    t.is(harness.agents.indexOf(harness.sent[0]!.to) % 2, 1);
+  }
+});
+
 test('a silent zone gets no flow, however busy the own one is', (t) => {
   const harness = createPair(() => 4)('north');
   harness.now += 20_000;
