--- a/src/packets/locality/candidate-order.ts
+++ b/src/packets/locality/candidate-order.ts
@@ -21,6 +21,11 @@
 /** Milliseconds there and back to a zone. */
 export type DistanceReader = (zone: string) => number;
 
+/** What the order of a search depends on. */
+export interface SearchCandidate extends Candidate {
+  readonly service: string;
+}
+
 /** Agents by zone; within a zone by their scores for a flow, the highest first. */
 type AgentsByZone<T> = ReadonlyMap<string, readonly T[]>;
 
@@ -51,27 +56,56 @@
 /**
  * All agents in the order for the search for a flow's holder: the likely ones of each zone, one
  * zone after the other, so that a search crosses between zones once for each; then the rest. The
- * first search visits all likely ones.
+ * first search visits all likely ones: the first of each service, since a flow is placed among
+ * the agents of one.
  */
-export function orderForSearch<T extends Candidate>(
+export function orderForSearch<T extends SearchCandidate>(
   flow: FlowKey,
   agents: readonly T[],
 ): SearchOrder<T> {
   const seed = hashText(flow);
   const byZone = groupByScore(seed, agents);
-  const groups = orderZones(seed, byZone).map((zone) => byZone.get(zone)!);
-  const share = shareOf(groups.length);
-  const likely = groups.flatMap((group) => group.slice(0, share));
-  const rest = groups.flatMap((group) => group.slice(share));
-  return { agents: [...likely, ...rest], likely: Math.min(likely.length, GROUP_LENGTH) };
+  const zones = orderZones(seed, byZone).map((zone) => byZone.get(zone)!);
+  const share = shareOf(zones.length, countServices(agents));
+  const likely: T[] = [];
+  const rest: T[] = [];
+  for (const zone of zones) {
+    splitOff(zone, share, likely, rest);
+  }
+  return { agents: likely.concat(rest), likely: Math.min(likely.length, GROUP_LENGTH) };
+}
+
+function countServices(agents: readonly SearchCandidate[]): number {
+  const services = new Set<string>();
+  for (const { service } of agents) {
+    services.add(service);
+  }
+  return services.size;
 }
 
-/** Likely agents of each zone: all candidates of the only one, fewer of each of many. */
-function shareOf(zones: number): number {
-  if (zones <= 1) {
-    return CANDIDATES;
+/** Likely agents of a service in a zone: all candidates in the only zone, fewer in each of many. */
+function shareOf(zones: number, services: number): number {
+  const wanted = zones <= 1 ? CANDIDATES : HOME_CANDIDATES;
+  return Math.max(1, Math.min(wanted, Math.floor(GROUP_LENGTH / (zones * services))));
+}
+
+/** Adds the first few of each service to the likely agents and the others to the rest. */
+function splitOff<T extends SearchCandidate>(
+  agents: readonly T[],
+  share: number,
+  likely: T[],
+  rest: T[],
+): void {
+  const taken = new Map<string, number>();
+  for (const agent of agents) {
+    const rank = taken.get(agent.service) ?? 0;
+    if (rank < share) {
+      taken.set(agent.service, rank + 1);
+      likely.push(agent);
+    } else {
+      rest.push(agent);
+    }
   }
-  return Math.max(1, Math.min(HOME_CANDIDATES, Math.floor(GROUP_LENGTH / zones)));
 }
 
 /** The zones in an order that belongs to a flow: by name, beginning with another for each hash. */
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -8,6 +8,7 @@
   HOME_CANDIDATES,
   orderForPlacement,
   orderForSearch,
+  type SearchCandidate,
 } from '../src/packets/locality/candidate-order';
 import { DistanceProbes } from '../src/packets/locality/distance-probes';
 import { FlowBytes } from '../src/packets/locality/flow-bytes';
@@ -35,10 +36,11 @@
 const ZONES = ['north', 'south', 'east', 'west'] as const;
 
 /** Agents of zones in turn. */
-function createAgents(zones: readonly string[], each: number): { address: number; zone: string }[] {
+function createAgents(zones: readonly string[], each: number): SearchCandidate[] {
   return Array.from({ length: zones.length * each }, (_, index) => ({
     address: FIRST_AGENT + index * NEXT_MACHINE,
     zone: zones[index % zones.length]!,
+    service: 'map',
   }));
 }
 
@@ -313,7 +315,7 @@
 
 test('where the home zone has few agents others come early; without any there are others only', (t) => {
   const others = createAgents(['south', 'east'], 12);
-  const home = [1, 2].map((address) => ({ address, zone: 'north' }));
+  const home = [1, 2].map((address) => ({ address, zone: 'north', service: 'map' }));
   const order = orderForPlacement('f', [...others, ...home], 'north', () => 5);
   const zones = order.slice(0, CANDIDATES).map(({ zone }) => zone);
   t.deepEqual(
@@ -365,6 +367,31 @@
   t.is(begins.size, ZONES.length);
 });
 
+test('a search for a flow of either of two services begins where each may be placed', (t) => {
+  const missedOfTen = [1, 2, 3].map((zones) => {
+    const ofEach = createAgents(ZONES.slice(0, zones), 24);
+    const agents = ofEach.map((agent, index) =>
+      Math.floor(index / zones) % 2 === 0 ? agent : { ...agent, service: 'tiles' },
+    );
+    let most = 0;
+    for (let flow = 0; flow < 50; flow++) {
+      const { agents: order, likely } = orderForSearch(`f${flow}`, agents);
+      t.is(new Set(order).size, agents.length);
+      t.true(likely <= 25);
+      const first = new Set(order.slice(0, likely));
+      for (const service of ['map', 'tiles']) {
+        const ofService = agents.filter((agent) => agent.service === service);
+        const placed = orderForPlacement(`f${flow}`, ofService, 'north', () => 5);
+        const missed = placed.slice(0, CANDIDATES).filter((agent) => !first.has(agent));
+        most = Math.max(most, missed.length);
+      }
+    }
+    return most;
+  });
+  // Of 25 places each service has ten, six in each of two zones, and four in each of three.
+  t.deepEqual(missedOfTen, [0, 1, 3]);
+});
+
 /** Two zones of one-slot targets, all in one order at both balancers. */
 function createPair(busy: (index: number) => number, fields: Partial<ReportMessage> = {}) {
   const reports = Array.from({ length: 16 }, (_, index) => ({
