--- a/src/packets/locality/distance-probes.ts
+++ b/src/packets/locality/distance-probes.ts
@@ -29,6 +29,8 @@
   agent: Endpoint;
   sentAt: number;
   isAnswered: boolean;
+  /** Probes in a row before this one that had no reply before the next went out. */
+  readonly unanswered: number;
 }
 
 /** Probes of one balancer. */
@@ -45,8 +47,8 @@
   run(now: number): void {
     for (const [zone, agents] of this.groupAgents(now)) {
       const last = this.probes.get(zone);
-      if (!last || now - last.sentAt >= this.intervalOf(zone) - TOLERANCE) {
-        this.probe(zone, agents, last?.sent ?? 0, now);
+      if (!last || now - last.sentAt >= this.intervalAfter(last, zone) - TOLERANCE) {
+        this.probe(zone, agents, last, now);
       }
     }
   }
@@ -62,14 +64,29 @@
     }
   }
 
-  private probe(zone: string, agents: readonly AgentEntry[], sent: number, now: number): void {
+  private probe(
+    zone: string,
+    agents: readonly AgentEntry[],
+    last: ZoneProbe | undefined,
+    now: number,
+  ): void {
+    const sent = last?.sent ?? 0;
     const { address } = agents[sent % agents.length]!;
-    this.probes.set(zone, { sent: sent + 1, agent: address, sentAt: now, isAnswered: false });
+    this.probes.set(zone, {
+      sent: sent + 1,
+      agent: address,
+      sentAt: now,
+      isAnswered: false,
+      unanswered: last && !last.isAnswered ? last.unanswered + 1 : 0,
+    });
     this.send(address, { type: PacketMessageType.distanceProbe, sentAt: now });
   }
 
-  private intervalOf(zone: string): number {
-    return this.distances.lacksSamples(zone) ? FIRST_PROBES_INTERVAL : PROBE_INTERVAL;
+  /** Doubled for each probe without a reply: a round trip may take longer than the first interval. */
+  private intervalAfter({ unanswered }: ZoneProbe, zone: string): number {
+    return this.distances.lacksSamples(zone)
+      ? Math.min(PROBE_INTERVAL, FIRST_PROBES_INTERVAL * 2 ** unanswered)
+      : PROBE_INTERVAL;
   }
 
   /** The agents by zone that are heard and understand probes. */
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -144,6 +144,24 @@
   t.is(distances.distanceOf('south'), 9, 'a reply counts once');
 });
 
+test('a zone whose replies take long is measured, by probes that grow rarer', (t) => {
+  const { directory, distances, probes, sent } = startProbes([{ frameVersion: 5, zone: 'south' }]);
+  const type = PacketMessageType.distanceReply;
+  for (let now = 0; now <= 4_000; now += 250) {
+    const { report } = directory.find(1)!;
+    directory.hear(1, { ...report!, sequence: report!.sequence + 1 }, now);
+    for (const { probe } of sent.filter(({ probe: { sentAt } }) => sentAt === now - 750)) {
+      probes.take(1, { type, sentAt: probe.sentAt }, now);
+    }
+    probes.run(now);
+  }
+  t.is(distances.distanceOf('south'), 750);
+  t.deepEqual(
+    sent.slice(0, 4).map(({ probe }) => probe.sentAt),
+    [0, 250, 750, 1_750],
+  );
+});
+
 test('agents of an earlier version and silent ones are not probed', (t) => {
   const { probes, sent } = startProbes([
     { frameVersion: 4 },
