--- a/src/packets/choice/selection.ts
+++ b/src/packets/choice/selection.ts
@@ -44,7 +44,7 @@
   ageOf(entry: AgentEntry): number;
   /** Whether the agent is so new that other balancers may not know it. */
   isSettling(entry: AgentEntry): boolean;
-  /** Milliseconds that a flow to an agent costs on the way there and back. */
+  /** Milliseconds that a flow to an agent costs on the way; at home too where an agent is in doubt. */
   transferCost(entry: AgentEntry): number;
   standingOf(entry: AgentEntry): Standing;
   /** Uniform in [0, 1). */
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -8,6 +8,7 @@
   HOME_CANDIDATES,
   orderForPlacement,
   orderForSearch,
+  type SearchCandidate,
 } from '../src/packets/locality/candidate-order';
 import { DistanceProbes } from '../src/packets/locality/distance-probes';
 import { FlowBytes } from '../src/packets/locality/flow-bytes';
@@ -35,10 +36,11 @@
 const ZONES = ['north', 'south', 'east', 'west'] as const;
 
 /** Agents of zones in turn. */
-function createAgents(zones: readonly string[], each: number): { address: number; zone: string }[] {
+function createAgents(zones: readonly string[], each: number): SearchCandidate[] {
   return Array.from({ length: zones.length * each }, (_, index) => ({
     address: FIRST_AGENT + index * NEXT_MACHINE,
     zone: zones[index % zones.length]!,
+    service: 'map',
   }));
 }
 
@@ -142,6 +144,24 @@
   t.is(distances.distanceOf('south'), 9, 'a reply counts once');
 });
 
+test('a zone whose replies take long is measured, by probes that grow rarer', (t) => {
+  const { directory, distances, probes, sent } = startProbes([{ frameVersion: 5, zone: 'south' }]);
+  const type = PacketMessageType.distanceReply;
+  for (let now = 0; now <= 4_000; now += 250) {
+    const { report } = directory.find(1)!;
+    directory.hear(1, { ...report!, sequence: report!.sequence + 1 }, now);
+    for (const { probe } of sent.filter(({ probe: { sentAt } }) => sentAt === now - 750)) {
+      probes.take(1, { type, sentAt: probe.sentAt }, now);
+    }
+    probes.run(now);
+  }
+  t.is(distances.distanceOf('south'), 750);
+  t.deepEqual(
+    sent.slice(0, 4).map(({ probe }) => probe.sentAt),
+    [0, 250, 750, 1_750],
+  );
+});
+
 test('agents of an earlier version and silent ones are not probed', (t) => {
   const { probes, sent } = startProbes([
     { frameVersion: 4 },
@@ -313,7 +333,7 @@
 
 test('where the home zone has few agents others come early; without any there are others only', (t) => {
   const others = createAgents(['south', 'east'], 12);
-  const home = [1, 2].map((address) => ({ address, zone: 'north' }));
+  const home = [1, 2].map((address) => ({ address, zone: 'north', service: 'map' }));
   const order = orderForPlacement('f', [...others, ...home], 'north', () => 5);
   const zones = order.slice(0, CANDIDATES).map(({ zone }) => zone);
   t.deepEqual(
@@ -365,6 +385,31 @@
   t.is(begins.size, ZONES.length);
 });
 
+test('a search for a flow of either of two services begins where each may be placed', (t) => {
+  const missedOfTen = [1, 2, 3].map((zones) => {
+    const ofEach = createAgents(ZONES.slice(0, zones), 24);
+    const agents = ofEach.map((agent, index) =>
+      Math.floor(index / zones) % 2 === 0 ? agent : { ...agent, service: 'tiles' },
+    );
+    let most = 0;
+    for (let flow = 0; flow < 50; flow++) {
+      const { agents: order, likely } = orderForSearch(`f${flow}`, agents);
+      t.is(new Set(order).size, agents.length);
+      t.true(likely <= 25);
+      const first = new Set(order.slice(0, likely));
+      for (const service of ['map', 'tiles']) {
+        const ofService = agents.filter((agent) => agent.service === service);
+        const placed = orderForPlacement(`f${flow}`, ofService, 'north', () => 5);
+        const missed = placed.slice(0, CANDIDATES).filter((agent) => !first.has(agent));
+        most = Math.max(most, missed.length);
+      }
+    }
+    return most;
+  });
+  // Of 25 places each service has ten, six in each of two zones, and four in each of three.
+  t.deepEqual(missedOfTen, [0, 1, 3]);
+});
+
 /** Two zones of one-slot targets, all in one order at both balancers. */
 function createPair(busy: (index: number) => number, fields: Partial<ReportMessage> = {}) {
   const reports = Array.from({ length: 16 }, (_, index) => ({
@@ -436,6 +481,29 @@
   t.is(silent.router.counters.flowsSpilledHomeUnknown, 1);
 });
 
+test('flows leave silent, failing and settling targets, however dear the way is', (t) => {
+  // The way to the south and 83,000 bytes are worth more answers of 8 ms than any penalty.
+  const create = createPair(() => 0, { answerTime: 8, flowBytes: 83_000 });
+  const [silent, failing, settling] = [create('north'), create('north'), create('north')];
+  for (const harness of [silent, failing, settling]) {
+    harness.now += 20_000;
+    harness.agents.forEach((agent, index) => {
+      const isHome = index % 2 === 0;
+      const { report } = harness.directory.find(agent)!;
+      const failurePercent = isHome && harness === failing ? 100 : 0;
+      const next = { ...report!, sequence: 2, failurePercent };
+      if (isHome && harness === settling) {
+        harness.directory.forget(agent);
+      }
+      if (!isHome || harness !== silent) {
+        harness.directory.hear(agent, next, harness.now);
+      }
+    });
+    harness.router.route(harness.createOpening(CLIENT));
+    t.is(harness.agents.indexOf(harness.sent[0]!.to) % 2, 1);
+  }
+});
+
 test('a silent zone gets no flow, however busy the own one is', (t) => {
   const harness = createPair(() => 4)('north');
   harness.now += 20_000;
