--- /dev/null
+++ b/src/packets/client-intake.ts
@@ -0,0 +1,265 @@
+/**
+ * What an agent does with clients' packets: it hands them to its target or lets them wait, passes a
+ * search on, and tells balancers what the target did not take.
+ */
+import { formatEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment } from '../environment';
+import { Events } from '../logging/events';
+import type { FlowPacket, PacketFormat } from './flow-packet';
+import type { FlowTracker } from './flow-tracker';
+import type { FlowBytes } from './locality/flow-bytes';
+import type { PacketAgentCounters } from './packet-agent-contracts';
+import type { PacketLink } from './packet-link';
+import {
+  PacketMessageType,
+  RefusalReason,
+  SearchPhase,
+  type DeliverMessage,
+  type RefusalReasonValue,
+  type SearchMessage,
+  type SearchPhaseValue,
+  type TargetStateValue,
+} from './packet-messages';
+import { PendingDeliveries } from './pending-deliveries';
+import type { AnswerRepair } from './repair/answer-repair';
+import type { HopRepair } from './repair/hop-repair';
+import { stepAfter } from './search-steps';
+import type { TargetAdmission } from './target-admission';
+import type { TargetGuard } from './target-guard';
+import type { TargetHealth } from './target-health';
+import type { TargetLifecycle } from './target-lifecycle';
+
+const TOKEN_RANGE = 2 ** 32;
+
+/** What the intake works with. */
+export interface ClientIntakeDependencies {
+  readonly environment: Environment;
+  readonly format: PacketFormat;
+  /** Whether a flow is recognised by the handshake that its packet ends. */
+  readonly knowsHandshakes: boolean;
+  readonly admission: TargetAdmission;
+  readonly answers: AnswerRepair;
+  readonly counters: PacketAgentCounters;
+  readonly flowBytes: FlowBytes;
+  readonly guard: TargetGuard;
+  readonly health: TargetHealth;
+  readonly hops: HopRepair;
+  readonly link: PacketLink;
+  readonly target: TargetLifecycle;
+  readonly tracker: FlowTracker;
+  /** Whether there is no target beside this agent, as far as it has looked. */
+  isTargetMissing(): boolean;
+  /** The agent's state, which may differ from its target's. */
+  state(): TargetStateValue;
+  /** A balancer has sent a packet: it is there. */
+  noteBalancer(balancer: Endpoint): void;
+  sendToTarget(packet: Buffer): void;
+}
+
+/** The intake of one agent. */
+export class ClientIntake {
+  private readonly pending: PendingDeliveries;
+
+  constructor(private readonly dependencies: ClientIntakeDependencies) {
+    const { environment } = dependencies;
+    this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
+  }
+
+  /** Takes a client's packet from a balancer. */
+  deliver(message: DeliverMessage, balancer: Endpoint): void {
+    const { answers, noteBalancer } = this.dependencies;
+    const packet = this.decodeFromClient(message.payload);
+    if (!packet) {
+      return;
+    }
+    noteBalancer(balancer);
+    answers.received(packet);
+    const refusal = this.refusalOf(packet, message.services);
+    if (refusal !== undefined) {
+      this.refuse(packet, message.searchId, balancer, refusal);
+      return;
+    }
+    this.admit(packet, balancer, message.searchId);
+  }
+
+  /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
+  search(message: SearchMessage): void {
+    const { answers, link } = this.dependencies;
+    const { balancer, searchId } = message;
+    const packet = this.decodeFromClient(message.payload);
+    if (!packet) {
+      return;
+    }
+    link.noteCompact(balancer);
+    answers.received(packet);
+    const isRefused = this.refusalOf(packet, message.services) !== undefined;
+    if (isRefused || packet.opens) {
+      this.passOn(message);
+    } else if (this.isHolderFor(packet, balancer)) {
+      const flow = Buffer.from(packet.flow, 'latin1');
+      link.send(balancer, { type: PacketMessageType.held, flow });
+      this.admit(packet, balancer, searchId);
+    } else if (this.mustOffer(message.phase, packet)) {
+      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
+    } else {
+      this.passOn(message);
+    }
+  }
+
+  /** Tells a balancer that the target holds a flow, if it does; says nothing else. */
+  tellIfHeld(flow: Buffer, balancer: Endpoint): void {
+    const { link, tracker } = this.dependencies;
+    if (tracker.isHeldFor(flow.toString('latin1'), balancer)) {
+      link.send(balancer, { type: PacketMessageType.held, flow });
+    }
+  }
+
+  /** Hands an admitted packet to the target. */
+  handOver(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
+    this.handToTarget(packet, balancer, this.pending.add(balancer, searchId));
+  }
+
+  /** The target has returned a client's packet: it does not hold the flow, or cannot take it. */
+  returned(packet: FlowPacket): void {
+    const { admission, answers, counters, environment, format, health, tracker } =
+      this.dependencies;
+    counters.packetsReturned++;
+    tracker.returned(packet);
+    answers.drop(packet.flow);
+    admission.returned(packet);
+    if (packet.opens) {
+      health.openingReturned(environment.now());
+    }
+    admission.releaseWaiting(environment.now());
+    const delivery = this.pending.take(format.readToken(packet.bytes));
+    if (!delivery) {
+      return;
+    }
+    format.restoreClientForm(packet.bytes);
+    const { searchId, balancer, search } = delivery;
+    if (search) {
+      counters.packetsRefused++;
+      this.passOn({ ...search, payload: packet.bytes });
+    } else {
+      this.refuse(packet, searchId, balancer, RefusalReason.returnedByTarget);
+    }
+  }
+
+  /** The target is down: clients whose requests wait for it are told now. */
+  refuseWaiting(): void {
+    for (const { packet, searchId, balancer } of this.dependencies.admission.takeAll()) {
+      this.refuse(packet, searchId, balancer, RefusalReason.targetDown);
+    }
+  }
+
+  private refusalOf(
+    { opens }: FlowPacket,
+    services: readonly string[],
+  ): RefusalReasonValue | undefined {
+    const { guard, isTargetMissing } = this.dependencies;
+    return isTargetMissing() ? RefusalReason.noTarget : guard.refusalOf(opens, services);
+  }
+
+  /** Whether the target holds a packet's flow, or will as soon as it has this packet. */
+  private isHolderFor(packet: FlowPacket, balancer: Endpoint): boolean {
+    const { knowsHandshakes, tracker } = this.dependencies;
+    const isHeld = tracker.isHeldFor(packet.flow, balancer);
+    return isHeld || (knowsHandshakes && tracker.isOpenedBy(packet, balancer));
+  }
+
+  /** Whether only the target itself can tell if it holds a searched packet's flow. */
+  private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
+    const { target, tracker } = this.dependencies;
+    switch (phase) {
+      case SearchPhase.ask:
+      case SearchPhase.askOnly:
+        return false;
+      case SearchPhase.offer:
+        return true;
+      case SearchPhase.sure:
+        return !target.isKnownFromStart || tracker.hasSeen(flow);
+    }
+  }
+
+  /** Hands a search to the next agent, or its outcome to the balancer. */
+  private passOn(message: SearchMessage): void {
+    const { link } = this.dependencies;
+    const step = stepAfter(message);
+    switch (step.kind) {
+      case 'next':
+        link.send(step.agent, step.message);
+        return;
+      case 'over':
+        link.send(step.balancer, step.message);
+    }
+  }
+
+  private decodeFromClient(bytes: Buffer): FlowPacket | undefined {
+    const { counters, environment, format } = this.dependencies;
+    const packet = format.decodeFromClient(bytes);
+    if (!packet) {
+      counters.packetsMalformed++;
+      environment.report(Events.packetMalformed, { length: bytes.length });
+    }
+    return packet;
+  }
+
+  private admit(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
+    const { admission, counters, environment } = this.dependencies;
+    if (admission.admit(packet, balancer, searchId, environment.now())) {
+      counters.requestsQueued++;
+    }
+  }
+
+  private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
+    const { counters, environment, flowBytes, format, guard, sendToTarget, tracker } =
+      this.dependencies;
+    counters.packetsDelivered++;
+    flowBytes.delivered(packet);
+    tracker.delivered(packet, balancer, environment.now());
+    if (packet.opens) {
+      guard.openingDelivered();
+    }
+    this.reportRequest(packet, balancer);
+    format.writeToken(packet.bytes, token);
+    sendToTarget(packet.bytes);
+  }
+
+  private reportRequest(packet: FlowPacket, balancer: Endpoint): void {
+    const { admission, environment, format, state, tracker } = this.dependencies;
+    const request = format.requestId(packet);
+    if (request !== undefined) {
+      environment.report(Events.requestDelivered, {
+        request,
+        client: formatEndpoint(packet.client),
+        destination: formatEndpoint(packet.destination),
+        balancer: formatEndpoint(balancer),
+        state: state(),
+        busy: tracker.busyRequests + admission.waitingRequests,
+        working: tracker.workingRequests,
+        waiting: admission.waitingRequests,
+      });
+    }
+  }
+
+  private refuse(
+    packet: FlowPacket,
+    searchId: number,
+    balancer: Endpoint,
+    reason: RefusalReasonValue,
+  ): void {
+    const { counters, environment, hops, state, tracker } = this.dependencies;
+    counters.packetsRefused++;
+    environment.report(Events.packetRefused, {
+      client: formatEndpoint(packet.client),
+      destination: formatEndpoint(packet.destination),
+      opens: packet.opens,
+      reason,
+      state: state(),
+      busy: tracker.busyRequests,
+    });
+    const { bytes: payload } = packet;
+    const message = { type: PacketMessageType.notHeld, searchId, reason, payload };
+    hops.send(balancer, message, packet);
+  }
+}
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -4,10 +4,10 @@
  * It therefore has the last word on what the target receives: it checks the service and
  * refuses new flows once its target drains. Answers go from here straight to the client.
  */
-import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
 import { AgentRegistration } from './agent-registration';
+import { ClientIntake } from './client-intake';
 import type { FlowPacket } from './flow-packet';
 import { FlowTracker } from './flow-tracker';
 import { LoadReporter } from './load-reporter';
@@ -21,26 +21,18 @@
 } from './packet-agent-contracts';
 import {
   PacketMessageType,
-  RefusalReason,
-  SearchPhase,
   TargetState,
   type AgentRecord,
-  type DeliverMessage,
   type ListingStateValue,
   type MessageToBalancer,
-  type RefusalReasonValue,
-  type SearchMessage,
-  type SearchPhaseValue,
   type SubscribeMessage,
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
-import { PendingDeliveries } from './pending-deliveries';
 import { AnswerRepair } from './repair/answer-repair';
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
-import { stepAfter } from './search-steps';
 import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
 import { TargetGuard } from './target-guard';
@@ -50,7 +42,6 @@
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
 const EXPIRY_INTERVAL = 1_000;
-const TOKEN_RANGE = 2 ** 32;
 /** One packet agent. */
 export class PacketAgent {
   readonly counters: PacketAgentCounters = {
@@ -69,8 +60,8 @@
   private readonly health = new TargetHealth();
   private readonly flowBytes = new FlowBytes();
   private readonly admission: TargetAdmission;
+  private readonly intake: ClientIntake;
   private readonly reporter: LoadReporter;
-  private readonly pending: PendingDeliveries;
   private readonly timers: NodeTimers;
   private readonly registration: AgentRegistration;
   private readonly guard: TargetGuard;
@@ -110,8 +101,7 @@
       target: this.target,
       tracker: this.tracker,
       latencyGoal: () => this.guard.latencyGoal,
-      handOver: (packet, balancer, searchId) =>
-        this.handToTarget(packet, balancer, this.pending.add(balancer, searchId)),
+      handOver: (packet, balancer, searchId) => this.intake.handOver(packet, balancer, searchId),
     });
     this.reporter = new LoadReporter({
       environment,
@@ -133,7 +123,7 @@
       flowLifetime: settings.flowLifetime,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
     });
-    this.pending = new PendingDeliveries(Math.floor(environment.random() * TOKEN_RANGE));
+    this.intake = this.createIntake();
   }
 
   start(): void {
@@ -240,13 +230,13 @@
   private take(message: PlainMessage, from: Endpoint): void {
     switch (message.type) {
       case PacketMessageType.deliver:
-        this.deliver(message, from);
+        this.intake.deliver(message, from);
         return;
       case PacketMessageType.search:
-        this.search(message);
+        this.intake.search(message);
         return;
       case PacketMessageType.locate:
-        this.answerLocate(message.flow, from);
+        this.intake.tellIfHeld(message.flow, from);
         return;
       case PacketMessageType.subscribe:
         this.link.noteRepairs(from, message.frameVersion);
@@ -282,13 +272,6 @@
     }
   }
 
-  /** Tells a balancer that the target holds a flow, if it does; says nothing else. */
-  private answerLocate(flow: Buffer, balancer: Endpoint): void {
-    if (this.tracker.isHeldFor(flow.toString('latin1'), balancer)) {
-      this.link.send(balancer, { type: PacketMessageType.held, flow });
-    }
-  }
-
   /** A datagram that the target sent or returned. */
   targetDatagram(bytes: Buffer): void {
     const { environment, format, sendToClient } = this.dependencies;
@@ -300,7 +283,7 @@
     }
     this.health.heard();
     if (packet.refused) {
-      this.returnPacket(packet);
+      this.intake.returned(packet);
       return;
     }
     this.counters.packetsSent++;
@@ -334,26 +317,28 @@
     return { address, zone, service: this.target.service };
   }
 
-  private deliver(message: DeliverMessage, balancer: Endpoint): void {
-    const packet = this.decodeFromClient(message.payload);
-    if (!packet) {
-      return;
-    }
-    this.reporter.subscribe(balancer);
-    this.answers.received(packet);
-    const refusal = this.refusalOf(packet, message.services);
-    if (refusal !== undefined) {
-      this.refuse(packet, message.searchId, balancer, refusal);
-      return;
-    }
-    this.admit(packet, balancer, message.searchId);
-  }
-
-  private refusalOf(
-    { opens }: FlowPacket,
-    services: readonly string[],
-  ): RefusalReasonValue | undefined {
-    return this.presence.isMissing ? RefusalReason.noTarget : this.guard.refusalOf(opens, services);
+  private createIntake(): ClientIntake {
+    const { settings, dependencies, admission, answers, counters, flowBytes } = this;
+    const { guard, health, hops, link, target, tracker } = this;
+    return new ClientIntake({
+      environment: dependencies.environment,
+      format: dependencies.format,
+      knowsHandshakes: settings.earlyStart,
+      admission,
+      answers,
+      counters,
+      flowBytes,
+      guard,
+      health,
+      hops,
+      link,
+      target,
+      tracker,
+      isTargetMissing: () => this.presence.isMissing,
+      state: () => this.state,
+      noteBalancer: (balancer) => this.reporter.subscribe(balancer),
+      sendToTarget: (packet) => dependencies.sendToTarget(packet),
+    });
   }
 
   /** An agent without a target is none: it takes itself out, and is back with the target. */
@@ -371,106 +356,6 @@
     });
   }
 
-  /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
-  private search(message: SearchMessage): void {
-    const { balancer, searchId } = message;
-    const packet = this.decodeFromClient(message.payload);
-    if (!packet) {
-      return;
-    }
-    this.link.noteCompact(balancer);
-    this.answers.received(packet);
-    const isRefused = this.refusalOf(packet, message.services) !== undefined;
-    if (isRefused || packet.opens) {
-      this.passOn(message);
-    } else if (this.isHolderFor(packet, balancer)) {
-      const flow = Buffer.from(packet.flow, 'latin1');
-      this.link.send(balancer, { type: PacketMessageType.held, flow });
-      this.admit(packet, balancer, searchId);
-    } else if (this.mustOffer(message.phase, packet)) {
-      this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
-    } else {
-      this.passOn(message);
-    }
-  }
-
-  /** Whether the target holds a packet's flow, or will as soon as it has this packet. */
-  private isHolderFor(packet: FlowPacket, balancer: Endpoint): boolean {
-    const { earlyStart } = this.settings;
-    const isHeld = this.tracker.isHeldFor(packet.flow, balancer);
-    return isHeld || (earlyStart && this.tracker.isOpenedBy(packet, balancer));
-  }
-
-  /** Whether only the target itself can tell if it holds a searched packet's flow. */
-  private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
-    switch (phase) {
-      case SearchPhase.ask:
-      case SearchPhase.askOnly:
-        return false;
-      case SearchPhase.offer:
-        return true;
-      case SearchPhase.sure:
-        return !this.target.isKnownFromStart || this.tracker.hasSeen(flow);
-    }
-  }
-
-  /** Hands a search to the next agent, or its outcome to the balancer. */
-  private passOn(message: SearchMessage): void {
-    const step = stepAfter(message);
-    switch (step.kind) {
-      case 'next':
-        this.link.send(step.agent, step.message);
-        return;
-      case 'over':
-        this.link.send(step.balancer, step.message);
-    }
-  }
-
-  private decodeFromClient(bytes: Buffer): FlowPacket | undefined {
-    const packet = this.dependencies.format.decodeFromClient(bytes);
-    if (!packet) {
-      this.counters.packetsMalformed++;
-      this.dependencies.environment.report(Events.packetMalformed, { length: bytes.length });
-    }
-    return packet;
-  }
-
-  private admit(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
-    const now = this.dependencies.environment.now();
-    if (this.admission.admit(packet, balancer, searchId, now)) {
-      this.counters.requestsQueued++;
-    }
-  }
-
-  private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
-    const { environment, format, sendToTarget } = this.dependencies;
-    this.counters.packetsDelivered++;
-    this.flowBytes.delivered(packet);
-    this.tracker.delivered(packet, balancer, environment.now());
-    if (packet.opens) {
-      this.guard.openingDelivered();
-    }
-    this.reportRequest(packet, balancer);
-    format.writeToken(packet.bytes, token);
-    sendToTarget(packet.bytes);
-  }
-
-  private reportRequest(packet: FlowPacket, balancer: Endpoint): void {
-    const request = this.dependencies.format.requestId(packet);
-    if (request !== undefined) {
-      this.dependencies.environment.report(Events.requestDelivered, {
-        request,
-        client: formatEndpoint(packet.client),
-        destination: formatEndpoint(packet.destination),
-        balancer: formatEndpoint(balancer),
-        state: this.state,
-        busy: this.busyRequests,
-        working: this.tracker.workingRequests,
-        waiting: this.admission.waitingRequests,
-      });
-    }
-  }
-
   /** Notes how a request ended when the target's packet begins its answer or breaks it off. */
   private judgeAnswer(packet: FlowPacket): void {
     const { environment, format } = this.dependencies;
@@ -497,7 +382,7 @@
     }
     if (this.health.isDown(now) && !wasDown) {
       this.reportTarget();
-      this.refuseWaiting();
+      this.intake.refuseWaiting();
     }
     this.admission.expire(now);
     this.admission.releaseWaiting(now);
@@ -505,57 +390,6 @@
     this.reporter.reportWhereDue();
   }
 
-  private returnPacket(packet: FlowPacket): void {
-    const { format } = this.dependencies;
-    this.counters.packetsReturned++;
-    this.tracker.returned(packet);
-    this.answers.drop(packet.flow);
-    this.admission.returned(packet);
-    if (packet.opens) {
-      this.health.openingReturned(this.dependencies.environment.now());
-    }
-    this.admission.releaseWaiting(this.dependencies.environment.now());
-    const delivery = this.pending.take(format.readToken(packet.bytes));
-    if (!delivery) {
-      return;
-    }
-    format.restoreClientForm(packet.bytes);
-    const { searchId, balancer, search } = delivery;
-    if (search) {
-      this.counters.packetsRefused++;
-      this.passOn({ ...search, payload: packet.bytes });
-    } else {
-      this.refuse(packet, searchId, balancer, RefusalReason.returnedByTarget);
-    }
-  }
-
-  /** The target is down: clients whose requests wait for it are told now. */
-  private refuseWaiting(): void {
-    for (const { packet, searchId, balancer } of this.admission.takeAll()) {
-      this.refuse(packet, searchId, balancer, RefusalReason.targetDown);
-    }
-  }
-
-  private refuse(
-    packet: FlowPacket,
-    searchId: number,
-    balancer: Endpoint,
-    reason: RefusalReasonValue,
-  ): void {
-    this.counters.packetsRefused++;
-    this.dependencies.environment.report(Events.packetRefused, {
-      client: formatEndpoint(packet.client),
-      destination: formatEndpoint(packet.destination),
-      opens: packet.opens,
-      reason,
-      state: this.state,
-      busy: this.tracker.busyRequests,
-    });
-    const { bytes: payload } = packet;
-    const message = { type: PacketMessageType.notHeld, searchId, reason, payload };
-    this.hops.send(balancer, message, packet);
-  }
-
   /** Tells every balancer of a change at once, and again shortly after. */
   private announce(): void {
     this.reporter.report();
