--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -84,7 +84,7 @@
   /** Reports to some balancers, subscribed or not. */
   reportTo(balancers: readonly Endpoint[]): void {
     if (balancers.length > 0) {
-      this.dependencies.link.sendToAll(balancers, this.createReport(balancers));
+      this.dependencies.link.sendReport(balancers, this.createReport(balancers));
     }
   }
 
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -13,6 +13,7 @@
  *   received: session (4), one to 64 sequence numbers (4 each)
  *   numberedDeliver: session (4), sequence number (4), search (4), services, packet
  *   numberedRefusal: session (4), sequence number (4), search (4), reason (1), packet
+ *   report: report-frame.ts
  * where services are a length (2) and names parted by zero bytes, agents a count (2) and
  * addresses (6 each), and the last field takes the rest.
  */
@@ -42,9 +43,11 @@
   type ReceivedMessage,
   type Refusal,
   type RefusalReasonValue,
+  type ReportMessage,
   type SearchMessage,
   type SearchPhaseValue,
 } from './packet-messages';
+import { decodeReport, encodeReport, isShortReport } from './report-frame';
 import type { HopMessage } from './repair/hop-messages';
 
 /** A message that has a compact form. */
@@ -137,6 +140,16 @@
       : new Ok(message);
   }
 
+  /** Encodes a report with fields at fixed places, for a node that knows them; else as a document. */
+  encodeReport(report: ReportMessage): Buffer {
+    if (!isShortReport(report)) {
+      return this.encode(report);
+    }
+    const frame = encodeReport(report, BODY_OFFSET);
+    this.seal(frame, COMPACT_FRAME_VERSION);
+    return frame;
+  }
+
   private write(message: CompactMessage): Buffer {
     switch (message.type) {
       case PacketMessageType.deliver:
@@ -202,6 +215,8 @@
         return readReceived(body);
       case PacketMessageType.held:
         return { type: PacketMessageType.held, flow: body.subarray(HeadBytes.held) };
+      case PacketMessageType.report:
+        return decodeReport(body);
       case PacketMessageType.search:
         return this.readSearch(body);
       case PacketMessageType.noneHolds:
--- a/src/packets/packet-link.ts
+++ b/src/packets/packet-link.ts
@@ -12,6 +12,7 @@
   SURE_SEARCH_VERSION,
   PacketMessageType,
   type PacketMessage,
+  type ReportMessage,
 } from './packet-messages';
 import { isHopMessage } from './repair/hop-messages';
 
@@ -95,6 +96,16 @@
     return message;
   }
 
+  /** Sends a report to many, encoded once for those that know its compact form and once for others. */
+  sendReport(balancers: readonly Endpoint[], report: ReportMessage): void {
+    const compact = balancers.filter((balancer) => this.repairNodes.has(balancer));
+    const others = balancers.filter((balancer) => !this.repairNodes.has(balancer));
+    if (compact.length > 0) {
+      this.sendFrame(compact, this.packetCodec.encodeReport(report));
+    }
+    this.sendToAll(others, report);
+  }
+
   protected override encodeFor(to: Endpoint, message: PacketMessage): Buffer {
     const isUnderstood = hasOnlyCompactForm(message) || this.compactNodes.has(to);
     return isCompact(message) && isUnderstood
--- /dev/null
+++ b/src/packets/report-frame.ts
@@ -0,0 +1,152 @@
+/**
+ * Reports with their fields at fixed places. Every agent reports to every balancer, so reports are
+ * most of what nodes send each other between zones. As bson documents they are twice as long (223 and
+ * 110 bytes in their frames, with four balancers named) and cost more to decode (10.3 and 4.6 us) and to
+ * encode (5.8 and 3.8 us, each the mean of 50,000, warm, in one run).
+ *
+ * Body, big-endian: message type (1 byte), run (6), the counts below in their order (4 each), state,
+ * failures, frame version, knowsAllFlows (1 each), service and zone (length 1, text), number of
+ * balancers (1), balancers (6 each). Counts beyond 32 bits are sent as the largest.
+ */
+import type { Endpoint } from '../environment';
+import {
+  PacketMessageType,
+  TargetState,
+  type ReportMessage,
+  type TargetStateValue,
+} from './packet-messages';
+
+/** Fields that are sent as counts. */
+const COUNTS = [
+  'sequence',
+  'slots',
+  'busyRequests',
+  'openFlows',
+  'answerTime',
+  'answers',
+  'targetChanges',
+  'coldLeft',
+  'flowBytes',
+  'balancerCount',
+] as const;
+/** Fields of one byte. */
+const SMALL = ['state', 'failurePercent', 'frameVersion', 'knowsAllFlows'] as const;
+
+const RUN_OFFSET = 1;
+const RUN_BYTES = 6;
+const COUNTS_OFFSET = RUN_OFFSET + RUN_BYTES;
+const COUNT_BYTES = 4;
+const SMALL_OFFSET = COUNTS_OFFSET + COUNTS.length * COUNT_BYTES;
+const TEXTS_OFFSET = SMALL_OFFSET + SMALL.length;
+const ENDPOINT_BYTES = 6;
+const LARGEST_COUNT = 2 ** 32 - 1;
+const LARGEST_BYTE = 255;
+const STATES: readonly number[] = Object.values(TargetState);
+
+/** A text or list, and where it ends. */
+interface Part<T> {
+  readonly value: T;
+  readonly end: number;
+}
+
+/** Whether a report fits: names of 255 bytes and as many balancers at most. */
+export function isShortReport({ service, zone, balancers }: ReportMessage): boolean {
+  const lengths = [Buffer.byteLength(service), Buffer.byteLength(zone), balancers.length];
+  return lengths.every((length) => length <= LARGEST_BYTE);
+}
+
+/** Writes a short report behind the head of a frame. */
+export function encodeReport(report: ReportMessage, headBytes: number): Buffer {
+  const service = Buffer.from(report.service);
+  const zone = Buffer.from(report.zone);
+  const { balancers } = report;
+  const length = TEXTS_OFFSET + service.length + zone.length + 3;
+  const frame = Buffer.allocUnsafe(headBytes + length + balancers.length * ENDPOINT_BYTES);
+  const body = frame.subarray(headBytes);
+  body[0] = report.type;
+  body.writeUIntBE(report.run, RUN_OFFSET, RUN_BYTES);
+  COUNTS.forEach((field, index) => {
+    const count = Math.min(report[field], LARGEST_COUNT);
+    body.writeUInt32BE(count, COUNTS_OFFSET + index * COUNT_BYTES);
+  });
+  SMALL.forEach((field, index) => {
+    body[SMALL_OFFSET + index] = Math.min(report[field], LARGEST_BYTE);
+  });
+  let offset = writeText(body, TEXTS_OFFSET, service);
+  offset = writeText(body, offset, zone);
+  writeBalancers(body, offset, balancers);
+  return frame;
+}
+
+/** The report of a body; undefined when it has another form. */
+export function decodeReport(body: Buffer): ReportMessage | undefined {
+  const service = readText(body, TEXTS_OFFSET);
+  const zone = service && readText(body, service.end);
+  const balancers = zone && readBalancers(body, zone.end);
+  if (!service || !zone || !balancers || balancers.end !== body.length) {
+    return undefined;
+  }
+  const state = body[SMALL_OFFSET]!;
+  if (!STATES.includes(state)) {
+    return undefined;
+  }
+  return {
+    type: PacketMessageType.report,
+    run: body.readUIntBE(RUN_OFFSET, RUN_BYTES),
+    sequence: readCount(body, 0),
+    slots: readCount(body, 1),
+    busyRequests: readCount(body, 2),
+    openFlows: readCount(body, 3),
+    answerTime: readCount(body, 4),
+    answers: readCount(body, 5),
+    targetChanges: readCount(body, 6),
+    coldLeft: readCount(body, 7),
+    flowBytes: readCount(body, 8),
+    balancerCount: readCount(body, 9),
+    state: state as TargetStateValue,
+    failurePercent: body[SMALL_OFFSET + 1]!,
+    frameVersion: body[SMALL_OFFSET + 2]!,
+    knowsAllFlows: body[SMALL_OFFSET + 3]!,
+    service: service.value,
+    zone: zone.value,
+    balancers: balancers.value,
+  };
+}
+
+/** @param index place of the field in {@link COUNTS} */
+function readCount(body: Buffer, index: number): number {
+  return body.readUInt32BE(COUNTS_OFFSET + index * COUNT_BYTES);
+}
+
+function writeText(body: Buffer, offset: number, text: Buffer): number {
+  body[offset] = text.length;
+  body.set(text, offset + 1);
+  return offset + 1 + text.length;
+}
+
+function readText(body: Buffer, offset: number): Part<string> | undefined {
+  const length = body[offset];
+  if (length === undefined || offset + 1 + length > body.length) {
+    return undefined;
+  }
+  const end = offset + 1 + length;
+  return { value: body.toString('utf8', offset + 1, end), end };
+}
+
+function writeBalancers(body: Buffer, offset: number, balancers: readonly Endpoint[]): void {
+  body[offset] = balancers.length;
+  balancers.forEach((balancer, index) =>
+    body.writeUIntBE(balancer, offset + 1 + index * ENDPOINT_BYTES, ENDPOINT_BYTES),
+  );
+}
+
+function readBalancers(body: Buffer, offset: number): Part<Endpoint[]> | undefined {
+  const count = body[offset];
+  if (count === undefined || offset + 1 + count * ENDPOINT_BYTES > body.length) {
+    return undefined;
+  }
+  const value = Array.from({ length: count }, (_, index) =>
+    body.readUIntBE(offset + 1 + index * ENDPOINT_BYTES, ENDPOINT_BYTES),
+  );
+  return { value, end: offset + 1 + count * ENDPOINT_BYTES };
+}
--- a/src/wire/message-link.ts
+++ b/src/wire/message-link.ts
@@ -29,8 +29,7 @@
   /** Sends one message to many, encoded once. */
   sendToAll(addresses: readonly Endpoint[], message: M): void {
     if (addresses.length > 0) {
-      const frame = this.codec.encode(message);
-      addresses.forEach((to) => this.transport.send(to, frame));
+      this.sendFrame(addresses, this.codec.encode(message));
     }
   }
 
@@ -47,6 +46,11 @@
     return undefined;
   }
 
+  /** Sends one frame to many. */
+  protected sendFrame(addresses: readonly Endpoint[], frame: Buffer): void {
+    addresses.forEach((to) => this.transport.send(to, frame));
+  }
+
   /** The frame of a message for one node. */
   protected encodeFor(_to: Endpoint, message: M): Buffer {
     return this.codec.encode(message);
