--- a/src/packets/target-health.ts
+++ b/src/packets/target-health.ts
@@ -34,6 +34,11 @@
 const LATEST_WEIGHT = 0.2;
 /** Milliseconds in which that share falls to about a third while there are no outcomes. */
 const LATEST_LIFETIME = 10_000;
+/**
+ * Milliseconds after the latest opening packet in which silence tells against a target. Balancers
+ * may send it none while it fails, and then it has nothing to answer: as long as the share above.
+ */
+const SILENCE_MEMORY = LATEST_LIFETIME;
 
 /** Health of one target. */
 export class TargetHealth {
@@ -147,11 +152,11 @@
   }
 
   /**
-   * Part of the requests that fail of late, 0 to 1; 1 for a target that says nothing, and for one
-   * that takes no flows.
+   * Part of the requests that fail of late, 0 to 1; 1 for a target that has lately said nothing to
+   * opening packets, and for one that takes no flows.
    */
   failureShare(now: number): number {
-    if (this.silence(now) > OPENING_TIMEOUT || this.takesNoFlows(now)) {
+    if (this.isSilent(now) || this.takesNoFlows(now)) {
       return 1;
     }
     this.weigh(now);
@@ -168,6 +173,10 @@
     return this.returnedOpenings >= RETURNS_BEFORE_USELESS && now - this.returnedAt <= USELESS_TIME;
   }
 
+  private isSilent(now: number): boolean {
+    return this.silence(now) > OPENING_TIMEOUT && now - this.probedAt <= SILENCE_MEMORY;
+  }
+
   private silence(now: number): number {
     return this.silentSince === undefined ? 0 : now - this.silentSince;
   }
--- a/test/packet-health.test.ts
+++ b/test/packet-health.test.ts
@@ -102,6 +102,17 @@
   t.true(health.isDown(2_550));
 });
 
+test('silence of long ago is no verdict: a target that gets no opening packets cannot answer any', (t) => {
+  const health = new TargetHealth();
+  health.openingDelivered(1_000);
+  t.is(health.failureShare(1_100), 0, 'it may still answer');
+  t.is(health.failureShare(2_000), 1);
+  t.is(health.failureShare(10_900), 1);
+  t.is(health.failureShare(11_100), 0);
+  health.openingDelivered(12_000);
+  t.is(health.failureShare(12_200), 1, 'it is still silent');
+});
+
 test('a target whose answers fail draws few new flows', (t) => {
   const world = startWorld();
   const failing = world.agents[0]!;
