--- a/src/packets/service-time.ts
+++ b/src/packets/service-time.ts
@@ -45,12 +45,14 @@
   }
 
   /**
-   * The same with what a request under way tells, which is no answer yet.
+   * The same with what a request under way tells, which is no answer yet. What was answered meanwhile
+   * speaks for the target: of several slots, one may have a request that takes long by nature.
    * @param oldest milliseconds for which the target has worked on one; 0 when on none
    */
-  expectedTime(oldest: number): number {
+  expectedTime(oldest: number, now = this.countedAt + oldest): number {
     const { answerTime } = this;
-    return this.total > 0 && oldest > answerTime * OVERDUE_FACTOR ? oldest : answerTime;
+    const overdue = Math.min(oldest, now - this.countedAt);
+    return this.total > 0 && overdue > answerTime * OVERDUE_FACTOR ? overdue : answerTime;
   }
 
   /** Answers of late that the time rests on, fading. */
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -58,7 +58,7 @@
 
   /** Milliseconds that the target takes for an answer of late, by what is under way as well. */
   answerTimeAt(now: number): number {
-    return this.serviceTime.expectedTime(this.dependencies.tracker.longestWork(now));
+    return this.serviceTime.expectedTime(this.dependencies.tracker.longestWork(now), now);
   }
 
   /** Answers of late that this time rests on, fading. */
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -232,6 +232,16 @@
   t.is(time.answersAt(0), 0);
 });
 
+test('one long request says nothing of a target that answers others meanwhile', (t) => {
+  const time = new ServiceTime();
+  for (let now = 0; now <= 1_000; now += 20) {
+    time.answered(20, now);
+  }
+  t.is(time.expectedTime(600, 1_010), 20, 'its other slots do well');
+  t.is(Math.round(time.expectedTime(600, 1_300)), 300, 'none has been answered for so long');
+  t.is(time.expectedTime(90, 1_300), 90, 'it had nothing to do before');
+});
+
 test('time that a request waits inside its target is no work', (t) => {
   const clock = new WorkClock<string>(() => 1);
   clock.begin('first', 0);
