--- a/src/packets/choice/outliers.ts
+++ b/src/packets/choice/outliers.ts
@@ -19,7 +19,7 @@
 /** Times the median to which it must have come down again. */
 const RESTORE_FACTOR = 2;
 /** Milliseconds by which it must exceed the median besides: less is lost among the ways of packets. */
-const SLOW_MARGIN = 10;
+export const SLOW_MARGIN = 10;
 /** Answers of late that a time must rest on. */
 export const ENOUGH_ANSWERS = 3;
 const PERCENT = 100;
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -71,7 +71,7 @@
   /** Reports to every subscriber at once if the target has become much worse. */
   reportIfWorse(): void {
     const now = this.dependencies.environment.now();
-    if (this.alarm.isDue(this.figuresAt(now), now)) {
+    if (this.alarm.isDue(this.figuresAt(now), now, () => this.subscribers.longestInterval)) {
       this.report();
     }
   }
--- a/src/packets/subscribers.ts
+++ b/src/packets/subscribers.ts
@@ -40,6 +40,15 @@
     return this.subscribers.size;
   }
 
+  /** Milliseconds between reports to the subscriber that wants them least often; 0 without any. */
+  get longestInterval(): number {
+    let longest = 0;
+    for (const { interval } of this.subscribers.values()) {
+      longest = Math.max(longest, interval);
+    }
+    return longest;
+  }
+
   /** The present subscribers; drops those that have not been seen for long. */
   present(now: number): Endpoint[] {
     for (const [balancer, { seenAt }] of this.subscribers) {
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -295,6 +295,26 @@
   t.false(first.isDue({ answerTime: 120, answers: 1, failurePercent: 0 }, 900), 'the first figure');
 });
 
+test('times too short to be told apart raise no alarm', (t) => {
+  const alarm = new ReportAlarm();
+  const fast = { answerTime: 0, answers: 9, failurePercent: 0 };
+  t.false(alarm.isDue(fast, 0));
+  t.false(alarm.isDue(fast, 1_000), 'under half a millisecond, told as 0');
+  t.false(alarm.isDue({ ...fast, answerTime: 3 }, 2_000));
+  t.true(alarm.isDue({ ...fast, answerTime: 12 }, 3_000));
+});
+
+test('where balancers want reports seldom, alarms are as seldom', (t) => {
+  const alarm = new ReportAlarm();
+  const well = { answerTime: 20, answers: 9, failurePercent: 0 };
+  const slow = { ...well, answerTime: 60 };
+  let raised = 0;
+  for (let now = 0; now < 10_000; now += 50) {
+    raised += alarm.isDue(now % 100 === 0 ? well : slow, now, () => 1_000) ? 1 : 0;
+  }
+  t.is(raised, 10);
+});
+
 test('rates of openings fade', (t) => {
   const rates = new OpeningRates();
   for (let now = 0; now < 30_000; now += 20) {
