--- a/src/packets/choice/set-aside-targets.ts
+++ b/src/packets/choice/set-aside-targets.ts
@@ -31,9 +31,16 @@
 type Exception =
   | SetAside
   /** Worse, and not yet for as long as all others need to report what may have befallen them too. */
-  | { readonly kind: 'suspected'; readonly since: number }
+  | Suspected
   | { readonly kind: 'restored'; readonly until: number };
 
+interface Suspected {
+  readonly kind: 'suspected';
+  readonly since: number;
+  /** Until when it counts as doubtful, since it was set aside before; 0 for one that was usual. */
+  readonly doubtfulUntil: number;
+}
+
 interface SetAside {
   readonly kind: 'setAside';
   /** When, and by which figure, it was last seen to be worse. */
@@ -98,8 +105,9 @@
     const exception = this.exceptions.get(entry);
     switch (exception?.kind) {
       case undefined:
-      case 'suspected':
         return USUAL;
+      case 'suspected':
+        return now < exception.doubtfulUntil ? RESTORED : USUAL;
       case 'setAside':
         return { kind: 'setAside', isTrialDue: mayTry && now >= exception.trialAt };
       case 'restored':
@@ -120,13 +128,24 @@
   expire(now: number): void {
     const { directory } = this.dependencies;
     for (const [entry, exception] of this.exceptions) {
-      const isOver = exception.kind === 'restored' && now >= exception.until;
-      if (isOver || directory.find(entry.address) !== entry) {
+      if (this.isOver(entry, exception, now) || directory.find(entry.address) !== entry) {
         this.exceptions.delete(entry);
       }
     }
   }
 
+  /** What is suspected of a silent agent has to be seen anew; `review` ends what is set aside. */
+  private isOver(entry: AgentEntry, exception: Exception, now: number): boolean {
+    switch (exception.kind) {
+      case 'setAside':
+        return false;
+      case 'suspected':
+        return !this.dependencies.directory.isHeard(entry, now);
+      case 'restored':
+        return now >= exception.until;
+    }
+  }
+
   /** Another target has taken the place of one that was set aside: it begins as usual. */
   private forgetReplaced(entry: AgentEntry): void {
     const exception = this.exceptions.get(entry);
@@ -180,7 +199,8 @@
       case 'restored':
       case undefined:
         if (reason) {
-          this.exceptions.set(entry, { kind: 'suspected', since: now });
+          const doubtfulUntil = exception?.until ?? 0;
+          this.exceptions.set(entry, { kind: 'suspected', since: now, doubtfulUntil });
         }
     }
   }
--- a/test/outliers.test.ts
+++ b/test/outliers.test.ts
@@ -205,6 +205,28 @@
   t.is(watch.standing, 'restored');
 });
 
+test('a restored target that is worse again stays doubtful until it is set aside', (t) => {
+  const watch = new Watch();
+  watch.run(400, FAILING);
+  watch.run(2 * STEP, {});
+  t.is(watch.standing, 'restored');
+  watch.run(2 * STEP, FAILING);
+  t.is(watch.standing, 'restored', 'suspected, and not able for that');
+  watch.run(300, FAILING);
+  t.is(watch.standing, 'setAside');
+});
+
+test('a suspicion does not outlast the silence of its agent', (t) => {
+  const watch = new Watch();
+  watch.run(100, FAILING);
+  watch.now += 5 * SECOND;
+  watch.setAside.expire(watch.now);
+  watch.run(STEP, FAILING);
+  t.is(watch.standing, 'usual', 'compared for the first time since');
+  watch.run(400, FAILING);
+  t.is(watch.standing, 'setAside');
+});
+
 test('trouble that befalls all, one a moment before the others, sets nobody aside', (t) => {
   const watch = new Watch();
   watch.run(200, FAILING);
