--- a/src/packets/choice/set-aside-targets.ts
+++ b/src/packets/choice/set-aside-targets.ts
@@ -12,8 +12,11 @@
 import { reportInterval } from '../report-interval';
 import { acceptsNewFlows, type Standing } from './selection';
 
-/** Milliseconds between two comparisons of a service: a flow or two of a busy balancer. */
-const REVIEW_INTERVAL = 50;
+/**
+ * Comparisons of a service for each report of an agent: every 50 ms with the shortest interval, which
+ * is a flow or two of a busy balancer; less often in large fleets, where each has more to compare.
+ */
+const REVIEWS_PER_REPORT = 5;
 /**
  * Milliseconds between two trials of a target by all balancers together: what fails for good spoils
  * one flow a second, and three answers show that it is well again.
@@ -83,7 +86,8 @@
   /** Compares the targets of a service, unless it was done a moment ago. */
   review(service: string, now: number): void {
     const { directory, share } = this.dependencies;
-    if (share === 0 || now - (this.reviewedAt.get(service) ?? -Infinity) < REVIEW_INTERVAL) {
+    const interval = reportInterval(directory.size) / REVIEWS_PER_REPORT;
+    if (share === 0 || now - (this.reviewedAt.get(service) ?? -Infinity) < interval) {
       return;
     }
     this.reviewedAt.set(service, now);
--- a/test/outliers.test.ts
+++ b/test/outliers.test.ts
@@ -227,6 +227,24 @@
   t.is(watch.standing, 'setAside');
 });
 
+test('a large fleet is compared less often, as its reports come less often', (t) => {
+  const watch = new Watch();
+  let comparisons = 0;
+  const find = watch.directory.ofServices.bind(watch.directory);
+  watch.directory.ofServices = (services) => {
+    comparisons++;
+    return find(services);
+  };
+  watch.run(SECOND, {});
+  t.is(comparisons, 20);
+  for (let address = 11; address <= 400; address++) {
+    watch.hear(address, {});
+  }
+  comparisons = 0;
+  watch.run(SECOND, {});
+  t.is(comparisons, 5);
+});
+
 test('trouble that befalls all, one a moment before the others, sets nobody aside', (t) => {
   const watch = new Watch();
   watch.run(200, FAILING);
