--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -33,6 +33,12 @@
  */
 const LIMITED_TIME = 100;
 
+/**
+ * Openings noted of an agent that no report shows yet, the latest; more than a balancer sends one
+ * agent between two reports, so that only those of a silent agent, which gather, are dropped.
+ */
+const MAXIMUM_OPENINGS = 1_000;
+
 /** One agent. */
 export interface AgentEntry extends AgentRecord {
   /** Revision of its registration; undefined while the registry does not list it. */
@@ -112,6 +118,14 @@
     return registryRevision !== undefined || lastTargetState !== undefined || hasFlows;
   }
 
+  /** An agent is sent an opening packet. */
+  noteOpening({ recentOpenings }: AgentEntry, now: number): void {
+    recentOpenings.push(now);
+    if (recentOpenings.length > MAXIMUM_OPENINGS) {
+      recentOpenings.shift();
+    }
+  }
+
   /** An agent has refused a new flow because its target is cold and has got enough of them. */
   noteLimit(address: Endpoint, now: number): void {
     const entry = this.entries.get(address);
--- a/src/packets/choice/opening-rates.ts
+++ b/src/packets/choice/opening-rates.ts
@@ -8,7 +8,10 @@
   readonly at: number;
 }
 
-/** The rates of one balancer; as many services as its routing table has. */
+/** Times that memory after which nothing is left of an opening, or of thousands. */
+const MEMORIES_KEPT = 20;
+
+/** The rates of one balancer: of the services that it has placed flows with of late. */
 export class OpeningRates {
   private readonly counts = new Map<string, FadingCount>();
 
@@ -22,6 +25,20 @@
     return this.countOf(service, now) / MEMORY;
   }
 
+  /** Forgets services without openings of late: those of an earlier routing table among them. */
+  expire(now: number): void {
+    for (const [service, { at }] of this.counts) {
+      if (now - at > MEMORY * MEMORIES_KEPT) {
+        this.counts.delete(service);
+      }
+    }
+  }
+
+  /** Services with openings of late. */
+  get size(): number {
+    return this.counts.size;
+  }
+
   private countOf(service: string, now: number): number {
     const known = this.counts.get(service);
     return known ? known.count * Math.exp((known.at - now) / MEMORY) : 0;
--- a/src/packets/choice/set-aside-targets.ts
+++ b/src/packets/choice/set-aside-targets.ts
@@ -131,6 +131,11 @@
   /** Forgets agents that have left, and what is over. */
   expire(now: number): void {
     const { directory } = this.dependencies;
+    this.reviewedAt.forEach((at, service) => {
+      if (now - at > LONGEST_MEMORY) {
+        this.reviewedAt.delete(service);
+      }
+    });
     for (const [entry, exception] of this.exceptions) {
       if (this.isOver(entry, exception, now) || directory.find(entry.address) !== entry) {
         this.exceptions.delete(entry);
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -54,6 +54,7 @@
   /** Drops what is too old to matter. */
   expire(now: number): void {
     this.setAside.expire(now);
+    this.openings.expire(now);
   }
 
   /** A new routing table is in force: shares begin anew. */
@@ -104,7 +105,7 @@
     }
     const { entry: chosen } = choice;
     this.count(choice, now);
-    chosen.recentOpenings.push(now);
+    directory.noteOpening(chosen, now);
     this.openings.note(chosen.service, now);
     cache.noteOpening(packet.flow, chosen.address, service!, now);
     outlet.counters.flowsPlaced++;
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -315,6 +315,21 @@
   t.is(raised, 10);
 });
 
+test('what is kept of openings is bounded, though agents are silent and services go', (t) => {
+  const directory = new AgentDirectory();
+  const entry = directory.hear(1, createReport(), 0)!;
+  const rates = new OpeningRates();
+  for (let now = 1; now <= 5_000; now++) {
+    directory.noteOpening(entry, now);
+    rates.note(`service-${now}`, now);
+  }
+  t.is(entry.recentOpenings.length, 1_000);
+  t.is(entry.recentOpenings.at(-1), 5_000, 'the latest are kept');
+  rates.note('map', 60_000);
+  rates.expire(150_000);
+  t.is(rates.size, 1);
+});
+
 test('rates of openings fade', (t) => {
   const rates = new OpeningRates();
   for (let now = 0; now < 30_000; now += 20) {
