--- a/src/packets/choice/set-aside-targets.ts
+++ b/src/packets/choice/set-aside-targets.ts
@@ -12,8 +12,11 @@
 import { reportInterval } from '../report-interval';
 import { acceptsNewFlows, type Standing } from './selection';
 
-/** Milliseconds between two comparisons of a service: a flow or two of a busy balancer. */
-const REVIEW_INTERVAL = 50;
+/**
+ * Comparisons of a service for each report of an agent: every 50 ms with the shortest interval, which
+ * is a flow or two of a busy balancer; less often in large fleets, where each has more to compare.
+ */
+const REVIEWS_PER_REPORT = 5;
 /**
  * Milliseconds between two trials of a target by all balancers together: what fails for good spoils
  * one flow a second, and three answers show that it is well again.
@@ -31,9 +34,16 @@
 type Exception =
   | SetAside
   /** Worse, and not yet for as long as all others need to report what may have befallen them too. */
-  | { readonly kind: 'suspected'; readonly since: number }
+  | Suspected
   | { readonly kind: 'restored'; readonly until: number };
 
+interface Suspected {
+  readonly kind: 'suspected';
+  readonly since: number;
+  /** Until when it counts as doubtful, since it was set aside before; 0 for one that was usual. */
+  readonly doubtfulUntil: number;
+}
+
 interface SetAside {
   readonly kind: 'setAside';
   /** When, and by which figure, it was last seen to be worse. */
@@ -76,7 +86,8 @@
   /** Compares the targets of a service, unless it was done a moment ago. */
   review(service: string, now: number): void {
     const { directory, share } = this.dependencies;
-    if (share === 0 || now - (this.reviewedAt.get(service) ?? -Infinity) < REVIEW_INTERVAL) {
+    const interval = reportInterval(directory.size) / REVIEWS_PER_REPORT;
+    if (share === 0 || now - (this.reviewedAt.get(service) ?? -Infinity) < interval) {
       return;
     }
     this.reviewedAt.set(service, now);
@@ -98,8 +109,9 @@
     const exception = this.exceptions.get(entry);
     switch (exception?.kind) {
       case undefined:
-      case 'suspected':
         return USUAL;
+      case 'suspected':
+        return now < exception.doubtfulUntil ? RESTORED : USUAL;
       case 'setAside':
         return { kind: 'setAside', isTrialDue: mayTry && now >= exception.trialAt };
       case 'restored':
@@ -119,14 +131,30 @@
   /** Forgets agents that have left, and what is over. */
   expire(now: number): void {
     const { directory } = this.dependencies;
+    this.reviewedAt.forEach((at, service) => {
+      if (now - at > LONGEST_MEMORY) {
+        this.reviewedAt.delete(service);
+      }
+    });
     for (const [entry, exception] of this.exceptions) {
-      const isOver = exception.kind === 'restored' && now >= exception.until;
-      if (isOver || directory.find(entry.address) !== entry) {
+      if (this.isOver(entry, exception, now) || directory.find(entry.address) !== entry) {
         this.exceptions.delete(entry);
       }
     }
   }
 
+  /** What is suspected of a silent agent has to be seen anew; `review` ends what is set aside. */
+  private isOver(entry: AgentEntry, exception: Exception, now: number): boolean {
+    switch (exception.kind) {
+      case 'setAside':
+        return false;
+      case 'suspected':
+        return !this.dependencies.directory.isHeard(entry, now);
+      case 'restored':
+        return now >= exception.until;
+    }
+  }
+
   /** Another target has taken the place of one that was set aside: it begins as usual. */
   private forgetReplaced(entry: AgentEntry): void {
     const exception = this.exceptions.get(entry);
@@ -180,7 +208,8 @@
       case 'restored':
       case undefined:
         if (reason) {
-          this.exceptions.set(entry, { kind: 'suspected', since: now });
+          const doubtfulUntil = exception?.until ?? 0;
+          this.exceptions.set(entry, { kind: 'suspected', since: now, doubtfulUntil });
         }
     }
   }
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -232,6 +232,16 @@
   t.is(time.answersAt(0), 0);
 });
 
+test('one long request says nothing of a target that answers others meanwhile', (t) => {
+  const time = new ServiceTime();
+  for (let now = 0; now <= 1_000; now += 20) {
+    time.answered(20, now);
+  }
+  t.is(time.expectedTime(600, 1_010), 20, 'its other slots do well');
+  t.is(Math.round(time.expectedTime(600, 1_300)), 300, 'none has been answered for so long');
+  t.is(time.expectedTime(90, 1_300), 90, 'it had nothing to do before');
+});
+
 test('time that a request waits inside its target is no work', (t) => {
   const clock = new WorkClock<string>(() => 1);
   clock.begin('first', 0);
@@ -285,6 +295,41 @@
   t.false(first.isDue({ answerTime: 120, answers: 1, failurePercent: 0 }, 900), 'the first figure');
 });
 
+test('times too short to be told apart raise no alarm', (t) => {
+  const alarm = new ReportAlarm();
+  const fast = { answerTime: 0, answers: 9, failurePercent: 0 };
+  t.false(alarm.isDue(fast, 0));
+  t.false(alarm.isDue(fast, 1_000), 'under half a millisecond, told as 0');
+  t.false(alarm.isDue({ ...fast, answerTime: 3 }, 2_000));
+  t.true(alarm.isDue({ ...fast, answerTime: 12 }, 3_000));
+});
+
+test('where balancers want reports seldom, alarms are as seldom', (t) => {
+  const alarm = new ReportAlarm();
+  const well = { answerTime: 20, answers: 9, failurePercent: 0 };
+  const slow = { ...well, answerTime: 60 };
+  let raised = 0;
+  for (let now = 0; now < 10_000; now += 50) {
+    raised += alarm.isDue(now % 100 === 0 ? well : slow, now, () => 1_000) ? 1 : 0;
+  }
+  t.is(raised, 10);
+});
+
+test('what is kept of openings is bounded, though agents are silent and services go', (t) => {
+  const directory = new AgentDirectory();
+  const entry = directory.hear(1, createReport(), 0)!;
+  const rates = new OpeningRates();
+  for (let now = 1; now <= 5_000; now++) {
+    directory.noteOpening(entry, now);
+    rates.note(`service-${now}`, now);
+  }
+  t.is(entry.recentOpenings.length, 1_000);
+  t.is(entry.recentOpenings.at(-1), 5_000, 'the latest are kept');
+  rates.note('map', 60_000);
+  rates.expire(150_000);
+  t.is(rates.size, 1);
+});
+
 test('rates of openings fade', (t) => {
   const rates = new OpeningRates();
   for (let now = 0; now < 30_000; now += 20) {
