--- a/src/packets/choice/expected-wait.ts
+++ b/src/packets/choice/expected-wait.ts
@@ -36,6 +36,11 @@
  * (the least retransmission timeout in common use, below the second of RFC 6298).
  */
 const FAILURE_COST = 200;
+/**
+ * Answers that a failed request costs at least, where answers take long: the repeat waits its turn as
+ * the first try did, so a target that always fails is worth no short queue elsewhere.
+ */
+const FAILURE_ANSWERS = 4;
 /** Answers of waiting at every able target for which a doubtful one is the better choice. */
 const DOUBTFUL_ANSWERS = 5;
 const PERCENT = 100;
@@ -73,17 +78,17 @@
   const outlook = outlookOf(accepting, context.openingRate);
   const trial = findTrial(accepting.slice(0, CANDIDATES), context);
   if (trial) {
-    return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, context), [], true, context);
+    return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, context), true);
   }
   const width = widthOf(accepting, context);
   const offers = createOffers(accepting.slice(0, width), outlook, context);
   const best = chooseOffer(offers, outlook, context);
   if (!best || width >= accepting.length || isGoodEnough(best, outlook)) {
-    return best && choiceOf(best, offers, false, context);
+    return best && choiceOf(best, false);
   }
   const more = createOffers(accepting.slice(0, width * 2), outlook, context);
   const bestOfMore = chooseOffer(more, outlook, context);
-  return bestOfMore && choiceOf(bestOfMore, more, false, context);
+  return bestOfMore && choiceOf(bestOfMore, false);
 }
 
 /** How many agents to consider: ten, or so many more that one of them is able. */
@@ -139,7 +144,8 @@
   const delay = answerTime / slotsOf(entry);
   const wait = delay * requestsAheadOf(entry, answerTime, outlook, context);
   const doubt = report?.state === TargetState.ready ? 0 : answerTime * UNKNOWN_STATE_SHARE;
-  const failureCost = (FAILURE_COST * (report?.failurePercent ?? 0)) / PERCENT;
+  const failure = Math.max(FAILURE_COST, FAILURE_ANSWERS * outlook.answerTime);
+  const failureCost = (failure * (report?.failurePercent ?? 0)) / PERCENT;
   return {
     entry,
     placementClass: placementClassOf(entry, context),
@@ -260,15 +266,6 @@
   return best;
 }
 
-function choiceOf(
-  { entry, placementClass, time }: Offer,
-  offers: readonly Offer[],
-  isTrial: boolean,
-  { zone }: SelectionContext,
-): Choice {
-  const home = offers.filter(
-    (one) => one.entry.zone === zone && one.placementClass <= placementClass,
-  );
-  const bestAtHome = home.length > 0 ? Math.min(...home.map((one) => one.time)) : undefined;
-  return { entry, placementClass, isTrial, expectedTime: time, bestAtHome };
+function choiceOf({ entry, placementClass, time }: Offer, isTrial: boolean): Choice {
+  return { entry, placementClass, isTrial, expectedTime: time };
 }
--- a/src/packets/choice/least-load.ts
+++ b/src/packets/choice/least-load.ts
@@ -140,7 +140,7 @@
 
 function choiceOf(entry: AgentEntry, context: SelectionContext): Choice {
   const placementClass = placementClassOf(entry, context);
-  return { entry, placementClass, isTrial: false, expectedTime: 0, bestAtHome: undefined };
+  return { entry, placementClass, isTrial: false, expectedTime: 0 };
 }
 
 function chooseLeastLoaded(
--- a/src/packets/choice/selection.ts
+++ b/src/packets/choice/selection.ts
@@ -29,8 +29,6 @@
 
 /** What the choice depends on besides the agents. */
 export interface SelectionContext {
-  /** Zone of the balancer. */
-  readonly zone: string;
   /** Milliseconds, by the clock of `AgentEntry.recentOpenings`. */
   readonly now: number;
   /** Whether the expected time of an answer decides; else the least load does. */
@@ -59,11 +57,6 @@
   readonly isTrial: boolean;
   /** Milliseconds until its answer, the way there and back included; 0 where load decides. */
   readonly expectedTime: number;
-  /**
-   * The least of these milliseconds among the considered agents of the balancer's own zone, of the
-   * class chosen or a better one; undefined when none of them takes the flow.
-   */
-  readonly bestAtHome: number | undefined;
 }
 
 /** Whether an agent may be offered a new flow. */
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -166,9 +166,8 @@
 
   private selectionContext(packet: FlowPacket, search: FlowSearch, now: number): SelectionContext {
     const isTrialFlow = isFitForTrial(packet, search);
-    const { directory, environment, locality, zone } = this.dependencies;
+    const { directory, environment, locality } = this.dependencies;
     return {
-      zone,
       now,
       openingRate: this.openings.rate(search.services[0]!, now),
       usesExpectedWait: this.choice.expectedWait,
