--- a/src/packets/agent-registration.ts
+++ b/src/packets/agent-registration.ts
@@ -29,6 +29,10 @@
   private isCalling = false;
   /** A registration is due and waits for the target to be heard. */
   private isDue = false;
+  /** The entry is to go, and has not been made anew since: a listing told by balancers is old. */
+  private isWithdrawn = false;
+  /** A removal is under way; the store could carry it out after a registration. */
+  private isRemoving = false;
   /** Whether the registry lists this agent, as far as balancers have told. */
   private isListed: boolean | undefined;
   private registeredAt = -Infinity;
@@ -69,6 +73,7 @@
   withdraw(): void {
     this.waitTimer?.cancel();
     this.isDue = true;
+    this.isWithdrawn = true;
     if (this.isListed !== false) {
       this.remove(FIRST_RETRY);
     }
@@ -83,9 +88,7 @@
   takeListing(listing: ListingStateValue): void {
     switch (listing) {
       case ListingState.listed:
-        this.waitTimer?.cancel();
-        this.isListed = true;
-        this.isDue = false;
+        this.takeListed();
         return;
       case ListingState.missing:
         this.isListed = false;
@@ -95,6 +98,15 @@
     }
   }
 
+  private takeListed(): void {
+    if (this.isWithdrawn) {
+      return;
+    }
+    this.waitTimer?.cancel();
+    this.isListed = true;
+    this.isDue = false;
+  }
+
   private registerAnew(): void {
     const age = this.environment.now() - this.registeredAt;
     if (!this.isCalling && age > SPREADING_TIME) {
@@ -103,7 +115,7 @@
   }
 
   private begin(): void {
-    this.isDue = !this.isTargetHeard();
+    this.isDue = this.isRemoving || !this.isTargetHeard();
     if (!this.isDue) {
       this.register(FIRST_RETRY);
     }
@@ -112,6 +124,7 @@
   private register(delay: number): void {
     this.waitTimer?.cancel();
     this.isCalling = true;
+    this.isWithdrawn = false;
     this.registrations++;
     const record = this.record();
     this.registry.register(record, (result) => {
@@ -132,8 +145,12 @@
       return;
     }
     this.registrations++;
+    this.isRemoving = true;
     this.registry.remove(this.record(), undefined, (result) => {
-      if (result.err) {
+      this.isRemoving = false;
+      if (this.isTargetHeard()) {
+        this.begin();
+      } else if (result.err) {
         const next = Math.min(delay * 2, LONGEST_RETRY);
         const wait = delay * (0.5 + this.environment.random());
         this.timers.once(wait, () => this.remove(next));
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -296,6 +296,32 @@
   t.false(world.store.agents.items.has(String(lone.address)));
 });
 
+test('a target that comes while its entry is being taken out is listed as soon as that is over', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.store.answerTime = 500;
+  world.runFor(2_300);
+  world.store.answerTime = 4;
+  world.startTarget(lone);
+  world.runFor(450);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  t.is(lone.node.figures.registrations, 2, 'the removal and then the registration');
+});
+
+test('a listing that balancers tell late does not keep a target out that comes after all', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  const isListed = (): boolean => world.store.agents.items.has(String(lone.address));
+  world.store.refused.add(lone.name);
+  world.runFor(5_000);
+  world.store.refused.clear();
+  for (let step = 0; step < 200 && isListed(); step++) {
+    world.runFor(10);
+  }
+  t.false(isListed());
+  world.startTarget(lone);
+  world.runFor(20);
+  t.true(isListed());
+});
+
 test('a look at an address without a listener proves that there is no target', async (t) => {
   const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21414').unwrap());
   t.true(await new Promise<boolean>((done) => vacant.isVacant(done)));
