--- a/src/packets/startup/startup-gate.ts
+++ b/src/packets/startup/startup-gate.ts
@@ -143,7 +143,7 @@
   /** Hands a packet on if another balancer takes its flow meanwhile. */
   private relayed({ flow, bytes }: FlowPacket, now: number): boolean {
     const { clusterSize, handOn, relay } = this.dependencies;
-    const to = this.isOver ? relay?.find(flow) : relay?.choose(flow, clusterSize(), now);
+    const to = this.isOver ? relay?.find(flow, now) : relay?.choose(flow, clusterSize(), now);
     if (to === undefined) {
       return false;
     }
--- a/src/packets/startup/startup-relay.ts
+++ b/src/packets/startup/startup-relay.ts
@@ -22,6 +22,11 @@
 const SPARE_CAPACITY = 4;
 /** Milliseconds after which what another balancer has said of itself is too old; twice its interval. */
 const STATUS_LIFETIME = 1_100;
+/**
+ * Milliseconds of silence after which flows no longer go on to a balancer: in a large cluster one
+ * tells of itself every few seconds only, and no flow is to wait longer for one that has died.
+ */
+const LONGEST_SILENCE = 2_000;
 const MAXIMUM_BALANCERS = 64;
 /** Flows whose balancer is remembered; the oldest is forgotten beyond that. */
 const MAXIMUM_FLOWS = 4_096;
@@ -31,9 +36,13 @@
   readonly heardAt: number;
 }
 
+/** A balancer by the address that it speaks from. */
+type Candidate = readonly [Endpoint, KnownBalancer];
+
 /** The relay of one start. */
 export class StartupRelay {
   private readonly balancers = new Map<Endpoint, KnownBalancer>();
+  /** The balancers, by the address that they speak from, that flows were handed on to. */
   private readonly flows = new Map<FlowKey, Endpoint>();
 
   /**
@@ -73,20 +82,28 @@
    * @param clusterSize balancers known, this one included
    */
   choose(flow: FlowKey, clusterSize: number, now: number): Endpoint | undefined {
-    const known = this.flows.get(flow);
+    const known = this.find(flow, now);
     if (known !== undefined) {
       return known;
     }
     const chosen = this.chooseAnew(flow, clusterSize, now);
-    if (chosen !== undefined) {
-      this.note(flow, chosen);
+    if (chosen === undefined) {
+      return undefined;
     }
-    return chosen;
+    const [balancer, { status }] = chosen;
+    this.note(flow, balancer);
+    return status.packetAddress;
   }
 
-  /** Where the packets of a flow have gone so far; undefined for a flow that was not handed on. */
-  find(flow: FlowKey): Endpoint | undefined {
-    return this.flows.get(flow);
+  /**
+   * Where the packets of a flow have gone so far; undefined for a flow that was not handed on, or
+   * to a balancer that has fallen silent.
+   */
+  find(flow: FlowKey, now: number): Endpoint | undefined {
+    const balancer = this.flows.get(flow);
+    const known = balancer === undefined ? undefined : this.balancers.get(balancer);
+    const isPresent = known !== undefined && now - known.heardAt <= LONGEST_SILENCE;
+    return isPresent ? known.status.packetAddress : undefined;
   }
 
   /** Forgets everything: flows that go on are searched for. */
@@ -95,18 +112,18 @@
     this.flows.clear();
   }
 
-  private chooseAnew(flow: FlowKey, clusterSize: number, now: number): Endpoint | undefined {
+  private chooseAnew(flow: FlowKey, clusterSize: number, now: number): Candidate | undefined {
     const present = this.findPresent(clusterSize, now);
-    const own = present.filter(({ zone }) => zone === this.zone);
+    const own = present.filter(([, { status }]) => status.zone === this.zone);
     return chooseByFlow(flow, own.length > 0 ? own : present);
   }
 
   /** The balancers that take packets, if together they have processor time enough for it. */
-  private findPresent(clusterSize: number, now: number): BalancerStatus[] {
-    const present = [...this.balancers.values()]
-      .filter(({ status, heardAt }) => status.isReady && now - heardAt <= STATUS_LIFETIME)
-      .map(({ status }) => status);
-    const capacity = present.reduce((sum, one) => sum + one.capacity, 0);
+  private findPresent(clusterSize: number, now: number): Candidate[] {
+    const present = [...this.balancers].filter(
+      ([, { status, heardAt }]) => status.isReady && now - heardAt <= STATUS_LIFETIME,
+    );
+    const capacity = present.reduce((sum, [, { status }]) => sum + status.capacity, 0);
     return capacity * SPARE_CAPACITY >= clusterSize * this.capacity ? present : [];
   }
 
@@ -119,14 +136,14 @@
   }
 }
 
-function chooseByFlow(flow: FlowKey, among: readonly BalancerStatus[]): Endpoint | undefined {
-  let best: Endpoint | undefined;
+function chooseByFlow(flow: FlowKey, among: readonly Candidate[]): Candidate | undefined {
+  let best: Candidate | undefined;
   let bestScore = -1;
-  for (const { packetAddress } of among) {
-    const score = rendezvousScore(flow, String(packetAddress));
+  for (const candidate of among) {
+    const score = rendezvousScore(flow, String(candidate[1].status.packetAddress));
     if (score > bestScore) {
       bestScore = score;
-      best = packetAddress;
+      best = candidate;
     }
   }
   return best;
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -134,7 +134,11 @@
   t.is(relay.choose('f', 4, 0), 12, 'where its opening went');
   t.is(relay.choose('g', 4, 0), 13, 'the own zone first');
   t.is(relay.choose('h', 4, 5_000), undefined, 'nothing heard for too long');
-  t.is(relay.find('g'), 13);
+  t.is(relay.find('g', 1_500), 13, 'as before, while no new flows go there');
+  t.is(relay.find('g', 5_000), undefined, 'nor flows that went to one that is silent');
+  t.is(relay.choose('g', 4, 5_000), undefined);
+  relay.learn(2, createStatus(12, 1.35, 'south'), 5_000);
+  t.is(relay.choose('g', 4, 5_000), 12, 'another one takes its flows');
   relay.clear();
   t.false(relay.hasFlows);
 });
