--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -156,14 +156,14 @@
 
   /**
    * Prepares a planned end: balancers learn at once that this agent goes, and the
-   * registry entry of a target that has ended is removed.
+   * registry entry of a target that has ended, or of none, is removed.
    * @param done called when nothing is left to do
    */
   beginStop(done: () => void): void {
     this.restarting = true;
     this.admission.releaseAll();
     this.announce();
-    if (this.target.state === TargetState.gone) {
+    if (this.state === TargetState.gone) {
       this.dependencies.registry.remove(this.record, undefined, done);
     } else {
       done();
--- a/src/packets/startup/target-presence.ts
+++ b/src/packets/startup/target-presence.ts
@@ -35,6 +35,7 @@
 export class TargetPresence {
   private timer: TimerHandle | undefined;
   private isVacant = false;
+  private isStopped = false;
   private probes = 0;
 
   constructor(private readonly dependencies: TargetPresenceDependencies) {}
@@ -53,8 +54,9 @@
     this.wait();
   }
 
-  /** Ends the timer. */
+  /** Ends the timer; a look under way changes nothing any more. */
   stop(): void {
+    this.isStopped = true;
     this.timer?.cancel();
   }
 
@@ -70,7 +72,7 @@
     }
     this.probes++;
     probe.isVacant((isVacant) => {
-      if (isTargetHeard()) {
+      if (this.isStopped || isTargetHeard()) {
         return;
       }
       if (!isVacant) {
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -11,6 +11,7 @@
 import { TargetLifecycle } from '../src/packets/target-lifecycle';
 import { StartupRelay } from '../src/packets/startup/startup-relay';
 import type { BalancerStatus } from '../src/packets/traffic-relay';
+import { TargetPresence } from '../src/packets/startup/target-presence';
 import { TcpTargetProbe } from '../src/runtime/target-probe';
 import { UdpSocket } from '../src/runtime/udp-socket';
 import {
@@ -20,6 +21,9 @@
 } from '../src/simulation/packets/model-packet-format';
 import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { SimulatedProcess } from '../src/simulation/simulated-process';
+import { VirtualClock } from '../src/simulation/virtual-clock';
 import { waitFor } from './support/packet-cluster';
 
 /** Sends from another process while this one stands still, as it does while it loads a program. */
@@ -326,6 +330,48 @@
   t.true(isListed());
 });
 
+test('an agent without a target that is told to stop takes its entry with it', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.store.refused.add(lone.name);
+  world.runFor(3_000);
+  world.store.refused.clear();
+  let isDone = false;
+  lone.node.beginStop(() => {
+    isDone = true;
+    lone.process.kill();
+  });
+  world.runFor(10);
+  t.true(isDone);
+  t.false(world.store.agents.items.has(String(lone.address)));
+});
+
+test('a look that is answered after the agent has ended changes nothing', (t) => {
+  const clock = new VirtualClock();
+  const environment = new SimulatedProcess(
+    'agent',
+    OWN_ZONE,
+    'agent',
+    clock,
+    new SeededRandom(1),
+    () => undefined,
+  );
+  const answers: ((isVacant: boolean) => void)[] = [];
+  let missed = 0;
+  const presence = new TargetPresence({
+    environment,
+    probe: { isVacant: (answer) => answers.push(answer) },
+    heartbeatInterval: 100,
+    isTargetHeard: () => false,
+    missed: () => missed++,
+  });
+  presence.start();
+  clock.runUntil(200);
+  presence.stop();
+  answers.forEach((answer) => answer(true));
+  t.is(answers.length, 1);
+  t.is(missed, 0);
+});
+
 test('a look at an address without a listener proves that there is no target', async (t) => {
   const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21414').unwrap());
   t.true(await new Promise<boolean>((done) => vacant.isVacant(done)));
