--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -41,9 +41,10 @@
 const PROBE_SHARE = 1 / 3;
 
 /**
- * Milliseconds after its start at which a balancer without a view lists the registry, if nobody helps
- * it yet: a seed that runs answers within the round trip of a few ms between zones. That is a small answer, and the agents listed there name balancers: one whose
- * seeds are down or still starting finds the others that way.
+ * Milliseconds after its start at which a balancer without a view lists the registry, if nobody
+ * helps it yet: a seed that runs answers within the round trip of a few ms between zones. The listing
+ * is small, and the agents listed there name balancers: one whose seeds are down or still starting
+ * finds the others that way.
  */
 const DISCOVERY_DELAY = 20;
 
