--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -70,12 +70,14 @@
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
+  private seeds: readonly Endpoint[];
 
   constructor(
     private readonly settings: PacketAgentSettings,
     private readonly dependencies: PacketAgentDependencies,
   ) {
     const { environment, codec, transport, registry } = dependencies;
+    this.seeds = settings.seeds;
     this.timers = new NodeTimers(environment);
     this.registration = new AgentRegistration(
       environment,
@@ -128,7 +130,7 @@
 
   start(): void {
     const { environment } = this.dependencies;
-    this.reporter.reportTo(this.settings.seeds);
+    this.reporter.reportTo(this.seeds);
     this.timers.repeat(SHORTEST_REPORT_INTERVAL, () => this.report());
     this.timers.repeat(EXPIRY_INTERVAL, () => {
       this.tracker.expire(this.settings.flowLifetime, environment.now());
@@ -142,6 +144,7 @@
 
   /** Takes other seeds, which the settings name now, and makes itself known there. */
   replaceSeeds(seeds: readonly Endpoint[]): void {
+    this.seeds = seeds;
     this.reporter.reportTo(seeds);
   }
 
@@ -194,6 +197,7 @@
   /** A heartbeat of the target; its acknowledgement is up to the caller, and due at once. */
   heartbeat(heartbeat: TargetHeartbeat): void {
     this.counters.heartbeats++;
+    const wasMissing = this.presence.isMissing;
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
       this.tracker.clear();
@@ -207,6 +211,10 @@
       this.reportTarget();
       this.announce();
     }
+    if (wasMissing && !this.presence.isMissing) {
+      // Balancers forget an agent without a target, and the store may be out of reach.
+      this.reporter.reportTo(this.seeds);
+    }
     this.registration.targetHeard();
   }
 
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -293,6 +293,16 @@
   world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address)?.report?.state, 2));
 });
 
+test('an agent that all have forgotten is found again without the store when its target comes', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(12_000);
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address), undefined));
+  world.store.down = true;
+  world.startTarget(lone);
+  world.runFor(1_000);
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address)?.report?.state, 2));
+});
+
 test('the store is asked again until it has taken the entry out', (t) => {
   const { world, lone } = startWithoutTarget(true);
   world.runFor(1_000);
