--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -392,6 +392,13 @@
   t.false(await new Promise<boolean>((done) => present.isVacant(done)));
 });
 
+test('a look is not taken for unanswered when this process was held up itself', async (t) => {
+  const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21416').unwrap());
+  const answer = new Promise<boolean>((done) => vacant.isVacant(done));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700);
+  t.true(await answer);
+});
+
 test('a target whose slots are not known yet does not get all that waits at once', (t) => {
   const tracker = new FlowTracker();
   const target = new TargetLifecycle('map', 770);
