--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -11,6 +11,7 @@
 import { TargetLifecycle } from '../src/packets/target-lifecycle';
 import { StartupRelay } from '../src/packets/startup/startup-relay';
 import type { BalancerStatus } from '../src/packets/traffic-relay';
+import { TargetPresence } from '../src/packets/startup/target-presence';
 import { TcpTargetProbe } from '../src/runtime/target-probe';
 import { UdpSocket } from '../src/runtime/udp-socket';
 import {
@@ -20,6 +21,9 @@
 } from '../src/simulation/packets/model-packet-format';
 import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { SimulatedProcess } from '../src/simulation/simulated-process';
+import { VirtualClock } from '../src/simulation/virtual-clock';
 import { waitFor } from './support/packet-cluster';
 
 /** Sends from another process while this one stands still, as it does while it loads a program. */
@@ -134,7 +138,11 @@
   t.is(relay.choose('f', 4, 0), 12, 'where its opening went');
   t.is(relay.choose('g', 4, 0), 13, 'the own zone first');
   t.is(relay.choose('h', 4, 5_000), undefined, 'nothing heard for too long');
-  t.is(relay.find('g'), 13);
+  t.is(relay.find('g', 1_500), 13, 'as before, while no new flows go there');
+  t.is(relay.find('g', 5_000), undefined, 'nor flows that went to one that is silent');
+  t.is(relay.choose('g', 4, 5_000), undefined);
+  relay.learn(2, createStatus(12, 1.35, 'south'), 5_000);
+  t.is(relay.choose('g', 4, 5_000), 12, 'another one takes its flows');
   relay.clear();
   t.false(relay.hasFlows);
 });
@@ -285,6 +293,16 @@
   world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address)?.report?.state, 2));
 });
 
+test('an agent that all have forgotten is found again without the store when its target comes', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(12_000);
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address), undefined));
+  world.store.down = true;
+  world.startTarget(lone);
+  world.runFor(1_000);
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(lone.address)?.report?.state, 2));
+});
+
 test('the store is asked again until it has taken the entry out', (t) => {
   const { world, lone } = startWithoutTarget(true);
   world.runFor(1_000);
@@ -296,6 +314,74 @@
   t.false(world.store.agents.items.has(String(lone.address)));
 });
 
+test('a target that comes while its entry is being taken out is listed as soon as that is over', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.store.answerTime = 500;
+  world.runFor(2_300);
+  world.store.answerTime = 4;
+  world.startTarget(lone);
+  world.runFor(450);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  t.is(lone.node.figures.registrations, 2, 'the removal and then the registration');
+});
+
+test('a listing that balancers tell late does not keep a target out that comes after all', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  const isListed = (): boolean => world.store.agents.items.has(String(lone.address));
+  world.store.refused.add(lone.name);
+  world.runFor(5_000);
+  world.store.refused.clear();
+  for (let step = 0; step < 200 && isListed(); step++) {
+    world.runFor(10);
+  }
+  t.false(isListed());
+  world.startTarget(lone);
+  world.runFor(20);
+  t.true(isListed());
+});
+
+test('an agent without a target that is told to stop takes its entry with it', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.store.refused.add(lone.name);
+  world.runFor(3_000);
+  world.store.refused.clear();
+  let isDone = false;
+  lone.node.beginStop(() => {
+    isDone = true;
+    lone.process.kill();
+  });
+  world.runFor(10);
+  t.true(isDone);
+  t.false(world.store.agents.items.has(String(lone.address)));
+});
+
+test('a look that is answered after the agent has ended changes nothing', (t) => {
+  const clock = new VirtualClock();
+  const environment = new SimulatedProcess(
+    'agent',
+    OWN_ZONE,
+    'agent',
+    clock,
+    new SeededRandom(1),
+    () => undefined,
+  );
+  const answers: ((isVacant: boolean) => void)[] = [];
+  let missed = 0;
+  const presence = new TargetPresence({
+    environment,
+    probe: { isVacant: (answer) => answers.push(answer) },
+    heartbeatInterval: 100,
+    isTargetHeard: () => false,
+    missed: () => missed++,
+  });
+  presence.start();
+  clock.runUntil(200);
+  presence.stop();
+  answers.forEach((answer) => answer(true));
+  t.is(answers.length, 1);
+  t.is(missed, 0);
+});
+
 test('a look at an address without a listener proves that there is no target', async (t) => {
   const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21414').unwrap());
   t.true(await new Promise<boolean>((done) => vacant.isVacant(done)));
@@ -306,6 +392,13 @@
   t.false(await new Promise<boolean>((done) => present.isVacant(done)));
 });
 
+test('a look is not taken for unanswered when this process was held up itself', async (t) => {
+  const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21416').unwrap());
+  const answer = new Promise<boolean>((done) => vacant.isVacant(done));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700);
+  t.true(await answer);
+});
+
 test('a target whose slots are not known yet does not get all that waits at once', (t) => {
   const tracker = new FlowTracker();
   const target = new TargetLifecycle('map', 770);
