--- a/test/soak/soak-process.ts
+++ b/test/soak/soak-process.ts
@@ -8,9 +8,18 @@
 /** Milliseconds between SIGTERM and SIGKILL. */
 const GRACE = 6_000;
 
-/** Processes that run now; none outlives the soak, however it ends. */
-const RUNNING = new Set<ChildProcess>();
-process.once('exit', () => RUNNING.forEach((child) => child.kill('SIGKILL')));
+/**
+ * Ends a process when the soak has ended, however that came about: then nobody holds the other
+ * end of its input any more. It is started beside each process, and signals do not end it.
+ */
+const WATCH = 'trap "" HUP INT TERM; read -r _; kill -9 "$0"';
+
+function watch(child: ChildProcess): void {
+  const watcher = spawn('sh', ['-c', WATCH, String(child.pid)], {
+    stdio: ['pipe', 'ignore', 'ignore'],
+  });
+  child.once('exit', () => watcher.kill('SIGKILL'));
+}
 
 /** Settings document of one process. */
 export type SoakSettings = Readonly<Record<string, unknown>> & { readonly name: string };
@@ -51,7 +60,7 @@
       env,
     });
     this.child = child;
-    RUNNING.add(child);
+    watch(child);
     this.expected = false;
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
@@ -95,7 +104,6 @@
   }
 
   private ended(): void {
-    RUNNING.delete(this.child!);
     this.child = undefined;
     this.ownEnds += this.expected || this.closed ? 0 : 1;
     if (!this.closed) {
