--- a/test/soak/frame-switch.ts
+++ b/test/soak/frame-switch.ts
@@ -19,7 +19,14 @@
   readonly delay: number;
 }
 
-export const GOOD_LINK: LinkQuality = { isCut: false, loss: 0, duplication: 0, delay: 0 };
+/** Part of the datagrams that every link loses all the time: a few in a hundred. */
+export const USUAL_LOSS = 0.03;
+export const USUAL_LINK: LinkQuality = {
+  isCut: false,
+  loss: USUAL_LOSS,
+  duplication: 0,
+  delay: 0,
+};
 
 interface Port {
   readonly advertised: Endpoint;
@@ -70,7 +77,7 @@
     if (!sender) {
       return;
     }
-    const quality = this.links.get(`${sender.advertised}>${to.advertised}`) ?? GOOD_LINK;
+    const quality = this.links.get(`${sender.advertised}>${to.advertised}`) ?? USUAL_LINK;
     if (quality.isCut || this.random.next() < quality.loss) {
       return;
     }
--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -2,7 +2,7 @@
  * Seeds of the soak that once failed, with their cause; `npm run soak:processes -- --kept`
  * plays them again. Real processes do not repeat to the millisecond, so each stands for
  * its faults; what they showed has a test of its own besides. The seeds below failed before
- * faults had a random stream of their own, so they draw other faults today.
+ * there were all of today's kinds of fault, so they draw other faults now.
  */
 export interface KeptSeed {
   readonly seed: number;
--- a/test/soak/play-soak.ts
+++ b/test/soak/play-soak.ts
@@ -8,17 +8,25 @@
 const FLOW_INTERVAL = 40;
 const FAULT_INTERVAL = 1_500;
 const RECOVERY = 7_000;
+/** Milliseconds in which every target gets flows again: figures of its failures fade in 10 s. */
+const RETURN_TIME = 15_000;
 const LAST_FLOWS = 40;
 const LAST_FLOWS_TIME = 5_000;
 /** Part of the last flows, after all faults, that must be served. */
 const SERVED_AFTERWARDS = 0.9;
 
+type PlayedFaults = Pick<SoakResult, 'faults' | 'idleAgents'>;
+
 /** What one seed showed. */
 export interface SoakResult {
   readonly seed: number;
   readonly faults: readonly string[];
   readonly flows: Readonly<Record<SoakClientState, number>>;
   readonly violations: WorldViolations;
+  /** Packets that reached their end in another form than their sender wrote. */
+  readonly altered: readonly string[];
+  /** Agents whose targets got no flow after all faults. */
+  readonly idleAgents: readonly string[];
   /** Ends of processes that nobody asked for. */
   readonly ownEnds: number;
   /** Flows served of those opened after all faults. */
@@ -39,7 +47,16 @@
   world.openFlow(destination, isKept ? 12 : 1, random.between(50, 500));
 }
 
-async function playFaults(world: SoakWorld, length: number): Promise<string[]> {
+/** Waits until every target has opened a flow since now; returns the agents where none has. */
+async function waitForAllTargets(world: SoakWorld): Promise<string[]> {
+  const begin = performance.now();
+  while (world.idleAgents(begin).length > 0 && performance.now() - begin < RETURN_TIME) {
+    await pause(FLOW_INTERVAL);
+  }
+  return world.idleAgents(begin);
+}
+
+async function playFaults(world: SoakWorld, length: number): Promise<PlayedFaults> {
   const faults: string[] = [];
   const traffic = setInterval(() => openRandomFlow(world), FLOW_INTERVAL);
   const begin = performance.now();
@@ -49,8 +66,9 @@
     await pause(world.faultRandom.between(0.3, 1.7) * FAULT_INTERVAL);
   }
   await pause(RECOVERY);
+  const idleAgents = await waitForAllTargets(world);
   clearInterval(traffic);
-  return faults;
+  return { faults, idleAgents };
 }
 
 async function playLastFlows(world: SoakWorld): Promise<number> {
@@ -71,14 +89,16 @@
   try {
     await world.start();
     await pause(SETTLING);
-    const faults = await playFaults(world, length);
+    const played = await playFaults(world, length);
     const servedAfterwards = await playLastFlows(world);
-    const { ended: flows, ownEnds, folder } = world;
+    const { ended: flows, altered, ownEnds, folder } = world;
     const { violations } = world.judge;
-    const broken = Object.values(violations).some((list: string[]) => list.length > 0);
+    const found = [...Object.values<string[]>({ ...violations }), altered, played.idleAgents];
+    const broken = found.some(({ length: count }) => count > 0);
     const recovered = servedAfterwards >= SERVED_AFTERWARDS * LAST_FLOWS;
     const passed = !broken && recovered && ownEnds === 0;
-    return { seed, faults, flows, violations, ownEnds, servedAfterwards, passed, folder };
+    const seen = { flows, violations, altered, ownEnds, servedAfterwards };
+    return { seed, ...played, ...seen, passed, folder };
   } finally {
     await world.stop();
   }
--- a/test/soak/soak-client.ts
+++ b/test/soak/soak-client.ts
@@ -2,8 +2,10 @@
 import { packetFormat } from '../../platform/packet-head';
 import { endpointAddress, endpointPort } from '../../src/core/endpoint';
 import type { Endpoint } from '../../src/environment';
-import type { FlowKey } from '../../src/packets/flow-packet';
+import type { FlowKey, FlowPacket } from '../../src/packets/flow-packet';
+import { endOf } from '../../src/packets/repair/sequence-numbers';
 import { encodePacket, Flag, HEAD_BYTES } from '../support/packet-cluster';
+import { seal } from './packet-seal';
 
 const OPENING_COPIES = [0, 200, 600] as const;
 const OPENING_TIME = 1_400;
@@ -82,9 +84,12 @@
     if (packet.resets) {
       this.takeReset(packet.sequence);
     } else if (packet.opens) {
-      this.opened(packet.sequence);
-    } else if (packet.payloadLength > 0 && packet.acknowledgement === this.sequence) {
+      this.opened(packet);
+    } else if (packet.payloadLength > 0 && this.isWaiting(packet.acknowledgement)) {
+      this.acknowledged = endOf(packet);
       this.answered(bytes.toString('utf8', HEAD_BYTES), packet.ends);
+    } else {
+      this.acknowledge();
     }
   }
 
@@ -101,15 +106,21 @@
     }
   }
 
-  private opened(sequence: number): void {
+  private opened(packet: FlowPacket): void {
     if (this.state === 'opening') {
       this.state = 'open';
-      this.acknowledged = sequence;
-      this.send(this.packet(Flag.ack, sequence, ''));
+      this.acknowledged = endOf(packet);
+      this.acknowledge();
       this.request();
+    } else {
+      this.acknowledge();
     }
   }
 
+  private acknowledge(): void {
+    this.send(this.packet(Flag.ack, this.acknowledged, ''));
+  }
+
   private answered(text: string, ends: boolean): void {
     this.answers++;
     this.answeredAt = this.now();
@@ -119,6 +130,7 @@
       this.end('done');
       return;
     }
+    this.acknowledge();
     this.later(this.plan.pause, () => this.request());
   }
 
@@ -155,7 +167,7 @@
     const { client, destination } = this.plan;
     const from = [endpointAddress(client), endpointPort(client)] as const;
     const to = [endpointAddress(destination), endpointPort(destination)] as const;
-    return encodePacket(from, to, flags, this.sequence, acknowledgement, text);
+    return seal(encodePacket(from, to, flags, this.sequence, acknowledgement, text));
   }
 
   private later(delay: number, action: () => void): void {
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -1,11 +1,14 @@
 /** The faults of the soak, drawn from its seed: each strikes from outside the processes. */
-import { GOOD_LINK, type LinkQuality } from './frame-switch';
+import { USUAL_LINK, type LinkQuality } from './frame-switch';
+import type { TargetConduct } from './soak-target';
 import type { SoakAgentMachine, SoakMachine, SoakWorld } from './soak-world';
 import { GateModes } from './store-gate';
 
 const SHORTEST = 300;
 const LONGEST = 3_000;
 const DRAIN_SERVES = 3_500;
+/** Milliseconds without a target; an agent that starts then finds out after two heartbeats of 1 s. */
+const ABSENCE = 6_000;
 
 /** What a fault is given to strike. */
 interface FaultScene {
@@ -21,7 +24,7 @@
 /** One kind of fault. */
 interface FaultKind {
   readonly name: string;
-  /** Planned work excuses nothing. */
+  /** Planned work excuses nothing, nor does what befalls a target alone. */
   readonly isPlanned: boolean;
   strike(scene: FaultScene): void;
 }
@@ -35,6 +38,19 @@
   later(length, () => process.signal('SIGCONT'));
 }
 
+function crash({ target }: SoakAgentMachine, length: number): void {
+  if (target.alive) {
+    target.crash();
+    later(length, () => void target.start());
+  }
+}
+
+/** Every agent goes on, and openings and heartbeats are answered. */
+function changeConduct({ agent: { target }, length }: FaultScene, conduct: TargetConduct): void {
+  target.conduct = conduct;
+  later(length, () => (target.conduct = 'usual'));
+}
+
 function disturbLink(
   { world, length }: FaultScene,
   from: SoakMachine,
@@ -42,7 +58,7 @@
   quality: LinkQuality,
 ): void {
   world.frames.setLink(from.advertised, to.advertised, quality);
-  later(length, () => world.frames.setLink(from.advertised, to.advertised, GOOD_LINK));
+  later(length, () => world.frames.setLink(from.advertised, to.advertised, USUAL_LINK));
 }
 
 function disturbAllLinks(scene: FaultScene, quality: LinkQuality): void {
@@ -53,9 +69,9 @@
   }
 }
 
-const CUT: LinkQuality = { ...GOOD_LINK, isCut: true };
+const CUT: LinkQuality = { ...USUAL_LINK, isCut: true };
 const LOSSY: LinkQuality = { isCut: false, loss: 0.1, duplication: 0.1, delay: 0 };
-const SLOW: LinkQuality = { ...GOOD_LINK, delay: 80 };
+const SLOW: LinkQuality = { ...USUAL_LINK, delay: 80 };
 
 const unplanned = (name: string, strike: FaultKind['strike']): FaultKind => ({
   name,
@@ -94,13 +110,15 @@
     later(length, () => machines.forEach(({ gate }) => gate.setMode('serving')));
   }),
   unplanned('store forgets', ({ world }) => world.store.forgetHistory()),
-  unplanned('target crashes', ({ agent, length }) => {
-    if (agent.target.alive) {
-      agent.target.crash();
-      later(length, () => void agent.target.start());
-    }
+  planned('target crashes', ({ agent, length }) => crash(agent, length)),
+  planned('target is away', ({ agent }) => crash(agent, ABSENCE)),
+  unplanned('target is away, agent starts', ({ agent }) => {
+    crash(agent, ABSENCE);
+    agent.process.kill();
   }),
-  unplanned('target is full', ({ agent, length }) => {
+  planned('target is slow', (scene) => changeConduct(scene, 'slow')),
+  planned('target fails requests', (scene) => changeConduct(scene, 'failing')),
+  planned('target is full', ({ agent, length }) => {
     agent.target.full = true;
     later(length, () => (agent.target.full = false));
   }),
--- a/test/soak/soak-router.ts
+++ b/test/soak/soak-router.ts
@@ -23,6 +23,8 @@
     private readonly balancers: readonly string[],
     private readonly ports: ClusterPorts,
     private readonly toClient: ClientHandler,
+    /** Whether the next datagram from or to a client is lost. */
+    private readonly isLost: () => boolean,
   ) {}
 
   async start(): Promise<void> {
@@ -30,7 +32,7 @@
     await new Promise<void>((done) => socket.bind(ports.packets, clientMachine, done));
     socket.on('message', (bytes) => {
       const packet = packetFormat.decodeFromTarget(bytes);
-      if (packet) {
+      if (packet && !this.isLost()) {
         this.toClient(bytes.readUInt16BE(6), bytes);
       }
     });
@@ -50,7 +52,9 @@
     const pool = inUse.length * 2 < this.balancers.length ? this.balancers : inUse;
     const score = (one: string): number => rendezvousScore(flow, one);
     const best = pool.reduce((a, b) => (score(a) >= score(b) ? a : b));
-    this.socket.send(packet, this.ports.packets, best);
+    if (!this.isLost()) {
+      this.socket.send(packet, this.ports.packets, best);
+    }
   }
 
   private probe(): void {
--- a/test/soak/soak-target.ts
+++ b/test/soak/soak-target.ts
@@ -1,28 +1,42 @@
 /**
  * A target of the soak: opens flows, runs requests, returns what it does not hold, sends
- * heartbeats, drains, crashes and is replaced at the same address.
+ * heartbeats, drains, crashes and is replaced at the same address. It may turn slow, or fail
+ * requests while all else goes on.
  */
 import { createSocket, type Socket } from 'node:dgram';
 import { request } from 'node:http';
+import { createServer, type Server } from 'node:net';
 import { packetFormat } from '../../platform/packet-head';
 import type { FlowKey, FlowPacket } from '../../src/packets/flow-packet';
 import type { JudgedTarget } from '../../src/simulation/packets/world-judge';
 import { encodePacket, Flag, HEAD_BYTES, type ClusterPorts } from '../support/packet-cluster';
+import { isClientsOwn, seal } from './packet-seal';
 
 const HEARTBEAT_INTERVAL = 400;
 const HEARTBEAT_TIMEOUT = 1_000;
 const SLOTS = 5;
 const SEQUENCE_RANGE = 2 ** 31;
 const WORK_TIME = 15;
+/** Times as long as usual that a slow target works on a request. */
+const SLOWNESS = 8;
+/** Parts of its requests that a failing target answers with an error, and resets. */
+const ERROR_SHARE = 0.3;
+const RESET_SHARE = 0.3;
 const REQUEST_ID = /X-Request-Id: (\S+)/;
 
 type End = readonly [string, number];
 
+/** How a target treats requests; openings and heartbeats it answers as ever. */
+export type TargetConduct = 'usual' | 'slow' | 'failing';
+
 interface TargetFlow {
+  /** Sequence number of the answer to the opening. */
   readonly sequence: number;
+  /** Sequence number of the next answer. */
+  next: number;
   open: boolean;
-  /** Answers by the sequence number of their request; empty while it runs. */
-  readonly answers: Map<number, string>;
+  /** Answers by the sequence number of their request; undefined while it runs. */
+  readonly answers: Map<number, Buffer | undefined>;
 }
 
 /** What a target tells the soak. */
@@ -32,6 +46,8 @@
   flowOpened(target: JudgedTarget, packet: FlowPacket): void;
   requestRan(target: JudgedTarget, text: string): void;
   drainAcknowledged(target: JudgedTarget): void;
+  /** A client's packet is not as the client wrote it. */
+  alteredReached(target: JudgedTarget, packet: FlowPacket): void;
 }
 
 /** The targets that follow each other at one machine. */
@@ -40,11 +56,14 @@
   alive = false;
   /** Takes no new flow, as one whose queue is full. */
   full = false;
+  conduct: TargetConduct = 'usual';
   private draining = false;
   private drainKnown = false;
   private beats = 0;
   private flows = new Map<FlowKey, TargetFlow>();
   private socket: Socket | undefined;
+  /** Shows agents that look that there is a target. */
+  private listener: Server | undefined;
   private timer: NodeJS.Timeout | undefined;
   private starts = 0;
 
@@ -60,12 +79,15 @@
   async start(): Promise<void> {
     this.incarnation = `${this.machine}-${++this.starts}`;
     this.draining = this.drainKnown = this.full = false;
+    this.conduct = 'usual';
     this.beats = 0;
     this.flows = new Map();
     const socket = createSocket('udp4');
     await new Promise<void>((done) => socket.bind(this.ports.application, this.machine, done));
     socket.on('message', (bytes) => this.take(bytes));
     this.socket = socket;
+    this.listener = createServer((stream) => stream.destroy());
+    this.listener.listen(this.ports.application, this.machine);
     this.alive = true;
     this.timer = setInterval(() => this.beat(), HEARTBEAT_INTERVAL);
     this.beat();
@@ -76,6 +98,7 @@
     this.alive = false;
     clearInterval(this.timer);
     this.socket?.close();
+    this.listener?.close();
     this.socket = undefined;
   }
 
@@ -148,6 +171,9 @@
     if (!packet || !this.alive) {
       return;
     }
+    if (!isClientsOwn(bytes) || packet.refused) {
+      this.observer.alteredReached(this.judged, packet);
+    }
     const flow = this.flows.get(packet.flow);
     if (packet.opens) {
       this.observer.openingReached(this.judged);
@@ -155,7 +181,7 @@
       return;
     }
     this.observer.packetReached(this.judged, packet.flow);
-    if (!flow || (!flow.open && packet.acknowledgement !== flow.sequence)) {
+    if (!flow || (!flow.open && packet.acknowledgement !== flow.sequence + 1)) {
       this.giveBack(packet);
     } else if (packet.resets || packet.ends) {
       this.flows.delete(packet.flow);
@@ -170,9 +196,10 @@
       return;
     }
     const sequence = Math.floor(this.random() * SEQUENCE_RANGE);
-    const flow = known ?? { sequence, open: false, answers: new Map<number, string>() };
+    const created = { sequence, next: sequence + 1, open: false, answers: new Map() };
+    const flow: TargetFlow = known ?? created;
     this.flows.set(packet.flow, flow);
-    this.answer(packet, Flag.syn | Flag.ack, flow.sequence, '');
+    this.output(this.encode(packet, Flag.syn | Flag.ack, flow.sequence));
   }
 
   private takeHeld(packet: FlowPacket, flow: TargetFlow): void {
@@ -183,35 +210,40 @@
     if (packet.payloadLength === 0) {
       return;
     }
-    const known = flow.answers.get(packet.sequence);
-    if (known !== undefined) {
-      this.send(packet, flow, known);
+    if (flow.answers.has(packet.sequence)) {
+      this.output(flow.answers.get(packet.sequence));
+      return;
+    }
+    const fate = this.conduct === 'failing' ? this.random() : 1;
+    if (fate < RESET_SHARE) {
+      this.flows.delete(packet.flow);
+      this.output(this.encode(packet, Flag.rst, flow.next));
       return;
     }
-    flow.answers.set(packet.sequence, '');
+    flow.answers.set(packet.sequence, undefined);
     const text = packet.bytes.toString('utf8', HEAD_BYTES);
     this.observer.requestRan(this.judged, text);
     const { incarnation } = this;
+    const status = fate < RESET_SHARE + ERROR_SHARE ? '503 Service Unavailable' : '200 OK';
+    const answer = `HTTP/1.1 ${status}\r\n\r\nanswer to ${REQUEST_ID.exec(text)?.[1] ?? ''}`;
+    const workTime = WORK_TIME * (this.conduct === 'slow' ? SLOWNESS : 1);
     setTimeout(
       () => {
         if (this.alive && incarnation === this.incarnation) {
-          const answer = `HTTP/1.1 200 OK\r\n\r\nanswer to ${REQUEST_ID.exec(text)?.[1] ?? ''}`;
-          flow.answers.set(packet.sequence, answer);
-          this.send(packet, flow, answer);
+          this.answer(packet, flow, answer);
         }
       },
-      WORK_TIME * (0.5 + this.random()),
+      workTime * (0.5 + this.random()),
     );
   }
 
-  private send(packet: FlowPacket, flow: TargetFlow, text: string): void {
-    if (text === '') {
-      return;
-    }
-    this.answer(packet, Flag.ack | (this.draining ? Flag.fin : 0), flow.sequence, text);
-    if (this.draining) {
-      this.flows.delete(packet.flow);
-    }
+  /** The answer is kept as it is; the flow stays until its client ends it. */
+  private answer(packet: FlowPacket, flow: TargetFlow, text: string): void {
+    const flags = Flag.ack | (this.draining ? Flag.fin : 0);
+    const bytes = this.encode(packet, flags, flow.next, text);
+    flow.next += text.length;
+    flow.answers.set(packet.sequence, bytes);
+    this.output(bytes);
   }
 
   private giveBack(packet: FlowPacket): void {
@@ -219,14 +251,16 @@
     this.output(packet.bytes);
   }
 
-  private answer(packet: FlowPacket, flags: number, sequence: number, text: string): void {
+  private encode(packet: FlowPacket, flags: number, sequence: number, text = ''): Buffer {
     const { bytes } = packet;
     const client: End = [bytes.subarray(2, 6).join('.'), bytes.readUInt16BE(0)];
     const route: End = [bytes.subarray(8, 12).join('.'), bytes.readUInt16BE(6)];
-    this.output(encodePacket(route, client, flags, sequence, packet.sequence, text));
+    return seal(encodePacket(route, client, flags, sequence, packet.sequence, text));
   }
 
-  private output(bytes: Buffer): void {
-    this.socket?.send(bytes, this.ports.outbound, this.machine);
+  private output(bytes: Buffer | undefined): void {
+    if (bytes) {
+      this.socket?.send(bytes, this.ports.outbound, this.machine);
+    }
   }
 }
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -17,7 +17,8 @@
 import { SeededRandom } from '../../src/simulation/seeded-random';
 import { ObjectApiStandin } from '../support/object-api-standin';
 import type { ClusterPorts } from '../support/packet-cluster';
-import { FrameSwitch } from './frame-switch';
+import { FrameSwitch, USUAL_LOSS } from './frame-switch';
+import { isTargetsOwn } from './packet-seal';
 import { SoakClient, type SoakClientState } from './soak-client';
 import { SoakProcess } from './soak-process';
 import { SoakRouter } from './soak-router';
@@ -36,6 +37,7 @@
 const WEAK_SHARE = 0.05;
 const SERVICES = ['map', 'map', 'map', 'map', 'tiles', 'tiles'] as const;
 const ZONES = ['north', 'south', 'east'] as const;
+const METRICS_PORT = BASE_PORT + 6;
 const PORTS: ClusterPorts = {
   frames: BASE_PORT,
   packets: BASE_PORT + 1,
@@ -88,9 +90,13 @@
     reset: 0,
     late: 0,
   };
+  /** Packets that reached their end in another form than their sender wrote. */
+  readonly altered: string[] = [];
+  /** When the target beside an agent last opened a flow. */
+  private readonly openedAt = new Map<string, number>();
   private readonly clients = new Map<number, SoakClient>();
   private readonly clientMachine: string;
-  private router!: SoakRouter;
+  private router: SoakRouter | undefined;
   private nextClient = 0;
   private version = 0;
 
@@ -118,12 +124,18 @@
         flowOpened: (one, packet) => this.flowOpened(one, machine.name, packet.client),
         requestRan: (one, text) => this.requestRan(one, text),
         drainAcknowledged: (one) => this.judge.drainAcknowledged(one),
+        alteredReached: (one, packet) =>
+          this.altered.push(`at ${one.incarnation}: ${packet.bytes.toString('hex')}`),
       });
       this.agents.push({ ...machine, target });
     }
     const hosts = this.balancers.map(({ machine }) => machine);
-    this.router = new SoakRouter(this.clientMachine, hosts, PORTS, (port, bytes) =>
-      this.clients.get(port)?.receive(bytes),
+    this.router = new SoakRouter(
+      this.clientMachine,
+      hosts,
+      PORTS,
+      (port, bytes) => this.packetReachedClient(port, bytes),
+      () => this.random.next() < USUAL_LOSS,
     );
     await this.router.start();
     [...this.balancers, ...this.agents].forEach(({ process }) => process.start());
@@ -133,7 +145,7 @@
   async stop(): Promise<void> {
     this.clients.forEach((client) => client.stop());
     this.agents.forEach(({ target }) => target.alive && target.crash());
-    this.router.stop();
+    this.router?.stop();
     this.frames.stop();
     await Promise.all([...this.balancers, ...this.agents].map(({ process }) => process.close()));
     [...this.balancers, ...this.agents].forEach(({ gate }) => gate.stop());
@@ -154,7 +166,9 @@
       version: this.version,
       routes: [...services].map(([destination, service]) => {
         const [host, port] = formatEndpoint(destination).split(':');
-        return { name: `route-${port}`, host, 'path-prefix': `/${port}/`, service };
+        // Requests that may run twice: balancers then try targets that they have set aside.
+        const type = 'safe';
+        return { name: `route-${port}`, host, 'path-prefix': `/${port}/`, service, type };
       }),
       services: [],
       limits: {},
@@ -174,7 +188,7 @@
     const client: SoakClient = new SoakClient(
       plan,
       () => performance.now(),
-      (packet) => this.router.route(packet),
+      (packet) => this.router?.route(packet),
       {
         answerCame: (_one, expected, answered) => this.judge.answerCame(expected, answered),
         wasReset: (one) => this.clientReset(one),
@@ -197,6 +211,25 @@
     );
   }
 
+  /**
+   * Agents whose targets have opened no flow since a time; without those in the zone of the weak
+   * balancer: it relays, and balancers of other zones keep flows at home while there is little load.
+   */
+  idleAgents(since: number): string[] {
+    const weakZone = this.balancers[WEAK_BALANCER]!.process.settings.zone;
+    return this.agents
+      .filter(({ process }) => process.settings.zone !== weakZone)
+      .map(({ name }) => name)
+      .filter((name) => (this.openedAt.get(name) ?? -Infinity) < since);
+  }
+
+  private packetReachedClient(port: number, bytes: Buffer): void {
+    if (!isTargetsOwn(bytes)) {
+      this.altered.push(`at client ${port}: ${bytes.toString('hex')}`);
+    }
+    this.clients.get(port)?.receive(bytes);
+  }
+
   private async createMachine(
     role: 'balancer' | 'agent',
     index: number,
@@ -225,6 +258,7 @@
       stopTime: STOP_TIME,
       processorShare: !isAgent && index === WEAK_BALANCER ? WEAK_SHARE : 1,
       processors: 1,
+      metrics: `${METRICS_PORT}/metrics`,
     };
     const process = new SoakProcess(role, settings, this.folder);
     return { name, machine, advertised, process, gate };
@@ -245,6 +279,7 @@
   }
 
   private flowOpened(target: JudgedTarget, agent: string, from: Endpoint): void {
+    this.openedAt.set(agent, performance.now());
     const client = this.clientAt(from);
     if (client) {
       const { destination } = client.plan;
