--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -22,6 +22,6 @@
   {
     seed: 1_909_201_096,
     cause:
-      'SIGHUP came 0.2 s after a process was started again, while Node itself still booted and before any code of hallhold could run: the signal ended it, and it was started once more. Open: handling the signal first thing would shorten that time, not end it',
+      'SIGHUP came 0.2 s after a process was started again, while Node itself still booted and before any code of hallhold could run: the signal ended it, and it was started once more. Open: handling the signal first thing would shorten that time, not end it. With the kinds of fault of today it failed again: an agent that was started while its target was away handed openings over unanswered, and went on to take the target for down after its return, since nothing but an answer to an opening ends that and balancers sent it none (a service of two sets no target aside, so has no trials)',
   },
 ];
