--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -94,6 +94,7 @@
   readonly altered: string[] = [];
   /** When the target beside an agent last opened a flow. */
   private readonly openedAt = new Map<string, number>();
+  /** By port, those that have ended too: their requests may come to a target later still. */
   private readonly clients = new Map<number, SoakClient>();
   private readonly clientMachine: string;
   private router: SoakRouter | undefined;
@@ -192,10 +193,7 @@
       {
         answerCame: (_one, expected, answered) => this.judge.answerCame(expected, answered),
         wasReset: (one) => this.clientReset(one),
-        ended: (one) => {
-          this.ended[one.state]++;
-          this.clients.delete(port);
-        },
+        ended: (one) => void this.ended[one.state]++,
       },
     );
     this.clients.set(port, client);
