--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -129,9 +129,9 @@
   planned('reload', ({ machine }) => machine.process.signal('SIGHUP')),
   planned('reload of a broken file', ({ machine, length }) => {
     const { process } = machine;
-    process.writeSettings('{"name":');
+    process.breakSettings();
     process.signal('SIGHUP');
-    later(length / 2, () => process.writeSettings(JSON.stringify(process.settings)));
+    later(length / 2, () => process.writeSettings());
   }),
   planned('replace a target', ({ agent, length }) => {
     if (agent.target.alive) {
--- a/test/soak/soak-process.ts
+++ b/test/soak/soak-process.ts
@@ -5,6 +5,8 @@
 
 const MAIN = resolve(__dirname, '../../platform/main.js');
 const RESTART_DELAY = 150;
+/** Exit code of a program that refuses to start. */
+const EXIT_FAILED = 1;
 /** Milliseconds between SIGTERM and SIGKILL. */
 const GRACE = 6_000;
 
@@ -32,6 +34,11 @@
   private expected = false;
   private closed = false;
   private downUntil = 0;
+  /** The settings file holds, or has held since the latest start, what is no settings document. */
+  private hasBrokenSettings = false;
+  private isSettingsFileBroken = false;
+  /** The process has logged something: it had read its settings. */
+  private hasLogged = false;
   private readonly settingsPath: string;
   private readonly log: WriteStream;
 
@@ -62,9 +69,12 @@
     this.child = child;
     watch(child);
     this.expected = false;
+    this.hasLogged = false;
+    this.hasBrokenSettings = this.isSettingsFileBroken;
+    child.stdout.once('data', () => (this.hasLogged = true));
     child.stdout.pipe(this.log, { end: false });
     child.stderr.pipe(this.log, { end: false });
-    child.once('exit', () => this.ended());
+    child.once('exit', (code) => this.ended(code));
   }
 
   /** Ends it at once; it is down for at least so many milliseconds. */
@@ -86,9 +96,17 @@
     this.child?.kill(signal);
   }
 
-  /** Replaces the settings file by something; the process is not told. */
-  writeSettings(text: string): void {
-    writeFileSync(this.settingsPath, text);
+  /** Puts the settings file in order again; the process is not told. */
+  writeSettings(): void {
+    this.isSettingsFileBroken = false;
+    writeFileSync(this.settingsPath, JSON.stringify(this.settings));
+  }
+
+  /** Breaks the settings file; the process is not told. */
+  breakSettings(): void {
+    this.isSettingsFileBroken = true;
+    this.hasBrokenSettings = true;
+    writeFileSync(this.settingsPath, '{"name":');
   }
 
   async close(): Promise<void> {
@@ -103,9 +121,11 @@
     this.log.end();
   }
 
-  private ended(): void {
+  /** A program that finds a broken file as it starts must refuse; one that runs must go on. */
+  private ended(code: number | null): void {
     this.child = undefined;
-    this.ownEnds += this.expected || this.closed ? 0 : 1;
+    const refusedStart = this.hasBrokenSettings && !this.hasLogged && code === EXIT_FAILED;
+    this.ownEnds += this.expected || this.closed || refusedStart ? 0 : 1;
     if (!this.closed) {
       const delay = Math.max(RESTART_DELAY, this.downUntil - performance.now());
       setTimeout(() => this.closed || this.start(), delay).unref();
