--- a/src/packets/repair/hop-receiver.ts
+++ b/src/packets/repair/hop-receiver.ts
@@ -1,6 +1,5 @@
 /**
- * The receiving half of hop repair: takes each numbered message once, and gathers the numbers
- * that are to be acknowledged. Pure.
+ * The receiving half of hop repair: takes each numbered message once. Pure.
  *
  * A window belongs to a session, not to a node: a sender that restarts or has forgotten its
  * numbers draws another session, so its messages are never taken for repeats. A jump of the
@@ -8,12 +7,7 @@
  * The session before is kept as well, for its messages that are still under way.
  */
 import type { Endpoint } from '../../environment';
-import {
-  MAXIMUM_ACKNOWLEDGED,
-  PacketMessageType,
-  type HopNumber,
-  type ReceivedMessage,
-} from '../packet-messages';
+import type { HopNumber } from '../packet-messages';
 import { HopWindow } from './hop-window';
 
 /** Nodes noted; beyond that the one noted first is forgotten. As many as `PacketLink` notes. */
@@ -35,21 +29,9 @@
   usedAt: number;
 }
 
-/** An acknowledgement and the node that it is for. */
-export interface Acknowledgement {
-  readonly peer: Endpoint;
-  readonly message: ReceivedMessage;
-}
-
-interface GatheredNumbers {
-  readonly session: number;
-  readonly sequences: number[];
-}
-
 /** The receiver of one node. */
 export class HopReceiver {
   private readonly peers = new Map<Endpoint, PeerWindows>();
-  private readonly gathered = new Map<Endpoint, GatheredNumbers>();
 
   /**
    * Takes the number of a message.
@@ -59,28 +41,6 @@
     return this.windowOf(peer, session, now).add(sequence);
   }
 
-  /**
-   * Gathers a number for the next acknowledgement of its node, repeats included: the first
-   * acknowledgement may be lost.
-   * @returns an acknowledgement that can gather no more and is to be sent now, if any
-   */
-  gather(peer: Endpoint, { session, sequence }: HopNumber): Acknowledgement | undefined {
-    const known = this.gathered.get(peer);
-    if (known?.session === session && known.sequences.length < MAXIMUM_ACKNOWLEDGED) {
-      known.sequences.push(sequence);
-      return undefined;
-    }
-    this.gathered.set(peer, { session, sequences: [sequence] });
-    return known && createAcknowledgement(peer, known);
-  }
-
-  /** Takes out all acknowledgements gathered. */
-  takeAcknowledgements(): Acknowledgement[] {
-    const all = [...this.gathered].map(([peer, numbers]) => createAcknowledgement(peer, numbers));
-    this.gathered.clear();
-    return all;
-  }
-
   /** Drops the windows of nodes that have sent nothing for long. */
   expire(now: number): void {
     for (const [peer, { usedAt }] of this.peers) {
@@ -117,7 +77,3 @@
     return window;
   }
 }
-
-function createAcknowledgement(peer: Endpoint, numbers: GatheredNumbers): Acknowledgement {
-  return { peer, message: { type: PacketMessageType.received, ...numbers } };
-}
--- a/src/packets/repair/hop-repair.ts
+++ b/src/packets/repair/hop-repair.ts
@@ -23,14 +23,9 @@
   type PlainMessage,
   type RepairableMessage,
 } from './hop-messages';
-import { HopReceiver, type Acknowledgement } from './hop-receiver';
+import { HopReceiver } from './hop-receiver';
 import { HopSender, type OverdueOutcome } from './hop-sender';
 
-/**
- * Milliseconds in which numbers gather for one acknowledgement: the packets of one request come
- * within that, and it is little beside the shortest timeout (20 ms).
- */
-const GATHERING_TIME = 2;
 /**
  * Milliseconds by which a timer may be late. One that is later follows a pause of this process,
  * in which acknowledgements may have come that are not read yet: they are read first.
@@ -73,7 +68,6 @@
   private overdueAt = Infinity;
   /** Whether that timer only gives time for reading, after one that was late. */
   private isReading = false;
-  private gatheringTimer: TimerHandle | undefined;
   private repeats = 0;
   private suppressed = 0;
   private duplicates = 0;
@@ -142,33 +136,23 @@
   /** Ends the timers. */
   stop(): void {
     this.overdueTimer?.cancel();
-    this.gatheringTimer?.cancel();
   }
 
-  /** Takes a number; returns whether it comes for the first time. */
-  private admit(from: Endpoint, number: HopNumber): boolean {
+  /**
+   * Takes a number, and acknowledges it at once: numbers that gather for one acknowledgement need a
+   * timer of their own each time, which wakes the process once more for every packet of a flow.
+   * @returns whether the number comes for the first time
+   */
+  private admit(from: Endpoint, { session, sequence }: HopNumber): boolean {
     const { environment, link } = this.dependencies;
     link.noteRepairs(from, REPAIR_VERSION);
-    const isNew = this.receiver.admit(from, number, environment.now());
+    this.acknowledgements++;
+    link.send(from, { type: PacketMessageType.received, session, sequences: [sequence] });
+    const isNew = this.receiver.admit(from, { session, sequence }, environment.now());
     this.duplicates += isNew ? 0 : 1;
-    const full = this.receiver.gather(from, number);
-    if (full) {
-      this.sendAcknowledgement(full);
-    }
-    this.gatheringTimer ??= environment.startTimer(GATHERING_TIME, () => this.acknowledge());
     return isNew;
   }
 
-  private acknowledge(): void {
-    this.gatheringTimer = undefined;
-    this.receiver.takeAcknowledgements().forEach((one) => this.sendAcknowledgement(one));
-  }
-
-  private sendAcknowledgement({ peer, message }: Acknowledgement): void {
-    this.acknowledgements++;
-    this.dependencies.link.send(peer, message);
-  }
-
   /** Makes sure that overdue messages are looked at no later than at a time. */
   private setOverdueTimer(dueAt: number): void {
     if (dueAt >= this.overdueAt) {
@@ -227,11 +211,11 @@
 }
 
 /**
- * Whether the loss of a packet costs its client a wait. A pure acknowledgement does not: the next
- * one covers it. Nor is a packet numbered that is offered while its flow is searched for: the
+ * Whether the loss of a packet costs its client a wait. A pure acknowledgement does not, the next
+ * one covers it, nor does the end of a flow, whose client has its answer. Nor is a packet numbered that is offered while its flow is searched for: the
  * search has a timeout of its own, and goes on elsewhere.
  */
 function isWorthRepeating(packet: FlowPacket, searchId: number): boolean {
-  const carries = packet.payloadLength > 0 || packet.ends || packet.resets;
+  const carries = packet.payloadLength > 0 || packet.resets;
   return packet.opens || (carries && searchId === 0);
 }
--- a/src/packets/repair/hop-sender.ts
+++ b/src/packets/repair/hop-sender.ts
@@ -11,7 +11,7 @@
 import { RoundTripEstimator, type RoundTripBounds } from './round-trip';
 
 const ROUND_TRIP_BOUNDS: RoundTripBounds = {
-  /** Milliseconds; 8.8 between zones 4.4 ms apart, 2 for gathering, and as much again and more. */
+  /** Milliseconds; 8.8 between zones 4.4 ms apart, and as much again and more. */
   initial: 30,
   /**
    * Milliseconds; a node with 0.3 of a processor pauses that long within one period (100 ms) of
