--- a/src/packets/choice/least-load.ts
+++ b/src/packets/choice/least-load.ts
@@ -6,6 +6,7 @@
 import { CANDIDATES } from '../flow-candidates';
 import { TargetState, type ReportMessage } from '../packet-messages';
 import { acceptsNewFlows, placementClassOf, type Choice, type SelectionContext } from './selection';
+import { DEFAULT_ANSWER_TIME, DEFAULT_SLOTS } from './service-outlook';
 
 /**
  * Answers of a target in whose time what a report says of its queue falls to about a third of its
@@ -14,10 +15,6 @@
  * 1,230 a second before 41 such targets 386 were late without this, 321 with 40 ms, 372 with 120.
  */
 const ANSWERS_REMEMBERED = 3;
-/** Milliseconds of an answer assumed of a target that has not told it. */
-const DEFAULT_ANSWER_TIME = 50;
-/** Slots assumed for a target that has not said how many it has. */
-const DEFAULT_SLOTS = 4;
 /** Added while the target is slow after its start. */
 const COLD_PENALTY = 0.5;
 /** Added while no heartbeat has confirmed that the target is ready. */
--- a/src/packets/choice/service-outlook.ts
+++ b/src/packets/choice/service-outlook.ts
@@ -2,9 +2,9 @@
 import type { AgentEntry } from '../agent-directory';
 
 /** Milliseconds of an answer assumed where no target has told it. */
-const DEFAULT_ANSWER_TIME = 50;
+export const DEFAULT_ANSWER_TIME = 50;
 /** Slots assumed for a target that has not said how many it has. */
-const DEFAULT_SLOTS = 4;
+export const DEFAULT_SLOTS = 4;
 /**
  * Answers of a target for which the service's own figure counts beside them: one answer that takes
  * long moves the estimate half of the way.
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '../environment';
 import { WorkClock } from './choice/work-clock';
 import type { FlowKey, FlowPacket } from './flow-packet';
+import { measureDistance } from './repair/sequence-numbers';
 
 /** Flows tracked at once; the least recently used one is dropped beyond that. */
 const MAXIMUM_FLOWS = 20_000;
@@ -283,7 +284,7 @@
 
 /** Whether a 32-bit sequence number lies after another, allowing for its wrapping. */
 function isNewer(sequence: number, previous: number | undefined): boolean {
-  return previous === undefined || ((sequence - previous) | 0) > 0;
+  return previous === undefined || measureDistance(previous, sequence) > 0;
 }
 
 /** Whether a client's packet acknowledges the target's answer to its opening packet. */
--- a/src/packets/locality/transfer-costs.ts
+++ b/src/packets/locality/transfer-costs.ts
@@ -3,6 +3,7 @@
  * that its client sends before it has the answer, and what the bytes between zones are worth.
  */
 import type { AgentDirectory, AgentEntry } from '../agent-directory';
+import { DEFAULT_ANSWER_TIME } from '../choice/service-outlook';
 import type { FlowTraffic } from './flow-traffic';
 import { DEFAULT_DISTANCE, type ZoneDistances } from './zone-distances';
 
@@ -21,8 +22,6 @@
  * less count as equal and are told apart at random; two near zones would exchange flows by that.
  */
 const SPILL_MARGIN = 0.3;
-/** Milliseconds of an answer assumed of a target that has not told it. */
-const DEFAULT_ANSWER_TIME = 50;
 /** Part of an answer's time that another zone costs, however far, where locality is switched off. */
 const CONSTANT_COST = 0.15;
 
--- a/src/packets/repair/hop-window.ts
+++ b/src/packets/repair/hop-window.ts
@@ -2,6 +2,7 @@
  * Which numbers of one session have come: the highest, and a bit for each of those shortly below
  * it (the anti-replay window of RFC 4303, section 3.4.3).
  */
+import { measureDistance } from './sequence-numbers';
 
 /**
  * Numbers that are told apart below the highest. A repeat comes at most 150 ms after the message
@@ -28,7 +29,7 @@
       this.mark(sequence);
       return true;
     }
-    const distance = (sequence - this.highest) | 0;
+    const distance = measureDistance(this.highest, sequence);
     if (distance > 0) {
       this.advance(this.highest, distance);
       this.highest = sequence;
