--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -23,12 +23,16 @@
 const ROUTING_TABLES: CollectionPort<RoutingTable> = {
   list: (answer) =>
     answer(
-      new Ok({ items: [{ name: 'table', revision: 1, item: BenchSetup.table }], revision: 1 }),
+      new Ok({
+        items: [{ name: 'table', revision: 1, item: BenchSetup.table }],
+        era: 1,
+        revision: 1,
+      }),
     ),
   awaitChanges: () => undefined,
 };
 const REGISTRY: AgentRegistryPort = {
-  list: (answer) => answer(new Ok({ items: [], revision: 1 })),
+  list: (answer) => answer(new Ok({ items: [], era: 1, revision: 1 })),
   awaitChanges: () => undefined,
   register: () => undefined,
   remove: () => undefined,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -90,4 +90,7 @@
   targetRestored: event(2726, 'target-restored', 'info'),
   startupEnded: event(2727, 'startup-ended', 'info'),
   targetMissing: event(2728, 'target-missing', 'warn'),
+  storeListed: event(2729, 'store-listed', 'info'),
+  storeEraChanged: event(2730, 'store-era-changed', 'warn'),
+  routingOutdated: event(2731, 'routing-outdated', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/collection-follower.ts
+++ b/src/packets/collection-follower.ts
@@ -8,7 +8,7 @@
 import type { HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { Events } from '../logging/events';
-import type { Changes, CollectionPort, Listing } from './collection-port';
+import type { Changes, CollectionPort, Listing, StorePosition } from './collection-port';
 
 const FIRST_RETRY_DELAY = 150;
 /** Milliseconds: a store that is back is noticed well within the 2 s that entries may be missing. */
@@ -46,6 +46,8 @@
   private running = false;
   private failures = 0;
   private timer: TimerHandle | undefined;
+  /** The store's moment that its latest answer told of; undefined before any. */
+  private position: StorePosition | undefined;
 
   constructor(
     /** Names the collection in logs. */
@@ -60,6 +62,11 @@
     return this.running;
   }
 
+  /** The era of the store's latest answer; 0 before any. */
+  get era(): number {
+    return this.position?.era ?? 0;
+  }
+
   start(): void {
     if (!this.running) {
       this.running = true;
@@ -87,6 +94,10 @@
         return;
       }
       this.succeeded();
+      this.notePosition(result.val);
+      const { era, items, revision } = result.val;
+      const listed = { collection: this.name, era, revision, items: items.length };
+      this.environment.report(Events.storeListed, listed);
       this.observer.listed(result.val);
       this.goOn(result.val.revision, this.pace().firstPause, run);
     });
@@ -113,6 +124,7 @@
       }
       if (result.ok) {
         this.succeeded();
+        this.notePosition(result.val);
         this.observer.changed(result.val);
         const { changes, revision } = result.val;
         this.goOn(revision, changes.length > 0 ? this.pace().pause : 0, run);
@@ -123,6 +135,20 @@
     });
   }
 
+  /** Reports when the store is another one than before. */
+  private notePosition({ era, revision }: StorePosition): void {
+    const before = this.position;
+    this.position = { era, revision };
+    if (before && before.era !== era) {
+      this.environment.report(Events.storeEraChanged, {
+        collection: this.name,
+        before: before.era,
+        after: era,
+        revision: before.revision,
+      });
+    }
+  }
+
   private retry(error: HallholdError, action: () => void): void {
     this.failures++;
     if (this.failures === 1) {
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -10,6 +10,16 @@
 /** Receives one answer, exactly once. */
 export type Answer<T> = (result: Result<T, HallholdError>) => void;
 
+/**
+ * A moment of the store. Its revisions rise with each change within an era; the era rises when the
+ * store comes back from a copy of itself, and from then on revisions are given out again.
+ */
+export interface StorePosition {
+  /** 0 when it is not known: told by a program of an earlier version, or by a store without eras. */
+  readonly era: number;
+  readonly revision: number;
+}
+
 /** One item with the revision of its last change. */
 export interface Revised<T> {
   readonly name: string;
@@ -17,10 +27,9 @@
   readonly item: T;
 }
 
-/** All items as of one revision of the store. */
-export interface Listing<T> {
+/** All items as of one moment of the store. */
+export interface Listing<T> extends StorePosition {
   readonly items: readonly Revised<T>[];
-  readonly revision: number;
 }
 
 /** One change; `item` is the last state for a removal. */
@@ -29,9 +38,8 @@
 }
 
 /** Changes after a revision, in order, through `revision`. */
-export interface Changes<T> {
+export interface Changes<T> extends StorePosition {
   readonly changes: readonly Change<T>[];
-  readonly revision: number;
 }
 
 /** A collection of the store. Errors: 1201 no answer, 1203 history gone, 1204 wrong form. */
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -32,6 +32,8 @@
   readonly offeredTo: Set<Endpoint>;
   /** Times that a packet was sent through the agents. */
   attempts: number;
+  /** Those times at which all agents went by what they know, and no target was touched. */
+  sureAttempts: number;
   /** The latest round of groups; undefined before the first. */
   round: SearchRound | undefined;
   usedAt: number;
@@ -137,6 +139,7 @@
       refusedBy: new Set(),
       offeredTo: new Set(),
       attempts: 0,
+      sureAttempts: 0,
       round: undefined,
       usedAt: now,
     };
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -178,6 +178,7 @@
     search.round = isInGroups ? { agents: order, unasked: new Set(order) } : undefined;
     const visited = new Set(order);
     const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
+    search.sureAttempts += isSure ? 1 : 0;
     if (isInGroups) {
       const phase = isSure ? SearchPhase.sure : SearchPhase.askOnly;
       this.sendToGroups(packet, search, order, phase);
@@ -257,7 +258,12 @@
     }
     this.resetNotes.add(packet.flow, environment.now());
     if (!packet.resets) {
-      outlet.reset(packet, 'no agent holds the flow', { refusals: search.refusedBy.size });
+      outlet.reset(packet, 'no agent holds the flow', {
+        refusals: search.refusedBy.size,
+        agents: directory.size,
+        attempts: search.attempts,
+        sureAttempts: search.sureAttempts,
+      });
     } else if (waiting.length > 0) {
       this.repeatReset(waiting[0]!.packet);
     }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -411,6 +411,7 @@
       state: this.target.state,
       slots: this.target.slots,
       openFlows: this.tracker.openFlows,
+      knowsAllFlows: this.target.isKnownFromStart,
       isDown: this.health.isDown(this.dependencies.environment.now()),
     });
   }
--- a/src/packets/packet-balancer-contracts.ts
+++ b/src/packets/packet-balancer-contracts.ts
@@ -68,6 +68,8 @@
   readonly packetsDroppedAtStart: number;
   readonly ready: boolean;
   readonly readsStore: boolean;
+  /** The era of the store's latest answer; 0 before any, or without eras. */
+  readonly storeEra: number;
   /** The store's revision through which the registry is known. */
   readonly registryRevision: number;
   /** Zones out of service. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -201,6 +201,7 @@
       packetsDroppedAtStart: this.gate.dropped,
       ready: this.isReady,
       readsStore: this.reading.isReading,
+      storeEra: this.reading.era,
       registryRevision: this.view.revision,
       zonesEvacuated: this.evacuations.current.zones.length,
       registryCalls: this.upkeep.calls,
@@ -443,6 +444,7 @@
   /** Puts a table in force if it is newer than the present one. */
   private takeTable(table: RoutingTable, origin: string): void {
     if (this.table && table.version <= this.table.version) {
+      this.reportOutdated(table, this.table, origin);
       return;
     }
     const hasOtherProfiles = !isDeepStrictEqual(this.table?.profiles ?? [], table.profiles);
@@ -462,6 +464,16 @@
     this.updateReadiness();
   }
 
+  private reportOutdated(table: RoutingTable, inForce: RoutingTable, origin: string): void {
+    if (table.version < inForce.version) {
+      this.dependencies.environment.report(Events.routingOutdated, {
+        version: table.version,
+        inForce: inForce.version,
+        origin,
+      });
+    }
+  }
+
   /** Zones went out of service or came back: tells their agents, and other balancers. */
   private tellOfZones(zones: readonly string[]): void {
     this.subscriptions.forgetIn(zones);
--- a/src/packets/store-reading.ts
+++ b/src/packets/store-reading.ts
@@ -111,6 +111,11 @@
     this.evacuations = this.createEvacuationFollower();
   }
 
+  /** The era of the store's latest answer to this balancer; 0 before any. */
+  get era(): number {
+    return this.routing.era;
+  }
+
   /** Whether this balancer reads the store itself. */
   get isReading(): boolean {
     return this.routing.isRunning;
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -31,6 +31,23 @@
   history: Change<T>[] = [];
   oldest = 0;
   watchers: Watcher[] = [];
+
+  /** Holds what a copy holds; calls that wait are cut. */
+  returnTo(items: readonly Change<T>[], revision: number): void {
+    this.items.clear();
+    items.forEach((item) => this.items.set(item.name, item));
+    this.history = [];
+    this.oldest = revision;
+    [...this.watchers].forEach((watcher) => watcher.notify());
+  }
+}
+
+/** What the store held at some time. */
+export interface ModelStoreCopy {
+  readonly revision: number;
+  readonly routing: readonly Change<RoutingTable>[];
+  readonly agents: readonly Change<AgentRecord>[];
+  readonly evacuations: readonly Change<EvacuatedZone>[];
 }
 
 /** All collections under one revision counter. */
@@ -47,6 +64,7 @@
   /** Machines whose calls are refused at once. */
   readonly refused = new Set<string>();
   private revision = 1;
+  private era = 1;
 
   constructor(private readonly clock: VirtualClock) {}
 
@@ -73,6 +91,30 @@
     }
   }
 
+  /** A copy of all that the store holds now. */
+  copy(): ModelStoreCopy {
+    return {
+      revision: this.revision,
+      routing: [...this.routing.items.values()],
+      agents: [...this.agents.items.values()],
+      evacuations: [...this.evacuations.items.values()],
+    };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  returnFrom(copy: ModelStoreCopy): void {
+    this.revision = copy.revision;
+    this.era++;
+    this.routing.returnTo(copy.routing, copy.revision);
+    this.agents.returnTo(copy.agents, copy.revision);
+    this.evacuations.returnTo(copy.evacuations, copy.revision);
+  }
+
+  /** Writes of others, so that the revision passes one that it had before. */
+  advance(revisions: number): void {
+    this.revision += revisions;
+  }
+
   /** Forgets all history. */
   compact(): void {
     for (const collection of [this.routing, this.agents, this.evacuations]) {
@@ -129,7 +171,7 @@
       list: (answer: Answer<Listing<T>>) =>
         this.call(process, answer, () => {
           const items = [...collection.items.values()];
-          return new Ok({ items, revision: this.revision });
+          return new Ok({ items, era: this.era, revision: this.revision });
         }),
       awaitChanges: (after, waitTime, answer) =>
         this.watch(collection, process, after, waitTime, answer),
@@ -158,7 +200,8 @@
     };
     const watcher: Watcher = { after, notify: finish };
     collection.watchers.push(watcher);
-    const behind = after < collection.oldest || collection.history.some((c) => c.revision > after);
+    const isGone = after < collection.oldest || after > this.revision;
+    const behind = isGone || collection.history.some((c) => c.revision > after);
     if (behind) {
       finish();
     }
@@ -169,11 +212,11 @@
     collection: ModelCollection<T>,
     after: number,
   ): Result<Changes<T>, HallholdError> {
-    if (after < collection.oldest) {
+    if (after < collection.oldest || after > this.revision) {
       return failure(ResultCodes.storeWatchExpired, 'history gone');
     }
     const changes = collection.history.filter(({ revision }) => revision > after);
-    return new Ok({ changes, revision: this.revision });
+    return new Ok({ changes, era: this.era, revision: this.revision });
   }
 
   private change<T>(collection: ModelCollection<T>, name: string, item: T, removed: boolean): void {
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -297,7 +297,7 @@
   const port: CollectionPort<string> = {
     list: (answer) => {
       calls.push('list');
-      answer(new Ok({ items: [], revision: 7 }));
+      answer(new Ok({ items: [], era: 1, revision: 7 }));
     },
     awaitChanges: (after, _waitTime, answer) => {
       calls.push(`watch ${after}`);
@@ -314,7 +314,12 @@
   environment.due.shift()!();
   environment.due.shift()!();
   t.deepEqual(calls, ['list', 'watch 7', 'watch 7', 'watch 7', 'list', 'watch 7']);
-  t.deepEqual(environment.reported, ['store-unavailable', 'store-regained']);
+  t.deepEqual(environment.reported, [
+    'store-listed',
+    'store-unavailable',
+    'store-regained',
+    'store-listed',
+  ]);
 });
 
 test('log lines are bounded by kind and second, and say what was left out', (t) => {
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -5,7 +5,6 @@
 import { join, resolve } from 'node:path';
 import fc from 'fast-check';
 import test from 'ava';
-import type { Result } from 'ts-results';
 import { AgentObjects } from '../platform/agent-objects';
 import { evacuatedZones } from '../platform/evacuated-zones';
 import { readLocalSettings } from '../platform/local-settings';
@@ -20,6 +19,7 @@
 import type { RoutingTable } from '../src/packets/routing-table';
 import type { EvacuatedZone } from '../src/packets/zone-evacuations';
 import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
+import { answerOf } from './support/answers';
 import { callStatus } from './support/call-status';
 import { ObjectApiStandin, type Spoiler } from './support/object-api-standin';
 import { SilenceGate } from './support/silence-gate';
@@ -33,10 +33,6 @@
   'hex',
 );
 
-function answerOf<T>(call: (answer: Answer<T>) => void): Promise<Result<T, HallholdError>> {
-  return new Promise((resolve) => call(resolve));
-}
-
 test('a head is read as the protocol page shows it, and answered with its reset', (t) => {
   const packet = packetFormat.decodeFromClient(Buffer.from(SYN))!;
   t.is(formatEndpoint(packet.client), '100.64.0.7:40001');
--- a/test/support/object-api-standin.ts
+++ b/test/support/object-api-standin.ts
@@ -19,6 +19,12 @@
 /** Spoils an answer; returns true when it has answered itself. */
 export type Spoiler = (call: IncomingMessage, response: ServerResponse) => boolean;
 
+/** What the store held at some time. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, Stored>>;
+}
+
 /** The stand-in. */
 export class ObjectApiStandin {
   spoiler: Spoiler | undefined;
@@ -27,6 +33,7 @@
   private readonly events: Event[] = [];
   private readonly waiting = new Set<() => void>();
   private revision = 1;
+  private era = 1;
   private forgottenThrough = 0;
   private server: Server | undefined;
 
@@ -77,12 +84,40 @@
     this.waiting.forEach((wake) => wake());
   }
 
+  /** A copy of all that the store holds now. */
+  copy(): StoreCopy {
+    const objects = new Map([...this.objects].map(([kind, known]) => [kind, new Map(known)]));
+    return { revision: this.revision, objects };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  returnFrom({ revision, objects }: StoreCopy): void {
+    this.era++;
+    this.revision = this.forgottenThrough = revision;
+    this.events.length = 0;
+    this.objects.clear();
+    objects.forEach((known, kind) => this.objects.set(kind, new Map(known)));
+    this.server?.closeAllConnections();
+    this.waiting.forEach((wake) => wake());
+  }
+
+  /** Writes of others, so that the revision passes one that it had before. */
+  advance(revisions: number): void {
+    this.revision += revisions;
+  }
+
+  /** The era that answers name. */
+  get currentEra(): number {
+    return this.era;
+  }
+
   /** Answers one call. */
   take(call: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     call.on('data', (chunk: Buffer) => chunks.push(chunk));
     call.on('end', () => {
       this.calls.push(`${call.method} ${call.url}`);
+      response.setHeader('Store-Era', this.era);
       if (!this.spoiler?.(call, response)) {
         this.answer(call, response, Buffer.concat(chunks).toString());
       }
@@ -147,11 +182,11 @@
       clearTimeout(timer);
       this.waiting.delete(wake);
       const events = this.changes(kind, after);
-      const isForgotten = after < this.forgottenThrough;
+      const isForgotten = this.isGone(after);
       send(isForgotten ? 410 : 200, isForgotten ? {} : { events, at: this.revision });
     };
     const wake = (): void => {
-      if (this.changes(kind, after).length > 0 || after < this.forgottenThrough) {
+      if (this.changes(kind, after).length > 0 || this.isGone(after)) {
         finish();
       }
     };
@@ -161,6 +196,11 @@
     wake();
   }
 
+  /** Whether the history after a revision is not to be had. */
+  private isGone(after: number): boolean {
+    return after < this.forgottenThrough || after > this.revision;
+  }
+
   private changes(kind: string, after: number): { object: Stored; gone: boolean }[] {
     return this.events
       .filter((event) => event.kind === kind && event.rev > after)
