--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -43,6 +43,8 @@
 export interface AgentEntry extends AgentRecord {
   /** Revision of its registration; undefined while the registry does not list it. */
   registryRevision: number | undefined;
+  /** Time at which its entry was missing after the store had come back from a copy. */
+  lapsedAt: number | undefined;
   report: ReportMessage | undefined;
   /** What the target last said of itself, also to an earlier run of the agent. */
   lastTargetState: TargetStateValue | undefined;
@@ -113,9 +115,10 @@
    * or has told of its target or of flows there. One that has come up and heard nothing of its
    * target may be beside none; if a target is there, the agent registers once it hears it.
    */
-  mayHoldFlows({ registryRevision, lastTargetState, report }: AgentEntry): boolean {
+  mayHoldFlows({ lapsedAt, lastTargetState, registryRevision, report }: AgentEntry): boolean {
     const hasFlows = report !== undefined && report.openFlows > 0;
-    return registryRevision !== undefined || lastTargetState !== undefined || hasFlows;
+    const wasListed = registryRevision !== undefined || lapsedAt !== undefined;
+    return wasListed || lastTargetState !== undefined || hasFlows;
   }
 
   /** An agent is sent an opening packet. */
@@ -152,6 +155,7 @@
     const known = this.entries.get(record.address);
     if (known && isSameRecord(known, record)) {
       known.registryRevision = revision ?? known.registryRevision;
+      known.lapsedAt = known.registryRevision === undefined ? known.lapsedAt : undefined;
       return known;
     }
     return known && this.isHeard(known, now) ? known : this.add(record, revision, now);
@@ -161,6 +165,7 @@
     const entry: AgentEntry = {
       ...record,
       registryRevision: revision,
+      lapsedAt: undefined,
       report: undefined,
       lastTargetState: undefined,
       previousRun: undefined,
@@ -212,6 +217,18 @@
     }
   }
 
+  /**
+   * The store has come back from a copy without an agent's entry, which nobody has removed: the agent
+   * stays known, silent or not, so that no flow of its target is taken for dead.
+   */
+  noteLapse(address: Endpoint, now: number): void {
+    const entry = this.entries.get(address);
+    if (entry) {
+      entry.registryRevision = undefined;
+      entry.lapsedAt = now;
+    }
+  }
+
   /** Drops an agent that is neither registered nor heard. */
   forget(address: Endpoint): void {
     this.drop(address);
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -24,6 +24,9 @@
 /** Sends one subscription to many. */
 export type SubscriptionSender = (agents: readonly Endpoint[], message: SubscribeMessage) => void;
 
+/** What subscriptions say of the store's eras; as in {@link SubscribeMessage}. */
+export type SubscriptionEras = Pick<SubscribeMessage, 'storeEra' | 'asksEra'>;
+
 /** What one subscription says; agents that are told the same get the same datagram. */
 interface SubscriptionContent {
   readonly listing: ListingStateValue;
@@ -40,6 +43,8 @@
     private readonly directory: AgentDirectory,
     private readonly send: SubscriptionSender,
     private readonly news: () => DeploymentNews,
+    /** What the balancer knows of the store's eras. */
+    private readonly eras: () => SubscriptionEras,
   ) {}
 
   /**
@@ -95,6 +100,7 @@
       interval: reportInterval(this.directory.size),
       listing,
       frameVersion: REPAIR_VERSION,
+      ...this.eras(),
       ...(tellsNews ? news : NO_NEWS),
     };
   }
--- a/src/packets/collection-follower.ts
+++ b/src/packets/collection-follower.ts
@@ -8,9 +8,15 @@
 import type { HallholdError } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
 import { Events } from '../logging/events';
-import type { Changes, CollectionPort, Listing, StorePosition } from './collection-port';
+import type { Changes, CollectionPort, Listing } from './collection-port';
+import { UNKNOWN_POSITION, type StorePosition } from './store-position';
 
 const FIRST_RETRY_DELAY = 150;
+/**
+ * Milliseconds that the first call after a failure waits at the store: it is answered at once, and so
+ * tells at once whether the store is still the one of before.
+ */
+const WAIT_AFTER_FAILURE = 1;
 /** Milliseconds: a store that is back is noticed well within the 2 s that entries may be missing. */
 const LONGEST_RETRY_DELAY = 1_000;
 
@@ -46,8 +52,10 @@
   private running = false;
   private failures = 0;
   private timer: TimerHandle | undefined;
-  /** The store's moment that its latest answer told of; undefined before any. */
-  private position: StorePosition | undefined;
+  /** The store's moment that its latest answer told of. */
+  private position = UNKNOWN_POSITION;
+  /** The latest listing followed from a change of the era, and no call has waited since. */
+  private isListingForEra = false;
 
   constructor(
     /** Names the collection in logs. */
@@ -64,7 +72,7 @@
 
   /** The era of the store's latest answer; 0 before any. */
   get era(): number {
-    return this.position?.era ?? 0;
+    return this.position.era;
   }
 
   start(): void {
@@ -99,47 +107,62 @@
       const listed = { collection: this.name, era, revision, items: items.length };
       this.environment.report(Events.storeListed, listed);
       this.observer.listed(result.val);
-      this.goOn(result.val.revision, this.pace().firstPause, run);
+      this.goOn(result.val, this.pace().firstPause, run);
     });
   }
 
   /** An observer may have stopped this follower by what it was told. */
-  private goOn(afterRevision: number, pause: number, run: number): void {
+  private goOn(after: StorePosition, pause: number, run: number): void {
     if (run !== this.run) {
       return;
     }
     if (pause === 0) {
-      this.watch(afterRevision);
+      this.watch(after);
       return;
     }
-    this.timer = this.environment.startTimer(pause, () => this.watch(afterRevision));
+    this.timer = this.environment.startTimer(pause, () => this.watch(after));
   }
 
-  private watch(afterRevision: number): void {
+  private watch(after: StorePosition): void {
     const { run } = this;
     this.calls.watches++;
-    this.port.awaitChanges(afterRevision, this.pace().waitTime, (result) => {
+    const waitTime = this.failures > 0 ? WAIT_AFTER_FAILURE : this.pace().waitTime;
+    this.port.awaitChanges(after, waitTime, (result) => {
       if (run !== this.run) {
         return;
       }
       if (result.ok) {
         this.succeeded();
+        this.isListingForEra = false;
         this.notePosition(result.val);
         this.observer.changed(result.val);
-        const { changes, revision } = result.val;
-        this.goOn(revision, changes.length > 0 ? this.pace().pause : 0, run);
+        this.goOn(result.val, result.val.changes.length > 0 ? this.pace().pause : 0, run);
         return;
       }
-      const expired = result.val.resultCode === ResultCodes.storeWatchExpired;
-      this.retry(result.val, expired ? () => this.list() : () => this.watch(afterRevision));
+      this.watchFailed(result.val, after);
     });
   }
 
+  /**
+   * After a return from a copy everything is listed at once, since a change of the table may already
+   * be waiting; a second time in a row only after a pause.
+   */
+  private watchFailed(error: HallholdError, after: StorePosition): void {
+    const hasReturned = error.resultCode === ResultCodes.storeEraChanged;
+    if (hasReturned && !this.isListingForEra) {
+      this.isListingForEra = true;
+      this.list();
+      return;
+    }
+    const mustList = hasReturned || error.resultCode === ResultCodes.storeWatchExpired;
+    this.retry(error, mustList ? () => this.list() : () => this.watch(after));
+  }
+
   /** Reports when the store is another one than before. */
   private notePosition({ era, revision }: StorePosition): void {
     const before = this.position;
     this.position = { era, revision };
-    if (before && before.era !== era) {
+    if (before.era !== era && before !== UNKNOWN_POSITION) {
       this.environment.report(Events.storeEraChanged, {
         collection: this.name,
         before: before.era,
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -6,20 +6,11 @@
 import type { Result } from 'ts-results';
 import type { HallholdError } from '../errors/hallhold-error';
 import type { AgentRecord } from './packet-messages';
+import type { StorePosition } from './store-position';
 
 /** Receives one answer, exactly once. */
 export type Answer<T> = (result: Result<T, HallholdError>) => void;
 
-/**
- * A moment of the store. Its revisions rise with each change within an era; the era rises when the
- * store comes back from a copy of itself, and from then on revisions are given out again.
- */
-export interface StorePosition {
-  /** 0 when it is not known: told by a program of an earlier version, or by a store without eras. */
-  readonly era: number;
-  readonly revision: number;
-}
-
 /** One item with the revision of its last change. */
 export interface Revised<T> {
   readonly name: string;
@@ -42,12 +33,18 @@
   readonly changes: readonly Change<T>[];
 }
 
-/** A collection of the store. Errors: 1201 no answer, 1203 history gone, 1204 wrong form. */
+/**
+ * A collection of the store. Errors: 1201 no answer, 1203 history gone, 1204 wrong form, 1205 the store
+ * has come back from a copy.
+ */
 export interface CollectionPort<T> {
   /** A whole, linearizable listing. */
   list(answer: Answer<Listing<T>>): void;
-  /** Waits so many milliseconds for changes after a revision; may answer none. */
-  awaitChanges(afterRevision: number, waitTime: number, answer: Answer<Changes<T>>): void;
+  /**
+   * Waits so many milliseconds for changes after a moment; may answer none. Error 1205 as soon as the
+   * store turns out to be of a later era than that moment, whatever else it answers.
+   */
+  awaitChanges(after: StorePosition, waitTime: number, answer: Answer<Changes<T>>): void;
 }
 
 /** Shows whether the connections to the store still carry answers. */
@@ -64,6 +61,6 @@
 export interface AgentRegistryPort extends CollectionPort<AgentRecord> {
   /** Makes the registry list an agent as given; answers when it does. */
   register(agent: AgentRecord, answer: Answer<void>): void;
-  /** Removes an agent if its entry is still that of `revision`, or any when undefined. */
-  remove(agent: AgentRecord, revision: number | undefined, answer: Answer<void>): void;
+  /** Removes an agent if its entry is still that of a moment, or any when undefined. */
+  remove(agent: AgentRecord, entered: StorePosition | undefined, answer: Answer<void>): void;
 }
--- a/src/packets/deployment-news.ts
+++ b/src/packets/deployment-news.ts
@@ -76,6 +76,7 @@
 function isLater(news: DeploymentNews, told: DeploymentNews): boolean {
   return (
     news.profiles.version !== told.profiles.version ||
+    news.evacuations.era !== told.evacuations.era ||
     news.evacuations.revision !== told.evacuations.revision
   );
 }
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -39,6 +39,8 @@
   readonly choice?: ChoiceSettings;
   /** Whether a zone is out of service: none of its targets gets new flows. */
   isEvacuated(zone: string): boolean;
+  /** Whether the view is not one that may lack what the store has lost; no flow is reset before. */
+  isViewSettled(): boolean;
 }
 
 /** Routes packets by the routing table in force. */
@@ -201,7 +203,9 @@
 
   private refuseWithoutRoute(packet: FlowPacket): void {
     this.counters.packetsWithoutRoute++;
-    if (this.routes && !packet.resets) {
+    if (this.routes && !this.dependencies.isViewSettled()) {
+      this.outlet.drop(packet, 'no route, the table may be an earlier one');
+    } else if (this.routes && !packet.resets) {
       this.outlet.reset(packet, 'no route', { version: this.routingVersion });
     } else {
       this.outlet.drop(packet, 'no routing table');
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -41,6 +41,8 @@
   readonly searches: FlowSearches;
   readonly link: PacketLink;
   readonly outlet: PacketOutlet;
+  /** Whether the view is not one that may lack what the store has lost. */
+  isViewSettled(): boolean;
 }
 
 /** The searches for holders of one balancer. */
@@ -249,10 +251,11 @@
 
   /** Every agent known has refused the packet: the flow is dead if every agent is known. */
   private conclude(packet: FlowPacket, search: FlowSearch): void {
-    const { directory, environment, outlet, searches } = this.dependencies;
+    const { directory, environment, isViewSettled, outlet, searches } = this.dependencies;
     searches.end(search);
     const waiting = this.locator.take(packet.flow);
-    if (search.refusedBy.size === 0 || !directory.isComplete) {
+    const isEveryAgentKnown = directory.isComplete && isViewSettled();
+    if (search.refusedBy.size === 0 || !isEveryAgentKnown) {
       outlet.drop(packet, 'holder unknown');
       return;
     }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -70,6 +70,8 @@
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
+  /** The earliest era of the store that this run has heard of; 0 before any. */
+  private firstEra = 0;
   private seeds: readonly Endpoint[];
 
   constructor(
@@ -153,6 +155,7 @@
     this.registration.stop();
     this.hops.stop();
     this.answers.stop();
+    this.guard.stop();
     this.presence.stop();
     this.timers.cancel();
   }
@@ -249,6 +252,7 @@
       case PacketMessageType.subscribe:
         this.link.noteRepairs(from, message.frameVersion);
         this.learnNews(message, from);
+        this.tellEra(message, from);
         this.reporter.subscribe(from, message.interval);
         this.takeListing(message.listing);
         return;
@@ -273,6 +277,14 @@
     }
   }
 
+  /** A balancer that starts learns whether the store has come back from a copy in this run's time. */
+  private tellEra({ asksEra, storeEra }: SubscribeMessage, balancer: Endpoint): void {
+    this.firstEra = this.firstEra === 0 ? storeEra : this.firstEra;
+    if (asksEra === 1 && this.firstEra < storeEra) {
+      this.link.send(balancer, { type: PacketMessageType.eraSeen, era: this.firstEra });
+    }
+  }
+
   /** A target that leaves takes its entry with it. */
   private takeListing(listing: ListingStateValue): void {
     if (this.target.state !== TargetState.gone) {
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -8,7 +8,7 @@
 import { Events } from '../logging/events';
 import { AgentDirectory } from './agent-directory';
 import { AgentReports } from './agent-reports';
-import { AgentSubscriptions, KNOCK_INTERVAL } from './agent-subscriptions';
+import { AgentSubscriptions, KNOCK_INTERVAL, type SubscriptionEras } from './agent-subscriptions';
 import { FlowCache } from './flow-cache';
 import { locateTimeout } from './flow-locator';
 import { FlowRouter } from './flow-router';
@@ -31,6 +31,7 @@
 import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
 import { LONGEST_BACKLOG, StartupGate } from './startup/startup-gate';
 import { StartupRelay } from './startup/startup-relay';
+import { ViewSettling } from './startup/view-settling';
 import { StoreReading } from './store-reading';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 import { ZoneDetour } from './zone-detour';
@@ -66,6 +67,9 @@
   private wasReady = false;
   private readonly gate: StartupGate;
   private readonly startupRelay: StartupRelay;
+  private readonly settling = new ViewSettling();
+  /** The store's era that agents have been told. */
+  private eraTold = 0;
   private packetsRelayed = 0;
   private startedAt = 0;
 
@@ -99,19 +103,30 @@
       hops: this.hops,
       sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      isViewSettled: () => this.settling.isSettled(this.view.position.era, environment.now()),
       detours: this.detours,
     });
-    this.upkeep = new RegistryUpkeep(environment, this.directory, registry);
+    this.upkeep = new RegistryUpkeep(
+      environment,
+      this.directory,
+      registry,
+      () => this.view.position.era,
+    );
     this.subscriptions = new AgentSubscriptions(
       settings.zone,
       this.directory,
       (agents, message) => this.link.sendToAll(agents, message),
-      () => ({ evacuations: this.evacuations.current, profiles: this.profiles }),
+      () => ({
+        evacuations: this.evacuations.currentIn(this.view.position.era),
+        profiles: this.profiles,
+      }),
+      () => this.eras,
     );
     this.view = new RegistryView({
       environment,
       directory: this.directory,
       changed: () => {
+        this.noteEra();
         this.subscribe();
         this.peers.tellWaiting();
         this.updateReadiness();
@@ -132,6 +147,7 @@
 
   start(): void {
     this.startedAt = this.dependencies.environment.now();
+    this.settling.start(this.startedAt);
     this.reading.start();
     this.peers.start();
     this.peers.askForView();
@@ -166,6 +182,7 @@
     this.router.stop();
     this.hops.stop();
     this.gate.stop();
+    this.evacuations.stop();
     this.timers.cancel();
   }
 
@@ -201,7 +218,7 @@
       packetsDroppedAtStart: this.gate.dropped,
       ready: this.isReady,
       readsStore: this.reading.isReading,
-      storeEra: this.reading.era,
+      storeEra: Math.max(this.reading.era, this.view.position.era),
       registryRevision: this.view.revision,
       zonesEvacuated: this.evacuations.current.zones.length,
       registryCalls: this.upkeep.calls,
@@ -218,6 +235,7 @@
       viewComplete: this.directory.isComplete,
       agents: this.listedAgents,
       registryRevision: this.view.revision,
+      storeEra: this.view.position.era,
     };
   }
 
@@ -261,6 +279,20 @@
     }));
   }
 
+  private get eras(): SubscriptionEras {
+    const isAsking = this.settling.isOpen(this.dependencies.environment.now());
+    return { storeEra: this.view.position.era, asksEra: isAsking ? 1 : 0 };
+  }
+
+  /** Agents are told of another era at once: some have lost their entries, and all know how old they are. */
+  private noteEra(): void {
+    const { era } = this.view.position;
+    if (era !== this.eraTold) {
+      this.eraTold = era;
+      this.subscriptions.forgetAll();
+    }
+  }
+
   private get profiles(): ServiceProfiles {
     const { table } = this;
     return table ? { version: table.version, services: table.profiles } : UNKNOWN_PROFILES;
@@ -332,6 +364,9 @@
       case PacketMessageType.distanceReply:
         this.locality.takeReply(from, message);
         return;
+      case PacketMessageType.eraSeen:
+        this.settling.noteSeen(message.era);
+        return;
       default:
         this.refuseMessage(message);
     }
@@ -373,8 +408,8 @@
       ownStatus: () => this.ownStatus,
       snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
       agentsReceived: (agents) => this.view.learnAgents(agents),
-      registryRevision: () => this.view.revision,
-      deltaReceived: (delta) => this.view.takeDelta(delta),
+      registryPosition: () => this.view.position,
+      deltaReceived: (delta, era) => this.view.takeDelta(delta, era),
       readers: () => this.reading.tell(),
       readersReceived: (readers) => this.reading.learn(readers),
     });
@@ -429,13 +464,13 @@
   }
 
   private takeSnapshot(peer: Endpoint, snapshot: PeerSnapshot): void {
-    const { agents, registryRevision, routingTable, viewComplete } = snapshot;
+    const { agents, registryRevision, routingTable, storeEra, viewComplete } = snapshot;
     const origin = formatEndpoint(peer);
     if (routingTable) {
       this.takeTable(routingTable, origin);
     }
     if (viewComplete) {
-      this.view.takeSnapshot(agents, registryRevision, origin);
+      this.view.takeSnapshot(agents, { era: storeEra, revision: registryRevision }, origin);
     } else {
       this.view.learnAgents(agents);
     }
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -97,6 +97,7 @@
   [PacketMessageType.detour]: false,
   [PacketMessageType.distanceProbe]: false,
   [PacketMessageType.distanceReply]: false,
+  [PacketMessageType.eraSeen]: false,
   [PacketMessageType.subscribe]: false,
   [PacketMessageType.report]: false,
   [PacketMessageType.peerStatus]: false,
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -27,7 +27,7 @@
 } from './packet-messages';
 import { UNKNOWN_PROFILES, type ServiceProfile, type ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
-import { UNKNOWN_EVACUATIONS, type ZoneEvacuations } from './zone-evacuations';
+import { UNKNOWN_EVACUATIONS, type ToldEvacuations } from './zone-evacuations';
 
 function field(
   property: string,
@@ -105,12 +105,12 @@
   return { reader: integer(reader), age: integer(age) };
 }
 
-function packEvacuations({ revision, zones }: ZoneEvacuations): unknown[] {
+function packEvacuations({ revision, zones }: ToldEvacuations): unknown[] {
   return [revision, zones];
 }
 
-/** Programs of an earlier version know of no evacuations. */
-function unpackEvacuations(value: unknown): ZoneEvacuations {
+/** Programs of an earlier version know of no evacuations. Their era is the message's. */
+function unpackEvacuations(value: unknown): ToldEvacuations {
   if (value === undefined) {
     return UNKNOWN_EVACUATIONS;
   }
@@ -181,6 +181,7 @@
   [PacketMessageType.detour, [field('agent', 'a', integer), payload]],
   [PacketMessageType.distanceProbe, [field('sentAt', 'a', positive)]],
   [PacketMessageType.distanceReply, [field('sentAt', 'a', positive)]],
+  [PacketMessageType.eraSeen, [field('era', 'h', integer)]],
   [
     PacketMessageType.subscribe,
     [
@@ -189,6 +190,8 @@
       field('listing', 'l', unpackListing),
       evacuations,
       field('profiles', 'c', unpackVersionedProfiles, packVersionedProfiles),
+      field('storeEra', 'h', integerOrZero),
+      field('asksEra', 'n', integerOrZero),
       field('frameVersion', 'v', versionOrFirst),
     ],
   ],
@@ -228,6 +231,7 @@
       field('peers', 'm', listOf(integer)),
       field('unregistered', 'u', listOf(unpackAgent), packAgents),
       field('registryRevision', 'g', integerOrZero),
+      field('storeEra', 'h', integerOrZero),
       field('readers', 'd', unpackReaders, packReaders),
       field('delta', 'x', unpackDelta, packDelta),
       evacuations,
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from '../environment';
 import type { ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
-import type { ZoneEvacuations } from './zone-evacuations';
+import type { ToldEvacuations } from './zone-evacuations';
 
 /** Numeric message types as sent. */
 export const PacketMessageType = {
@@ -22,6 +22,7 @@
   numberedRefusal: 114,
   distanceProbe: 115,
   distanceReply: 116,
+  eraSeen: 117,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -208,6 +209,12 @@
   readonly sentAt: number;
 }
 
+/** Agent to balancer: the earliest era of the store that this run of the agent has heard of. */
+export interface EraSeenMessage {
+  readonly type: typeof PacketMessageType.eraSeen;
+  readonly era: number;
+}
+
 /** Whether the registry lists an agent, as far as a balancer knows. */
 export const ListingState = {
   /** The balancer does not know the registry well enough to say. */
@@ -226,9 +233,13 @@
   /** Whether the registry lists the agent. */
   readonly listing: ListingStateValue;
   /** Zones out of service, as far as the balancer knows. */
-  readonly evacuations: ZoneEvacuations;
+  readonly evacuations: ToldEvacuations;
   /** How targets behave after their start, by the balancer's routing table. */
   readonly profiles: ServiceProfiles;
+  /** The store's era of the revision in this message; 0 from a balancer that tells none. */
+  readonly storeEra: number;
+  /** 1 when the balancer has just started and wants to know of earlier eras. */
+  readonly asksEra: number;
   /** Latest version of frames that the balancer understands; 1 for one that names none. */
   readonly frameVersion: number;
 }
@@ -320,12 +331,14 @@
   readonly unregistered: readonly AgentRecord[];
   /** The store's revision through which the sender knows the registry; 0 for none. */
   readonly registryRevision: number;
+  /** The store's era of every revision in this message; 0 from a sender that tells none. */
+  readonly storeEra: number;
   /** Balancers that read the store, as far as the sender knows. */
   readonly readers: readonly StoreReader[];
   /** The latest changes of the registry, from a sender that has just read them. */
   readonly delta: RegistryDelta | undefined;
   /** Zones out of service, as far as the sender knows. */
-  readonly evacuations: ZoneEvacuations;
+  readonly evacuations: ToldEvacuations;
 }
 
 /** Any message of the packet interface. */
@@ -343,6 +356,7 @@
   | NumberedRefusalMessage
   | DistanceProbeMessage
   | DistanceReplyMessage
+  | EraSeenMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
@@ -360,4 +374,5 @@
   | DetourMessage
   | ReportMessage
   | PeerStatusMessage
-  | DistanceReplyMessage;
+  | DistanceReplyMessage
+  | EraSeenMessage;
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -16,6 +16,7 @@
   type RegistryDelta,
 } from './packet-messages';
 import type { PeerSnapshot } from './peer-snapshot';
+import { isLater, placeInEra, type StorePosition } from './store-position';
 import type { StoreReader } from './store-readers';
 import type { BalancerStatus, TrafficRelay } from './traffic-relay';
 import type { ZoneDetour } from './zone-detour';
@@ -62,8 +63,10 @@
   ownStatus(): BalancerStatus;
   snapshotReceived(peer: Endpoint, snapshot: PeerSnapshot): void;
   agentsReceived(agents: readonly AgentRecord[]): void;
-  registryRevision(): number;
-  deltaReceived(delta: RegistryDelta): void;
+  /** The moment of the store through which the registry is known. */
+  registryPosition(): StorePosition;
+  /** @param era the store's era of the delta's revisions */
+  deltaReceived(delta: RegistryDelta, era: number): void;
   /** Balancers that read the store, as this one knows them. */
   readers(): readonly StoreReader[];
   readersReceived(readers: readonly StoreReader[]): void;
@@ -125,9 +128,10 @@
     const { agentsReceived, deltaReceived, readersReceived } = this.dependencies;
     agentsReceived(status.unregistered);
     readersReceived(status.readers);
-    this.dependencies.evacuations.take(status.evacuations, formatEndpoint(peer));
+    const evacuations = { ...status.evacuations, era: status.storeEra };
+    this.dependencies.evacuations.take(evacuations, formatEndpoint(peer));
     if (status.delta) {
-      deltaReceived(status.delta);
+      deltaReceived(status.delta, status.storeEra);
     }
     if (this.lacksOf(status) && !this.fetching) {
       this.fetch(peer);
@@ -189,12 +193,14 @@
 
   /** Whether a peer knows what this balancer does not. */
   private lacksOf(status: PeerStatusMessage): boolean {
-    const { directory, registryRevision, routingVersion } = this.dependencies;
+    const { directory, registryPosition, routingVersion } = this.dependencies;
     const isNewer = status.routingVersion > routingVersion();
     const hasView = status.viewComplete === 1 && status.routingVersion > 0;
     const isWider = hasView && !directory.isComplete;
-    const isLater = status.viewComplete === 1 && status.registryRevision > registryRevision();
-    return isNewer || isWider || isLater;
+    const known = registryPosition();
+    const { registryRevision: revision, storeEra: era } = status;
+    const told = placeInEra({ era, revision }, known);
+    return isNewer || isWider || (status.viewComplete === 1 && isLater(told, known));
   }
 
   private learnStatus(peer: Endpoint, status: PeerStatusMessage): void {
@@ -241,7 +247,9 @@
   }
 
   private status(isReplyWanted: boolean, delta?: RegistryDelta): PeerStatusMessage {
-    const { directory, registryRevision, routingVersion, ownStatus, readers } = this.dependencies;
+    const { directory, evacuations, ownStatus, readers, registryPosition, routingVersion } =
+      this.dependencies;
+    const { era, revision } = registryPosition();
     const { zone, packetAddress, capacity, isReady } = ownStatus();
     return {
       type: PacketMessageType.peerStatus,
@@ -254,10 +262,11 @@
       replyWanted: isReplyWanted ? 1 : 0,
       peers: this.choosePeers(),
       unregistered: this.listUnregistered(),
-      registryRevision: registryRevision(),
+      registryRevision: revision,
+      storeEra: era,
       readers: readers(),
       delta,
-      evacuations: this.dependencies.evacuations.current,
+      evacuations: evacuations.currentIn(era),
     };
   }
 
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -27,6 +27,8 @@
   readonly agents: readonly ListedAgent[];
   /** The store's revision through which the registry is known; 0 for none. */
   readonly registryRevision: number;
+  /** The store's era of that revision; 0 from a program of an earlier version. */
+  readonly storeEra: number;
 }
 
 /** Encodes a snapshot as text. */
@@ -50,7 +52,7 @@
 }
 
 function packSnapshot(snapshot: PeerSnapshot): Record<string, unknown> {
-  const { routingTable, viewComplete, agents, registryRevision } = snapshot;
+  const { routingTable, viewComplete, agents, registryRevision, storeEra } = snapshot;
   return {
     table: routingTable ? packTable(routingTable) : null,
     complete: viewComplete ? 1 : 0,
@@ -59,6 +61,7 @@
     repeatable: listRepeatable(routingTable?.routes ?? []),
     agents: packListedAgents(agents),
     registryRevision,
+    storeEra,
   };
 }
 
@@ -73,13 +76,14 @@
 }
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
-  const { table, complete, profiles, repeatable, agents, registryRevision } = document;
+  const { table, complete, profiles, repeatable, agents, registryRevision, storeEra } = document;
   const positions = listOf(integer)(repeatable ?? []);
   return {
     routingTable: table === null ? undefined : unpackTable(table, profiles ?? [], positions),
     viewComplete: oneOf(0, 1)(complete) === 1,
     agents: listOf(unpackListedAgent)(agents),
     registryRevision: integer(registryRevision ?? 0),
+    storeEra: integer(storeEra ?? 0),
   };
 }
 
--- a/src/packets/registry-upkeep.ts
+++ b/src/packets/registry-upkeep.ts
@@ -32,6 +32,8 @@
     private readonly environment: Environment,
     private readonly directory: AgentDirectory,
     private readonly registry: AgentRegistryPort,
+    /** The era of the store as of which the directory lists agents. */
+    private readonly era: () => number,
   ) {}
 
   /** Calls made to the registry. */
@@ -65,13 +67,17 @@
   }
 
   private forgetTime(entry: AgentEntry): number {
+    if (entry.lapsedAt !== undefined) {
+      return REMOVAL_TIME;
+    }
     return this.directory.mayHoldFlows(entry) ? FORGET_TIME : FORGET_UNKNOWN_TIME;
   }
 
   private needsRegistration(entry: AgentEntry, now: number): boolean {
     const present = this.directory.isHeard(entry, now) && this.directory.mayHoldFlows(entry);
     const leaving = entry.report?.state === TargetState.gone;
-    return present && !leaving && now - entry.knownSince > OWN_REGISTRATION_TIME;
+    const missingSince = entry.lapsedAt ?? entry.knownSince;
+    return present && !leaving && now - missingSince > OWN_REGISTRATION_TIME;
   }
 
   private register(entry: AgentEntry): void {
@@ -86,7 +92,8 @@
     const agent = formatEndpoint(entry.address);
     this.environment.report(Events.agentRemoved, { agent, silence: Math.round(silence) });
     const answer = this.beginCall('removal', entry.address);
-    this.registry.remove(entry, entry.registryRevision, answer);
+    const revision = entry.registryRevision ?? 0;
+    this.registry.remove(entry, { era: this.era(), revision }, answer);
   }
 
   /** Counts a call; what it returns takes the answer, and the next round tries again. */
--- a/src/packets/registry-view.ts
+++ b/src/packets/registry-view.ts
@@ -4,6 +4,7 @@
 import type { AgentDirectory } from './agent-directory';
 import type { Change, Changes, Listing } from './collection-port';
 import type { AgentRecord, ListedAgent, RegistryChange, RegistryDelta } from './packet-messages';
+import { isLater, placeInEra, UNKNOWN_POSITION, type StorePosition } from './store-position';
 
 /** What the view works with. */
 export interface RegistryViewDependencies {
@@ -15,7 +16,7 @@
 
 /** The registry as one balancer has taken it. */
 export class RegistryView {
-  private heldRevision = 0;
+  private held = UNKNOWN_POSITION;
 
   constructor(private readonly dependencies: RegistryViewDependencies) {}
 
@@ -24,15 +25,22 @@
    * Two balancers of the same revision know the same entries.
    */
   get revision(): number {
-    return this.heldRevision;
+    return this.held.revision;
+  }
+
+  /** The moment of the store through which the registry's changes are known. */
+  get position(): StorePosition {
+    return this.held;
   }
 
   /** Takes a whole listing of the store: the directory is complete from now on. */
   takeListing(listing: Listing<AgentRecord>): void {
     const agents = listing.items.map(({ item, revision }) => ({ ...item, revision }));
-    const differs = this.takeEntries(agents, listing.revision);
-    if (differs || this.heldRevision === 0) {
-      this.heldRevision = Math.max(this.heldRevision, listing.revision);
+    const { era, revision } = listing;
+    const differs = this.takeEntries(agents, listing);
+    const isFirstOfEra = era > this.held.era || this.held.revision === 0;
+    if ((differs || isFirstOfEra) && isLater(listing, this.held)) {
+      this.held = { era, revision };
     }
     this.markComplete('store');
   }
@@ -41,9 +49,9 @@
    * Takes changes of the registry that the store told.
    * @returns what other balancers lack after it; undefined when nothing is new
    */
-  takeChanges({ changes, revision }: Changes<AgentRecord>): RegistryDelta | undefined {
-    const from = this.heldRevision;
-    if (changes.length === 0 || revision <= from) {
+  takeChanges({ changes, era, revision }: Changes<AgentRecord>): RegistryDelta | undefined {
+    const from = this.held.revision;
+    if (changes.length === 0 || era !== this.held.era || revision <= from) {
       return undefined;
     }
     const delta: RegistryDelta = { from, to: revision, changes: changes.map(packChange) };
@@ -51,22 +59,27 @@
     return delta;
   }
 
-  /** Takes changes that another balancer has read, if they follow what is known here. */
-  takeDelta({ from, to, changes }: RegistryDelta): void {
+  /**
+   * Takes changes that another balancer has read, if they follow what is known here.
+   * @param era the era of their revisions; 0 when it is not told
+   */
+  takeDelta({ from, to, changes }: RegistryDelta, era: number): void {
     const { isComplete } = this.dependencies.directory;
-    if (isComplete && from <= this.heldRevision && this.heldRevision < to) {
+    const told = placeInEra({ era, revision: to }, this.held);
+    if (isComplete && told.era === this.held.era && from <= this.revision && this.revision < to) {
       this.applyChanges(changes, to);
     }
   }
 
   /** Takes the registry as a balancer whose directory is complete knows it. */
-  takeSnapshot(agents: readonly ListedAgent[], revision: number, origin: string): void {
-    if (revision > this.heldRevision) {
+  takeSnapshot(agents: readonly ListedAgent[], told: StorePosition, origin: string): void {
+    const position = placeInEra(told, this.held);
+    if (isLater(position, this.held)) {
       this.takeEntries(
         agents.filter(({ revision: listed }) => listed > 0),
-        revision,
+        position,
       );
-      this.heldRevision = revision;
+      this.held = position;
     }
     this.learnAgents(agents);
     this.markComplete(origin);
@@ -80,18 +93,26 @@
     this.dependencies.changed();
   }
 
-  /** Makes the directory list these agents and no others; true when it did not before. */
-  private takeEntries(agents: readonly ListedAgent[], asOf: number): boolean {
-    if (asOf < this.heldRevision) {
+  /**
+   * Makes the directory list these agents and no others; true when it did not before. What a later
+   * era does not list was not removed by anyone: the store's copy was older.
+   */
+  private takeEntries(agents: readonly ListedAgent[], asOf: StorePosition): boolean {
+    if (isLater(this.held, asOf)) {
       return false;
     }
+    const hasReturned = this.held.revision > 0 && asOf.era > this.held.era;
     const { directory, environment } = this.dependencies;
     const now = environment.now();
     const listed = new Set(agents.map(({ address }) => address));
     let differs = false;
     for (const { address, registryRevision } of [...directory.all()]) {
       if (registryRevision !== undefined && !listed.has(address)) {
-        directory.unregister(address, now);
+        if (hasReturned) {
+          directory.noteLapse(address, now);
+        } else {
+          directory.unregister(address, now);
+        }
         differs = true;
       }
     }
@@ -117,7 +138,7 @@
         directory.learn(record, changedAt, now);
       }
     }
-    this.heldRevision = revision;
+    this.held = { era: this.held.era, revision };
     this.dependencies.changed();
   }
 
--- a/src/packets/target-guard.ts
+++ b/src/packets/target-guard.ts
@@ -35,8 +35,8 @@
   }
 
   /** Takes what a balancer tells of the deployment. */
-  learn({ evacuations, profiles }: SubscribeMessage, balancer: Endpoint): void {
-    this.evacuations.take(evacuations, formatEndpoint(balancer));
+  learn({ evacuations, profiles, storeEra }: SubscribeMessage, balancer: Endpoint): void {
+    this.evacuations.take({ ...evacuations, era: storeEra }, formatEndpoint(balancer));
     this.profiles.learn(profiles);
   }
 
@@ -60,6 +60,11 @@
     this.coldLimit.opened(now);
   }
 
+  /** Ends the timer. */
+  stop(): void {
+    this.evacuations.stop();
+  }
+
   private get condition(): TargetCondition {
     const { environment, health, target, zone } = this.dependencies;
     const now = environment.now();
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -12,6 +12,7 @@
   StoreProbePort,
 } from '../../packets/collection-port';
 import type { AgentRecord } from '../../packets/packet-messages';
+import type { StorePosition } from '../../packets/store-position';
 import type { RoutingTable } from '../../packets/routing-table';
 import type { EvacuatedZone } from '../../packets/zone-evacuations';
 import type { SimulatedProcess } from '../simulated-process';
@@ -21,7 +22,7 @@
 const CALL_TIMEOUT = 1_500;
 
 interface Watcher {
-  readonly after: number;
+  readonly after: StorePosition;
   notify(): void;
 }
 
@@ -145,10 +146,11 @@
           }
           return new Ok(undefined);
         }),
-      remove: (agent, revision, answer) =>
+      remove: (agent, entered, answer) =>
         this.call(process, answer, () => {
           const known = this.agents.items.get(String(agent.address));
-          if (known && revision !== undefined && known.revision !== revision) {
+          const isOther = entered?.era !== this.era || known?.revision !== entered.revision;
+          if (known && entered !== undefined && isOther) {
             return failure(ResultCodes.storeConflict, 'another revision');
           }
           if (known) {
@@ -181,7 +183,7 @@
   private watch<T>(
     collection: ModelCollection<T>,
     process: SimulatedProcess,
-    after: number,
+    after: StorePosition,
     waitTime: number,
     answer: Answer<Changes<T>>,
   ): void {
@@ -200,9 +202,8 @@
     };
     const watcher: Watcher = { after, notify: finish };
     collection.watchers.push(watcher);
-    const isGone = after < collection.oldest || after > this.revision;
-    const behind = isGone || collection.history.some((c) => c.revision > after);
-    if (behind) {
+    const hasNews = collection.history.some(({ revision }) => revision > after.revision);
+    if (hasNews || this.isGone(collection, after)) {
       finish();
     }
     this.clock.schedule(waitTime, finish);
@@ -210,15 +211,23 @@
 
   private changesAfter<T>(
     collection: ModelCollection<T>,
-    after: number,
+    after: StorePosition,
   ): Result<Changes<T>, HallholdError> {
-    if (after < collection.oldest || after > this.revision) {
+    if (after.era !== this.era) {
+      return failure(ResultCodes.storeEraChanged, 'another era');
+    }
+    if (this.isGone(collection, after)) {
       return failure(ResultCodes.storeWatchExpired, 'history gone');
     }
-    const changes = collection.history.filter(({ revision }) => revision > after);
+    const changes = collection.history.filter(({ revision }) => revision > after.revision);
     return new Ok({ changes, era: this.era, revision: this.revision });
   }
 
+  /** Whether the history after a moment is not to be had. */
+  private isGone<T>({ oldest }: ModelCollection<T>, { era, revision }: StorePosition): boolean {
+    return era !== this.era || revision < oldest || revision > this.revision;
+  }
+
   private change<T>(collection: ModelCollection<T>, name: string, item: T, removed: boolean): void {
     const change: Change<T> = { name, revision: ++this.revision, item, removed };
     if (removed) {
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -5,15 +5,17 @@
 import type { DeploymentNews } from '../src/packets/deployment-news';
 import type { SubscribeMessage } from '../src/packets/packet-messages';
 import { createReport } from './support/reports';
+import { UNKNOWN_EVACUATIONS } from '../src/packets/zone-evacuations';
 
 const AGENT = 0x0a00_0002_0000;
 const INTERVAL = 2_000;
+const NO_ERAS = { storeEra: 0, asksEra: 0 };
 
 /** News of one version of the configuration. */
 function createNews(version: number): DeploymentNews {
   const profile = { service: 'map', latencyGoal: 250, coldTime: 0, coldRate: 0 };
   return {
-    evacuations: { revision: 7, zones: ['south'] },
+    evacuations: { era: 1, revision: 7, zones: ['south'] },
     profiles: { version, services: [profile] },
   };
 }
@@ -30,6 +32,7 @@
     this.directory,
     (_agents, message) => this.sent.push(message),
     () => this.news,
+    () => NO_ERAS,
   );
 
   /** The agent reports in one of its runs. */
@@ -56,7 +59,7 @@
     subscriptions.pass(INTERVAL, 1);
   }
   t.deepEqual(subscriptions.told, [true, true, true, false, false]);
-  t.deepEqual(subscriptions.sent[4]!.evacuations, { revision: 0, zones: [] });
+  t.deepEqual(subscriptions.sent[4]!.evacuations, UNKNOWN_EVACUATIONS);
 });
 
 test('a later version is told anew, also when a subscription with it is lost', (t) => {
@@ -90,6 +93,7 @@
     subscriptions.directory,
     (_agents, message) => subscriptions.sent.push(message),
     () => subscriptions.news,
+    () => NO_ERAS,
   );
   [0, 100, 200, 300].forEach((now) => silent.run(now, true));
   t.deepEqual(subscriptions.told, [true, true, true, true]);
--- a/test/outliers.test.ts
+++ b/test/outliers.test.ts
@@ -363,7 +363,13 @@
     table.routes.map(({ isRepeatable }) => isRepeatable),
     repeatable,
   );
-  const snapshot = { routingTable: table, viewComplete: true, agents: [], registryRevision: 1 };
+  const snapshot = {
+    routingTable: table,
+    viewComplete: true,
+    agents: [],
+    registryRevision: 1,
+    storeEra: 2,
+  };
   t.deepEqual(decodeSnapshot(encodeSnapshot(snapshot)).unwrap(), snapshot);
   t.deepEqual(decodeSnapshotText(encodeSnapshotText(snapshot)).unwrap(), snapshot);
   const before = JSON.parse(encodeSnapshotText(snapshot)) as Record<string, unknown>;
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -113,11 +113,14 @@
     { type: PacketMessageType.detour, agent: 0x0a00_0001_0000, payload: flow },
     { type: PacketMessageType.distanceProbe, sentAt: 12.625 },
     { type: PacketMessageType.distanceReply, sentAt: 12.625 },
+    { type: PacketMessageType.eraSeen, era: 3 },
     {
       type: PacketMessageType.subscribe,
       zone: 'north',
       interval: 500,
       listing: 1,
+      storeEra: 2,
+      asksEra: 1,
       frameVersion: 5,
       evacuations: { revision: 14, zones: ['south'] },
       profiles: {
@@ -138,6 +141,7 @@
       peers: [0x0a00_0002_0000],
       unregistered: [{ address: 0x0a00_0003_0000, service: 'map', zone: 'south' }],
       registryRevision: 12,
+      storeEra: 2,
       readers: [{ reader: 0x0a00_0002_0000, age: 40 }],
       delta: {
         from: 9,
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -255,7 +255,7 @@
   const profiles = [{ service: 'map', latencyGoal: 200, coldTime: 2_000, coldRate: 3.5 }];
   const routingTable = { version: 4, idleTimeout: 9, routes: [ROUTE], profiles };
   const agents = [{ address: 1, service: 's', zone: 'z', revision: 7 }];
-  const snapshot = { routingTable, viewComplete: true, agents, registryRevision: 8 };
+  const snapshot = { routingTable, viewComplete: true, agents, registryRevision: 8, storeEra: 2 };
   t.deepEqual(decodeSnapshot(encodeSnapshot(snapshot)).unwrap(), snapshot);
   const bytes = encodeSnapshot(snapshot);
   t.true(decodeSnapshot(bytes.subarray(0, bytes.length - 3)).err);
@@ -300,7 +300,7 @@
       answer(new Ok({ items: [], era: 1, revision: 7 }));
     },
     awaitChanges: (after, _waitTime, answer) => {
-      calls.push(`watch ${after}`);
+      calls.push(`watch ${after.revision}`);
       const code = errors.shift();
       if (code) {
         answer(new Err(new HallholdError(code, 'x')));
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -145,14 +145,14 @@
   standin.put('evacuations', 'hall-1', {});
   standin.put('other', 'hall-2', {});
   const listing = await answerOf<Listing<EvacuatedZone>>((answer) => collection.list(answer));
-  const { items, revision } = listing.unwrap();
+  const { items, ...position } = listing.unwrap();
   t.deepEqual(
     items.map(({ item }) => item.zone),
     ['hall-1'],
   );
   standin.remove('evacuations', 'hall-1');
   const changes = await answerOf<Changes<EvacuatedZone>>((answer) =>
-    collection.awaitChanges(revision, 1_000, answer),
+    collection.awaitChanges(position, 1_000, answer),
   );
   t.deepEqual(
     changes.unwrap().changes.map(({ item, removed }) => [item.zone, removed]),
@@ -167,7 +167,7 @@
   t.teardown(() => (api.close(), gate.stop(), standin.stop()));
   const tables = routingTables(api);
   const waiting = answerOf<Changes<RoutingTable>>((answer) =>
-    tables.awaitChanges(1, 10_000, answer),
+    tables.awaitChanges({ era: 2, revision: 1 }, 10_000, answer),
   );
   await untilCalled(standin, 1);
   t.true((await answerOf<void>((answer) => api.check(1_000, answer))).ok);
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -30,6 +30,7 @@
   peers: [],
   unregistered: [],
   registryRevision: 12,
+  storeEra: 2,
   readers: [{ reader: 0x0a00_0002_0000, age: 40 }],
   delta: { from: 9, to: 12, changes: [{ agent: { ...AGENT, revision: 12 }, removed: false }] },
   evacuations: { revision: 12, zones: ['south'] },
@@ -39,6 +40,8 @@
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
+  storeEra: 2,
+  asksEra: 1,
   frameVersion: 5,
   profiles: { version: 3, services: [] },
   evacuations: { revision: 12, zones: ['south'] },
@@ -57,21 +60,24 @@
 
 test('a status or subscription of an earlier version tells nothing of readers and listings', (t) => {
   const codec = new FieldSpoiler([KEY]);
-  const left = { g: undefined, d: undefined, x: undefined, e: undefined };
+  const left = { g: undefined, h: undefined, d: undefined, x: undefined, e: undefined };
   const status = codec.decode(codec.spoil(STATUS, left)).unwrap() as PeerStatusMessage;
   t.deepEqual(
-    [status.registryRevision, status.readers, status.delta, status.routingVersion],
-    [0, [], undefined, 3],
+    [status.registryRevision, status.storeEra, status.readers, status.delta, status.routingVersion],
+    [0, 0, [], undefined, 3],
   );
   t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
   const spoilt = codec.spoil(SUBSCRIPTION, {
     l: undefined,
+    h: undefined,
+    n: undefined,
     e: undefined,
     c: undefined,
     v: undefined,
   });
   const subscription = codec.decode(spoilt).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
+  t.deepEqual([subscription.storeEra, subscription.asksEra], [0, 0]);
   t.is(subscription.frameVersion, FIRST_FRAME_VERSION);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
   t.deepEqual(subscription.profiles, UNKNOWN_PROFILES);
@@ -110,14 +116,21 @@
     viewComplete: true,
     agents: [{ ...AGENT, revision: 4 }],
     registryRevision: 6,
+    storeEra: 2,
   };
   const document = deserialize(encodeSnapshot(snapshot));
   const earlier = {
     ...document,
     agents: [[AGENT.address, AGENT.service, AGENT.zone]],
     registryRevision: undefined,
+    storeEra: undefined,
   };
   const bytes = Buffer.from(serialize(earlier, { ignoreUndefined: true }));
   const decoded = decodeSnapshot(bytes).unwrap();
-  t.deepEqual(decoded, { ...snapshot, agents: [{ ...AGENT, revision: 0 }], registryRevision: 0 });
+  t.deepEqual(decoded, {
+    ...snapshot,
+    agents: [{ ...AGENT, revision: 0 }],
+    registryRevision: 0,
+    storeEra: 0,
+  });
 });
--- a/test/snapshot-exchange.test.ts
+++ b/test/snapshot-exchange.test.ts
@@ -20,6 +20,7 @@
   viewComplete: true,
   agents: [{ address: 6, service: 'map', zone: 'north', revision: 3 }],
   registryRevision: 3,
+  storeEra: 2,
 };
 
 function listen(server: Server): Promise<Endpoint> {
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -4,14 +4,31 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
+import { AgentObjects } from '../platform/agent-objects';
 import { ObjectApi } from '../platform/object-api';
 import { routingTables } from '../platform/routing-document';
 import { parseEndpoint } from '../src/core/endpoint';
+import { ResultCodes } from '../src/errors/result-codes';
 import { Events, type EventFields, type EventKind } from '../src/logging/events';
+import { AgentDirectory } from '../src/packets/agent-directory';
+import type { Changes, Revised } from '../src/packets/collection-port';
+import type { AgentRecord } from '../src/packets/packet-messages';
+import { RegistryView } from '../src/packets/registry-view';
+import type { RoutingTable } from '../src/packets/routing-table';
+import { ViewSettling } from '../src/packets/startup/view-settling';
+import { isLater, placeInEra, REWRITE_TIME } from '../src/packets/store-position';
+import { ZoneEvacuationView } from '../src/packets/zone-evacuations';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { MODEL_ROUTES, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { answerOf } from './support/answers';
 import { ObjectApiStandin } from './support/object-api-standin';
+import { RouterHarness } from './support/router-harness';
+
+const AGENT: AgentRecord = {
+  address: parseEndpoint('10.0.0.1:7000').unwrap(),
+  service: 'map',
+  zone: 'north',
+};
 
 interface Reported {
   readonly event: EventKind;
@@ -44,7 +61,11 @@
     response.removeHeader('Store-Era');
     return false;
   };
-  t.is((await answerOf(collection.list.bind(collection))).unwrap().era, 0);
+  t.is((await answerOf(collection.list.bind(collection))).unwrap().era, second.era, 'as before');
+  const other = new ObjectApi(parseEndpoint(standin.address).unwrap());
+  t.teardown(() => other.close());
+  const unnamed = routingTables(other);
+  t.is((await answerOf(unnamed.list.bind(unnamed))).unwrap().era, 0);
 });
 
 test('a change of the era is reported, with what was known before', (t) => {
@@ -62,3 +83,165 @@
   t.deepEqual([changes[0]!.fields['before'], changes[0]!.fields['after']], [1, 2]);
   world.balancers.forEach(({ node }) => t.is(node.figures.storeEra, 2));
 });
+
+test('a waiting call ends as soon as any other answer shows a later era', async (t) => {
+  const standin = new ObjectApiStandin();
+  const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+  t.teardown(() => (api.close(), standin.stop()));
+  const tables = routingTables(api);
+  const { items: _items, ...position } = (await answerOf(tables.list.bind(tables))).unwrap();
+  // The store's return is not seen by this call: it goes on waiting, and only another one is answered.
+  standin.spoiler = (call) => call.url?.includes('watch') === true;
+  const waiting = answerOf<Changes<RoutingTable>>((answer) =>
+    tables.awaitChanges(position, 10_000, answer),
+  );
+  await pause(50);
+  standin.raiseEra();
+  await answerOf<void>((answer) => api.check(1_000, answer));
+  const ended = await waiting;
+  t.is(ended.err && ended.val.resultCode, ResultCodes.storeEraChanged);
+  const late = await answerOf<Changes<RoutingTable>>((answer) =>
+    tables.awaitChanges(position, 10_000, answer),
+  );
+  t.is(late.err && late.val.resultCode, ResultCodes.storeEraChanged, 'not asked at all');
+});
+
+for (const status of [410, 503, 429]) {
+  test(`a waiting call that the store refuses with ${status} tells of the later era`, async (t) => {
+    const standin = new ObjectApiStandin();
+    const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+    t.teardown(() => (api.close(), standin.stop()));
+    const tables = routingTables(api);
+    const { items: _items, ...position } = (await answerOf(tables.list.bind(tables))).unwrap();
+    standin.raiseEra();
+    standin.spoiler = (_call, response) => (response.writeHead(status).end('{}'), true);
+    const ended = await answerOf<Changes<RoutingTable>>((answer) =>
+      tables.awaitChanges(position, 10_000, answer),
+    );
+    t.is(ended.err && ended.val.resultCode, ResultCodes.storeEraChanged);
+  });
+}
+
+test('a removal under a revision of an earlier era is not sent: it may name another entry', async (t) => {
+  const standin = new ObjectApiStandin();
+  const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
+  t.teardown(() => (api.close(), standin.stop()));
+  const registry = new AgentObjects(api);
+  (await answerOf<void>((answer) => registry.register(AGENT, answer))).unwrap();
+  const { items, era } = (await answerOf(registry.list.bind(registry))).unwrap();
+  standin.raiseEra();
+  await answerOf(registry.list.bind(registry));
+  const [{ revision }] = items as [Revised<AgentRecord>];
+  const removal = await answerOf<void>((answer) =>
+    registry.remove(AGENT, { era, revision }, answer),
+  );
+  t.is(removal.err && removal.val.resultCode, ResultCodes.storeConflict);
+  t.truthy(standin.get('agents', '10-0-0-1'));
+});
+
+test('moments are compared by era first, and those without one within the known era', (t) => {
+  t.true(isLater({ era: 2, revision: 5 }, { era: 1, revision: 90 }));
+  t.false(isLater({ era: 1, revision: 90 }, { era: 2, revision: 5 }));
+  t.false(isLater({ era: 2, revision: 5 }, { era: 2, revision: 5 }));
+  t.deepEqual(placeInEra({ era: 0, revision: 7 }, { era: 3, revision: 5 }), {
+    era: 3,
+    revision: 7,
+  });
+});
+
+interface ViewScene {
+  readonly directory: AgentDirectory;
+  readonly view: RegistryView;
+}
+
+function createViewScene(): ViewScene {
+  const directory = new AgentDirectory();
+  const { environment } = new RouterHarness([]);
+  const view = new RegistryView({ environment, directory, changed: () => undefined });
+  const listed = (address: number): Revised<AgentRecord> => ({
+    name: String(address),
+    revision: 90,
+    item: { ...AGENT, address },
+  });
+  view.takeListing({ era: 1, revision: 100, items: [listed(1), listed(2)] });
+  return { directory, view };
+}
+
+test('agents that a later era does not list stay known, and are told to be missing', (t) => {
+  const { directory, view } = createViewScene();
+  view.takeListing({ era: 2, revision: 80, items: [] });
+  t.deepEqual(view.position, { era: 2, revision: 80 });
+  t.is(directory.size, 2);
+  t.is(directory.find(1)!.registryRevision, undefined);
+  t.true(directory.mayHoldFlows(directory.find(1)!), 'its silence keeps flows from being reset');
+  const agent = { ...AGENT, address: 1, revision: 81 };
+  view.takeDelta({ from: 80, to: 81, changes: [{ agent, removed: false }] }, 2);
+  t.is(directory.find(1)!.registryRevision, 81);
+  t.is(directory.find(1)!.lapsedAt, undefined);
+});
+
+test('what is told of an earlier era changes nothing, whatever its revisions', (t) => {
+  const { directory, view } = createViewScene();
+  view.takeListing({ era: 2, revision: 80, items: [] });
+  const agent = { ...AGENT, address: 3, revision: 105 };
+  view.takeDelta({ from: 80, to: 105, changes: [{ agent, removed: false }] }, 1);
+  view.takeChanges({
+    era: 1,
+    revision: 105,
+    changes: [{ name: '3', revision: 105, item: agent, removed: false }],
+  });
+  t.is(directory.find(3), undefined);
+  view.takeSnapshot([agent], { era: 1, revision: 105 }, 'peer');
+  t.is(directory.find(3)!.registryRevision, undefined, 'known, and not listed');
+  t.deepEqual(view.position, { era: 2, revision: 80 });
+});
+
+test('an agent that was removed in the same era is forgotten, as ever', (t) => {
+  const { directory, view } = createViewScene();
+  view.takeListing({ era: 1, revision: 110, items: [] });
+  t.is(directory.size, 0);
+});
+
+test('a zone that the copy has put back into service gets no new flows for a while', (t) => {
+  const harness = new RouterHarness([]);
+  const changed: string[][] = [];
+  const view = new ZoneEvacuationView(harness.environment, (zones) => changed.push([...zones]));
+  view.take({ era: 1, revision: 20, zones: ['south'] }, 'store');
+  view.take({ era: 2, revision: 10, zones: [] }, 'store');
+  t.true(view.isEvacuated('south'));
+  t.deepEqual(changed, [['south']]);
+  // Nobody takes it out of service again: the store's word counts.
+  harness.pass(REWRITE_TIME + 1);
+  t.false(view.isEvacuated('south'));
+  t.deepEqual(changed, [['south'], ['south']]);
+});
+
+test('the last word of the operator counts, in the later era', (t) => {
+  const harness = new RouterHarness([]);
+  const view = new ZoneEvacuationView(harness.environment, () => undefined);
+  view.take({ era: 1, revision: 20, zones: ['south'] }, 'store');
+  view.take({ era: 2, revision: 10, zones: [] }, 'store');
+  view.take({ era: 2, revision: 11, zones: ['south'] }, 'store');
+  view.take({ era: 2, revision: 12, zones: [] }, 'store');
+  t.false(view.isEvacuated('south'), 'taken out and put back again');
+  view.take({ era: 2, revision: 13, zones: ['north'] }, 'store');
+  harness.pass(REWRITE_TIME + 1);
+  t.true(view.isEvacuated('north'));
+  // A zone that the copy has brought back is out of service until the operator puts it back.
+  view.take({ era: 3, revision: 5, zones: ['east'] }, 'store');
+  t.true(view.isEvacuated('east'));
+  view.take({ era: 3, revision: 6, zones: [] }, 'store');
+  t.false(view.isEvacuated('east'));
+});
+
+test('where no agent tells of an earlier era, resets wait only for the agents to be able to', (t) => {
+  const settling = new ViewSettling();
+  settling.start(1_000);
+  t.false(settling.isSettled(2, 1_050));
+  t.true(settling.isSettled(2, 1_101));
+  settling.noteSeen(2);
+  t.true(settling.isSettled(2, 1_101));
+  settling.noteSeen(1);
+  t.false(settling.isSettled(2, 1_101));
+  t.true(settling.isSettled(2, 1_001 + REWRITE_TIME));
+});
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -226,16 +226,16 @@
     zone: 'z',
     revision,
   });
-  view.takeSnapshot([agent(1, 4), agent(2, 6)], 6, 'peer');
+  view.takeSnapshot([agent(1, 4), agent(2, 6)], { era: 1, revision: 6 }, 'peer');
   view.takeListing({ items: [], era: 1, revision: 5 });
   t.is(directory.size, 2);
   // A removal that is older than the entry known: the agent has registered anew since.
-  view.takeDelta({ from: 5, to: 7, changes: [{ agent: agent(1, 3), removed: true }] });
+  view.takeDelta({ from: 5, to: 7, changes: [{ agent: agent(1, 3), removed: true }] }, 1);
   t.is(directory.size, 2);
   t.is(view.revision, 7);
   // A delta that does not follow what is known leaves a gap: it is left to a snapshot.
-  view.takeDelta({ from: 8, to: 9, changes: [{ agent: agent(2, 9), removed: true }] });
+  view.takeDelta({ from: 8, to: 9, changes: [{ agent: agent(2, 9), removed: true }] }, 1);
   t.is(directory.size, 2);
-  view.takeDelta({ from: 7, to: 9, changes: [{ agent: agent(2, 9), removed: true }] });
+  view.takeDelta({ from: 7, to: 9, changes: [{ agent: agent(2, 9), removed: true }] }, 1);
   t.is(directory.size, 1);
 });
--- a/test/support/object-api-standin.ts
+++ b/test/support/object-api-standin.ts
@@ -41,7 +41,12 @@
     const server = createServer((call, response) => this.take(call, response));
     this.server = server;
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    return this.address;
+  }
+
+  /** Where it listens. */
+  get address(): string {
+    return `127.0.0.1:${(this.server!.address() as AddressInfo).port}`;
   }
 
   stop(): void {
@@ -106,9 +111,9 @@
     this.revision += revisions;
   }
 
-  /** The era that answers name. */
-  get currentEra(): number {
-    return this.era;
+  /** The era alone rises: connections and waiting calls notice nothing. */
+  raiseEra(): void {
+    this.era++;
   }
 
   /** Answers one call. */
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -102,6 +102,7 @@
       sendToClient: (client) => this.resets.push(client),
       detours: this.detours,
       isEvacuated: (zone) => this.evacuatedZones.includes(zone),
+      isViewSettled: () => true,
     });
     this.router.apply({
       version: 1,
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -28,14 +28,14 @@
 test('a later revision replaces what is known, an earlier one changes nothing', (t) => {
   const { view, changed } = createView();
   t.false(view.isKnown);
-  view.take({ revision: 20, zones: ['south'] }, 'peer');
-  view.take({ revision: 15, zones: ['north', 'south'] }, 'peer');
-  t.deepEqual(view.current, { revision: 20, zones: ['south'] });
-  view.take({ revision: 25, zones: ['north'] }, 'peer');
+  view.take({ era: 1, revision: 20, zones: ['south'] }, 'peer');
+  view.take({ era: 1, revision: 15, zones: ['north', 'south'] }, 'peer');
+  t.deepEqual(view.current, { era: 1, revision: 20, zones: ['south'] });
+  view.take({ era: 1, revision: 25, zones: ['north'] }, 'peer');
   t.false(view.isEvacuated('south'));
   t.true(view.isEvacuated('north'));
-  view.take({ revision: 30, zones: ['north'] }, 'peer');
-  view.take({ revision: 28, zones: [] }, 'peer');
+  view.take({ era: 1, revision: 30, zones: ['north'] }, 'peer');
+  view.take({ era: 1, revision: 28, zones: [] }, 'peer');
   t.true(view.isEvacuated('north'));
   t.deepEqual(changed, [['south'], ['north', 'south']]);
 });
@@ -56,11 +56,11 @@
   view.takeChanges({ changes: [change(6, false)], era: 1, revision: 6 });
   t.true(view.isEvacuated('south'));
   // A peer tells that the zone is back; the own call, begun earlier, still tells all of it.
-  view.take({ revision: 9, zones: [] }, 'peer');
+  view.take({ era: 1, revision: 9, zones: [] }, 'peer');
   view.takeChanges({ changes: [change(6, false), change(9, true)], era: 1, revision: 9 });
   t.false(view.isEvacuated('south'));
   view.takeChanges({ changes: [change(11, false), change(12, true)], era: 1, revision: 12 });
-  t.deepEqual(view.current, { revision: 12, zones: [] });
+  t.deepEqual(view.current, { era: 1, revision: 12, zones: [] });
 });
 
 test('a new flow goes to no target of a zone out of service, an open one goes on there', (t) => {
