--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -176,9 +176,14 @@
     this.remove(packet.flow);
   }
 
-  /** The target was replaced: no flow is left. */
-  clear(): void {
-    this.flows.clear();
+  /**
+   * The target was replaced: no flow is known to be held. All stay noted as seen, since the new target
+   * may have opened some of them before its first heartbeat told of it: only it can say which.
+   */
+  targetReplaced(): void {
+    for (const [key, { usedAt }] of this.flows) {
+      this.flows.set(key, createFlow(usedAt));
+    }
     this.clock.clear();
     this.busy = 0;
     this.working = 0;
@@ -223,18 +228,7 @@
       this.flows.set(key, known);
       return known;
     }
-    const flow: TrackedFlow = {
-      balancer: undefined,
-      told: undefined,
-      held: false,
-      ended: false,
-      busy: false,
-      working: false,
-      busySince: 0,
-      openingSequence: undefined,
-      lastSequence: undefined,
-      usedAt: now,
-    };
+    const flow = createFlow(now);
     this.flows.set(key, flow);
     if (this.flows.size > MAXIMUM_FLOWS) {
       const [oldest] = this.flows.keys();
@@ -282,6 +276,22 @@
   }
 }
 
+/** A flow of which nothing is known but that a packet of it has passed. */
+function createFlow(usedAt: number): TrackedFlow {
+  return {
+    balancer: undefined,
+    told: undefined,
+    held: false,
+    ended: false,
+    busy: false,
+    working: false,
+    busySince: 0,
+    openingSequence: undefined,
+    lastSequence: undefined,
+    usedAt,
+  };
+}
+
 /** Whether a 32-bit sequence number lies after another, allowing for its wrapping. */
 function isNewer(sequence: number, previous: number | undefined): boolean {
   return previous === undefined || measureDistance(previous, sequence) > 0;
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -36,6 +36,8 @@
 /** What a packet agent needs from its process. */
 export interface PacketAgentDependencies {
   readonly environment: Environment;
+  /** Time at which this process began, by the environment's clock; before its program was loaded. */
+  readonly startedAt: number;
   readonly codec: PacketFrameCodec;
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -97,7 +97,11 @@
       // Which balancers are there, an agent does not know; acknowledgements alone tell.
       isReachable: () => true,
     });
-    this.target = new TargetLifecycle(settings.service, settings.heartbeatInterval);
+    this.target = new TargetLifecycle(
+      settings.service,
+      settings.heartbeatInterval,
+      dependencies.startedAt,
+    );
     const { coldLimit, zone } = settings;
     const { health, target } = this;
     this.guard = new TargetGuard({ environment, zone, coldLimit, target, health });
@@ -203,7 +207,7 @@
     const wasMissing = this.presence.isMissing;
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
-      this.tracker.clear();
+      this.tracker.targetReplaced();
       this.answers.clear();
       this.health.clear();
       this.flowBytes.clear();
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -77,7 +77,7 @@
     private readonly settings: PacketBalancerSettings,
     private readonly dependencies: PacketBalancerDependencies,
   ) {
-    const { environment, codec, transport, format, registry } = dependencies;
+    const { environment, codec, transport, registry } = dependencies;
     this.timers = new NodeTimers(environment);
     this.detours = new ZoneDetour(settings.zone);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
@@ -89,49 +89,15 @@
     this.locality = new Locality(settings, environment, this.directory, (agent, probe) =>
       this.link.send(agent, probe),
     );
-    this.router = new FlowRouter({
-      environment,
-      zone: settings.zone,
-      locality: this.locality,
-      address: settings.address,
-      locateTimeout: locateTimeout(settings.capacity),
-      format,
-      directory: this.directory,
-      cache: this.cache,
-      choice: settings.choice,
-      link: this.link,
-      hops: this.hops,
-      sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
-      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      isViewSettled: () => this.settling.isSettled(this.view.position.era, environment.now()),
-      detours: this.detours,
-    });
+    this.router = this.createRouter();
     this.upkeep = new RegistryUpkeep(
       environment,
       this.directory,
       registry,
       () => this.view.position.era,
     );
-    this.subscriptions = new AgentSubscriptions(
-      settings.zone,
-      this.directory,
-      (agents, message) => this.link.sendToAll(agents, message),
-      () => ({
-        evacuations: this.evacuations.currentIn(this.view.position.era),
-        profiles: this.profiles,
-      }),
-      () => this.eras,
-    );
-    this.view = new RegistryView({
-      environment,
-      directory: this.directory,
-      changed: () => {
-        this.noteEra();
-        this.subscribe();
-        this.peers.tellWaiting();
-        this.updateReadiness();
-      },
-    });
+    this.subscriptions = this.createSubscriptions();
+    this.view = this.createView();
     this.peers = this.createPeerExchange();
     this.reports = new AgentReports({
       environment,
@@ -376,6 +342,54 @@
     this.dependencies.environment.report(Events.frameUnexpected, { type });
   }
 
+  private createRouter(): FlowRouter {
+    const { cache, dependencies, detours, directory, hops, link, locality, settings } = this;
+    const { environment, format } = dependencies;
+    return new FlowRouter({
+      environment,
+      zone: settings.zone,
+      locality,
+      address: settings.address,
+      locateTimeout: locateTimeout(settings.capacity),
+      format,
+      directory,
+      cache,
+      choice: settings.choice,
+      link,
+      hops,
+      sendToClient: (client, packet) => dependencies.sendToClient(client, packet),
+      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      isViewSettled: () => this.settling.isSettled(this.view.position.era, environment.now()),
+      detours,
+    });
+  }
+
+  private createSubscriptions(): AgentSubscriptions {
+    return new AgentSubscriptions(
+      this.settings.zone,
+      this.directory,
+      (agents, message) => this.link.sendToAll(agents, message),
+      () => ({
+        evacuations: this.evacuations.currentIn(this.view.position.era),
+        profiles: this.profiles,
+      }),
+      () => this.eras,
+    );
+  }
+
+  private createView(): RegistryView {
+    return new RegistryView({
+      environment: this.dependencies.environment,
+      directory: this.directory,
+      changed: () => {
+        this.noteEra();
+        this.subscribe();
+        this.peers.tellWaiting();
+        this.updateReadiness();
+      },
+    });
+  }
+
   /** Nothing is repeated for an agent, or a zone, that is silent. */
   private createHopRepair(): HopRepair {
     const { directory, link } = this;
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -21,6 +21,12 @@
  * comes here: any other agent that had been there at its start would have taken that one.
  */
 const FIRST_HEARTBEAT_SHARE = 0.9;
+/**
+ * Milliseconds by which an agent may begin after its target and still be the first beside it, as where
+ * a machine starts both. An earlier agent would have had to begin, to end and to be replaced in that
+ * time; the replacement alone took 500 to 850 in the logs of real processes killed twice in a row.
+ */
+const LONGEST_START_GAP = 300;
 /**
  * Calls that a target makes at most until its first heartbeat is taken, in a starting cluster. One
  * that has made more has been running, and is cold for another reason than its start.
@@ -40,6 +46,12 @@
   readonly sequence: number;
 }
 
+/** The first heartbeat of an incarnation. */
+interface FirstHeartbeat extends TargetHeartbeat {
+  /** Time at which it came. */
+  readonly at: number;
+}
+
 /** What a heartbeat changed. */
 export type LifecycleChange = 'none' | 'state' | 'incarnation';
 
@@ -64,7 +76,7 @@
   private isAgeUnknown = true;
   /** This agent was there when the present incarnation began. */
   private hasSeenStart = false;
-  private firstHeartbeat: TargetHeartbeat | undefined;
+  private firstHeartbeat: FirstHeartbeat | undefined;
   /** Milliseconds for which a target of this service is slow after its start; if known. */
   private coldTime: number | undefined;
   /** Incarnations that this agent has taken for its target before the present one. */
@@ -74,10 +86,12 @@
   /**
    * @param configuredService the service that the agent's settings name
    * @param heartbeatInterval milliseconds between two heartbeats of a target
+   * @param agentStartedAt time at which this run of the agent began
    */
   constructor(
     private readonly configuredService: string,
     private readonly heartbeatInterval: number,
+    private readonly agentStartedAt: number,
   ) {}
 
   get service(): string {
@@ -117,17 +131,20 @@
 
   /**
    * Whether this run of the agent has been there for all of the target's life, so that it has seen
-   * each of its flows open. A target that is young by the time for which it is still slow, and whose
-   * first heartbeat comes here, cannot have had another agent before.
+   * each of its flows open. The target's age, by the time for which it is still slow, must show that no
+   * other agent was there between its start and this one's: a heartbeat taken here for the first time
+   * does not, since an earlier agent may have passed flows before any.
    */
   get isKnownFromStart(): boolean {
     const { coldTime, firstHeartbeat } = this;
     if (this.hasSeenStart || coldTime === undefined || firstHeartbeat === undefined) {
       return this.hasSeenStart;
     }
-    const age = coldTime - firstHeartbeat.coldLeft;
+    const { at, coldLeft, sequence } = firstHeartbeat;
+    const age = coldTime - coldLeft;
     const isYoung = age < this.heartbeatInterval * FIRST_HEARTBEAT_SHARE;
-    return isYoung && firstHeartbeat.sequence <= CALLS_OF_A_START;
+    const isFirstAgent = age - (at - this.agentStartedAt) <= LONGEST_START_GAP;
+    return isYoung && isFirstAgent && sequence <= CALLS_OF_A_START;
   }
 
   /** Takes the milliseconds for which targets of this service are slow after a start; 0: unknown. */
@@ -161,7 +178,7 @@
     const isSuccessor = this.isSuccessor(heartbeat, now);
     if (isSuccessor || this.isLivingRival(heartbeat, now)) {
       this.hasSeenStart = isSuccessor && this.current !== undefined;
-      this.firstHeartbeat = isSuccessor ? heartbeat : undefined;
+      this.firstHeartbeat = isSuccessor ? { ...heartbeat, at: now } : undefined;
       return this.replace(heartbeat, now);
     }
     this.noteRival(heartbeat, now);
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -179,6 +179,7 @@
       { ...settings, service },
       {
         environment,
+        startedAt: environment.startedAt,
         codec: new PacketFrameCodec(keys),
         transport: frames,
         format: ports.format,
--- a/src/runtime/real-environment.ts
+++ b/src/runtime/real-environment.ts
@@ -19,6 +19,11 @@
 
   constructor(private readonly log: EventReporter) {}
 
+  /** Time at which this process began. */
+  get startedAt(): number {
+    return MACHINE_CLOCK_OFFSET;
+  }
+
   now(): number {
     return performance.now() + MACHINE_CLOCK_OFFSET;
   }
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -229,6 +229,7 @@
     const { name, zone, address, service } = agent;
     const process = this.createProcess(name, zone);
     const outbound = samePlace(address, OUTBOUND_PORT);
+    const startedAt = this.clock.now;
     const node = new PacketAgent(
       {
         zone,
@@ -248,6 +249,7 @@
         transport: { send: (to, frame) => this.network.send(process, address, to, frame) },
         format: modelPacketFormat,
         registry: this.store.registryPort(process),
+        startedAt,
         targetProbe: { isVacant: (answer) => answer(!(agent.target?.alive ?? false)) },
         sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
         sendToTarget: (packet) => this.deliverToTarget(agent, Buffer.from(packet)),
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -681,6 +681,7 @@
       },
       {
         environment: createEnvironment(this.clock, []),
+        startedAt: 0,
         codec: CODEC,
         transport: { send: () => undefined },
         format: packetFormat,
--- a/test/cold-targets.test.ts
+++ b/test/cold-targets.test.ts
@@ -35,7 +35,7 @@
   startedAt = -10_000,
   settings: ColdLimitSettings | undefined = SETTINGS,
 ): LimitScene {
-  const target = new TargetLifecycle('map', 770);
+  const target = new TargetLifecycle('map', 770, 0);
   const profiles = new ServiceProfileView(target);
   return { target, profiles, limit: new ColdLimit(target, profiles, settings, startedAt) };
 }
@@ -98,7 +98,7 @@
   profiles.learn({ version: 5, services: [] });
   profiles.learn(RATES);
   t.is(countPassing(limit, 0, 1_000), 100);
-  const unlimited = new ColdLimit(new TargetLifecycle('map', 770), profiles, undefined, 0);
+  const unlimited = new ColdLimit(new TargetLifecycle('map', 770, 0), profiles, undefined, 0);
   t.is(countPassing(unlimited, 0, 1_000), 100);
 });
 
--- a/test/late-heartbeats.test.ts
+++ b/test/late-heartbeats.test.ts
@@ -47,7 +47,7 @@
 
   /** @param oldService service of the predecessor */
   constructor(private readonly oldService: string) {
-    this.agent = new TargetLifecycle(oldService, INTERVAL);
+    this.agent = new TargetLifecycle(oldService, INTERVAL, 0);
     this.agent.heartbeat(heartbeat('old', oldService, 56), this.now);
     this.now += 3_000;
   }
@@ -72,7 +72,7 @@
         break;
       case 'restart':
         // Settings are written anew at each start and name the present target's service.
-        this.agent = new TargetLifecycle('tiles', INTERVAL);
+        this.agent = new TargetLifecycle('tiles', INTERVAL, 0);
     }
     this.now += 5;
     this.checkService(disturbance.kind);
@@ -109,7 +109,7 @@
 }
 
 test('an incarnation that was replaced for a moment by a late one comes back', (t) => {
-  const agent = new TargetLifecycle('map', INTERVAL);
+  const agent = new TargetLifecycle('map', INTERVAL, 0);
   agent.heartbeat(heartbeat('old', 'map', 57), 0);
   t.is(agent.heartbeat(heartbeat('new', 'map', 3), 100), 'none');
   t.is(agent.heartbeat(heartbeat('new', 'map', 4), 870), 'incarnation');
@@ -119,7 +119,7 @@
 });
 
 test('heartbeats held up together are no proof of life', (t) => {
-  const agent = new TargetLifecycle('tiles', INTERVAL);
+  const agent = new TargetLifecycle('tiles', INTERVAL, 0);
   agent.heartbeat(heartbeat('new', 'tiles', 1), 0);
   for (const sequence of [57, 58, 59]) {
     t.is(agent.heartbeat(heartbeat('old', 'map', sequence), 300 + sequence), 'none');
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -143,7 +143,7 @@
 
 test('a target has its slots and some in reserve; the rest waits and follows its answers', (t) => {
   const tracker = new FlowTracker();
-  const target = new TargetLifecycle('map', 770);
+  const target = new TargetLifecycle('map', 770, 0);
   const handedOver: string[] = [];
   const admission = new TargetAdmission({
     target,
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -37,7 +37,7 @@
 }
 
 test('a late heartbeat neither undoes a drain nor brings back a replaced incarnation', (t) => {
-  const target = new TargetLifecycle('map', 770);
+  const target = new TargetLifecycle('map', 770, 0);
   t.is(target.state, TargetState.unknown);
   t.is(target.heartbeat(heartbeat('a', 5), 0), 'state');
   t.is(target.heartbeat(heartbeat('a', 7, true), 1), 'state');
@@ -55,7 +55,7 @@
 });
 
 test('a target that leaves before its agent knows it is gone, also for late heartbeats', (t) => {
-  const target = new TargetLifecycle('map', 770);
+  const target = new TargetLifecycle('map', 770, 0);
   t.is(target.leave('a'), 'state');
   t.is(target.heartbeat(heartbeat('a', 3), 1), 'none');
   t.is(target.state, TargetState.gone);
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -401,7 +401,7 @@
 
 test('a target whose slots are not known yet does not get all that waits at once', (t) => {
   const tracker = new FlowTracker();
-  const target = new TargetLifecycle('map', 770);
+  const target = new TargetLifecycle('map', 770, 0);
   const admission = new TargetAdmission({
     target,
     tracker,
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -16,7 +16,12 @@
 import { RegistryView } from '../src/packets/registry-view';
 import type { RoutingTable } from '../src/packets/routing-table';
 import { ViewSettling } from '../src/packets/startup/view-settling';
-import { isLater, placeInEra, REWRITE_TIME } from '../src/packets/store-position';
+import {
+  isLater,
+  placeInEra,
+  REWRITE_TIME,
+  type StorePosition,
+} from '../src/packets/store-position';
 import { ZoneEvacuationView } from '../src/packets/zone-evacuations';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { MODEL_ROUTES, startModelDeployment } from '../src/simulation/packets/random-faults';
@@ -89,7 +94,7 @@
   const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
   t.teardown(() => (api.close(), standin.stop()));
   const tables = routingTables(api);
-  const { items: _items, ...position } = (await answerOf(tables.list.bind(tables))).unwrap();
+  const position: StorePosition = (await answerOf(tables.list.bind(tables))).unwrap();
   // The store's return is not seen by this call: it goes on waiting, and only another one is answered.
   standin.spoiler = (call) => call.url?.includes('watch') === true;
   const waiting = answerOf<Changes<RoutingTable>>((answer) =>
@@ -112,7 +117,7 @@
     const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
     t.teardown(() => (api.close(), standin.stop()));
     const tables = routingTables(api);
-    const { items: _items, ...position } = (await answerOf(tables.list.bind(tables))).unwrap();
+    const position: StorePosition = (await answerOf(tables.list.bind(tables))).unwrap();
     standin.raiseEra();
     standin.spoiler = (_call, response) => (response.writeHead(status).end('{}'), true);
     const ended = await answerOf<Changes<RoutingTable>>((answer) =>
--- a/test/sure-search.test.ts
+++ b/test/sure-search.test.ts
@@ -16,7 +16,7 @@
 }
 
 function createTarget(first: TargetHeartbeat): TargetLifecycle {
-  const target = new TargetLifecycle('map', INTERVAL);
+  const target = new TargetLifecycle('map', INTERVAL, 0);
   target.learnColdTime(COLD_TIME);
   target.heartbeat(first, 10_000);
   return target;
@@ -28,7 +28,7 @@
   t.false(createTarget(heartbeat(2, COLD_TIME - 800)).isKnownFromStart, 'an agent was there');
   t.false(createTarget(heartbeat(90, COLD_TIME)).isKnownFromStart, 'cold, but no start');
   t.false(createTarget(heartbeat(90, 0)).isKnownFromStart);
-  const unknown = new TargetLifecycle('map', INTERVAL);
+  const unknown = new TargetLifecycle('map', INTERVAL, 0);
   unknown.heartbeat(heartbeat(1, COLD_TIME), 10_000);
   t.false(unknown.isKnownFromStart, 'nobody has told how long targets are cold');
 });
@@ -130,3 +130,19 @@
   t.deepEqual(world.violations.flowsReset, []);
   t.true(world.clients.every(({ state }) => state === 'done'));
 });
+
+test('an agent that began long after its target does not know its flows, however young it is', (t) => {
+  for (const [gap, isKnown] of [
+    [200, true],
+    [400, false],
+  ] as const) {
+    const agentStartedAt = 10_000;
+    const target = new TargetLifecycle('map', 1_100, agentStartedAt);
+    target.learnColdTime(2_000);
+    const now = agentStartedAt + 100;
+    const coldLeft = 2_000 - (gap + 100);
+    const state = { service: 'map', slots: 5, draining: false };
+    target.heartbeat({ incarnation: 'a', ...state, coldLeft, sequence: 2 }, now);
+    t.is(target.isKnownFromStart, isKnown, `${gap} ms`);
+  }
+});
