--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -225,9 +225,12 @@
     this.registration.targetHeard();
   }
 
-  /** The target says that it leaves. */
-  targetLeaves(incarnation: string): void {
-    if (this.target.leave(incarnation) !== 'none') {
+  /**
+   * The target says that it leaves.
+   * @param born as in its heartbeats
+   */
+  targetLeaves(incarnation: string, born: number | undefined): void {
+    if (this.target.leave({ incarnation, born }) !== 'none') {
       this.reportTarget();
       this.announce();
     }
@@ -423,6 +426,7 @@
   private reportTarget(): void {
     this.dependencies.environment.report(Events.targetStateChanged, {
       incarnation: this.target.incarnation,
+      born: this.target.born,
       service: this.target.service,
       state: this.target.state,
       slots: this.target.slots,
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -1,10 +1,13 @@
 /**
  * What an agent knows of its target from the target's own heartbeats.
  *
- * Heartbeats may come late and in another order. Within one incarnation the sequence number
- * tells which is newer. Between two incarnations nothing does, so the agent goes by time: an
+ * A target may start again under the name that it had: name and start together tell one life of it, here
+ * called an incarnation, and what one has said counts for no other. Heartbeats may come late and in
+ * another order. Within one incarnation the sequence number tells which is newer. Of two with one name,
+ * the one that started later is. Between two names nothing does, so the agent goes by time: an
  * incarnation cannot have been sending heartbeats while the present one was heard. One that
- * claims so is only a rival, until it is heard again while the present one keeps silent.
+ * claims so is only a rival, until it is heard again while the present one keeps silent. So is one that
+ * started earlier by its own word, since the time of day may have gone back in between.
  */
 import { TargetState, type TargetStateValue } from './packet-messages';
 
@@ -33,10 +36,16 @@
  */
 const CALLS_OF_A_START = 10;
 
-/** One heartbeat of a target. */
-export interface TargetHeartbeat {
-  /** Names one start of the target. */
+/** Names one life of a target, from its start to its end. */
+export interface TargetLife {
+  /** What the target calls itself; it may keep that when it starts again. */
   readonly incarnation: string;
+  /** Unix time of its start in milliseconds; undefined from a target that does not tell it. */
+  readonly born?: number | undefined;
+}
+
+/** One heartbeat of a target. */
+export interface TargetHeartbeat extends TargetLife {
   readonly service: string;
   readonly slots: number;
   readonly draining: boolean;
@@ -57,7 +66,7 @@
 
 /** Another incarnation that may have taken over, or may be one whose heartbeats come late. */
 interface Rival {
-  readonly incarnation: string;
+  readonly life: string;
   readonly service: string;
   readonly sequence: number;
   readonly firstHeardAt: number;
@@ -79,7 +88,7 @@
   private firstHeartbeat: FirstHeartbeat | undefined;
   /** Milliseconds for which a target of this service is slow after its start; if known. */
   private coldTime: number | undefined;
-  /** Incarnations that this agent has taken for its target before the present one. */
+  /** Incarnations, named by {@link nameLife}, that this agent has taken for its target before. */
   private readonly replaced = new Set<string>();
   private readonly ended = new Set<string>();
 
@@ -102,6 +111,10 @@
     return this.current?.incarnation;
   }
 
+  get born(): number | undefined {
+    return this.current?.born;
+  }
+
   get slots(): number {
     return this.current?.slots ?? 0;
   }
@@ -169,10 +182,10 @@
 
   /** Takes a heartbeat; one that is late changes nothing. */
   heartbeat(heartbeat: TargetHeartbeat, now: number): LifecycleChange {
-    if (this.ended.has(heartbeat.incarnation)) {
+    if (this.ended.has(nameLife(heartbeat))) {
       return 'none';
     }
-    if (this.current?.incarnation === heartbeat.incarnation) {
+    if (this.current !== undefined && isSameLife(this.current, heartbeat)) {
       return this.goOn(this.current, heartbeat, now);
     }
     const isSuccessor = this.isSuccessor(heartbeat, now);
@@ -186,12 +199,15 @@
   }
 
   /** An incarnation has said that it leaves for good. */
-  leave(incarnation: string): LifecycleChange {
-    addBounded(this.ended, incarnation);
-    if (this.rival?.incarnation === incarnation) {
+  leave(life: TargetLife): LifecycleChange {
+    const { current } = this;
+    const isPresent = current !== undefined && isSameLife(current, life);
+    const name = nameLife(isPresent ? current : life);
+    addBounded(this.ended, name);
+    if (this.rival?.life === name) {
       this.rival = undefined;
     }
-    if (this.current !== undefined && this.current.incarnation !== incarnation) {
+    if (current !== undefined && !isPresent) {
       return 'none';
     }
     const before = this.state;
@@ -204,16 +220,17 @@
       return 'none';
     }
     const before = this.state;
-    this.take({ ...heartbeat, draining: heartbeat.draining || current.draining }, now);
+    const born = heartbeat.born ?? current.born;
+    this.take({ ...heartbeat, born, draining: heartbeat.draining || current.draining }, now);
     return this.state === before ? 'none' : 'state';
   }
 
   private replace(heartbeat: TargetHeartbeat, now: number): LifecycleChange {
     const before = this.current;
     if (before) {
-      addBounded(this.replaced, before.incarnation);
+      addBounded(this.replaced, nameLife(before));
     }
-    this.replaced.delete(heartbeat.incarnation);
+    this.replaced.delete(nameLife(heartbeat));
     this.left = false;
     this.startedAt = now - this.runningTime(heartbeat);
     this.take(heartbeat, now);
@@ -237,9 +254,12 @@
     if (this.current === undefined) {
       return heartbeat.service === this.configuredService || this.left;
     }
-    if (this.replaced.has(heartbeat.incarnation)) {
+    if (this.replaced.has(nameLife(heartbeat)) || isBornBefore(heartbeat, this.current)) {
       return false;
     }
+    if (heartbeat.incarnation === this.current.incarnation) {
+      return true;
+    }
     return this.runningTime(heartbeat) <= now - this.heardAt;
   }
 
@@ -252,19 +272,37 @@
   private isLivingRival(heartbeat: TargetHeartbeat, now: number): boolean {
     const { rival } = this;
     return (
-      rival?.incarnation === heartbeat.incarnation &&
+      rival?.life === nameLife(heartbeat) &&
       heartbeat.sequence > rival.sequence &&
       now - rival.firstHeardAt >= this.heartbeatInterval * RIVAL_SPACING
     );
   }
 
-  private noteRival({ incarnation, service, sequence }: TargetHeartbeat, now: number): void {
-    const isKnown = this.rival?.incarnation === incarnation;
+  private noteRival(heartbeat: TargetHeartbeat, now: number): void {
+    const { service, sequence } = heartbeat;
+    const life = nameLife(heartbeat);
+    const isKnown = this.rival?.life === life;
     const firstHeardAt = isKnown ? this.rival!.firstHeardAt : now;
-    this.rival = { incarnation, service, sequence, firstHeardAt };
+    this.rival = { life, service, sequence, firstHeardAt };
   }
 }
 
+/** A text that differs from life to life of a target. */
+function nameLife({ incarnation, born }: TargetLife): string {
+  return born === undefined ? incarnation : `${incarnation} ${born}`;
+}
+
+/** Whether two are of one life; a target that tells no start has one life for each name. */
+function isSameLife(one: TargetLife, other: TargetLife): boolean {
+  const isStartTold = one.born !== undefined && other.born !== undefined;
+  return one.incarnation === other.incarnation && (!isStartTold || one.born === other.born);
+}
+
+/** Whether a life began before another one, by the word of both. */
+function isBornBefore(one: TargetLife, other: TargetLife): boolean {
+  return one.born !== undefined && other.born !== undefined && one.born < other.born;
+}
+
 /** Adds a name; beyond a number the one added longest ago is dropped. */
 function addBounded(names: Set<string>, name: string): void {
   names.delete(name);
--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -38,6 +38,16 @@
   readonly text: string;
 }
 
+/** How one start of a target is told from others. */
+export interface ModelLife {
+  /** Differs from start to start. */
+  readonly incarnation: string;
+  /** What the target calls itself, which it may keep. */
+  readonly id: string;
+  /** When it started, by its own word. */
+  readonly born: number;
+}
+
 /** One start of one target. */
 export class ModelTarget {
   readonly flows = new Map<FlowKey, ModelFlow>();
@@ -57,7 +67,7 @@
    * @param workTime milliseconds for a request
    */
   constructor(
-    readonly incarnation: string,
+    readonly life: ModelLife,
     readonly service: string,
     private nextSequence: number,
     private readonly workTime: number,
@@ -66,6 +76,10 @@
     private readonly observer: ModelTargetObserver,
   ) {}
 
+  get incarnation(): string {
+    return this.life.incarnation;
+  }
+
   /** Milliseconds for which it is still slow. */
   coldLeft(now: number): number {
     return Math.max(0, this.coldUntil - now);
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -273,8 +273,15 @@
     });
   }
 
-  /** Starts a new incarnation of the target beside an agent; its flows are gone. */
-  startTarget(agent: WorldAgent, service = agent.service): ModelTarget {
+  /**
+   * Starts a new life of the target beside an agent; its flows are gone.
+   * @param id what it calls itself: another name by default
+   */
+  startTarget(
+    agent: WorldAgent,
+    service = agent.service,
+    id = `target-${this.nextIncarnation}`,
+  ): ModelTarget {
     if (agent.target) {
       agent.target.alive = false;
     }
@@ -283,7 +290,7 @@
       agent.process.run(() => agent.node.targetDatagram(packet));
     const firstSequence = Math.floor(this.random.next() * SEQUENCE_RANGE);
     const target = new ModelTarget(
-      incarnation,
+      { incarnation, id, born: Math.round(this.clock.now) },
       service,
       firstSequence,
       WORK_TIME,
@@ -372,9 +379,10 @@
   }
 
   private sendHeartbeat(agent: WorldAgent, target: ModelTarget, sequence: number): void {
-    const { incarnation, service, draining } = target;
+    const { service, draining } = target;
+    const { id: incarnation, born } = target.life;
     const coldLeft = target.coldLeft(this.clock.now);
-    const heartbeat = { incarnation, service, draining, slots: SLOTS, coldLeft, sequence };
+    const heartbeat = { incarnation, born, service, draining, slots: SLOTS, coldLeft, sequence };
     agent.process.run(() => agent.node.heartbeat(heartbeat));
   }
 
--- a/test/late-heartbeats.test.ts
+++ b/test/late-heartbeats.test.ts
@@ -68,7 +68,7 @@
         this.agent.heartbeat(heartbeat('old', this.oldService, disturbance.sequence), this.now);
         break;
       case 'leave':
-        this.agent.leave('old');
+        this.agent.leave({ incarnation: 'old' });
         break;
       case 'restart':
         // Settings are written anew at each start and name the present target's service.
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -47,16 +47,16 @@
   t.is(target.heartbeat(heartbeat('b', 1), 4), 'incarnation');
   t.is(target.state, TargetState.ready);
   t.is(target.heartbeat(heartbeat('a', 9, true), 5), 'none');
-  t.is(target.leave('a'), 'none');
+  t.is(target.leave({ incarnation: 'a' }), 'none');
   t.is(target.state, TargetState.ready);
-  t.is(target.leave('b'), 'state');
+  t.is(target.leave({ incarnation: 'b' }), 'state');
   t.is(target.heartbeat(heartbeat('b', 2), 6), 'none');
   t.is(target.state, TargetState.gone);
 });
 
 test('a target that leaves before its agent knows it is gone, also for late heartbeats', (t) => {
   const target = new TargetLifecycle('map', 770, 0);
-  t.is(target.leave('a'), 'state');
+  t.is(target.leave({ incarnation: 'a' }), 'state');
   t.is(target.heartbeat(heartbeat('a', 3), 1), 'none');
   t.is(target.state, TargetState.gone);
 });
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -304,7 +304,7 @@
   const world = startWorld(14);
   const leaving = world.agents[0]!;
   world.drain(leaving);
-  leaving.node.targetLeaves(leaving.target.incarnation);
+  leaving.node.targetLeaves(leaving.target.life.id, leaving.target.life.born);
   leaving.target.alive = false;
   leaving.node.beginStop(() => leaving.process.kill());
   world.runFor(500);
--- a/test/support/call-status.ts
+++ b/test/support/call-status.ts
@@ -10,7 +10,8 @@
   body = '',
 ): Promise<number> {
   return new Promise((done) => {
-    const call = request({ host, port, method, path, agent: false }, (response) => {
+    const headers = body === '' ? {} : { 'Content-Length': Buffer.byteLength(body) };
+    const call = request({ host, port, method, path, headers, agent: false }, (response) => {
       response.resume();
       response.on('end', () => done(response.statusCode ?? 0));
     });
--- a/test/target-start-unseen.test.ts
+++ b/test/target-start-unseen.test.ts
@@ -30,9 +30,10 @@
 
 /** A heartbeat of an agent's present target; `age` is how long it has run by its own word. */
 function beat({ world, agent }: Scene, age: number, sequence: number): void {
-  const { incarnation, service, draining } = agent.target;
+  const { service, draining } = agent.target;
+  const { id: incarnation, born } = agent.target.life;
   const coldLeft = world.coldTime - age;
-  agent.node.heartbeat({ incarnation, service, draining, slots: 5, coldLeft, sequence });
+  agent.node.heartbeat({ incarnation, born, service, draining, slots: 5, coldLeft, sequence });
 }
 
 /** @param pause milliseconds between two requests of a flow */
