--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -25,6 +25,7 @@
     answer(
       new Ok({
         items: [{ name: 'table', revision: 1, item: BenchSetup.table }],
+        skipped: 0,
         era: 1,
         revision: 1,
       }),
@@ -32,7 +33,7 @@
   awaitChanges: () => undefined,
 };
 const REGISTRY: AgentRegistryPort = {
-  list: (answer) => answer(new Ok({ items: [], era: 1, revision: 1 })),
+  list: (answer) => answer(new Ok({ items: [], skipped: 0, era: 1, revision: 1 })),
   awaitChanges: () => undefined,
   register: () => undefined,
   remove: () => undefined,
--- a/src/errors/result-codes.ts
+++ b/src/errors/result-codes.ts
@@ -53,4 +53,5 @@
   logUnreadable: code(1503, 'log-unreadable', 'never'),
   scenarioUnknown: code(1601, 'scenario-unknown', 'never'),
   violationsFound: code(1602, 'violations-found', 'never'),
+  heartbeatInvalid: code(1701, 'heartbeat-invalid', 'never'),
 } as const satisfies Record<string, ResultCode>;
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -93,4 +93,7 @@
   storeListed: event(2729, 'store-listed', 'info'),
   storeEraChanged: event(2730, 'store-era-changed', 'warn'),
   routingOutdated: event(2731, 'routing-outdated', 'info'),
+  routesUnreadable: event(2732, 'routes-unreadable', 'warn'),
+  entriesSkipped: event(2733, 'entries-skipped', 'warn'),
+  heartbeatRefused: event(2734, 'heartbeat-refused', 'warn'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/collection-follower.ts
+++ b/src/packets/collection-follower.ts
@@ -54,6 +54,8 @@
   private timer: TimerHandle | undefined;
   /** The store's moment that its latest answer told of. */
   private position = UNKNOWN_POSITION;
+  /** Entries that the latest answer with any has left out. */
+  private skipped = 0;
   /** The latest listing followed from a change of the era, and no call has waited since. */
   private isListingForEra = false;
 
@@ -103,9 +105,10 @@
       }
       this.succeeded();
       this.notePosition(result.val);
-      const { era, items, revision } = result.val;
+      const { era, items, revision, skipped } = result.val;
       const listed = { collection: this.name, era, revision, items: items.length };
       this.environment.report(Events.storeListed, listed);
+      this.noteSkipped(skipped);
       this.observer.listed(result.val);
       this.goOn(result.val, this.pace().firstPause, run);
     });
@@ -135,6 +138,7 @@
         this.succeeded();
         this.isListingForEra = false;
         this.notePosition(result.val);
+        this.noteSkipped(result.val.skipped);
         this.observer.changed(result.val);
         this.goOn(result.val, result.val.changes.length > 0 ? this.pace().pause : 0, run);
         return;
@@ -172,6 +176,14 @@
     }
   }
 
+  /** A listing without such entries is worth no line, nor are the same ones at each listing. */
+  private noteSkipped(skipped: number): void {
+    if (skipped > 0 && skipped !== this.skipped) {
+      this.environment.report(Events.entriesSkipped, { collection: this.name, skipped });
+    }
+    this.skipped = skipped > 0 ? skipped : this.skipped;
+  }
+
   private retry(error: HallholdError, action: () => void): void {
     this.failures++;
     if (this.failures === 1) {
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -21,6 +21,8 @@
 /** All items as of one moment of the store. */
 export interface Listing<T> extends StorePosition {
   readonly items: readonly Revised<T>[];
+  /** Entries that name nothing to use: of another form, as other programs may write them. */
+  readonly skipped: number;
 }
 
 /** One change; `item` is the last state for a removal. */
@@ -31,6 +33,8 @@
 /** Changes after a revision, in order, through `revision`. */
 export interface Changes<T> extends StorePosition {
   readonly changes: readonly Change<T>[];
+  /** As in {@link Listing}. */
+  readonly skipped: number;
 }
 
 /**
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -56,6 +56,7 @@
   packetsMalformed: number;
   requestsQueued: number;
   heartbeats: number;
+  heartbeatsRefused: number;
 }
 
 /** Figures of a packet agent. */
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -52,6 +52,7 @@
     packetsMalformed: 0,
     requestsQueued: 0,
     heartbeats: 0,
+    heartbeatsRefused: 0,
   };
   private readonly link: PacketLink;
   private readonly hops: HopRepair;
@@ -201,8 +202,26 @@
     return this.tracker.busyRequests + this.admission.waitingRequests;
   }
 
-  /** A heartbeat of the target; its acknowledgement is up to the caller, and due at once. */
-  heartbeat(heartbeat: TargetHeartbeat): void {
+  /**
+   * A heartbeat of the target; its acknowledgement is up to the caller, and due at once.
+   * @returns false for one of a service that there is not: another program wrote it
+   */
+  heartbeat(heartbeat: TargetHeartbeat): boolean {
+    const { service } = heartbeat;
+    if (service !== this.settings.service && !this.guard.mayExist(service)) {
+      return false;
+    }
+    this.takeHeartbeat(heartbeat);
+    return true;
+  }
+
+  /** A heartbeat was not of the target, or of no form that is known. */
+  heartbeatRefused(): void {
+    const refused = ++this.counters.heartbeatsRefused;
+    this.dependencies.environment.report(Events.heartbeatRefused, { refused });
+  }
+
+  private takeHeartbeat(heartbeat: TargetHeartbeat): void {
     this.counters.heartbeats++;
     const wasMissing = this.presence.isMissing;
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -499,12 +499,15 @@
     const hasOtherProfiles = !isDeepStrictEqual(this.table?.profiles ?? [], table.profiles);
     this.table = table;
     this.router.apply(table);
-    const { version, routes } = table;
+    const { version, routes, unreadableRoutes = 0 } = table;
     this.dependencies.environment.report(Events.routingApplied, {
       version,
       routes: routes.length,
       origin,
     });
+    if (unreadableRoutes > 0) {
+      this.dependencies.environment.report(Events.routesUnreadable, { version, unreadableRoutes });
+    }
     this.peers.tellWaiting();
     if (hasOtherProfiles) {
       this.subscriptions.forgetAll();
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -46,6 +46,8 @@
   /** Milliseconds after which a flow at rest may be forgotten. */
   readonly idleTimeout: number;
   readonly profiles: readonly ServiceProfile[];
+  /** Routes of its document that could not be read, or only in part; of the store's own table alone. */
+  readonly unreadableRoutes?: number;
 }
 
 const serviceNames = new WeakMap<Route, readonly string[]>();
--- a/src/packets/service-profile-view.ts
+++ b/src/packets/service-profile-view.ts
@@ -18,6 +18,12 @@
     return this.held.services.find(({ service }) => service === this.target.service);
   }
 
+  /** Whether a service may exist: it stands in the routing table, or no table's services are known. */
+  mayExist(name: string): boolean {
+    const { services } = this.held;
+    return services.length === 0 || services.some(({ service }) => service === name);
+  }
+
   /** Takes the profiles of a routing table; those of an earlier one change nothing. */
   learn(told: ServiceProfiles): void {
     if (told.version > this.held.version) {
--- a/src/packets/target-guard.ts
+++ b/src/packets/target-guard.ts
@@ -40,6 +40,11 @@
     this.profiles.learn(profiles);
   }
 
+  /** Whether a service may exist, as far as balancers have told. */
+  mayExist(service: string): boolean {
+    return this.profiles.mayExist(service);
+  }
+
   /** Milliseconds from a request to its answer that are aimed at; 0 while unknown. */
   get latencyGoal(): number {
     return this.profiles.own?.latencyGoal ?? 0;
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -173,7 +173,7 @@
       list: (answer: Answer<Listing<T>>) =>
         this.call(process, answer, () => {
           const items = [...collection.items.values()];
-          return new Ok({ items, era: this.era, revision: this.revision });
+          return new Ok({ items, skipped: 0, era: this.era, revision: this.revision });
         }),
       awaitChanges: (after, waitTime, answer) =>
         this.watch(collection, process, after, waitTime, answer),
@@ -220,7 +220,7 @@
       return failure(ResultCodes.storeWatchExpired, 'history gone');
     }
     const changes = collection.history.filter(({ revision }) => revision > after.revision);
-    return new Ok({ changes, era: this.era, revision: this.revision });
+    return new Ok({ changes, skipped: 0, era: this.era, revision: this.revision });
   }
 
   /** Whether the history after a moment is not to be had. */
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -297,7 +297,7 @@
   const port: CollectionPort<string> = {
     list: (answer) => {
       calls.push('list');
-      answer(new Ok({ items: [], era: 1, revision: 7 }));
+      answer(new Ok({ items: [], skipped: 0, era: 1, revision: 7 }));
     },
     awaitChanges: (after, _waitTime, answer) => {
       calls.push(`watch ${after.revision}`);
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -259,7 +259,11 @@
   const left: string[] = [];
   const server = serveHeartbeats(
     packEndpoint('127.0.0.1', 0),
-    { heartbeat: (beat) => beats.push(beat), targetLeaves: (id) => left.push(id) },
+    {
+      heartbeat: (beat) => beats.push(beat) > 0,
+      heartbeatRefused: () => undefined,
+      targetLeaves: (id) => left.push(id),
+    },
     (error) => t.fail(error.message),
   );
   t.teardown(() => server.close());
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -168,13 +168,13 @@
     revision: 90,
     item: { ...AGENT, address },
   });
-  view.takeListing({ era: 1, revision: 100, items: [listed(1), listed(2)] });
+  view.takeListing({ skipped: 0, era: 1, revision: 100, items: [listed(1), listed(2)] });
   return { directory, view };
 }
 
 test('agents that a later era does not list stay known, and are told to be missing', (t) => {
   const { directory, view } = createViewScene();
-  view.takeListing({ era: 2, revision: 80, items: [] });
+  view.takeListing({ skipped: 0, era: 2, revision: 80, items: [] });
   t.deepEqual(view.position, { era: 2, revision: 80 });
   t.is(directory.size, 2);
   t.is(directory.find(1)!.registryRevision, undefined);
@@ -187,10 +187,11 @@
 
 test('what is told of an earlier era changes nothing, whatever its revisions', (t) => {
   const { directory, view } = createViewScene();
-  view.takeListing({ era: 2, revision: 80, items: [] });
+  view.takeListing({ skipped: 0, era: 2, revision: 80, items: [] });
   const agent = { ...AGENT, address: 3, revision: 105 };
   view.takeDelta({ from: 80, to: 105, changes: [{ agent, removed: false }] }, 1);
   view.takeChanges({
+    skipped: 0,
     era: 1,
     revision: 105,
     changes: [{ name: '3', revision: 105, item: agent, removed: false }],
@@ -203,7 +204,7 @@
 
 test('an agent that was removed in the same era is forgotten, as ever', (t) => {
   const { directory, view } = createViewScene();
-  view.takeListing({ era: 1, revision: 110, items: [] });
+  view.takeListing({ skipped: 0, era: 1, revision: 110, items: [] });
   t.is(directory.size, 0);
 });
 
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -227,7 +227,7 @@
     revision,
   });
   view.takeSnapshot([agent(1, 4), agent(2, 6)], { era: 1, revision: 6 }, 'peer');
-  view.takeListing({ items: [], era: 1, revision: 5 });
+  view.takeListing({ items: [], skipped: 0, era: 1, revision: 5 });
   t.is(directory.size, 2);
   // A removal that is older than the entry known: the agent has registered anew since.
   view.takeDelta({ from: 5, to: 7, changes: [{ agent: agent(1, 3), removed: true }] }, 1);
--- a/test/support/object-api-standin.ts
+++ b/test/support/object-api-standin.ts
@@ -61,6 +61,13 @@
     this.publish({ kind, rev: this.revision, object, gone: false });
   }
 
+  /** Another program leaves something under a name, whatever it is. */
+  putRaw(kind: string, name: string, object: unknown): void {
+    this.revision++;
+    this.kind(kind).set(name, object as Stored);
+    this.publish({ kind, rev: this.revision, object: object as Stored, gone: false });
+  }
+
   /** Removes an object that is there. */
   remove(kind: string, name: string): void {
     const object = this.kind(kind).get(name)!;
--- a/test/target-lives.test.ts
+++ b/test/target-lives.test.ts
@@ -117,7 +117,8 @@
   const server = serveHeartbeats(
     packEndpoint('127.63.1.1', 21_630),
     {
-      heartbeat: () => undefined,
+      heartbeat: () => true,
+      heartbeatRefused: () => undefined,
       targetLeaves: (incarnation, born) => left.push([incarnation, born]),
     },
     (error) => t.fail(error.message),
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -42,7 +42,7 @@
 
 test('the first state known is told even if no zone is out of service', (t) => {
   const { view, changed } = createView();
-  view.takeListing({ items: [], era: 1, revision: 4 });
+  view.takeListing({ items: [], skipped: 0, era: 1, revision: 4 });
   t.true(view.isKnown);
   t.deepEqual(changed, [[]]);
 });
@@ -52,14 +52,24 @@
   const item = { zone: 'south' };
   const change = (revision: number, removed: boolean) =>
     ({ name: 'south', item, revision, removed }) as const;
-  view.takeListing({ items: [], era: 1, revision: 4 });
-  view.takeChanges({ changes: [change(6, false)], era: 1, revision: 6 });
+  view.takeListing({ items: [], skipped: 0, era: 1, revision: 4 });
+  view.takeChanges({ skipped: 0, changes: [change(6, false)], era: 1, revision: 6 });
   t.true(view.isEvacuated('south'));
   // A peer tells that the zone is back; the own call, begun earlier, still tells all of it.
   view.take({ era: 1, revision: 9, zones: [] }, 'peer');
-  view.takeChanges({ changes: [change(6, false), change(9, true)], era: 1, revision: 9 });
+  view.takeChanges({
+    skipped: 0,
+    changes: [change(6, false), change(9, true)],
+    era: 1,
+    revision: 9,
+  });
   t.false(view.isEvacuated('south'));
-  view.takeChanges({ changes: [change(11, false), change(12, true)], era: 1, revision: 12 });
+  view.takeChanges({
+    skipped: 0,
+    changes: [change(11, false), change(12, true)],
+    era: 1,
+    revision: 12,
+  });
   t.deepEqual(view.current, { era: 1, revision: 12, zones: [] });
 });
 
