--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -9,6 +9,18 @@
 const DRAIN_SERVES = 3_500;
 /** Milliseconds without a target; an agent that starts then finds out after two heartbeats of 1 s. */
 const ABSENCE = 6_000;
+/** Milliseconds at most until the operator has written again what a copy lacks. */
+const REWRITE_DELAY = 500;
+/** Revisions by which the store may have passed those of before when it is asked again. */
+const REVISIONS_PASSED = 40;
+const AWAY_MODES = ['unavailable', 'reset', 'silent'] as const;
+const SERIES_STEP = 120;
+const JUNK: readonly unknown[] = [
+  {},
+  null,
+  { meta: { name: 7, rev: 1 } },
+  { meta: { name: 'x', rev: 1 }, spec: { address: {}, service: 1, zone: [] } },
+];
 
 /** What a fault is given to strike. */
 interface FaultScene {
@@ -51,6 +63,43 @@
   later(length, () => (target.conduct = 'usual'));
 }
 
+/** The store is away, and back from a copy; the operator writes its latest word again. */
+function returnStore({ world, length }: FaultScene): void {
+  const machines = [...world.balancers, ...world.agents];
+  machines.forEach(({ gate }) => gate.setMode(world.faultRandom.pick(AWAY_MODES)));
+  later(length / 4, () => {
+    world.returnStore();
+    machines.forEach(({ gate }) => gate.setMode('serving'));
+    later(world.faultRandom.next() * REWRITE_DELAY, () => {
+      world.writeTable();
+      world.store.advance(world.faultRandom.next() < 0.5 ? REVISIONS_PASSED : 0);
+    });
+  });
+}
+
+/** What other programs leave in the store, and send to agents. */
+function leaveJunk({ world, agent }: FaultScene): void {
+  for (const kind of ['config', 'agents', 'evacuations-of-others']) {
+    JUNK.forEach((object, index) => world.store.putRaw(kind, `junk-${index}`, object));
+  }
+  [{ slots: '5' }, { state: 'asleep' }, { service: 'nowhere' }, { seq: -1 }].forEach((fields) =>
+    agent.target.sendForeignBeat(fields),
+  );
+}
+
+/** Signals, a restart and changes of the configuration that overlap. */
+function strikeInSeries({ world, machine, balancer }: FaultScene): void {
+  machine.process.signal('SIGHUP');
+  world.configure(true);
+  later(SERIES_STEP, () => balancer.process.terminate());
+  later(2 * SERIES_STEP, () => {
+    machine.process.signal('SIGHUP');
+    world.configure(world.faultRandom.next() < 0.5);
+  });
+  later(3 * SERIES_STEP, () => machine.process.terminate());
+  later(4 * SERIES_STEP, () => world.configure(true));
+}
+
 function disturbLink(
   { world, length }: FaultScene,
   from: SoakMachine,
@@ -111,6 +160,36 @@
   }),
   unplanned('store forgets', ({ world }) => world.store.forgetHistory()),
   planned('target crashes', ({ agent, length }) => crash(agent, length)),
+  planned('target starts again under its name', ({ agent, length }) => {
+    if (agent.target.alive) {
+      agent.target.crash();
+      later(length / 3, () => void agent.target.start(true));
+    }
+  }),
+  planned('draining target starts again under its name', ({ agent, length }) => {
+    if (agent.target.alive) {
+      agent.target.drain();
+      later(length / 3, () => {
+        if (agent.target.alive) {
+          agent.target.crash();
+          later(length / 3, () => void agent.target.start(true));
+        }
+      });
+    }
+  }),
+  unplanned('agent and target start again under its name', ({ agent, length }) => {
+    if (agent.target.alive) {
+      agent.target.crash();
+      agent.process.kill(length / 4);
+      later(length / 3, () => void agent.target.start(true));
+    }
+  }),
+  unplanned('store returns from a copy', returnStore),
+  planned('junk of others', leaveJunk),
+  planned('series of signals, restarts and changes', (scene) => {
+    [scene.machine, scene.balancer].forEach(({ name }) => scene.world.judge.noteRestart(name));
+    strikeInSeries(scene);
+  }),
   planned('target is away', ({ agent }) => crash(agent, ABSENCE)),
   unplanned('target is away, agent starts', ({ agent }) => {
     crash(agent, ABSENCE);
@@ -154,6 +233,7 @@
 
 /** Strikes with one fault of the world's choice; returns its name and whom it strikes. */
 export function strikeAtRandom(world: SoakWorld): string {
+  world.keepCopy();
   const random = world.faultRandom;
   const balancer = random.pick(world.balancers);
   const agent = random.pick(world.agents);
--- a/test/soak/soak-target.ts
+++ b/test/soak/soak-target.ts
@@ -14,6 +14,8 @@
 
 const HEARTBEAT_INTERVAL = 400;
 const HEARTBEAT_TIMEOUT = 1_000;
+/** Milliseconds for which a target says that it is slow after its start. */
+export const COLD_TIME = 1_200;
 const SLOTS = 5;
 const SEQUENCE_RANGE = 2 ** 31;
 const WORK_TIME = 15;
@@ -53,6 +55,9 @@
 /** The targets that follow each other at one machine. */
 export class SoakTarget {
   incarnation = '';
+  /** What it calls itself; differs from start to start unless it keeps its name. */
+  private id = '';
+  private born = 0;
   alive = false;
   /** Takes no new flow, as one whose queue is full. */
   full = false;
@@ -75,9 +80,11 @@
     private readonly observer: SoakTargetObserver,
   ) {}
 
-  /** Starts a new incarnation with no flows. */
-  async start(): Promise<void> {
+  /** Starts a new incarnation with no flows, under its earlier name or another. */
+  async start(keepsName = false): Promise<void> {
     this.incarnation = `${this.machine}-${++this.starts}`;
+    this.id = keepsName ? this.id : this.incarnation;
+    this.born = Date.now();
     this.draining = this.drainKnown = this.full = false;
     this.conduct = 'usual';
     this.beats = 0;
@@ -109,7 +116,7 @@
 
   /** Ends as planned: says that it leaves, then is gone. */
   leave(): void {
-    this.call('DELETE', '', () => undefined);
+    this.call('DELETE', JSON.stringify({ born: this.born }), () => undefined);
     this.crash();
   }
 
@@ -121,6 +128,12 @@
     return { incarnation: this.incarnation, service: this.service };
   }
 
+  /** Another program sends what looks like a heartbeat of this target. */
+  sendForeignBeat(fields: object): void {
+    const body = { service: this.service, slots: SLOTS, state: 'draining', seq: 1_000_000 };
+    this.call('PUT', JSON.stringify({ ...body, ...fields }), () => undefined);
+  }
+
   private beat(): void {
     const { judged, draining } = this;
     const body = JSON.stringify({
@@ -130,8 +143,9 @@
       version: 'v1',
       slots: SLOTS,
       state: draining ? 'draining' : 'ready',
-      'cold-left-ms': 0,
+      'cold-left-ms': Math.max(0, COLD_TIME - (Date.now() - this.born)),
       seq: ++this.beats,
+      born: this.born,
     });
     this.call('PUT', body, (status) => {
       if (
@@ -152,7 +166,8 @@
         host: this.machine,
         port: this.ports.control,
         method,
-        path: `/hallhold/instances/${this.incarnation}`,
+        path: `/hallhold/instances/${this.id}`,
+        headers: { 'Content-Length': Buffer.byteLength(body) },
         agent: false,
         timeout: HEARTBEAT_TIMEOUT,
       },
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -15,18 +15,21 @@
   type JudgedTarget,
 } from '../../src/simulation/packets/world-judge';
 import { SeededRandom } from '../../src/simulation/seeded-random';
-import { ObjectApiStandin } from '../support/object-api-standin';
+import { ObjectApiStandin, type StoreCopy } from '../support/object-api-standin';
 import type { ClusterPorts } from '../support/packet-cluster';
 import { FrameSwitch, USUAL_LOSS } from './frame-switch';
 import { isTargetsOwn } from './packet-seal';
 import { SoakClient, type SoakClientState } from './soak-client';
 import { SoakProcess } from './soak-process';
 import { SoakRouter } from './soak-router';
-import { SoakTarget } from './soak-target';
+import { COLD_TIME, SoakTarget } from './soak-target';
 import { StoreGate } from './store-gate';
 
 const BASE_PORT = 24_000;
 const STOP_TIME = 3_000;
+const SECOND = 1_000;
+/** Copies of the store kept, one for each fault: the oldest is some six seconds old. */
+const COPIES_KEPT = 4;
 const CLIENT_PORTS = 20_000;
 const FIRST_CLIENT_PORT = 40_000;
 /** A request's id, which begins with its client's address. */
@@ -99,6 +102,8 @@
   private readonly clientMachine: string;
   private router: SoakRouter | undefined;
   private nextClient = 0;
+  private latestTable: unknown;
+  private readonly copies: StoreCopy[] = [];
   private version = 0;
 
   /** @param network second byte of all loopback addresses, which keeps runs apart */
@@ -163,7 +168,7 @@
       services.set(PASSING_ROUTE, 'map');
     }
     this.version += 3;
-    this.store.put('config', 'main', {
+    this.latestTable = {
       version: this.version,
       routes: [...services].map(([destination, service]) => {
         const [host, port] = formatEndpoint(destination).split(':');
@@ -171,12 +176,29 @@
         const type = 'safe';
         return { name: `route-${port}`, host, 'path-prefix': `/${port}/`, service, type };
       }),
-      services: [],
+      services: ['map', 'tiles'].map((name) => ({ name, 'cold-start-s': COLD_TIME / SECOND })),
       limits: {},
-    });
+    };
+    this.writeTable();
     this.judge.configured(new Map([...services].map(([to, service]) => [to, [service]])));
   }
 
+  /** The operator writes its latest configuration, for the first time or again. */
+  writeTable(): void {
+    this.store.put('config', 'main', this.latestTable);
+  }
+
+  /** Keeps a copy of the store, the latest few of them. */
+  keepCopy(): void {
+    this.copies.push(this.store.copy());
+    this.copies.splice(0, this.copies.length - COPIES_KEPT);
+  }
+
+  /** The store comes back from one of its copies. */
+  returnStore(): void {
+    this.store.returnFrom(this.faultRandom.pick(this.copies));
+  }
+
   /** Opens one flow; the returned client goes on by itself. */
   openFlow(destination: Endpoint, requests: number, pause: number): SoakClient {
     const port = FIRST_CLIENT_PORT + (this.nextClient++ % CLIENT_PORTS);
--- a/test/store-copy.test.ts
+++ b/test/store-copy.test.ts
@@ -16,6 +16,7 @@
 import test from 'ava';
 import { packEndpoint } from '../src/core/endpoint';
 import type { Endpoint } from '../src/environment';
+import { REWRITE_TIME } from '../src/packets/store-position';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import {
   MAP_DESTINATION,
@@ -158,3 +159,57 @@
   t.deepEqual(world.violations.flowsReset, []);
   t.deepEqual(versionsOf(world), allAt(world, 2));
 });
+
+test('a balancer that starts while the store is behind takes the later table of its peers', (t) => {
+  const world = startWorld(58);
+  const copy = world.store.copy();
+  world.configure(2, ADDED_ROUTES);
+  world.runFor(2_000);
+  world.store.returnFrom(copy);
+  const [balancer] = world.balancers;
+  world.startBalancer(balancer!);
+  world.runFor(1_000);
+  t.deepEqual(versionsOf(world), allAt(world, 2));
+});
+
+test('agents that the copy lacks enter themselves again, once each, and nobody for them', (t) => {
+  const world = startWorld(59, LARGE);
+  for (let index = 0; index < 24; index++) {
+    world.addAgent('map', 'north');
+  }
+  world.runFor(6_000);
+  const registrations = (): number[] => world.agents.map(({ node }) => node.figures.registrations);
+  const onBehalf = (): number =>
+    world.balancers.reduce((sum, { node }) => sum + node.figures.registryCalls, 0);
+  const before = registrations();
+  const callsBefore = onBehalf();
+  world.store.returnFrom({ ...world.store.copy(), agents: [] });
+  world.runFor(REWRITE_TIME);
+  t.is(world.store.agents.items.size, world.agents.length);
+  t.deepEqual(
+    registrations().map((count, index) => count - before[index]!),
+    world.agents.map(() => 1),
+  );
+  t.is(onBehalf(), callsBefore);
+  t.deepEqual(
+    world.balancers.map(({ node }) => node.figures.agentsKnown),
+    world.balancers.map(() => world.agents.length),
+  );
+});
+
+test('an entry that the copy has brought back of an agent that is gone goes again', (t) => {
+  const world = startWorld(60);
+  const gone = world.addAgent('map', 'north');
+  world.runFor(3_000);
+  const copy = world.store.copy();
+  gone.process.kill();
+  gone.target.alive = false;
+  world.store.lapse(String(gone.address));
+  world.runFor(5_000);
+  world.store.returnFrom(copy);
+  world.runFor(1_000);
+  t.true(world.store.agents.items.has(String(gone.address)), 'the copy has it');
+  world.runFor(15_000);
+  t.false(world.store.agents.items.has(String(gone.address)));
+  world.balancers.forEach(({ node }) => t.is(node.directory.find(gone.address), undefined));
+});
