--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -2,7 +2,6 @@
  * A balancer of the packet interface: receives clients' packets and sends each to the
  * agent beside the target that holds, or will hold, its flow.
  */
-import { isDeepStrictEqual } from 'node:util';
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
@@ -28,11 +27,12 @@
 } from './packet-balancer-contracts';
 import { RegistryView } from './registry-view';
 import { RegistryUpkeep } from './registry-upkeep';
-import { UNKNOWN_PROFILES, type ServiceProfiles, type RoutingTable } from './routing-table';
+import type { RoutingTable } from './routing-table';
 import { LONGEST_BACKLOG, StartupGate } from './startup/startup-gate';
 import { StartupRelay } from './startup/startup-relay';
 import { ViewSettling } from './startup/view-settling';
 import { StoreReading } from './store-reading';
+import { TableInForce } from './table-in-force';
 import { TrafficRelay, type BalancerStatus } from './traffic-relay';
 import { ZoneDetour } from './zone-detour';
 import { ZoneEvacuationView } from './zone-evacuations';
@@ -62,7 +62,7 @@
   private readonly evacuations: ZoneEvacuationView;
   private readonly locality: Locality;
   private readonly timers: NodeTimers;
-  private table: RoutingTable | undefined;
+  private readonly table: TableInForce;
   private stopping = false;
   private wasReady = false;
   private readonly gate: StartupGate;
@@ -85,6 +85,9 @@
     this.cache = new FlowCache(CACHED_FLOWS, settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
+    this.table = new TableInForce(environment, (table, hasOtherProfiles) =>
+      this.applyTable(table, hasOtherProfiles),
+    );
     this.evacuations = new ZoneEvacuationView(environment, (zones) => this.tellOfZones(zones));
     this.locality = new Locality(settings, environment, this.directory, (agent, probe) =>
       this.link.send(agent, probe),
@@ -172,7 +175,7 @@
 
   get figures(): PacketBalancerFigures {
     return {
-      routingVersion: this.table?.version ?? 0,
+      routingVersion: this.table.version,
       agentsKnown: this.directory.size,
       agentsHeard: this.countHeard(),
       agentsSetAside: this.router.agentsSetAside,
@@ -197,7 +200,7 @@
   /** What a peer may take over. */
   get snapshot(): PeerSnapshot {
     return {
-      routingTable: this.table,
+      routingTable: this.table.current,
       viewComplete: this.directory.isComplete,
       agents: this.listedAgents,
       registryRevision: this.view.revision,
@@ -259,14 +262,9 @@
     }
   }
 
-  private get profiles(): ServiceProfiles {
-    const { table } = this;
-    return table ? { version: table.version, services: table.profiles } : UNKNOWN_PROFILES;
-  }
-
   private get hasView(): boolean {
     const knowsZones = this.dependencies.evacuatedZones === undefined || this.evacuations.isKnown;
-    return this.table !== undefined && this.directory.isComplete && knowsZones;
+    return this.table.current !== undefined && this.directory.isComplete && knowsZones;
   }
 
   /** Whether any flow can be routed or relayed now, by a balancer that is wanted or not. */
@@ -292,7 +290,7 @@
       relay: this.settings.earlyStart && !this.relay.isWanted ? this.startupRelay : undefined,
       clusterSize: () => this.peers.clusterSize,
       handOn: (to, bytes) => this.dependencies.relay(to, bytes),
-      table: () => this.table,
+      table: () => this.table.current,
       routeOf: (packet) => this.router.routeOf(packet),
       route: (bytes) => this.routeDatagram(bytes),
     });
@@ -371,7 +369,7 @@
       (agents, message) => this.link.sendToAll(agents, message),
       () => ({
         evacuations: this.evacuations.currentIn(this.view.position.era),
-        profiles: this.profiles,
+        profiles: this.table.profiles,
       }),
       () => this.eras,
     );
@@ -418,7 +416,7 @@
       detours: this.detours,
       lacksView: () => !this.hasView,
       evacuations: this.evacuations,
-      routingVersion: () => this.table?.version ?? 0,
+      routingVersion: () => this.table.version,
       ownStatus: () => this.ownStatus,
       snapshotReceived: (peer, snapshot) => this.takeSnapshot(peer, snapshot),
       agentsReceived: (agents) => this.view.learnAgents(agents),
@@ -452,7 +450,7 @@
       clusterSize: () => this.peers.clusterSize,
       hasView: () => this.hasView,
       isFetching: () => this.peers.isFetching,
-      takeTable: (table) => this.takeTable(table, 'store'),
+      takeTable: (table) => this.table.take(table, 'store'),
       takeListing: (listing) => {
         this.view.takeListing(listing);
         this.peers.announce();
@@ -481,7 +479,7 @@
     const { agents, registryRevision, routingTable, storeEra, viewComplete } = snapshot;
     const origin = formatEndpoint(peer);
     if (routingTable) {
-      this.takeTable(routingTable, origin);
+      this.table.take(routingTable, origin);
     }
     if (viewComplete) {
       this.view.takeSnapshot(agents, { era: storeEra, revision: registryRevision }, origin);
@@ -490,24 +488,9 @@
     }
   }
 
-  /** Puts a table in force if it is newer than the present one. */
-  private takeTable(table: RoutingTable, origin: string): void {
-    if (this.table && table.version <= this.table.version) {
-      this.reportOutdated(table, this.table, origin);
-      return;
-    }
-    const hasOtherProfiles = !isDeepStrictEqual(this.table?.profiles ?? [], table.profiles);
-    this.table = table;
+  /** Another table is in force: routes go by it, and agents are told what it says of services. */
+  private applyTable(table: RoutingTable, hasOtherProfiles: boolean): void {
     this.router.apply(table);
-    const { version, routes, unreadableRoutes = 0 } = table;
-    this.dependencies.environment.report(Events.routingApplied, {
-      version,
-      routes: routes.length,
-      origin,
-    });
-    if (unreadableRoutes > 0) {
-      this.dependencies.environment.report(Events.routesUnreadable, { version, unreadableRoutes });
-    }
     this.peers.tellWaiting();
     if (hasOtherProfiles) {
       this.subscriptions.forgetAll();
@@ -516,16 +499,6 @@
     this.updateReadiness();
   }
 
-  private reportOutdated(table: RoutingTable, inForce: RoutingTable, origin: string): void {
-    if (table.version < inForce.version) {
-      this.dependencies.environment.report(Events.routingOutdated, {
-        version: table.version,
-        inForce: inForce.version,
-        origin,
-      });
-    }
-  }
-
   /** Zones went out of service or came back: tells their agents, and other balancers. */
   private tellOfZones(zones: readonly string[]): void {
     this.subscriptions.forgetIn(zones);
--- /dev/null
+++ b/src/packets/table-in-force.ts
@@ -0,0 +1,56 @@
+/** The routing table that one balancer goes by: replaced by a later version only, whoever tells it. */
+import { isDeepStrictEqual } from 'node:util';
+import type { Environment } from '../environment';
+import { Events } from '../logging/events';
+import { UNKNOWN_PROFILES, type RoutingTable, type ServiceProfiles } from './routing-table';
+
+/** Told that another table is in force, and whether it says something else of services. */
+export type TableObserver = (table: RoutingTable, hasOtherProfiles: boolean) => void;
+
+/** The table of one balancer. */
+export class TableInForce {
+  private table: RoutingTable | undefined;
+
+  constructor(
+    private readonly environment: Environment,
+    private readonly changed: TableObserver,
+  ) {}
+
+  get current(): RoutingTable | undefined {
+    return this.table;
+  }
+
+  /** Its version; 0 without any. */
+  get version(): number {
+    return this.table?.version ?? 0;
+  }
+
+  /** What it says of services. */
+  get profiles(): ServiceProfiles {
+    const { table } = this;
+    return table ? { version: table.version, services: table.profiles } : UNKNOWN_PROFILES;
+  }
+
+  /**
+   * Puts a table in force if it is of a later version: a store that has come back from a copy may list
+   * an earlier one until the operator writes again.
+   * @param origin the store, or the peer that told it; for the log
+   */
+  take(table: RoutingTable, origin: string): void {
+    const { version: inForce } = this;
+    const { version, routes, unreadableRoutes = 0 } = table;
+    if (this.table && version <= inForce) {
+      if (version < inForce) {
+        this.environment.report(Events.routingOutdated, { version, inForce, origin });
+      }
+      return;
+    }
+    const hasOtherProfiles = !isDeepStrictEqual(this.table?.profiles ?? [], table.profiles);
+    this.table = table;
+    this.environment.report(Events.routingApplied, { version, routes: routes.length, origin });
+    if (unreadableRoutes > 0) {
+      this.environment.report(Events.routesUnreadable, { version, unreadableRoutes });
+    }
+    this.changed(table, hasOtherProfiles);
+  }
+}
