--- a/src/packets/zone-evacuations.ts
+++ b/src/packets/zone-evacuations.ts
@@ -98,11 +98,11 @@
     this.take({ era, revision, zones: [...zones] }, 'store');
   }
 
-  /** Takes what another node knows; what is not later changes nothing. */
+  /** Takes what another node knows; what is not later, or says nothing, changes nothing. */
   take(told: ZoneEvacuations, origin: string): void {
     const before = this.held;
     const taken = placeInEra(told, before);
-    if (!isLater(taken, before)) {
+    if (told.revision === 0 || !isLater(taken, before)) {
       return;
     }
     const zonesBefore = this.zones;
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -22,7 +22,7 @@
   REWRITE_TIME,
   type StorePosition,
 } from '../src/packets/store-position';
-import { ZoneEvacuationView } from '../src/packets/zone-evacuations';
+import { UNKNOWN_EVACUATIONS, ZoneEvacuationView } from '../src/packets/zone-evacuations';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { MODEL_ROUTES, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { answerOf } from './support/answers';
@@ -222,6 +222,16 @@
   t.deepEqual(changed, [['south'], ['south']]);
 });
 
+test('a node that tells nothing of zones in the later era changes nothing', (t) => {
+  const harness = new RouterHarness([]);
+  const view = new ZoneEvacuationView(harness.environment, () => undefined);
+  view.take({ era: 1, revision: 20, zones: ['south'] }, 'store');
+  view.take({ ...UNKNOWN_EVACUATIONS, era: 2 }, 'peer');
+  t.true(view.isKnown);
+  harness.pass(REWRITE_TIME + 1);
+  t.true(view.isEvacuated('south'));
+});
+
 test('the last word of the operator counts, in the later era', (t) => {
   const harness = new RouterHarness([]);
   const view = new ZoneEvacuationView(harness.environment, () => undefined);
