--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -59,6 +59,8 @@
   draining = false;
   /** Answers every request with a failure, at once. */
   failing = false;
+  /** Stands still: takes and sends nothing, and goes on later with what has come meanwhile. */
+  private postponed: Buffer[] | undefined;
   /** Refuses new flows, as one whose queue is full. */
   full = false;
 
@@ -90,8 +92,22 @@
     return this.alive && this.flows.get(flow)?.open === true;
   }
 
+  /** Stands still for so many milliseconds. */
+  stall(milliseconds: number): void {
+    this.postponed = [];
+    this.clock.schedule(milliseconds, () => {
+      const { postponed } = this;
+      this.postponed = undefined;
+      postponed?.forEach((bytes) => this.receive(bytes));
+    });
+  }
+
   /** A datagram from the target's agent. */
   receive(bytes: Buffer): void {
+    if (this.postponed) {
+      this.postponed.push(Buffer.from(bytes));
+      return;
+    }
     const packet = this.alive ? modelPacketFormat.decodeFromClient(bytes) : undefined;
     if (packet) {
       this.take(packet);
@@ -152,6 +168,10 @@
 
   private answer(packet: FlowPacket, flow: ModelFlow): void {
     const answer = flow.answered.get(packet.sequence);
+    if (this.postponed) {
+      this.clock.schedule(this.workTime, () => this.answer(packet, flow));
+      return;
+    }
     if (!this.alive || answer === undefined) {
       return;
     }
