--- a/src/packets/delivery-rules.ts
+++ b/src/packets/delivery-rules.ts
@@ -10,9 +10,11 @@
 export interface TargetCondition {
   readonly service: string;
   readonly state: TargetStateValue;
-  /** It has left every opening packet without an answer of late. */
+  /** It has left every opening packet without an answer of late, and may stand still only. */
   readonly isDown: boolean;
-  /** It is down, and may be tried with an opening packet now. */
+  /** Nobody listens at its address any more: it holds no flow. */
+  readonly isDead: boolean;
+  /** It is down or dead, and may be tried with an opening packet now. */
   readonly isProbeDue: boolean;
   /** Another incarnation, of another service, may have taken its place. */
   readonly isServiceDisputed: boolean;
@@ -35,7 +37,10 @@
   if (!services.includes(target.service)) {
     return RefusalReason.otherService;
   }
-  if (target.isDown && !(opens && target.isProbeDue)) {
+  if (target.isDead && !opens) {
+    return RefusalReason.targetDown;
+  }
+  if ((target.isDown || target.isDead) && opens && !target.isProbeDue) {
     return RefusalReason.targetDown;
   }
   if (!opens) {
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -35,6 +35,7 @@
 import { SHORTEST_REPORT_INTERVAL } from './report-interval';
 import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
+import { TargetDeath } from './target-death';
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
@@ -68,6 +69,7 @@
   private readonly guard: TargetGuard;
   private readonly answers: AnswerRepair;
   private readonly presence: TargetPresence;
+  private readonly death: TargetDeath;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
   private hasTargetSent = false;
@@ -105,7 +107,9 @@
     );
     const { coldLimit, zone } = settings;
     const { health, target } = this;
-    this.guard = new TargetGuard({ environment, zone, coldLimit, target, health });
+    this.death = new TargetDeath(dependencies.targetProbe, () => this.targetDied());
+    const { death } = this;
+    this.guard = new TargetGuard({ environment, zone, coldLimit, target, health, death });
     this.admission = new TargetAdmission({
       target: this.target,
       tracker: this.tracker,
@@ -223,6 +227,7 @@
 
   private takeHeartbeat(heartbeat: TargetHeartbeat): void {
     this.counters.heartbeats++;
+    this.death.heard();
     const wasMissing = this.presence.isMissing;
     const change = this.target.heartbeat(heartbeat, this.dependencies.environment.now());
     if (change === 'incarnation') {
@@ -328,6 +333,7 @@
       return;
     }
     this.health.heard();
+    this.death.heard();
     if (packet.refused) {
       this.intake.returned(packet);
       return;
@@ -426,16 +432,23 @@
     for (let left = this.tracker.giveUpRequests(now); left > 0; left--) {
       this.health.requestGivenUp(now);
     }
-    if (this.health.isDown(now) && !wasDown) {
+    const isDown = this.health.isDown(now);
+    if (isDown && !wasDown) {
       this.reportTarget();
-      this.intake.refuseWaiting();
     }
+    this.death.check(isDown, now);
     this.admission.expire(now);
     this.admission.releaseWaiting(now);
     this.reporter.reportIfWorse();
     this.reporter.reportWhereDue();
   }
 
+  /** Clients of its flows are told now, those whose requests wait here among them. */
+  private targetDied(): void {
+    this.reportTarget();
+    this.intake.refuseWaiting();
+  }
+
   /** Tells every balancer of a change at once, and again shortly after. */
   private announce(): void {
     this.reporter.report();
@@ -452,6 +465,7 @@
       openFlows: this.tracker.openFlows,
       knowsAllFlows: this.target.isKnownFromStart,
       isDown: this.health.isDown(this.dependencies.environment.now()),
+      isDead: this.death.isProved,
     });
   }
 }
--- a/src/packets/target-guard.ts
+++ b/src/packets/target-guard.ts
@@ -7,6 +7,7 @@
 import { ColdLimit, type ColdLimitSettings } from './cold-limit';
 import { refusalOf, type TargetCondition } from './delivery-rules';
 import type { RefusalReasonValue, SubscribeMessage } from './packet-messages';
+import type { TargetDeath } from './target-death';
 import type { TargetHealth } from './target-health';
 import type { TargetLifecycle } from './target-lifecycle';
 import { ServiceProfileView } from './service-profile-view';
@@ -19,6 +20,7 @@
   readonly coldLimit: ColdLimitSettings | undefined;
   readonly target: TargetLifecycle;
   readonly health: TargetHealth;
+  readonly death: TargetDeath;
 }
 
 /** The guard of one target. */
@@ -71,12 +73,13 @@
   }
 
   private get condition(): TargetCondition {
-    const { environment, health, target, zone } = this.dependencies;
+    const { death, environment, health, target, zone } = this.dependencies;
     const now = environment.now();
     return {
       service: target.service,
       state: target.state,
       isDown: health.isDown(now),
+      isDead: death.isProved,
       isProbeDue: health.isProbeDue(now),
       isServiceDisputed: target.isServiceDisputed,
       isEvacuated: this.evacuations.isEvacuated(zone),
