--- a/src/packets/delivery-rules.ts
+++ b/src/packets/delivery-rules.ts
@@ -37,15 +37,17 @@
   if (!services.includes(target.service)) {
     return RefusalReason.otherService;
   }
-  if (target.isDead && !opens) {
-    return RefusalReason.targetDown;
+  if (opens) {
+    return refusalOfOpening(target);
   }
-  if ((target.isDown || target.isDead) && opens && !target.isProbeDue) {
+  return target.isDead ? RefusalReason.targetDown : undefined;
+}
+
+/** Why the target must not get a new flow; undefined when it may. */
+function refusalOfOpening(target: TargetCondition): RefusalReasonValue | undefined {
+  if ((target.isDown || target.isDead) && !target.isProbeDue) {
     return RefusalReason.targetDown;
   }
-  if (!opens) {
-    return undefined;
-  }
   if (target.isServiceDisputed) {
     return RefusalReason.otherService;
   }
