--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -27,7 +27,7 @@
   {
     seed: 2_068_604_218,
     cause:
-      'SIGHUP came while a process that had been killed was loading its program (1 to 2 s, beside hunts on all processors) and ended it. The soak started main.js, which sets the handler when all is loaded; it starts launch.js now, as deployments do. While Node itself boots the signal still ends the process',
+      'SIGHUP came while a process that had been killed was loading its program (1 to 2 s, beside hunts on all processors) and ended it. The soak started main.js, which sets the handler when all is loaded; it starts launch.js now, as deployments do. While Node itself boots the signal still ends the process, and it failed again so beside six days of the bench, as starts took 1 to 5 s',
   },
   {
     seed: 663_315_610,
