--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -33,4 +33,9 @@
     seed: 663_315_610,
     cause: 'the same, twice: a series of signals met a balancer that had just been started again',
   },
+  {
+    seed: 271_348_541,
+    cause:
+      'the same, while Node itself booted: an agent got a signal to reload half a second after its start',
+  },
 ];
