--- a/test/foreign-entries.test.ts
+++ b/test/foreign-entries.test.ts
@@ -21,7 +21,13 @@
 import { startModelDeployment } from '../src/simulation/packets/random-faults';
 import { answerOf } from './support/answers';
 import { callStatus } from './support/call-status';
-import { PacketClient, PacketCluster, PacketTarget, waitFor } from './support/packet-cluster';
+import {
+  createPorts,
+  PacketClient,
+  PacketCluster,
+  PacketTarget,
+  waitFor,
+} from './support/packet-cluster';
 
 const SETTINGS = { seed: 20_261_203, numRuns: 400 };
 
@@ -313,14 +319,7 @@
 
 test('processes start, serve and go on beside such entries', async (t) => {
   const base = 23_700;
-  const cluster = new PacketCluster({
-    frames: base,
-    packets: base + 1,
-    outbound: base + 2,
-    application: base + 3,
-    ready: base + 4,
-    control: base + 5,
-  });
+  const cluster = new PacketCluster(createPorts(base));
   const route = ['198.18.0.1', 8_443] as const;
   await cluster.start();
   const { store } = cluster;
--- a/test/packet-processes.test.ts
+++ b/test/packet-processes.test.ts
@@ -3,6 +3,7 @@
 import test, { type ExecutionContext } from 'ava';
 import { createSocket } from 'node:dgram';
 import {
+  createPorts,
   encodePacket,
   PacketClient,
   PacketCluster,
@@ -31,14 +32,7 @@
 /** Two balancers, two agents with their targets, one client. `net` keeps tests apart. */
 async function createScene(t: ExecutionContext, net: number): Promise<Scene> {
   const base = 21_000 + net * 10;
-  const cluster = new PacketCluster({
-    frames: base,
-    packets: base + 1,
-    outbound: base + 2,
-    application: base + 3,
-    ready: base + 4,
-    control: base + 5,
-  });
+  const cluster = new PacketCluster(createPorts(base));
   await cluster.start();
   cluster.store.put('config', 'main', CONFIGURATION);
   const balancers = [`127.${net}.1.1`, `127.${net}.1.2`];
--- a/test/packet-store-copy.test.ts
+++ b/test/packet-store-copy.test.ts
@@ -5,7 +5,13 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
-import { PacketClient, PacketCluster, PacketTarget, waitFor } from './support/packet-cluster';
+import {
+  createPorts,
+  PacketClient,
+  PacketCluster,
+  PacketTarget,
+  waitFor,
+} from './support/packet-cluster';
 
 const FIRST_ROUTE = ['198.18.0.1', 8_443] as const;
 const ADDED_ROUTE = ['198.18.0.2', 8_443] as const;
@@ -39,14 +45,7 @@
 /** One balancer that reads for itself, an agent with its target, and a client of the later route. */
 async function createScene(t: ExecutionContext, net: number): Promise<Scene> {
   const base = 23_000 + net * 10;
-  const cluster = new PacketCluster({
-    frames: base,
-    packets: base + 1,
-    outbound: base + 2,
-    application: base + 3,
-    ready: base + 4,
-    control: base + 5,
-  });
+  const cluster = new PacketCluster(createPorts(base));
   await cluster.start();
   cluster.store.advance(100);
   cluster.store.put('config', 'main', configurationOf(5, [FIRST_ROUTE]));
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -19,6 +19,7 @@
   startModelDeployment,
   TILE_DESTINATION,
 } from '../src/simulation/packets/random-faults';
+import { NO_VIOLATIONS } from './support/violations';
 
 const MAP = MAP_DESTINATION;
 const TILES = TILE_DESTINATION;
@@ -35,16 +36,6 @@
   return world.clients.filter((client) => client.state === state).length;
 }
 
-const NO_VIOLATIONS = {
-  flowsReset: [],
-  strayed: [],
-  doubled: [],
-  misrouted: [],
-  mixed: [],
-  drained: [],
-  outdated: [],
-};
-
 test('a calm deployment serves every flow and balances them', (t) => {
   const world = startWorld();
   openFlows(world, 60);
--- a/test/support/packet-cluster.ts
+++ b/test/support/packet-cluster.ts
@@ -24,6 +24,18 @@
   readonly control: number;
 }
 
+/** Six ports in a row, for a cluster of its own. */
+export function createPorts(first: number): ClusterPorts {
+  return {
+    frames: first,
+    packets: first + 1,
+    outbound: first + 2,
+    application: first + 3,
+    ready: first + 4,
+    control: first + 5,
+  };
+}
+
 /** A head with data; the sum is left empty, since only the ends read it. */
 export function encodePacket(
   source: readonly [string, number],
--- a/test/target-lives.test.ts
+++ b/test/target-lives.test.ts
@@ -7,20 +7,11 @@
 import { PacketWorld, type WorldAgent } from '../src/simulation/packets/packet-world';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { callStatus } from './support/call-status';
+import { NO_VIOLATIONS } from './support/violations';
 
 const INTERVAL = 1_000;
 const EARLIER = 1_796_000_000_000;
 const LATER = EARLIER + 20_000;
-const NO_VIOLATIONS = {
-  flowsReset: [],
-  strayed: [],
-  doubled: [],
-  misrouted: [],
-  mixed: [],
-  drained: [],
-  outdated: [],
-};
-
 function beat(fields: Partial<TargetHeartbeat>): TargetHeartbeat {
   const state = { service: 'map', slots: 4, draining: false, coldLeft: 0, sequence: 1 };
   return { incarnation: 'i-1', ...state, ...fields };
