--- a/src/bench/packets.ts
+++ b/src/bench/packets.ts
@@ -120,7 +120,7 @@
       failurePercent: 0,
       flowBytes: 0,
       frameVersion: this.frameVersion,
-      knowsAllFlows: 0,
+      flowKnowledge: 0,
       balancerCount: 1,
       balancers: [],
     };
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -96,4 +96,7 @@
   routesUnreadable: event(2732, 'routes-unreadable', 'warn'),
   entriesSkipped: event(2733, 'entries-skipped', 'warn'),
   heartbeatRefused: event(2734, 'heartbeat-refused', 'warn'),
+  routeTermsMissing: event(2735, 'route-terms-missing', 'warn'),
+  requestsGivenUp: event(2736, 'requests-given-up', 'info'),
+  searchStalled: event(2737, 'search-stalled', 'warn'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -9,6 +9,7 @@
 import { silenceLimit } from './report-interval';
 import { ZoneReach } from './zone-reach';
 import {
+  FlowKnowledge,
   TargetState,
   type AgentRecord,
   type ReportMessage,
@@ -21,6 +22,18 @@
  */
 const OPENING_TIME = 10;
 
+/**
+ * Milliseconds for which the word of an agent holds that there is no target beside it, once it is
+ * silent: a removal of its entry spreads in less, and a target that came later would be heard.
+ */
+const NO_TARGET_TIME = 3_000;
+
+/**
+ * Milliseconds between sending an opening packet and the first answer on its flow, by which its
+ * agent knows that the flow is open, where requests hardly wait.
+ */
+const FIRST_ANSWER_TIME = 100;
+
 /**
  * Milliseconds in which every balancer hears of a new agent: changes of the registry gather for
  * one second at those who read them, and are told at once.
@@ -58,6 +71,8 @@
   limitedUntil: number;
   /** When this balancer sent it opening packets that no report shows yet; rising. */
   recentOpenings: number[];
+  /** When this balancer sent it flows that stay, and that no report shows to be open yet; rising. */
+  recentFlows: number[];
 }
 
 /** The agents by address. */
@@ -121,11 +136,20 @@
     return wasListed || lastTargetState !== undefined || hasFlows;
   }
 
-  /** An agent is sent an opening packet. */
-  noteOpening({ recentOpenings }: AgentEntry, now: number): void {
-    recentOpenings.push(now);
-    if (recentOpenings.length > MAXIMUM_OPENINGS) {
-      recentOpenings.shift();
+  /** Whether an agent has said, a moment ago, that there is no target beside it: it holds no flow. */
+  hasNoTarget({ heardAt, report }: AgentEntry, now: number): boolean {
+    const wasTold = report?.flowKnowledge === FlowKnowledge.noTarget;
+    return wasTold && heardAt !== undefined && now - heardAt <= NO_TARGET_TIME;
+  }
+
+  /**
+   * An agent is sent an opening packet.
+   * @param staysOpen whether the flow is expected to carry several requests
+   */
+  noteOpening({ recentOpenings, recentFlows }: AgentEntry, staysOpen: boolean, now: number): void {
+    addTime(recentOpenings, now);
+    if (staysOpen) {
+      addTime(recentFlows, now);
     }
   }
 
@@ -173,6 +197,7 @@
       knownSince: now,
       limitedUntil: 0,
       recentOpenings: [],
+      recentFlows: [],
     };
     this.drop(record.address);
     this.entries.set(record.address, entry);
@@ -201,6 +226,7 @@
     entry.heardAt = now;
     this.zones.heard(zone, now);
     entry.recentOpenings = entry.recentOpenings.filter((at) => at > now - OPENING_TIME);
+    entry.recentFlows = entry.recentFlows.filter((at) => at > now - FIRST_ANSWER_TIME);
     return entry;
   }
 
@@ -247,6 +273,14 @@
   }
 }
 
+/** Adds a time to a list that is bounded: the earliest one goes. */
+function addTime(times: number[], now: number): void {
+  times.push(now);
+  if (times.length > MAXIMUM_OPENINGS) {
+    times.shift();
+  }
+}
+
 function isSameRecord(one: AgentRecord, other: AgentRecord): boolean {
   return one.service === other.service && one.zone === other.zone;
 }
--- a/src/packets/choice/expected-wait.ts
+++ b/src/packets/choice/expected-wait.ts
@@ -5,6 +5,8 @@
 import type { AgentEntry } from '../agent-directory';
 import { CANDIDATES } from '../flow-candidates';
 import { TargetState } from '../packet-messages';
+import { fillUp } from './filling';
+import { measureLaterWaits } from './kept-flows';
 import {
   acceptsNewFlows,
   PlacementClass,
@@ -59,9 +61,12 @@
   readonly ownTime: number;
 }
 
-/** A candidate with the milliseconds until the answer to a flow of this balancer. */
+/** A candidate with what a flow of this balancer would have there. */
 interface Offer extends Candidate {
+  /** Milliseconds until its first answer. */
   readonly time: number;
+  /** Milliseconds for which its later requests wait, all together. */
+  readonly laterWait: number;
 }
 
 /**
@@ -78,7 +83,7 @@
   const outlook = outlookOf(accepting, context.openingRate);
   const trial = findTrial(accepting.slice(0, CANDIDATES), context);
   if (trial) {
-    return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, context), true);
+    return choiceOf(offerOf(candidateOf(trial, outlook, context), 0, 0, context), true);
   }
   const width = widthOf(accepting, context);
   const offers = createOffers(accepting.slice(0, width), outlook, context);
@@ -126,10 +131,15 @@
   context: SelectionContext,
 ): Offer[] {
   const candidates = entries.map((entry) => candidateOf(entry, outlook, context));
+  const { requestsPerFlow, rivalShare } = context;
+  const rivals = (outlook.balancers - 1) * rivalShare;
+  const laterWaits = measureLaterWaits(entries, outlook, { requestsPerFlow, rivals });
   return Object.values(PlacementClass).flatMap((wanted) => {
     const ofClass = candidates.filter(({ placementClass }) => placementClass === wanted);
-    const level = levelOf(ofClass, (outlook.balancers - 1) * context.rivalShare);
-    return ofClass.map((candidate) => offerOf(candidate, level, context));
+    const level = levelOf(ofClass, rivals);
+    return ofClass.map((candidate) =>
+      offerOf(candidate, level, laterWaits.get(candidate.entry) ?? 0, context),
+    );
   });
 }
 
@@ -197,24 +207,12 @@
  * @param rivals other balancers that place among the same agents
  */
 function levelOf(candidates: readonly Candidate[], rivals: number): number {
-  const filling = [...candidates].sort((one, other) => timeOf(one) - timeOf(other));
-  let left = 0;
-  for (const { delay, ownTime } of filling) {
-    left += (ownTime / delay) * rivals;
+  let requests = 0;
+  for (const { delay, ownTime } of candidates) {
+    requests += (ownTime / delay) * rivals;
   }
-  let level = 0;
-  /** Requests that raise the level by a millisecond. */
-  let width = 0;
-  for (const candidate of filling) {
-    const needed = (timeOf(candidate) - level) * width;
-    if (needed >= left) {
-      break;
-    }
-    left -= needed;
-    level = timeOf(candidate);
-    width += 1 / candidate.delay;
-  }
-  return width > 0 ? level + left / width : 0;
+  const places = candidates.map((one) => ({ level: timeOf(one), width: 1 / one.delay }));
+  return fillUp(places, requests);
 }
 
 /** Milliseconds by which every balancer compares a candidate, each with its own costs besides. */
@@ -222,10 +220,16 @@
   return reportedTime + failureCost;
 }
 
-function offerOf(candidate: Candidate, level: number, context: SelectionContext): Offer {
+function offerOf(
+  candidate: Candidate,
+  level: number,
+  laterWait: number,
+  context: SelectionContext,
+): Offer {
   const { entry, reportedTime, failureCost, ownTime } = candidate;
   const answeredAfter = Math.max(reportedTime, level) + ownTime;
-  return { ...candidate, time: answeredAfter + failureCost + context.transferCost(entry) };
+  const time = answeredAfter + failureCost + context.transferCost(entry);
+  return { ...candidate, time, laterWait };
 }
 
 /** The best of the best class; a doubtful one where every able one makes flows wait too long. */
@@ -257,7 +261,7 @@
     if (offer.placementClass !== wanted) {
       continue;
     }
-    const time = offer.time + context.random() * window;
+    const time = offer.time + offer.laterWait + context.random() * window;
     if (time < bestTime) {
       best = offer;
       bestTime = time;
--- a/src/packets/choice/selection.ts
+++ b/src/packets/choice/selection.ts
@@ -35,6 +35,8 @@
   readonly usesExpectedWait: boolean;
   /** New flows that this balancer places with the service in a millisecond, in the mean of late. */
   readonly openingRate: number;
+  /** Requests that the flow is expected to carry; 1 for one that ends with its first. */
+  readonly requestsPerFlow: number;
   /** Part of the other balancers that place among the same agents, 0 to 1. */
   readonly rivalShare: number;
   isHeard(entry: AgentEntry): boolean;
--- a/src/packets/choice/service-outlook.ts
+++ b/src/packets/choice/service-outlook.ts
@@ -15,6 +15,8 @@
  * so each would send its flows to whichever target has lately had some easy requests.
  */
 const EQUAL_FACTOR = 1.5;
+/** A target that has not been timed is taken to be as slow as the quicker of the slowest quarter. */
+const SLOWER_QUARTER = 0.75;
 
 /** The state of one service as this balancer knows it. */
 export interface ServiceOutlook {
@@ -24,6 +26,10 @@
   readonly meanBusy: number;
   /** Milliseconds that a request waits in the mean. */
   readonly meanWait: number;
+  /** Milliseconds of an answer at the slower quarter of the targets at least. */
+  readonly slowAnswerTime: number;
+  /** Part of its slots that the service has in use, 0 to 1. */
+  readonly use: number;
   /** Mean number of open flows at an agent. */
   readonly meanFlows: number;
   /** Milliseconds for which a flow stays open in the mean; infinite while no openings are known. */
@@ -42,6 +48,7 @@
   let busy = 0;
   let flows = 0;
   let slots = 0;
+  let slotsInUse = 0;
   let balancers = 1;
   for (const { report } of entries) {
     if (!report) {
@@ -49,7 +56,9 @@
     }
     agents++;
     busy += report.busyRequests;
-    slots += report.slots || DEFAULT_SLOTS;
+    const slotsHere = report.slots || DEFAULT_SLOTS;
+    slots += slotsHere;
+    slotsInUse += Math.min(report.busyRequests, slotsHere);
     flows += report.openFlows;
     balancers = Math.max(balancers, report.balancerCount);
     if (report.answers > 0 && report.answerTime > 0) {
@@ -60,6 +69,8 @@
   return {
     answerTime,
     meanWait: slots > 0 ? (busy / slots) * answerTime : 0,
+    slowAnswerTime: findQuantile(times, SLOWER_QUARTER) ?? answerTime,
+    use: slots > 0 ? slotsInUse / slots : 0,
     meanBusy: busy / Math.max(1, agents),
     meanFlows: flows / Math.max(1, agents),
     // Little's law: as many are open as begin in the time for which one stays open.
@@ -88,6 +99,11 @@
 
 /** The lower median, so that half of a service is never judged by its worse half. */
 export function medianOf(values: readonly number[]): number | undefined {
+  return findQuantile(values, 0.5);
+}
+
+/** The lower of the values that a part of them, 0 to 1, does not exceed; undefined without any. */
+function findQuantile(values: readonly number[], part: number): number | undefined {
   const sorted = Float64Array.from(values).sort();
-  return sorted[Math.floor((sorted.length - 1) / 2)];
+  return sorted[Math.floor((sorted.length - 1) * part)];
 }
--- a/src/packets/client-intake.ts
+++ b/src/packets/client-intake.ts
@@ -236,6 +236,7 @@
         balancer: formatEndpoint(balancer),
         state: state(),
         busy: tracker.busyRequests + admission.waitingRequests,
+        priority: admission.priorityOf(packet),
         working: tracker.workingRequests,
         waiting: admission.waitingRequests,
       });
--- a/src/packets/flow-cache.ts
+++ b/src/packets/flow-cache.ts
@@ -4,6 +4,7 @@
  * flow is dropped first.
  */
 import type { Endpoint } from '../environment';
+import { createFlowUse, type FlowUse } from './choice/route-use';
 import type { FlowKey } from './flow-packet';
 
 /** What a balancer knows of one flow. */
@@ -16,6 +17,8 @@
   readonly service: string | undefined;
   /** Agents that were sent an opening packet and have not refused it. */
   readonly offered: Set<Endpoint>;
+  /** Its requests, as far as they have passed here. */
+  readonly use: FlowUse;
   usedAt: number;
 }
 
@@ -60,7 +63,8 @@
       return;
     }
     const offered = new Set([agent]);
-    this.store(key, { agent, confirmed: false, service, offered, usedAt: now });
+    const use = createFlowUse();
+    this.store(key, { agent, confirmed: false, service, offered, use, usedAt: now });
   }
 
   /** Notes that an agent's target holds the flow. */
@@ -76,6 +80,7 @@
       confirmed: true,
       service: undefined,
       offered: new Set(),
+      use: createFlowUse(),
       usedAt: now,
     };
     this.store(key, flow);
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -6,15 +6,20 @@
 import { selectAgent, type Choice, type SelectionContext } from './agent-selection';
 import { DEFAULT_CHOICE, type ChoiceSettings } from './choice/choice-settings';
 import { OpeningRates } from './choice/opening-rates';
+import { RouteUse, type FlowUse } from './choice/route-use';
 import { PlacementClass } from './choice/selection';
 import { SetAsideTargets } from './choice/set-aside-targets';
 import type { FlowCache } from './flow-cache';
 import type { FlowPacket } from './flow-packet';
 import type { FlowSearch, FlowSearches } from './flow-search';
 import type { Locality } from './locality/locality';
+import type { PacketLink } from './packet-link';
+import { PacketMessageType, TERMS_VERSION } from './packet-messages';
 import type { PacketOutlet } from './packet-outlet';
-import { servicesOf, type Route } from './routing-table';
+import { servicesOf, type Route, type RoutingTable } from './routing-table';
 import { ServiceRotation } from './service-rotation';
+import { termsOf } from './terms/route-terms';
+import { TermsLedger } from './terms/terms-ledger';
 
 /** What the placement works with. */
 export interface FlowPlacementDependencies {
@@ -25,6 +30,7 @@
   readonly cache: FlowCache;
   readonly searches: FlowSearches;
   readonly outlet: PacketOutlet;
+  readonly link: PacketLink;
   /** How agents are chosen; `DEFAULT_CHOICE` when undefined. */
   readonly choice?: ChoiceSettings;
   /** Whether a zone is out of service. */
@@ -36,8 +42,11 @@
   private readonly rotation = new ServiceRotation();
 
   private readonly openings = new OpeningRates();
+  private readonly routeUse = new RouteUse();
   private readonly choice: ChoiceSettings;
   private readonly setAside: SetAsideTargets;
+  private readonly ledger = new TermsLedger();
+  private routingVersion = 0;
 
   constructor(private readonly dependencies: FlowPlacementDependencies) {
     const { choice = DEFAULT_CHOICE, directory, environment } = dependencies;
@@ -55,11 +64,22 @@
   expire(now: number): void {
     this.setAside.expire(now);
     this.openings.expire(now);
+    this.routeUse.expire(now);
+    this.ledger.expire((agent) => this.dependencies.directory.find(agent) !== undefined);
+  }
+
+  /** A packet of an open flow passes: it tells how many requests flows of its route carry. */
+  notePacket(packet: FlowPacket, use: FlowUse): void {
+    if (this.choice.keptFlows) {
+      this.routeUse.note(packet, use, this.dependencies.environment.now());
+    }
   }
 
   /** A new routing table is in force: shares begin anew. */
-  reset(): void {
+  apply({ routes, version }: RoutingTable): void {
     this.rotation.reset();
+    this.routingVersion = version;
+    this.ledger.apply(routes);
   }
 
   /** Places an opening packet; a copy goes to an agent that has not been offered the flow. */
@@ -98,14 +118,15 @@
     const untried = candidates.filter(({ address }) => !search.refusedBy.has(address));
     const ordered = locality.orderForPlacement(packet.flow, untried);
     search.services.forEach((one) => this.setAside.review(one, now));
-    const choice = this.select(ordered, this.selectionContext(packet, search, now));
+    const context = this.selectionContext(packet, search, now);
+    const choice = this.select(ordered, context);
     if (!choice) {
       this.refuse(packet, search, candidates);
       return;
     }
     const { entry: chosen } = choice;
     this.count(choice, now);
-    directory.noteOpening(chosen, now);
+    directory.noteOpening(chosen, context.requestsPerFlow > 1, now);
     this.openings.note(chosen.service, now);
     cache.noteOpening(packet.flow, chosen.address, service!, now);
     outlet.counters.flowsPlaced++;
@@ -120,12 +141,27 @@
       failing: chosen.report?.failurePercent,
       spill,
       expected: Math.round(choice.expectedTime),
+      requestsPerFlow: Math.round(context.requestsPerFlow),
       class: choice.placementClass,
       reportAge: chosen.heardAt === undefined ? undefined : Math.round(now - chosen.heardAt),
     });
+    this.tellTerms(chosen, search.route);
     outlet.deliver(packet, search.services, chosen.address, search.id);
   }
 
+  /** An agent learns what the callers of a route expect before their first requests come. */
+  private tellTerms({ address, report }: AgentEntry, route: Route): void {
+    const isUnderstood = report !== undefined && report.frameVersion >= TERMS_VERSION;
+    if (isUnderstood && this.ledger.takeTelling(address, report.run, route)) {
+      this.dependencies.link.send(address, {
+        type: PacketMessageType.routeTerms,
+        destination: route.destination,
+        version: this.routingVersion,
+        ...termsOf(route),
+      });
+    }
+  }
+
   /**
    * No agent takes a new flow. The client is told at once, unless an earlier copy may
    * have opened the flow somewhere or agents are missing from this balancer's view.
@@ -153,6 +189,10 @@
     return second ? selectAgent(second, context) : first;
   }
 
+  private requestsPerFlow({ destination }: FlowPacket, now: number): number {
+    return this.choice.keptFlows ? this.routeUse.requestsPerFlow(destination, now) : 1;
+  }
+
   private count({ entry, isTrial, placementClass }: Choice, now: number): void {
     const { counters } = this.dependencies.outlet;
     if (isTrial) {
@@ -170,6 +210,7 @@
     return {
       now,
       openingRate: this.openings.rate(search.services[0]!, now),
+      requestsPerFlow: this.requestsPerFlow(packet, now),
       usesExpectedWait: this.choice.expectedWait,
       rivalShare: locality.rivalShare,
       standingOf: (entry) => this.setAside.standingOf(entry, isTrialFlow, now),
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -72,7 +72,7 @@
   apply(table: RoutingTable): void {
     this.routes = new Map(table.routes.map((route) => [route.destination, route]));
     this.routingVersion = table.version;
-    this.placement.reset();
+    this.placement.apply(table);
   }
 
   /** The route that a client's packet names; undefined for none, or without a routing table. */
@@ -215,6 +215,9 @@
   private continueFlow(packet: FlowPacket, route: Route): void {
     const { cache, directory, environment } = this.dependencies;
     const known = cache.use(packet.flow, environment.now());
+    if (known) {
+      this.placement.notePacket(packet, known.use);
+    }
     if (known && directory.find(known.agent)) {
       this.outlet.deliver(packet, servicesOf(route), known.agent, 0);
     } else {
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -36,6 +36,8 @@
   sureAttempts: number;
   /** The latest round of groups; undefined before the first. */
   round: SearchRound | undefined;
+  /** It has been told that only silent agents are left. */
+  hasStalled: boolean;
   usedAt: number;
 }
 
@@ -141,6 +143,7 @@
       attempts: 0,
       sureAttempts: 0,
       round: undefined,
+      hasStalled: false,
       usedAt: now,
     };
     this.searches.set(id, search);
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -7,6 +7,7 @@
  * a flow is declared dead only against the directory of that moment.
  */
 import type { Endpoint, Environment, TimerHandle } from '../environment';
+import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import type { FlowCache } from './flow-cache';
 import { FlowLocator, type WaitingPacket } from './flow-locator';
@@ -15,6 +16,7 @@
 import type { Locality } from './locality/locality';
 import type { PacketLink } from './packet-link';
 import {
+  FlowKnowledge,
   MAXIMUM_SEARCH_LENGTH,
   PacketMessageType,
   SearchPhase,
@@ -104,7 +106,8 @@
     const now = environment.now();
     const untried = directory
       .ofServices(search.services)
-      .filter(({ address }) => !search.refusedBy.has(address));
+      .filter((entry) => !search.refusedBy.has(entry.address))
+      .filter((entry) => !directory.hasNoTarget(entry, now));
     const offered = cache.use(packet.flow, now)?.offered;
     const likely = untried.find(
       ({ address }) => offered?.has(address) && !search.offeredTo.has(address),
@@ -120,6 +123,9 @@
       return;
     }
     const [next] = nextToAsk(search, heard.length > 0 ? heard : untried);
+    if (next && heard.length === 0) {
+      this.reportStall(packet, search, untried.length);
+    }
     if (next) {
       this.offerTo(next, packet, search);
     } else {
@@ -127,6 +133,16 @@
     }
   }
 
+  /** Only agents are left that say nothing: the flow is told dead once they are heard, or removed. */
+  private reportStall(packet: FlowPacket, search: FlowSearch, silent: number): void {
+    if (!search.hasStalled) {
+      search.hasStalled = true;
+      const { refusedBy, attempts } = search;
+      const fields = { silent, refusals: refusedBy.size, attempts };
+      this.dependencies.outlet.report(Events.searchStalled, packet, fields);
+    }
+  }
+
   /** A flow's holder is known: packets that wait for it. */
   takeWaiting(flow: FlowKey): readonly WaitingPacket[] {
     this.resetNotes.forget(flow);
@@ -158,7 +174,10 @@
   }
 
   private isSure({ address, report }: AgentEntry): boolean {
-    return report?.knowsAllFlows === 1 && this.dependencies.link.searchesForSure(address);
+    return (
+      report?.flowKnowledge === FlowKnowledge.whole &&
+      this.dependencies.link.searchesForSure(address)
+    );
   }
 
   private offerTo(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -4,7 +4,8 @@
 import type { PacketLink } from './packet-link';
 import {
   PacketMessageType,
-  REPAIR_VERSION,
+  TERMS_VERSION,
+  type FlowKnowledgeValue,
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
@@ -35,8 +36,8 @@
   answerTime(now: number): number;
   /** Answers of late that this time rests on, fading. */
   answers(now: number): number;
-  /** Whether the agent has seen every flow open that its target can hold. */
-  knowsAllFlows(): boolean;
+  /** What the agent knows of its target's flows. */
+  flowKnowledge(): FlowKnowledgeValue;
 }
 
 /** Reporter of one agent. */
@@ -106,8 +107,8 @@
       targetChanges: health.targetChanges,
       coldLeft: target.coldLeft(now),
       flowBytes: this.dependencies.flowBytes(),
-      frameVersion: REPAIR_VERSION,
-      knowsAllFlows: this.dependencies.knowsAllFlows() ? 1 : 0,
+      frameVersion: TERMS_VERSION,
+      flowKnowledge: this.dependencies.flowKnowledge(),
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, BALANCERS_IN_REPORT),
     };
--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -26,6 +26,10 @@
   readonly repairHops: boolean;
   /** Whether the agent repeats packets of its target that a client does not acknowledge. */
   readonly repairAnswers: boolean;
+  /** Whether more urgent requests go first where requests wait (docs/design/request-order.md). */
+  readonly priorityQueue: boolean;
+  /** Turns in a hundred that each lower priority keeps meanwhile. */
+  readonly lowerPriorityShare: number;
   /**
    * Whether flows that have just opened are found by their handshake, and an agent without a target
    * takes itself out of the registry (docs/design/restart.md).
@@ -55,6 +59,8 @@
   packetsRefused: number;
   packetsMalformed: number;
   requestsQueued: number;
+  /** Those that waited until their clients had left or their callers had given up. */
+  requestsGivenUp: number;
   heartbeats: number;
   heartbeatsRefused: number;
 }
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -20,11 +20,14 @@
   PacketAgentSettings,
 } from './packet-agent-contracts';
 import {
+  FlowKnowledge,
   PacketMessageType,
   TargetState,
+  type FlowKnowledgeValue,
   type AgentRecord,
   type ListingStateValue,
   type MessageToBalancer,
+  type RouteTermsMessage,
   type SubscribeMessage,
   type TargetStateValue,
 } from './packet-messages';
@@ -39,6 +42,7 @@
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
+import { TermsView } from './terms/terms-view';
 
 /** Milliseconds after a change of state at which the report is repeated, against loss. */
 const REPORT_REPEATS = [15, 60] as const;
@@ -52,6 +56,7 @@
     packetsRefused: 0,
     packetsMalformed: 0,
     requestsQueued: 0,
+    requestsGivenUp: 0,
     heartbeats: 0,
     heartbeatsRefused: 0,
   };
@@ -69,6 +74,7 @@
   private readonly guard: TargetGuard;
   private readonly answers: AnswerRepair;
   private readonly presence: TargetPresence;
+  private readonly terms = new TermsView();
   private readonly death: TargetDeath;
   private restarting = false;
   /** The target has sent a packet of its own in this run. */
@@ -110,12 +116,7 @@
     this.death = new TargetDeath(dependencies.targetProbe, () => this.targetDied());
     const { death } = this;
     this.guard = new TargetGuard({ environment, zone, coldLimit, target, health, death });
-    this.admission = new TargetAdmission({
-      target: this.target,
-      tracker: this.tracker,
-      latencyGoal: () => this.guard.latencyGoal,
-      handOver: (packet, balancer, searchId) => this.intake.handOver(packet, balancer, searchId),
-    });
+    this.admission = this.createAdmission();
     this.reporter = new LoadReporter({
       environment,
       zone: settings.zone,
@@ -128,7 +129,7 @@
       answerTime: (now) => this.admission.answerTimeAt(now),
       answers: (now) => this.admission.answersAt(now),
       flowBytes: () => this.flowBytes.mean,
-      knowsAllFlows: () => this.target.isKnownFromStart,
+      flowKnowledge: () => this.flowKnowledge,
     });
     this.answers = new AnswerRepair({
       environment,
@@ -178,6 +179,14 @@
     this.restarting = true;
     this.admission.releaseAll();
     this.announce();
+    if (this.settings.earlyStart) {
+      this.presence.lookNow(() => this.endStop(done));
+    } else {
+      this.endStop(done);
+    }
+  }
+
+  private endStop(done: () => void): void {
     if (this.state === TargetState.gone) {
       this.dependencies.registry.remove(this.record, undefined, done);
     } else {
@@ -290,11 +299,21 @@
       case PacketMessageType.distanceProbe:
         this.link.send(from, { ...message, type: PacketMessageType.distanceReply });
         return;
+      case PacketMessageType.routeTerms:
+        this.learnTerms(message);
+        return;
       default:
         this.refuseMessage(message);
     }
   }
 
+  /** Without the setting all requests are served alike, as of routes of which nothing is known. */
+  private learnTerms(message: RouteTermsMessage): void {
+    if (this.settings.priorityQueue) {
+      this.terms.learn(message);
+    }
+  }
+
   private refuseMessage({ type }: MessageToBalancer): void {
     this.dependencies.environment.report(Events.frameUnexpected, { type });
   }
@@ -360,6 +379,13 @@
     }
   }
 
+  private get flowKnowledge(): FlowKnowledgeValue {
+    if (this.presence.isMissing) {
+      return FlowKnowledge.noTarget;
+    }
+    return this.target.isKnownFromStart ? FlowKnowledge.whole : FlowKnowledge.partial;
+  }
+
   private get isTargetHeard(): boolean {
     return this.hasTargetSent || this.target.state !== TargetState.unknown;
   }
@@ -369,6 +395,17 @@
     return { address, zone, service: this.target.service };
   }
 
+  private createAdmission(): TargetAdmission {
+    return new TargetAdmission({
+      target: this.target,
+      tracker: this.tracker,
+      lowerShare: this.settings.lowerPriorityShare,
+      termsOf: (destination) => this.terms.termsOf(destination),
+      latencyGoal: () => this.guard.latencyGoal,
+      handOver: (packet, balancer, searchId) => this.intake.handOver(packet, balancer, searchId),
+    });
+  }
+
   private createIntake(): ClientIntake {
     const { settings, dependencies, admission, answers, counters, flowBytes } = this;
     const { guard, health, hops, link, target, tracker } = this;
@@ -437,12 +474,27 @@
       this.reportTarget();
     }
     this.death.check(isDown, now);
-    this.admission.expire(now);
+    this.dropGivenUp(now);
     this.admission.releaseWaiting(now);
     this.reporter.reportIfWorse();
     this.reporter.reportWhereDue();
   }
 
+  /** Nobody awaits the answers of these any more. */
+  private dropGivenUp(now: number): void {
+    const dropped = this.admission.expire(now);
+    if (dropped.length === 0) {
+      return;
+    }
+    this.counters.requestsGivenUp += dropped.length;
+    const longest = Math.min(...dropped.map(({ since }) => since));
+    this.dependencies.environment.report(Events.requestsGivenUp, {
+      dropped: dropped.length,
+      waiting: this.admission.waitingRequests,
+      longestWait: Math.round(now - longest),
+    });
+  }
+
   /** Clients of its flows are told now, those whose requests wait here among them. */
   private targetDied(): void {
     this.reportTarget();
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -17,6 +17,8 @@
 import {
   type AgentRecord,
   FIRST_FRAME_VERSION,
+  FlowKnowledge,
+  type FlowKnowledgeValue,
   type ListedAgent,
   ListingState,
   type ListingStateValue,
@@ -157,6 +159,12 @@
   return value === undefined ? 0 : integer(value);
 }
 
+/** Programs of an earlier version say nothing of it, those of a later one may say more. */
+export function unpackFlowKnowledge(value: unknown): FlowKnowledgeValue {
+  const told = Object.values(FlowKnowledge).find((one) => one === value);
+  return told ?? FlowKnowledge.partial;
+}
+
 /** Programs of an earlier version say nothing of it. */
 function unpackListing(value: unknown): ListingStateValue {
   if (value === undefined) {
@@ -182,6 +190,16 @@
   [PacketMessageType.distanceProbe, [field('sentAt', 'a', positive)]],
   [PacketMessageType.distanceReply, [field('sentAt', 'a', positive)]],
   [PacketMessageType.eraSeen, [field('era', 'h', integer)]],
+  [
+    PacketMessageType.routeTerms,
+    [
+      field('destination', 'd', integer),
+      field('version', 'v', integer),
+      field('priority', 'p', integer),
+      field('latencyGoal', 'g', positive),
+      field('deadline', 'x', positive),
+    ],
+  ],
   [
     PacketMessageType.subscribe,
     [
@@ -213,7 +231,7 @@
       field('failurePercent', 'f', integer),
       field('flowBytes', 'y', integerOrZero),
       field('frameVersion', 'v', versionOrFirst),
-      field('knowsAllFlows', 'k', integerOrZero),
+      field('flowKnowledge', 'k', unpackFlowKnowledge),
       field('balancerCount', 'n', integer),
       field('balancers', 'm', listOf(integer)),
     ],
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from '../environment';
 import type { ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
+import type { ToldTerms } from './terms/route-terms';
 import type { ToldEvacuations } from './zone-evacuations';
 
 /** Numeric message types as sent. */
@@ -23,6 +24,7 @@
   distanceProbe: 115,
   distanceReply: 116,
   eraSeen: 117,
+  routeTerms: 118,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -35,6 +37,8 @@
 export const SURE_SEARCH_VERSION = 4;
 /** Frames as of version 4, from a node that also knows the messages 112 to 116. */
 export const REPAIR_VERSION = 5;
+/** Frames as of version 5, from an agent that also knows the message 118. */
+export const TERMS_VERSION = 6;
 /** Agents in one search. */
 export const MAXIMUM_SEARCH_LENGTH = 64;
 /** Numbers in one acknowledgement. */
@@ -54,6 +58,17 @@
 } as const;
 export type TargetStateValue = (typeof TargetState)[keyof typeof TargetState];
 
+/** What an agent knows of the flows of its target. */
+export const FlowKnowledge = {
+  /** The target may hold flows that the agent has never seen. */
+  partial: 0,
+  /** The agent has seen every flow open that the target can hold. */
+  whole: 1,
+  /** Nobody listens at the target's address: there is no flow. */
+  noTarget: 2,
+} as const;
+export type FlowKnowledgeValue = (typeof FlowKnowledge)[keyof typeof FlowKnowledge];
+
 /** Why a target did not take a packet. */
 export const RefusalReason = {
   /** The target returned it: it does not hold the flow, or cannot take one more. */
@@ -215,6 +230,11 @@
   readonly era: number;
 }
 
+/** Balancer to agent: what callers of a route expect, ahead of the first flows of that route. */
+export interface RouteTermsMessage extends ToldTerms {
+  readonly type: typeof PacketMessageType.routeTerms;
+}
+
 /** Whether the registry lists an agent, as far as a balancer knows. */
 export const ListingState = {
   /** The balancer does not know the registry well enough to say. */
@@ -276,8 +296,7 @@
   readonly flowBytes: number;
   /** Latest version of frames that the agent understands; 1 for one that names none. */
   readonly frameVersion: number;
-  /** 1 when the agent has seen every flow open that its target can hold. */
-  readonly knowsAllFlows: number;
+  readonly flowKnowledge: FlowKnowledgeValue;
   /** Number of balancers that the agent reports to. */
   readonly balancerCount: number;
   /** Some of the balancers that the agent reports to. */
@@ -357,13 +376,19 @@
   | DistanceProbeMessage
   | DistanceReplyMessage
   | EraSeenMessage
+  | RouteTermsMessage
   | SubscribeMessage
   | ReportMessage
   | PeerStatusMessage;
 
 /** What an agent takes, its numbers taken off. */
 export type MessageToAgent =
-  DeliverMessage | SearchMessage | LocateMessage | SubscribeMessage | DistanceProbeMessage;
+  | DeliverMessage
+  | SearchMessage
+  | LocateMessage
+  | SubscribeMessage
+  | DistanceProbeMessage
+  | RouteTermsMessage;
 
 /** What a balancer takes, its numbers taken off. */
 export type MessageToBalancer =
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -17,12 +17,15 @@
 const DEFAULT_REPAIR_HOPS = true;
 const DEFAULT_REPAIR_ANSWERS = true;
 const DEFAULT_LOCALITY = true;
+const DEFAULT_PRIORITY_QUEUE = true;
+/** Turns in a hundred: a caller of low priority sees that the service works, and delays one in ten. */
+const DEFAULT_LOWER_PRIORITY_SHARE = 10;
 /**
  * Milliseconds of waiting that a megabyte between zones is worth: 32 for an answer of 80,000 bytes,
  * which its client awaits for a good part of a second anyway, and 2 for one of 4,000 with its heads.
  */
 const DEFAULT_TRANSFER_COST = 400;
-/** Percent of a service's targets: with more than half aside, the rest is no measure for them. */
+/** Percent: beyond a half, an exception is the rule. */
 const HIGHEST_SHARE = 50;
 
 /** Settings of a packet balancer or packet agent, checked. */
@@ -77,6 +80,10 @@
   readonly locality: boolean;
   /** Milliseconds of waiting that a megabyte between zones is worth. */
   readonly transferCost: number;
+  /** Whether more urgent requests go first where requests wait (agent). */
+  readonly priorityQueue: boolean;
+  /** Turns in a hundred that each lower priority keeps meanwhile (agent). */
+  readonly lowerPriorityShare: number;
   /** Whether a start is shortened by what docs/design/restart.md describes. */
   readonly earlyStart: boolean;
   /** Port and path of the metrics page; undefined for none. */
@@ -255,6 +262,12 @@
     repairHops: reader.toggle('repairHops', DEFAULT_REPAIR_HOPS),
     locality: reader.toggle('locality', DEFAULT_LOCALITY),
     transferCost: reader.positive('transferCost', DEFAULT_TRANSFER_COST),
+    priorityQueue: reader.toggle('priorityQueue', DEFAULT_PRIORITY_QUEUE),
+    lowerPriorityShare: reader.countUpTo(
+      'lowerPriorityShare',
+      HIGHEST_SHARE,
+      DEFAULT_LOWER_PRIORITY_SHARE,
+    ),
     earlyStart: reader.toggle('earlyStart', DEFAULT_EARLY_START),
     metrics: reader.optionalText('metrics'),
   };
@@ -270,10 +283,11 @@
 }
 
 function readChoice(reader: SettingsReader): ChoiceSettings {
-  const { expectedWait, setAsideShare } = DEFAULT_CHOICE;
+  const { expectedWait, keptFlows, setAsideShare } = DEFAULT_CHOICE;
   return {
     expectedWait: reader.toggle('expectedWait', expectedWait),
     setAsideShare: reader.countUpTo('setAsideShare', HIGHEST_SHARE, setAsideShare),
+    keptFlows: reader.toggle('keptFlows', keptFlows),
   };
 }
 
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -19,6 +19,7 @@
 } from './packet-message-schema';
 import type { ListedAgent } from './packet-messages';
 import type { Route, RoutingTable, WeightedService } from './routing-table';
+import { packTerms, unpackTerms, type PositionedTerms } from './terms/packed-terms';
 
 /** State that a starting or lagging balancer can take over. */
 export interface PeerSnapshot {
@@ -59,6 +60,7 @@
     // Beside the table, whose form earlier versions check.
     profiles: packServiceProfiles(routingTable?.profiles ?? []),
     repeatable: listRepeatable(routingTable?.routes ?? []),
+    terms: packTerms(routingTable?.routes ?? []),
     agents: packListedAgents(agents),
     registryRevision,
     storeEra,
@@ -76,10 +78,13 @@
 }
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
-  const { table, complete, profiles, repeatable, agents, registryRevision, storeEra } = document;
+  const { table, complete, profiles, repeatable, terms } = document;
+  const { agents, registryRevision, storeEra } = document;
   const positions = listOf(integer)(repeatable ?? []);
+  const positioned = unpackTerms(terms);
   return {
-    routingTable: table === null ? undefined : unpackTable(table, profiles ?? [], positions),
+    routingTable:
+      table === null ? undefined : unpackTable(table, profiles ?? [], positions, positioned),
     viewComplete: oneOf(0, 1)(complete) === 1,
     agents: listOf(unpackListedAgent)(agents),
     registryRevision: integer(registryRevision ?? 0),
@@ -105,15 +110,21 @@
   value: unknown,
   profiles: unknown,
   repeatable: readonly number[],
+  positioned: PositionedTerms,
 ): RoutingTable {
   const [version, idleTimeout, routes] = tuple(value, 3);
   const isRepeatable = new Set(repeatable);
   return {
     version: integer(version),
     idleTimeout: positive(idleTimeout),
-    routes: listOf(unpackRoute)(routes).map((route, position) =>
-      isRepeatable.has(position) ? { ...route, isRepeatable: true } : route,
-    ),
+    routes: listOf(unpackRoute)(routes).map((route, position) => {
+      const terms = positioned(position);
+      return {
+        ...route,
+        ...(isRepeatable.has(position) ? { isRepeatable: true } : {}),
+        ...(terms ? { terms } : {}),
+      };
+    }),
     profiles: unpackServiceProfiles(profiles),
   };
 }
--- a/src/packets/report-frame.ts
+++ b/src/packets/report-frame.ts
@@ -5,7 +5,7 @@
  * encode (5.8 and 3.8 us, each the mean of 50,000, warm, in one run).
  *
  * Body, big-endian: message type (1 byte), run (6), the counts below in their order (4 each), state,
- * failures, frame version, knowsAllFlows (1 each), service and zone (length 1, text), number of
+ * failures, frame version, flowKnowledge (1 each), service and zone (length 1, text), number of
  * balancers (1), balancers (6 each). Counts beyond 32 bits are sent as the largest.
  */
 import type { Endpoint } from '../environment';
@@ -15,6 +15,7 @@
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
+import { unpackFlowKnowledge } from './packet-message-schema';
 
 /** Fields that are sent as counts. */
 const COUNTS = [
@@ -30,7 +31,7 @@
   'balancerCount',
 ] as const;
 /** Fields of one byte. */
-const SMALL = ['state', 'failurePercent', 'frameVersion', 'knowsAllFlows'] as const;
+const SMALL = ['state', 'failurePercent', 'frameVersion', 'flowKnowledge'] as const;
 
 const RUN_OFFSET = 1;
 const RUN_BYTES = 6;
@@ -106,7 +107,7 @@
     state: state as TargetStateValue,
     failurePercent: body[SMALL_OFFSET + 1]!,
     frameVersion: body[SMALL_OFFSET + 2]!,
-    knowsAllFlows: body[SMALL_OFFSET + 3]!,
+    flowKnowledge: unpackFlowKnowledge(body[SMALL_OFFSET + 3]),
     service: service.value,
     zone: zone.value,
     balancers: balancers.value,
--- a/src/packets/routing-table.ts
+++ b/src/packets/routing-table.ts
@@ -1,5 +1,6 @@
 /** Which services serve which addresses: the operators' configuration of packet flows. */
 import type { Endpoint } from '../environment';
+import type { RouteTerms } from './terms/route-terms';
 
 /** One service of a route and its part of the new flows. */
 export interface WeightedService {
@@ -16,6 +17,8 @@
   readonly services: readonly WeightedService[];
   /** Whether a request that fails may be sent again without harm; false while unknown. */
   readonly isRepeatable?: boolean;
+  /** What its callers expect; unknown when undefined. */
+  readonly terms?: RouteTerms;
 }
 
 /** What agents go by of the service of their targets. */
@@ -48,6 +51,8 @@
   readonly profiles: readonly ServiceProfile[];
   /** Routes of its document that could not be read, or only in part; of the store's own table alone. */
   readonly unreadableRoutes?: number;
+  /** Routes whose terms its document lacks or contradicts; of the store's own table alone. */
+  readonly routesWithoutTerms?: number;
 }
 
 const serviceNames = new WeakMap<Route, readonly string[]>();
--- a/src/packets/startup/target-presence.ts
+++ b/src/packets/startup/target-presence.ts
@@ -65,23 +65,48 @@
     this.timer = environment.startTimer(HEARTBEATS_MISSED * heartbeatInterval, () => this.check());
   }
 
-  private check(): void {
-    const { environment, isTargetHeard, missed, probe } = this.dependencies;
-    if (isTargetHeard()) {
+  /**
+   * Looks at once, since the agent is about to stop: an entry of an agent that has never found out
+   * keeps balancers from telling that flows are dead.
+   * @param done called when it is known, or will not be
+   */
+  lookNow(done: () => void): void {
+    if (this.isVacant || this.dependencies.isTargetHeard()) {
+      done();
       return;
     }
+    this.timer?.cancel();
+    this.look(done, done);
+  }
+
+  private check(): void {
+    if (!this.dependencies.isTargetHeard()) {
+      this.look(
+        () => this.wait(),
+        () => undefined,
+      );
+    }
+  }
+
+  /**
+   * @param present called when somebody listens, or the look proves nothing
+   * @param absent called when nobody does
+   */
+  private look(present: () => void, absent: () => void): void {
+    const { environment, isTargetHeard, missed, probe } = this.dependencies;
     this.probes++;
     probe.isVacant((isVacant) => {
-      if (this.isStopped || isTargetHeard()) {
+      if (this.isStopped) {
         return;
       }
-      if (!isVacant) {
-        this.wait();
+      if (!isVacant || isTargetHeard()) {
+        present();
         return;
       }
       this.isVacant = true;
       environment.report(Events.targetMissing, { looks: this.probes });
       missed();
+      absent();
     });
   }
 }
--- a/src/packets/table-in-force.ts
+++ b/src/packets/table-in-force.ts
@@ -38,7 +38,7 @@
    */
   take(table: RoutingTable, origin: string): void {
     const { version: inForce } = this;
-    const { version, routes, unreadableRoutes = 0 } = table;
+    const { version, routes, unreadableRoutes = 0, routesWithoutTerms = 0 } = table;
     if (this.table && version <= inForce) {
       if (version < inForce) {
         this.environment.report(Events.routingOutdated, { version, inForce, origin });
@@ -51,6 +51,9 @@
     if (unreadableRoutes > 0) {
       this.environment.report(Events.routesUnreadable, { version, unreadableRoutes });
     }
+    if (routesWithoutTerms > 0) {
+      this.environment.report(Events.routeTermsMissing, { version, routesWithoutTerms });
+    }
     this.changed(table, hasOtherProfiles);
   }
 }
--- a/src/packets/target-admission.ts
+++ b/src/packets/target-admission.ts
@@ -2,9 +2,10 @@
 import type { Endpoint } from '../environment';
 import type { FlowPacket } from './flow-packet';
 import type { FlowTracker } from './flow-tracker';
-import { RequestQueue, type WaitingRequest } from './request-queue';
+import { RequestQueue, type WaitingRequest } from './queue/request-queue';
 import { ServiceTime } from './service-time';
 import type { TargetLifecycle } from './target-lifecycle';
+import { UNKNOWN_TERMS, type RouteTerms } from './terms/route-terms';
 
 /**
  * Part of its slots that a target may have waiting, so that it goes on working while its agent
@@ -21,18 +22,24 @@
 export interface TargetAdmissionDependencies {
   readonly target: TargetLifecycle;
   readonly tracker: FlowTracker;
+  /** Turns in a hundred that each lower priority keeps where more urgent requests wait as well. */
+  readonly lowerShare: number;
   /** Milliseconds from a request to its answer that are aimed at; 0 while unknown. */
   latencyGoal(): number;
+  /** What the callers of a route expect; undefined while unknown. */
+  termsOf(destination: Endpoint): RouteTerms | undefined;
   /** Hands a packet to the target. */
   handOver(packet: FlowPacket, balancer: Endpoint, searchId: number): void;
 }
 
 /** Admission of one target. */
 export class TargetAdmission {
-  private readonly queue = new RequestQueue();
+  private readonly queue: RequestQueue;
   private readonly serviceTime = new ServiceTime();
 
-  constructor(private readonly dependencies: TargetAdmissionDependencies) {}
+  constructor(private readonly dependencies: TargetAdmissionDependencies) {
+    this.queue = new RequestQueue(dependencies.lowerShare);
+  }
 
   /** Requests that wait here. */
   get waitingRequests(): number {
@@ -46,7 +53,9 @@
   admit(packet: FlowPacket, balancer: Endpoint, searchId: number, now: number): boolean {
     const { handOver, tracker } = this.dependencies;
     if (!this.hasRoom && tracker.completesRequest(packet)) {
-      this.release(this.queue.add({ packet, balancer, searchId, since: now, seenAt: now }));
+      const terms = this.termsOf(packet);
+      const times = { since: now, seenAt: now };
+      this.release(this.queue.add({ packet, balancer, searchId, terms, ...times }));
       return true;
     }
     if (packet.payloadLength > 0 || packet.resets || packet.ends) {
@@ -85,7 +94,11 @@
   /** Hands over waiting requests as far as the target has room. */
   releaseWaiting(now: number): void {
     while (this.queue.size > 0 && this.hasRoom) {
-      this.release(this.queue.take(now, this.patience));
+      const next = this.queue.take(now, (terms) => this.patienceOf(terms));
+      if (!next) {
+        return;
+      }
+      this.release(next);
     }
   }
 
@@ -99,14 +112,26 @@
     return this.queue.takeAll();
   }
 
-  /** Drops requests whose clients have left. */
-  expire(now: number): void {
-    this.queue.expire(now);
+  /**
+   * Drops requests whose clients have left or whose callers have given up.
+   * @returns those dropped
+   */
+  expire(now: number): WaitingRequest[] {
+    return this.queue.expire(now);
+  }
+
+  /** The priority of a packet's route; undefined while unknown. */
+  priorityOf({ destination }: FlowPacket): number | undefined {
+    return this.dependencies.termsOf(destination)?.priority;
+  }
+
+  private termsOf({ destination }: FlowPacket): RouteTerms {
+    return this.dependencies.termsOf(destination) ?? UNKNOWN_TERMS;
   }
 
-  /** Milliseconds of waiting after which a request is late. */
-  private get patience(): number {
-    const goal = this.dependencies.latencyGoal();
+  /** Milliseconds of waiting after which a request of some terms is late. */
+  private patienceOf({ latencyGoal }: RouteTerms): number {
+    const goal = latencyGoal || this.dependencies.latencyGoal();
     return goal > 0 ? this.serviceTime.patienceFor(goal) : this.serviceTime.patience;
   }
 
--- /dev/null
+++ b/src/packets/terms/route-terms.ts
@@ -0,0 +1,93 @@
+/** What callers of a route expect, by which it is decided who goes first where requests wait. */
+import type { Endpoint } from '../../environment';
+import type { Route } from '../routing-table';
+
+/** What callers of one route expect of its answers. */
+export interface RouteTerms {
+  /** 0 is the most urgent; {@link LOWEST_PRIORITY} at most. */
+  readonly priority: number;
+  /** Milliseconds from a request to its answer that are aimed at; 0 when unknown. */
+  readonly latencyGoal: number;
+  /** Milliseconds after which callers give up; 0 when unknown. */
+  readonly deadline: number;
+}
+
+export const LOWEST_PRIORITY = 9;
+/** A day: beyond it a deadline is a mistake. */
+export const LONGEST_DEADLINE = 24 * 60 * 60 * 1_000;
+
+/** Of a route that says nothing: it goes after those that say they are urgent. */
+export const UNKNOWN_TERMS: RouteTerms = {
+  priority: LOWEST_PRIORITY,
+  latencyGoal: 0,
+  deadline: 0,
+};
+
+/** The terms of one route, as agents are told them. */
+export interface ToldTerms extends RouteTerms {
+  readonly destination: Endpoint;
+  /** Version of the routing table that says so. */
+  readonly version: number;
+}
+
+/** Why terms cannot hold; undefined for terms that can. */
+export type TermsProblem = 'priority' | 'latencyGoal' | 'deadline' | 'goalBeyondDeadline';
+
+/** Checks terms that an operator has written. */
+export function checkTerms({
+  priority,
+  latencyGoal,
+  deadline,
+}: RouteTerms): TermsProblem | undefined {
+  if (!Number.isInteger(priority) || priority < 0 || priority > LOWEST_PRIORITY) {
+    return 'priority';
+  }
+  if (!isDuration(latencyGoal)) {
+    return 'latencyGoal';
+  }
+  if (!isDuration(deadline)) {
+    return 'deadline';
+  }
+  return deadline > 0 && latencyGoal > deadline ? 'goalBeyondDeadline' : undefined;
+}
+
+/** The terms of a route; {@link UNKNOWN_TERMS} where it has none. */
+export function termsOf(route: Route): RouteTerms {
+  return route.terms ?? UNKNOWN_TERMS;
+}
+
+/** Whether two routes are served alike. */
+export function hasSameTerms(one: RouteTerms, other: RouteTerms): boolean {
+  return (
+    one.priority === other.priority &&
+    one.latencyGoal === other.latencyGoal &&
+    one.deadline === other.deadline
+  );
+}
+
+/**
+ * The routes that share a service with a route of other terms: only there does it matter whose
+ * request goes first.
+ */
+export function findCompetingRoutes(routes: readonly Route[]): ReadonlyMap<Endpoint, Route> {
+  const first = new Map<string, RouteTerms>();
+  const contested = new Set<string>();
+  for (const route of routes) {
+    const terms = termsOf(route);
+    for (const { service } of route.services) {
+      const known = first.get(service);
+      if (known === undefined) {
+        first.set(service, terms);
+      } else if (!hasSameTerms(known, terms)) {
+        contested.add(service);
+      }
+    }
+  }
+  const isContested = ({ services }: Route): boolean =>
+    services.some(({ service }) => contested.has(service));
+  return new Map(routes.filter(isContested).map((route) => [route.destination, route]));
+}
+
+function isDuration(milliseconds: number): boolean {
+  return milliseconds >= 0 && milliseconds <= LONGEST_DEADLINE;
+}
--- a/src/simulation/packets/packet-world.ts
+++ b/src/simulation/packets/packet-world.ts
@@ -242,6 +242,8 @@
         flowLifetime: FLOW_LIFETIME,
         repairHops: this.repairHops,
         repairAnswers: this.repairAnswers,
+        priorityQueue: true,
+        lowerPriorityShare: 10,
       },
       {
         environment: process,
--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -678,6 +678,8 @@
         repairAnswers,
         repairHops: true,
         earlyStart: false,
+        priorityQueue: true,
+        lowerPriorityShare: 10,
       },
       {
         environment: createEnvironment(this.clock, []),
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -326,7 +326,7 @@
   const entry = directory.hear(1, createReport(), 0)!;
   const rates = new OpeningRates();
   for (let now = 1; now <= 5_000; now++) {
-    directory.noteOpening(entry, now);
+    directory.noteOpening(entry, false, now);
     rates.note(`service-${now}`, now);
   }
   t.is(entry.recentOpenings.length, 1_000);
@@ -357,11 +357,13 @@
   t.deepEqual(checkPacketSettings('s', base).unwrap().choice, {
     expectedWait: true,
     setAsideShare: 30,
+    keptFlows: true,
   });
-  const off = { ...base, expectedWait: 0, setAsideShare: 0 };
+  const off = { ...base, expectedWait: 0, setAsideShare: 0, keptFlows: 0 };
   t.deepEqual(checkPacketSettings('s', off).unwrap().choice, {
     expectedWait: false,
     setAsideShare: 0,
+    keptFlows: false,
   });
   for (const wrong of [{ expectedWait: 2 }, { setAsideShare: 51 }, { setAsideShare: 0.5 }]) {
     t.true(checkPacketSettings('s', { ...base, ...wrong }).err);
--- /dev/null
+++ b/test/kept-flows.test.ts
@@ -0,0 +1,159 @@
+/** Flows that stay at their target for many requests, while hundreds of them open in a second or two. */
+import test from 'ava';
+import { packEndpoint } from '../src/core/endpoint';
+import { AgentDirectory, type AgentEntry } from '../src/packets/agent-directory';
+import { selectAgent } from '../src/packets/agent-selection';
+import { fillUp } from '../src/packets/choice/filling';
+import { measureWait } from '../src/packets/choice/kept-flows';
+import { createFlowUse, RouteUse } from '../src/packets/choice/route-use';
+import type { FlowPacket } from '../src/packets/flow-packet';
+import { SeededRandom } from '../src/simulation/seeded-random';
+import { createReport } from './support/reports';
+import { createSelectionContext } from './support/selection-context';
+
+const STREAM = packEndpoint('198.18.0.1', 8_443);
+const CHECK = packEndpoint('198.18.0.1', 8_080);
+
+function createPacket(destination: number, fields: Partial<FlowPacket>): FlowPacket {
+  const plain = { payloadLength: 0, isFull: false, ends: false, resets: false, sequence: 1 };
+  return { destination, ...plain, ...fields } as FlowPacket;
+}
+
+test('a route whose flows go on is known by the second request of its first flows', (t) => {
+  const use = new RouteUse();
+  t.is(use.requestsPerFlow(STREAM, 0), 2, 'nothing seen');
+  for (let flow = 0; flow < 20; flow++) {
+    const seen = createFlowUse();
+    use.note(createPacket(STREAM, { payloadLength: 10 }), seen, 0);
+    use.note(createPacket(STREAM, { payloadLength: 10 }), seen, 200);
+    t.is(seen.requests, 1, 'a copy is no request');
+    use.note(createPacket(STREAM, { payloadLength: 10, sequence: 11 }), seen, 3_000);
+  }
+  t.true(use.requestsPerFlow(STREAM, 3_000) > 5);
+});
+
+test('a route whose flows end with their first request is known by their ends', (t) => {
+  const use = new RouteUse();
+  for (let flow = 0; flow < 30; flow++) {
+    const seen = createFlowUse();
+    use.note(createPacket(CHECK, { payloadLength: 10 }), seen, flow);
+    use.note(createPacket(CHECK, { ends: true }), seen, flow);
+    use.note(createPacket(CHECK, { ends: true }), seen, flow);
+  }
+  t.is(use.requestsPerFlow(CHECK, 30), 1);
+  t.is(use.requestsPerFlow(STREAM, 30), 2);
+});
+
+test('load is poured over the lowest places first', (t) => {
+  const places = [
+    { level: 10, width: 1 },
+    { level: 4, width: 2 },
+    { level: 5, width: 1 },
+  ];
+  t.is(fillUp(places, 0), 0);
+  t.is(fillUp(places, 1), 4.5);
+  t.is(fillUp(places, 2), 5);
+  t.is(fillUp(places, 5), 6);
+  t.is(fillUp([], 5), 0);
+});
+
+test('the wait rises with use, and evenly where a target is overloaded', (t) => {
+  t.is(measureWait(0.5), 1);
+  t.true(Math.abs(measureWait(0.9) - 9) < 1e-9);
+  t.true(Math.abs(measureWait(1) - 19) < 1e-9);
+});
+
+const TARGETS = 48;
+const ZONES = 4;
+const BALANCERS = 24;
+const REPORT_INTERVAL = 500;
+const QUICK = 15;
+/** One target in four takes more than twice as long as the others. */
+const SLOW = 34;
+
+function answerTimeOf(target: number): number {
+  return target % 4 === 0 ? SLOW : QUICK;
+}
+
+/**
+ * Opens flows one after the other at the balancers in turn, all of which hear the same reports; each
+ * target looks idle in them, as it does between the requests of such flows.
+ * @returns how busy the busiest target is, in terms of the mean
+ */
+function openFlows(flows: number, spacing: number, requestsPerFlow: number): number {
+  const random = new SeededRandom(7);
+  const open = Array.from({ length: TARGETS }, () => 0);
+  const directories = Array.from({ length: BALANCERS }, () => new AgentDirectory());
+  const entries = directories.map(() => [] as AgentEntry[]);
+  let reportedAt = -Infinity;
+  let sequence = 0;
+  for (let flow = 0; flow < flows; flow++) {
+    const now = flow * spacing;
+    if (now - reportedAt >= REPORT_INTERVAL) {
+      reportedAt = now;
+      sequence++;
+      directories.forEach((directory, index) => {
+        entries[index] = open.map((openFlows, target) => {
+          const zone = `z${target % ZONES}`;
+          const answerTime = answerTimeOf(target);
+          const figures = { slots: 1, answerTime, openFlows, balancerCount: BALANCERS };
+          const report = createReport({ zone, sequence, ...figures });
+          return directory.hear(target + 1, report, now)!;
+        });
+      });
+    }
+    const balancer = Math.floor(random.next() * BALANCERS);
+    const own = entries[balancer]!;
+    const home = `z${balancer % ZONES}`;
+    const shuffled = own.map((entry) => ({ entry, key: random.next() }));
+    shuffled.sort((one, other) => one.key - other.key);
+    const atHome = shuffled.filter(({ entry }) => entry.zone === home).slice(0, 7);
+    const away = shuffled.filter(({ entry }) => entry.zone !== home).slice(0, 3);
+    const ordered = [...atHome, ...away].map(({ entry }) => entry);
+    const context = createSelectionContext({
+      now,
+      requestsPerFlow,
+      rivalShare: 1 / ZONES,
+      openingRate: 1 / (spacing * BALANCERS),
+      ageOf: () => now - reportedAt,
+      transferCost: ({ zone }) => (zone === home ? 0 : 5),
+      random: () => random.next(),
+    });
+    const { entry } = selectAgent(ordered, context)!;
+    directories[balancer]!.noteOpening(entry, requestsPerFlow > 1, now);
+    open[entry.address - 1]!++;
+  }
+  const uses = open.map((count, target) => count * answerTimeOf(target));
+  return Math.max(...uses) / (uses.reduce((sum, use) => sum + use, 0) / TARGETS);
+}
+
+test('many flows that open at once are spread by what targets can do, before any is busy', (t) => {
+  const spread = openFlows(1_700, 1, 5);
+  t.true(spread <= 1.25, `the busiest target has ${spread.toFixed(2)} times the mean`);
+  const unspread = openFlows(1_700, 1, 1);
+  t.true(unspread > spread, `${unspread.toFixed(2)} where each flow has one request`);
+});
+
+test('flows of one request each are placed as before, whatever flows targets have', (t) => {
+  const directory = new AgentDirectory();
+  const reports = [{ openFlows: 90 }, { openFlows: 10 }, { openFlows: 50, busyRequests: 4 }];
+  const entries = reports.map((fields, address) =>
+    directory.hear(address + 1, createReport(fields), 0)!,
+  );
+  entries.forEach((entry) => entry.recentFlows.push(0));
+  const single = selectAgent(entries, createSelectionContext({ requestsPerFlow: 1 }))!;
+  entries.forEach((entry) => (entry.recentFlows.length = 0));
+  t.deepEqual(selectAgent(entries, createSelectionContext())!, single);
+});
+
+test('a target that has not been timed gets no more flows than a slow one', (t) => {
+  const directory = new AgentDirectory();
+  const timed = Array.from({ length: 7 }, (_, target) => ({ answerTime: answerTimeOf(target) }));
+  const reports = [...timed, { answers: 0, answerTime: 0 }];
+  const entries = reports.map((fields, address) => {
+    const report = createReport({ slots: 1, openFlows: 20, ...fields });
+    return directory.hear(address + 1, report, 0)!;
+  });
+  const { entry } = selectAgent(entries, createSelectionContext({ requestsPerFlow: 5 }))!;
+  t.not(entry.address, 8);
+});
--- a/test/outliers.test.ts
+++ b/test/outliers.test.ts
@@ -353,6 +353,8 @@
     host: '10.0.0.1',
     'path-prefix': '/80/',
     service: 'map',
+    priority: 2,
+    'slo-ms': 250,
     type,
   });
   const routes = ['safe', 'download', 'unsafe', undefined].map(routeOf);
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -125,6 +125,14 @@
     { type: PacketMessageType.distanceProbe, sentAt: 12.625 },
     { type: PacketMessageType.distanceReply, sentAt: 12.625 },
     { type: PacketMessageType.eraSeen, era: 3 },
+    {
+      type: PacketMessageType.routeTerms,
+      destination: 0x0a00_0001_0050,
+      version: 7,
+      priority: 1,
+      latencyGoal: 300,
+      deadline: 2_500,
+    },
     {
       type: PacketMessageType.subscribe,
       zone: 'north',
--- a/test/packet-queue.test.ts
+++ b/test/packet-queue.test.ts
@@ -3,26 +3,28 @@
 import { packetFormat } from '../platform/packet-head';
 import type { FlowPacket } from '../src/packets/flow-packet';
 import { FlowTracker } from '../src/packets/flow-tracker';
-import { RequestQueue, type WaitingRequest } from '../src/packets/request-queue';
+import { RequestQueue, type WaitingRequest } from '../src/packets/queue/request-queue';
 import { ServiceTime } from '../src/packets/service-time';
 import { TargetAdmission } from '../src/packets/target-admission';
 import { TargetLifecycle } from '../src/packets/target-lifecycle';
+import { UNKNOWN_TERMS } from '../src/packets/terms/route-terms';
 import { StartupBacklog } from '../src/packets/startup/startup-backlog';
 import { encodeModelPacket, ModelFlag } from '../src/simulation/packets/model-packet-format';
 import { MAP_DESTINATION, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { encodePacket, Flag } from './support/packet-cluster';
 
-const PATIENCE = 100;
+const PATIENCE = (): number => 100;
 const CLIENT = ['100.64.0.7', 40_001] as const;
 const ROUTE = ['198.18.0.1', 443] as const;
 
 function createRequest(flow: string, since: number, seenAt = since): WaitingRequest {
-  return { packet: { flow } as FlowPacket, balancer: 1, searchId: 0, since, seenAt };
+  const packet = { flow } as FlowPacket;
+  return { packet, balancer: 1, searchId: 0, terms: UNKNOWN_TERMS, since, seenAt };
 }
 
 test('requests are served in order while waits are short, and the newest first beyond that', (t) => {
-  const queue = new RequestQueue();
+  const queue = new RequestQueue(10);
   ['a', 'b', 'c'].forEach((flow, index) => queue.add(createRequest(flow, index * 10)));
   t.is(queue.take(50, PATIENCE)!.packet.flow, 'a');
   t.is(queue.take(150, PATIENCE)!.packet.flow, 'c');
@@ -31,14 +33,14 @@
 });
 
 test('what can still be answered in time goes before what is late, the oldest of it first', (t) => {
-  const queue = new RequestQueue();
+  const queue = new RequestQueue(10);
   ['a', 'b', 'c', 'd'].forEach((flow, index) => queue.add(createRequest(flow, index * 30)));
   const order = Array.from({ length: 4 }, () => queue.take(135, PATIENCE)!.packet.flow);
   t.deepEqual(order, ['c', 'd', 'b', 'a']);
 });
 
 test('a copy of a waiting request keeps its place and shows that its client is there', (t) => {
-  const queue = new RequestQueue();
+  const queue = new RequestQueue(10);
   queue.add(createRequest('a', 0));
   queue.add(createRequest('b', 10));
   queue.add(createRequest('a', 200));
@@ -49,7 +51,7 @@
 });
 
 test('a queue is bounded: what came first no longer waits', (t) => {
-  const queue = new RequestQueue();
+  const queue = new RequestQueue(10);
   for (let flow = 0; flow < 2_000; flow++) {
     t.is(queue.add(createRequest(`f${flow}`, flow)), undefined);
   }
@@ -148,6 +150,8 @@
   const admission = new TargetAdmission({
     target,
     tracker,
+    lowerShare: 10,
+    termsOf: () => undefined,
     latencyGoal: () => 0,
     handOver: (packet, balancer) => {
       tracker.delivered(packet, balancer, 0);
--- a/test/report-frame.test.ts
+++ b/test/report-frame.test.ts
@@ -36,7 +36,7 @@
   failurePercent: byte,
   flowBytes: count,
   frameVersion: byte,
-  knowsAllFlows: fc.constantFrom(0, 1),
+  flowKnowledge: fc.constantFrom(0, 1, 2),
   balancerCount: count,
   balancers: fc.array(endpoint, { maxLength: 20 }),
 });
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -237,6 +237,8 @@
   const lone = world.agents[0]!;
   lone.process.kill();
   lone.target.alive = false;
+  // No process starts again before the last datagrams of its earlier run have come.
+  world.runFor(20);
   world.balancers.forEach((balancer) => world.startBalancer(balancer));
   world.startAgent(lone);
   return { world, lone };
@@ -355,6 +357,39 @@
   t.false(world.store.agents.items.has(String(lone.address)));
 });
 
+test('an agent that stops before it has found out looks once more, and keeps no reset back', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(600);
+  t.is(lone.node.figures.targetLooks, 0);
+  lone.node.beginStop(() => lone.process.kill());
+  world.runFor(10);
+  t.false(world.store.agents.items.has(String(lone.address)));
+  t.is(countResetsOfDeadFlow(world), 1);
+});
+
+test('its word that there is no target holds while its entry cannot be removed, and not for long', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(600);
+  world.store.down = true;
+  lone.node.beginStop(() => undefined);
+  world.runFor(50);
+  lone.process.kill();
+  t.is(countResetsOfDeadFlow(world), 1);
+  world.runFor(3_000);
+  t.is(countResetsOfDeadFlow(world), 1, 'none more');
+});
+
+test('an agent that stops beside a target which has not been heard keeps its entry', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(100);
+  lone.target.alive = true;
+  lone.heartbeats = false;
+  lone.node.beginStop(() => lone.process.kill());
+  world.runFor(10);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  t.is(countResetsOfDeadFlow(world), 0);
+});
+
 test('a look that is answered after the agent has ended changes nothing', (t) => {
   const clock = new VirtualClock();
   const environment = new SimulatedProcess(
@@ -405,6 +440,8 @@
   const admission = new TargetAdmission({
     target,
     tracker,
+    lowerShare: 10,
+    termsOf: () => undefined,
     latencyGoal: () => 0,
     handOver: (packet, balancer) => tracker.delivered(packet, balancer, 0),
   });
--- a/test/support/reports.ts
+++ b/test/support/reports.ts
@@ -24,7 +24,7 @@
     failurePercent: 0,
     flowBytes: 0,
     frameVersion: 2,
-    knowsAllFlows: 0,
+    flowKnowledge: 0,
     balancerCount: 1,
     balancers: [],
     ...fields,
--- a/test/support/selection-context.ts
+++ b/test/support/selection-context.ts
@@ -7,6 +7,7 @@
     now: 0,
     usesExpectedWait: true,
     openingRate: 0,
+    requestsPerFlow: 1,
     rivalShare: 1,
     isHeard: () => true,
     ageOf: () => 0,
--- a/test/sure-search.test.ts
+++ b/test/sure-search.test.ts
@@ -1,6 +1,11 @@
 /** Agents that have seen all flows of their targets open say at once that a flow is dead. */
 import test from 'ava';
-import { PacketMessageType, SearchPhase, type SearchMessage } from '../src/packets/packet-messages';
+import {
+  PacketMessageType,
+  SearchPhase,
+  type FlowKnowledgeValue,
+  type SearchMessage,
+} from '../src/packets/packet-messages';
 import { TargetLifecycle, type TargetHeartbeat } from '../src/packets/target-lifecycle';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
@@ -45,10 +50,10 @@
 });
 
 /** A router whose agents know all flows of their targets, as `knowing` says of each. */
-function createHarness(knowing: readonly number[]): RouterHarness {
+function createHarness(knowing: readonly FlowKnowledgeValue[]): RouterHarness {
   const harness = new RouterHarness(knowing.map(() => SURE));
   harness.agents.forEach((agent, index) => {
-    const report = { frameVersion: SURE, knowsAllFlows: knowing[index]!, sequence: 2 };
+    const report = { frameVersion: SURE, flowKnowledge: knowing[index]!, sequence: 2 };
     harness.directory.hear(agent, createReport(report), harness.now);
   });
   return harness;
@@ -65,7 +70,7 @@
 }
 
 test('one pass through agents that know their flows ends in a reset', (t) => {
-  const harness = createHarness(new Array<number>(40).fill(1));
+  const harness = createHarness(new Array<FlowKnowledgeValue>(40).fill(1));
   harness.router.route(harness.createData(7));
   const [first] = searchesOf(harness);
   t.is(first!.phase, SearchPhase.sure);
