--- a/src/packets/choice/choice-settings.ts
+++ b/src/packets/choice/choice-settings.ts
@@ -8,6 +8,10 @@
   readonly setAsideShare: number;
   /** Whether flows that stay for several requests are spread by the flows that targets have. */
   readonly keptFlows: boolean;
+  /** Whether openings are refused that could be answered only after their callers have given up. */
+  readonly admission: boolean;
+  /** Openings in a hundred of such a route that are let in all the same. */
+  readonly keptShare: number;
 }
 
 /**
@@ -18,4 +22,6 @@
   expectedWait: true,
   setAsideShare: 30,
   keptFlows: true,
+  admission: true,
+  keptShare: 10,
 };
--- a/src/packets/choice/expected-wait.ts
+++ b/src/packets/choice/expected-wait.ts
@@ -270,6 +270,7 @@
   return best;
 }
 
-function choiceOf({ entry, placementClass, time }: Offer, isTrial: boolean): Choice {
-  return { entry, placementClass, isTrial, expectedTime: time };
+function choiceOf(offer: Offer, isTrial: boolean): Choice {
+  const { entry, placementClass, reportedTime, time } = offer;
+  return { entry, placementClass, isTrial, expectedTime: time, reportedTime };
 }
--- a/src/packets/choice/least-load.ts
+++ b/src/packets/choice/least-load.ts
@@ -137,7 +137,7 @@
 
 function choiceOf(entry: AgentEntry, context: SelectionContext): Choice {
   const placementClass = placementClassOf(entry, context);
-  return { entry, placementClass, isTrial: false, expectedTime: 0 };
+  return { entry, placementClass, isTrial: false, expectedTime: 0, reportedTime: 0 };
 }
 
 function chooseLeastLoaded(
--- a/src/packets/choice/selection.ts
+++ b/src/packets/choice/selection.ts
@@ -59,6 +59,8 @@
   readonly isTrial: boolean;
   /** Milliseconds until its answer, the way there and back included; 0 where load decides. */
   readonly expectedTime: number;
+  /** The same by its report alone, without what has been sent there since; 0 where load decides. */
+  readonly reportedTime: number;
 }
 
 /** Whether an agent may be offered a new flow. */
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -1,7 +1,8 @@
 /** The balancer's choice of an agent for a new flow, and for each copy of its opening packet. */
 import { formatEndpoint } from '../core/endpoint';
-import type { Environment } from '../environment';
+import type { Endpoint, Environment } from '../environment';
 import { Events } from '../logging/events';
+import { OpeningAdmission } from './admission/opening-admission';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { selectAgent, type Choice, type SelectionContext } from './agent-selection';
 import { DEFAULT_CHOICE, type ChoiceSettings } from './choice/choice-settings';
@@ -18,7 +19,7 @@
 import type { PacketOutlet } from './packet-outlet';
 import { servicesOf, type Route, type RoutingTable } from './routing-table';
 import { ServiceRotation } from './service-rotation';
-import { termsOf } from './terms/route-terms';
+import { findLessUrgentRoutes, termsOf } from './terms/route-terms';
 import { TermsLedger } from './terms/terms-ledger';
 
 /** What the placement works with. */
@@ -46,11 +47,14 @@
   private readonly choice: ChoiceSettings;
   private readonly setAside: SetAsideTargets;
   private readonly ledger = new TermsLedger();
+  private readonly admission: OpeningAdmission;
+  private lessUrgent: ReadonlySet<Endpoint> = new Set();
   private routingVersion = 0;
 
   constructor(private readonly dependencies: FlowPlacementDependencies) {
     const { choice = DEFAULT_CHOICE, directory, environment } = dependencies;
     this.choice = choice;
+    this.admission = new OpeningAdmission(choice.keptShare);
     const share = choice.expectedWait ? choice.setAsideShare : 0;
     this.setAside = new SetAsideTargets({ environment, directory, share });
   }
@@ -80,6 +84,8 @@
     this.rotation.reset();
     this.routingVersion = version;
     this.ledger.apply(routes);
+    this.lessUrgent = findLessUrgentRoutes(routes);
+    this.admission.reset();
   }
 
   /** Places an opening packet; a copy goes to an agent that has not been offered the flow. */
@@ -124,6 +130,10 @@
       this.refuse(packet, search, candidates);
       return;
     }
+    if (!this.isAdmitted(packet, search, choice)) {
+      this.refuseHopeless(packet, search, choice);
+      return;
+    }
     const { entry: chosen } = choice;
     this.count(choice, now);
     directory.noteOpening(chosen, context.requestsPerFlow > 1, now);
@@ -149,6 +159,36 @@
     outlet.deliver(packet, search.services, chosen.address, search.id);
   }
 
+  /** Whether a flow may open; only one that has been offered to nobody yet can be refused in truth. */
+  private isAdmitted(
+    packet: FlowPacket,
+    { refusedBy, route }: FlowSearch,
+    choice: Choice,
+  ): boolean {
+    const { cache, environment } = this.dependencies;
+    const isNew = packet.openingCopy === 0 && refusedBy.size === 0;
+    if (!this.choice.admission || !isNew || cache.use(packet.flow, environment.now())) {
+      return true;
+    }
+    const { destination } = route;
+    return this.admission.takeDecision({
+      destination,
+      expectedTime: choice.reportedTime,
+      deadline: termsOf(route).deadline,
+      isLessUrgent: this.lessUrgent.has(destination),
+    });
+  }
+
+  private refuseHopeless(packet: FlowPacket, search: FlowSearch, { reportedTime }: Choice): void {
+    const { outlet, searches } = this.dependencies;
+    searches.end(search);
+    outlet.counters.openingsRefused++;
+    outlet.reset(packet, 'no answer in time', {
+      expected: Math.round(reportedTime),
+      deadline: termsOf(search.route).deadline,
+    });
+  }
+
   /** An agent learns what the callers of a route expect before their first requests come. */
   private tellTerms({ address, report }: AgentEntry, route: Route): void {
     const isUnderstood = report !== undefined && report.frameVersion >= TERMS_VERSION;
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -25,6 +25,8 @@
   flowsPlacedLastResort: number;
   /** Placed at a target that is set aside, to see how it does. */
   trialFlows: number;
+  /** Openings refused since their requests would have been answered too late. */
+  openingsRefused: number;
   flowsFound: number;
   searchesStarted: number;
   resetsSent: number;
@@ -60,6 +62,7 @@
     flowsPlacedDoubtful: 0,
     flowsPlacedLastResort: 0,
     trialFlows: 0,
+    openingsRefused: 0,
     flowsFound: 0,
     searchesStarted: 0,
     resetsSent: 0,
--- a/src/packets/packet-settings.ts
+++ b/src/packets/packet-settings.ts
@@ -18,8 +18,6 @@
 const DEFAULT_REPAIR_ANSWERS = true;
 const DEFAULT_LOCALITY = true;
 const DEFAULT_PRIORITY_QUEUE = true;
-/** Turns in a hundred: a caller of low priority sees that the service works, and delays one in ten. */
-const DEFAULT_LOWER_PRIORITY_SHARE = 10;
 /**
  * Milliseconds of waiting that a megabyte between zones is worth: 32 for an answer of 80,000 bytes,
  * which its client awaits for a good part of a second anyway, and 2 for one of 4,000 with its heads.
@@ -266,7 +264,7 @@
     lowerPriorityShare: reader.countUpTo(
       'lowerPriorityShare',
       HIGHEST_SHARE,
-      DEFAULT_LOWER_PRIORITY_SHARE,
+      DEFAULT_CHOICE.keptShare,
     ),
     earlyStart: reader.toggle('earlyStart', DEFAULT_EARLY_START),
     metrics: reader.optionalText('metrics'),
@@ -283,11 +281,13 @@
 }
 
 function readChoice(reader: SettingsReader): ChoiceSettings {
-  const { expectedWait, keptFlows, setAsideShare } = DEFAULT_CHOICE;
+  const { admission, expectedWait, keptFlows, keptShare, setAsideShare } = DEFAULT_CHOICE;
   return {
     expectedWait: reader.toggle('expectedWait', expectedWait),
     setAsideShare: reader.countUpTo('setAsideShare', HIGHEST_SHARE, setAsideShare),
     keptFlows: reader.toggle('keptFlows', keptFlows),
+    admission: reader.toggle('admission', admission),
+    keptShare: reader.countUpTo('lowerPriorityShare', HIGHEST_SHARE, keptShare),
   };
 }
 
--- a/src/packets/terms/route-terms.ts
+++ b/src/packets/terms/route-terms.ts
@@ -88,6 +88,20 @@
   return new Map(routes.filter(isContested).map((route) => [route.destination, route]));
 }
 
+/** The destinations of routes that share a service with a more urgent one. */
+export function findLessUrgentRoutes(routes: readonly Route[]): ReadonlySet<Endpoint> {
+  const mostUrgent = new Map<string, number>();
+  for (const route of routes) {
+    for (const { service } of route.services) {
+      const known = mostUrgent.get(service) ?? LOWEST_PRIORITY;
+      mostUrgent.set(service, Math.min(known, termsOf(route).priority));
+    }
+  }
+  const isLessUrgent = (route: Route): boolean =>
+    route.services.some(({ service }) => mostUrgent.get(service)! < termsOf(route).priority);
+  return new Set(routes.filter(isLessUrgent).map(({ destination }) => destination));
+}
+
 function isDuration(milliseconds: number): boolean {
   return milliseconds >= 0 && milliseconds <= LONGEST_DEADLINE;
 }
--- a/test/expected-wait.test.ts
+++ b/test/expected-wait.test.ts
@@ -358,12 +358,23 @@
     expectedWait: true,
     setAsideShare: 30,
     keptFlows: true,
+    admission: true,
+    keptShare: 10,
   });
-  const off = { ...base, expectedWait: 0, setAsideShare: 0, keptFlows: 0 };
+  const off = {
+    ...base,
+    expectedWait: 0,
+    setAsideShare: 0,
+    keptFlows: 0,
+    admission: 0,
+    lowerPriorityShare: 0,
+  };
   t.deepEqual(checkPacketSettings('s', off).unwrap().choice, {
     expectedWait: false,
     setAsideShare: 0,
     keptFlows: false,
+    admission: false,
+    keptShare: 0,
   });
   for (const wrong of [{ expectedWait: 2 }, { setAsideShare: 51 }, { setAsideShare: 0.5 }]) {
     t.true(checkPacketSettings('s', { ...base, ...wrong }).err);
--- /dev/null
+++ b/test/opening-admission.test.ts
@@ -0,0 +1,87 @@
+/** Openings when callers ask for more than all targets of a service can do. */
+import test from 'ava';
+import { packEndpoint } from '../src/core/endpoint';
+import { OpeningAdmission, type OpeningRequest } from '../src/packets/admission/opening-admission';
+import type { Route } from '../src/packets/routing-table';
+import { findLessUrgentRoutes } from '../src/packets/terms/route-terms';
+import { createReport } from './support/reports';
+import { DESTINATION, RouterHarness } from './support/router-harness';
+
+const STREAM = packEndpoint('198.18.0.1', 8_443);
+const DEADLINE = 2_000;
+const KEPT = 10;
+const CLIENT = 0x6440_0007_9c41;
+
+function createRequest(expectedTime: number, fields: Partial<OpeningRequest> = {}): OpeningRequest {
+  return { destination: STREAM, expectedTime, deadline: DEADLINE, isLessUrgent: true, ...fields };
+}
+
+test('what comes late is let in, what comes after its caller has given up is refused', (t) => {
+  const admission = new OpeningAdmission(KEPT);
+  t.true(admission.takeDecision(createRequest(DEADLINE)));
+  t.false(admission.takeDecision(createRequest(DEADLINE + 1)));
+  t.is(admission.routesClosed, 1);
+});
+
+test('the most urgent route of a service, and one without a deadline, is always let in', (t) => {
+  const admission = new OpeningAdmission(KEPT);
+  t.true(admission.takeDecision(createRequest(9_000, { isLessUrgent: false })));
+  t.true(admission.takeDecision(createRequest(9_000, { deadline: 0 })));
+});
+
+test('a route is let in again once the wait has fallen well below its deadline', (t) => {
+  const admission = new OpeningAdmission(0);
+  const decide = (time: number): boolean => admission.takeDecision(createRequest(time));
+  t.deepEqual([2_100, 1_900, 1_650, 1_600, 1_900].map(decide), [false, false, false, true, true]);
+});
+
+test('a share of the openings is let in all the same', (t) => {
+  const admission = new OpeningAdmission(KEPT);
+  const admitted = Array.from({ length: 200 }, () =>
+    admission.takeDecision(createRequest(5_000)),
+  ).filter((isAdmitted) => isAdmitted);
+  t.is(admitted.length, 20);
+});
+
+function createRoute(port: number, service: string, priority: number): Route {
+  return {
+    name: 'r',
+    destination: packEndpoint('198.18.0.1', port),
+    services: [{ service, weight: 1 }],
+    terms: { priority, latencyGoal: 0, deadline: 0 },
+  };
+}
+
+test('a route is less urgent by the routes of its own service', (t) => {
+  const check = createRoute(1, 'live', 1);
+  const stream = createRoute(2, 'live', 2);
+  const download = createRoute(3, 'archive', 2);
+  const less = findLessUrgentRoutes([check, stream, download]);
+  t.deepEqual([...less], [stream.destination]);
+});
+
+/** Routes one opening where every target has so many requests of 50 ms before its five slots. */
+function openBefore(busyRequests: number, priority: number): RouterHarness {
+  const harness = new RouterHarness([6, 6, 6]);
+  harness.agents.forEach((agent) =>
+    harness.directory.hear(agent, createReport({ sequence: 2, busyRequests }), harness.now),
+  );
+  const services = [{ service: 'map', weight: 1 }];
+  const terms = { latencyGoal: 300, deadline: DEADLINE };
+  const route = { name: 'stream', destination: DESTINATION, services };
+  const check = { ...createRoute(1, 'map', 1), terms: { ...terms, priority: 1 } };
+  const routes = [{ ...route, terms: { ...terms, priority } }, check];
+  harness.router.apply({ version: 2, idleTimeout: 60_000, profiles: [], routes });
+  harness.router.route(harness.createOpening(CLIENT));
+  return harness;
+}
+
+test('a refused opening is reset at once and reaches no agent', (t) => {
+  const harness = openBefore(400, 2);
+  t.is(harness.router.counters.openingsRefused, 1);
+  t.is(harness.router.counters.resetsSent, 1);
+  t.is(harness.router.counters.flowsPlaced, 0);
+  t.is(harness.sent.length, 0);
+  t.is(openBefore(100, 2).router.counters.openingsRefused, 0, 'late, and served');
+  t.is(openBefore(400, 1).router.counters.openingsRefused, 0, 'as urgent as any');
+});
