--- a/src/packets/client-intake.ts
+++ b/src/packets/client-intake.ts
@@ -51,6 +51,8 @@
   isTargetMissing(): boolean;
   /** The agent's state, which may differ from its target's. */
   state(): TargetStateValue;
+  /** An opening packet or a request has gone to the target, or waits for it. */
+  noteLoad(): void;
   /** A balancer has sent a packet: it is there. */
   noteBalancer(balancer: Endpoint): void;
   sendToTarget(packet: Buffer): void;
@@ -205,10 +207,13 @@
   }
 
   private admit(packet: FlowPacket, balancer: Endpoint, searchId: number): void {
-    const { admission, counters, environment } = this.dependencies;
+    const { admission, counters, environment, noteLoad } = this.dependencies;
     if (admission.admit(packet, balancer, searchId, environment.now())) {
       counters.requestsQueued++;
     }
+    if (packet.opens || packet.payloadLength > 0) {
+      noteLoad();
+    }
   }
 
   private handToTarget(packet: FlowPacket, balancer: Endpoint, token: number): void {
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -9,6 +9,7 @@
   type ReportMessage,
   type TargetStateValue,
 } from './packet-messages';
+import { CrowdingAlarm } from './choice/crowding-alarm';
 import { ReportAlarm, type TargetFigures } from './choice/report-alarm';
 import { Subscribers } from './subscribers';
 import type { TargetHealth } from './target-health';
@@ -46,6 +47,7 @@
   private readonly run: number;
   private reportsSent = 0;
   private readonly alarm = new ReportAlarm();
+  private readonly crowding = new CrowdingAlarm();
 
   constructor(private readonly dependencies: LoadReporterDependencies) {
     this.run = Math.floor(dependencies.environment.random() * RUN_RANGE);
@@ -77,6 +79,15 @@
     }
   }
 
+  /** Reports to every subscriber at once if the target has got much more since they were told. */
+  reportIfCrowded(): void {
+    const { busyRequests, environment, tracker } = this.dependencies;
+    const held = tracker.openFlows + busyRequests();
+    if (this.crowding.isDue(held, environment.now(), this.subscribers.longestInterval)) {
+      this.report();
+    }
+  }
+
   /** Reports to the subscribers that are due for it. */
   reportWhereDue(): void {
     this.reportTo(this.subscribers.takeDue(this.dependencies.environment.now()));
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -425,6 +425,7 @@
       tracker,
       isTargetMissing: () => this.presence.isMissing,
       state: () => this.state,
+      noteLoad: () => this.reporter.reportIfCrowded(),
       noteBalancer: (balancer) => this.reporter.subscribe(balancer),
       sendToTarget: (packet) => dependencies.sendToTarget(packet),
     });
