--- a/src/packets/choice/kept-flows.ts
+++ b/src/packets/choice/kept-flows.ts
@@ -42,7 +42,10 @@
 
 const NO_WAITS: LaterWaits = new Map();
 
-/** What the later requests of a flow wait at each candidate; nothing where it has one request. */
+/**
+ * What the later requests of a flow wait at each candidate; nothing where it has one request. The wait is that
+ * at a target of mean capacity: by its own, quick targets would be filled until they are no quicker.
+ */
 export function measureLaterWaits(
   candidates: readonly AgentEntry[],
   outlook: ServiceOutlook,
@@ -59,12 +62,13 @@
   );
   const levels = loads.map(({ level, own }) => Math.max(level, filled) + own);
   const mean = meanLevelOf(loads, levels);
-  const few = (FEW_FLOWS * loads.length) / loads.reduce((sum, { capacity }) => sum + capacity, 0);
+  const total = loads.reduce((sum, { capacity }) => sum + capacity, 0);
+  const few = (FEW_FLOWS * loads.length) / total;
   const use = Math.max(LEAST_USE, outlook.use);
   return new Map(
     loads.map(({ entry, capacity }, index) => {
       const level = levels[index]! + 1 / capacity;
-      const wait = measureWait((use * (level + few)) / (mean + few)) / capacity;
+      const wait = (measureWait((use * (level + few)) / (mean + few)) * loads.length) / total;
       return [entry, (requestsPerFlow - 1) * wait];
     }),
   );
--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -159,7 +159,10 @@
     outlet.deliver(packet, search.services, chosen.address, search.id);
   }
 
-  /** Whether a flow may open; only one that has been offered to nobody yet can be refused in truth. */
+  /**
+   * Whether a flow may open. Only one that has been offered to nobody yet can be refused in truth, and a
+   * trial tells of one target what holds for no other.
+   */
   private isAdmitted(
     packet: FlowPacket,
     { refusedBy, route }: FlowSearch,
@@ -167,7 +170,8 @@
   ): boolean {
     const { cache, environment } = this.dependencies;
     const isNew = packet.openingCopy === 0 && refusedBy.size === 0;
-    if (!this.choice.admission || !isNew || cache.use(packet.flow, environment.now())) {
+    const isJudged = this.choice.admission && isNew && !choice.isTrial;
+    if (!isJudged || cache.use(packet.flow, environment.now())) {
       return true;
     }
     const { destination } = route;
--- a/src/packets/startup/target-presence.ts
+++ b/src/packets/startup/target-presence.ts
@@ -103,6 +103,10 @@
         present();
         return;
       }
+      if (this.isVacant) {
+        absent();
+        return;
+      }
       this.isVacant = true;
       environment.report(Events.targetMissing, { looks: this.probes });
       missed();
--- a/test/opening-admission.test.ts
+++ b/test/opening-admission.test.ts
@@ -62,13 +62,13 @@
 
 /** Routes one opening where every target has so many requests of 50 ms before its five slots. */
 function openBefore(busyRequests: number, priority: number): RouterHarness {
-  const harness = new RouterHarness([6, 6, 6]);
+  const harness = new RouterHarness([6, 6, 6, 6, 6, 6]);
   harness.agents.forEach((agent) =>
     harness.directory.hear(agent, createReport({ sequence: 2, busyRequests }), harness.now),
   );
   const services = [{ service: 'map', weight: 1 }];
   const terms = { latencyGoal: 300, deadline: DEADLINE };
-  const route = { name: 'stream', destination: DESTINATION, services };
+  const route = { name: 'stream', destination: DESTINATION, services, isRepeatable: true };
   const check = { ...createRoute(1, 'map', 1), terms: { ...terms, priority: 1 } };
   const routes = [{ ...route, terms: { ...terms, priority } }, check];
   harness.router.apply({ version: 2, idleTimeout: 60_000, profiles: [], routes });
@@ -85,3 +85,20 @@
   t.is(openBefore(100, 2).router.counters.openingsRefused, 0, 'late, and served');
   t.is(openBefore(400, 1).router.counters.openingsRefused, 0, 'as urgent as any');
 });
+
+test('a trial at one bad target closes no route', (t) => {
+  const harness = openBefore(100, 2);
+  const [bad] = harness.agents;
+  const failing = { sequence: 3, busyRequests: 900, failurePercent: 90 };
+  for (let round = 0; round < 60; round++) {
+    harness.pass(100);
+    const sequence = 4 + round;
+    harness.agents.forEach((agent) => {
+      const report = agent === bad ? { ...failing, sequence } : { sequence };
+      harness.directory.hear(agent, createReport(report), harness.now);
+    });
+    harness.router.route(harness.createOpening(CLIENT + 1 + round));
+  }
+  t.true(harness.router.counters.trialFlows > 0, 'some flows are trials');
+  t.is(harness.router.counters.openingsRefused, 0);
+});
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -417,6 +417,35 @@
   t.is(missed, 0);
 });
 
+test('two looks at once find out once that there is no target', (t) => {
+  const clock = new VirtualClock();
+  const environment = new SimulatedProcess(
+    'agent',
+    OWN_ZONE,
+    'agent',
+    clock,
+    new SeededRandom(1),
+    () => undefined,
+  );
+  const answers: ((isVacant: boolean) => void)[] = [];
+  let missed = 0;
+  let done = 0;
+  const presence = new TargetPresence({
+    environment,
+    probe: { isVacant: (answer) => answers.push(answer) },
+    heartbeatInterval: 100,
+    isTargetHeard: () => false,
+    missed: () => missed++,
+  });
+  presence.start();
+  clock.runUntil(200);
+  presence.lookNow(() => done++);
+  answers.forEach((answer) => answer(true));
+  t.is(answers.length, 2);
+  t.is(missed, 1);
+  t.is(done, 1);
+});
+
 test('a look at an address without a listener proves that there is no target', async (t) => {
   const vacant = new TcpTargetProbe(parseEndpoint('127.41.1.1:21414').unwrap());
   t.true(await new Promise<boolean>((done) => vacant.isVacant(done)));
