--- a/test/soak/play-soak.ts
+++ b/test/soak/play-soak.ts
@@ -1,5 +1,6 @@
 /** Plays one seed of the soak and tells what was seen. */
 import type { WorldViolations } from '../../src/simulation/packets/world-judge';
+import { SeededRandom } from '../../src/simulation/seeded-random';
 import type { SoakClientState } from './soak-client';
 import { strikeAtRandom } from './soak-faults';
 import { MAP_ROUTE, PASSING_ROUTE, SoakWorld, TILES_ROUTE } from './soak-world';
@@ -15,6 +16,11 @@
 /** Part of the last flows, after all faults, that must be served. */
 const SERVED_AFTERWARDS = 0.9;
 
+/** Part of the faults that come together with a crowd. */
+const CROWD_SHARE = 0.2;
+/** Flows that a crowd opens at once: more work than all targets of their service do in a fifth of a second. */
+const CROWD = 300;
+
 type PlayedFaults = Pick<SoakResult, 'faults' | 'idleAgents'>;
 
 /** What one seed showed. */
@@ -47,6 +53,13 @@
   world.openFlow(destination, isKept ? 12 : 1, random.between(50, 500));
 }
 
+/** Callers ask for more than targets can do, on an urgent route and on one that may wait. */
+function openCrowd(world: SoakWorld): void {
+  for (let flow = 0; flow < CROWD; flow++) {
+    world.openFlow(flow % 3 === 0 ? PASSING_ROUTE : MAP_ROUTE, 1, 0);
+  }
+}
+
 /** Waits until every target has opened a flow since now; returns the agents where none has. */
 async function waitForAllTargets(world: SoakWorld): Promise<string[]> {
   const begin = performance.now();
@@ -56,13 +69,19 @@
   return world.idleAgents(begin);
 }
 
-async function playFaults(world: SoakWorld, length: number): Promise<PlayedFaults> {
+async function playFaults(world: SoakWorld, length: number, seed: number): Promise<PlayedFaults> {
   const faults: string[] = [];
+  // Of its own, so that the faults of a seed stay what they were.
+  const crowds = new SeededRandom(seed + 2);
   const traffic = setInterval(() => openRandomFlow(world), FLOW_INTERVAL);
   const begin = performance.now();
   while (performance.now() - begin < length) {
     const at = Math.round(performance.now() - begin);
-    faults.push(`${at} ms ${strikeAtRandom(world)}`);
+    const isCrowded = crowds.next() < CROWD_SHARE;
+    if (isCrowded) {
+      openCrowd(world);
+    }
+    faults.push(`${at} ms ${strikeAtRandom(world)}${isCrowded ? ' in a crowd' : ''}`);
     await pause(world.faultRandom.between(0.3, 1.7) * FAULT_INTERVAL);
   }
   await pause(RECOVERY);
@@ -89,7 +108,7 @@
   try {
     await world.start();
     await pause(SETTLING);
-    const played = await playFaults(world, length);
+    const played = await playFaults(world, length, seed);
     const servedAfterwards = await playLastFlows(world);
     const { ended: flows, altered, ownEnds, folder } = world;
     const { violations } = world.judge;
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -34,6 +34,8 @@
 const FIRST_CLIENT_PORT = 40_000;
 /** A request's id, which begins with its client's address. */
 const REQUEST_ID = /X-Request-Id: ((\d+)\/\S+)/;
+/** Milliseconds after which callers give up on a request. */
+const DEADLINE = 3_000;
 const BALANCERS = 3;
 /** Index of the balancer that may use so little that it relays. */
 const WEAK_BALANCER = 2;
@@ -174,7 +176,10 @@
         const [host, port] = formatEndpoint(destination).split(':');
         // Requests that may run twice: balancers then try targets that they have set aside.
         const type = 'safe';
-        return { name: `route-${port}`, host, 'path-prefix': `/${port}/`, service, type };
+        const isUrgent = destination === PASSING_ROUTE;
+        const terms = { priority: isUrgent ? 1 : 2, 'slo-ms': 300, 'timeout-ms': DEADLINE };
+        const place = { name: `route-${port}`, host, 'path-prefix': `/${port}/` };
+        return { ...place, service, type, ...terms };
       }),
       services: ['map', 'tiles'].map((name) => ({ name, 'cold-start-s': COLD_TIME / SECOND })),
       limits: {},
