--- a/src/packets/choice/kept-flows.ts
+++ b/src/packets/choice/kept-flows.ts
@@ -9,10 +9,11 @@
 import { slotsOf, sureAnswerTimeOf, type ServiceOutlook } from './service-outlook';
 
 /**
- * Part of its time for which a service is taken to be busy at least: flows that open now are to be
- * spread for the hours to come, also while nothing is under way yet.
+ * Part of its time for which a service is taken to be busy at least. Flows that open before any request
+ * are spread by it; and below it nobody waits, so that a target keeps its part of new flows whatever
+ * clients have left open there.
  */
-const LEAST_USE = 0.5;
+const LEAST_USE = 0.1;
 /** Flows of a target, in the mean, below which their number says little of its use. */
 const FEW_FLOWS = 10;
 /** Use beyond which the wait is taken to rise evenly: a target that is overloaded has no steady one. */
--- a/test/kept-flows.test.ts
+++ b/test/kept-flows.test.ts
@@ -176,3 +176,17 @@
   const { entry } = selectAgent(entries, createSelectionContext({ requestsPerFlow: 5 }))!;
   t.not(entry.address, 8);
 });
+
+test('a target of a service that hardly works gets flows, whatever clients have left open there', (t) => {
+  const random = new SeededRandom(9);
+  const directory = new AgentDirectory();
+  const entries = [377, 315, 325, 214].map((openFlows, address) =>
+    directory.hear(address + 1, createReport({ openFlows, answerTime: 15 }), 0)!,
+  );
+  const counts = entries.map(() => 0);
+  const context = createSelectionContext({ requestsPerFlow: 6, random: () => random.next() });
+  for (let flow = 0; flow < 200; flow++) {
+    counts[entries.indexOf(selectAgent(entries, context)!.entry)]!++;
+  }
+  t.true(Math.min(...counts) > 0, counts.join(', '));
+});
