--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -395,6 +395,14 @@
     return { address, zone, service: this.target.service };
   }
 
+  /** Whether there is nobody to hand a packet to; where nobody was heard yet, it is looked for. */
+  private isTargetAbsent(): boolean {
+    if (this.settings.earlyStart) {
+      this.presence.ask();
+    }
+    return this.presence.isAbsent;
+  }
+
   private createAdmission(): TargetAdmission {
     return new TargetAdmission({
       target: this.target,
@@ -423,7 +431,7 @@
       link,
       target,
       tracker,
-      isTargetMissing: () => this.presence.isMissing,
+      isTargetMissing: () => this.isTargetAbsent(),
       state: () => this.state,
       noteLoad: () => this.reporter.reportIfCrowded(),
       noteBalancer: (balancer) => this.reporter.subscribe(balancer),
--- a/src/packets/startup/target-presence.ts
+++ b/src/packets/startup/target-presence.ts
@@ -12,6 +12,8 @@
 
 /** Heartbeats that may be missed before the target's address is looked at. */
 const HEARTBEATS_MISSED = 2;
+/** Milliseconds between two looks that packets ask for: a client repeats its packet after 200. */
+const ASKED_INTERVAL = 100;
 
 /** Looks whether anybody listens at the target's address. */
 export interface TargetProbePort {
@@ -35,6 +37,9 @@
 export class TargetPresence {
   private timer: TimerHandle | undefined;
   private isVacant = false;
+  /** A look that a packet asked for has found nobody. */
+  private isFoundAbsent = false;
+  private askedAt = -Infinity;
   private isStopped = false;
   private probes = 0;
 
@@ -45,6 +50,14 @@
     return this.isVacant && !this.dependencies.isTargetHeard();
   }
 
+  /**
+   * Whether there is no target to hand a packet to, as {@link isMissing} or by a look that a packet
+   * asked for. The agent hands nothing over then, so no flow can open unseen before it hears its target.
+   */
+  get isAbsent(): boolean {
+    return (this.isVacant || this.isFoundAbsent) && !this.dependencies.isTargetHeard();
+  }
+
   /** Looks taken at the target's address. */
   get looks(): number {
     return this.probes;
@@ -65,6 +78,23 @@
     this.timer = environment.startTimer(HEARTBEATS_MISSED * heartbeatInterval, () => this.check());
   }
 
+  /**
+   * A packet is to go to a target that has not been heard: looks whether there is one, so that a search
+   * does not end at a machine without a target. The entry stays, since the target may be starting.
+   */
+  ask(): void {
+    const { environment, isTargetHeard, probe } = this.dependencies;
+    const now = environment.now();
+    if (isTargetHeard() || this.isAbsent || now - this.askedAt < ASKED_INTERVAL) {
+      return;
+    }
+    this.askedAt = now;
+    this.probes++;
+    probe.isVacant((isVacant) => {
+      this.isFoundAbsent = isVacant;
+    });
+  }
+
   /**
    * Looks at once, since the agent is about to stop: an entry of an agent that has never found out
    * keeps balancers from telling that flows are dead.
--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -379,6 +379,19 @@
   t.is(countResetsOfDeadFlow(world), 1, 'none more');
 });
 
+test('a search that meets an agent without a target goes on by the next copy, and its entry stays', (t) => {
+  const { world, lone } = startWithoutTarget(true);
+  world.runFor(300);
+  countResetsOfDeadFlow(world);
+  world.runFor(100);
+  t.is(countResetsOfDeadFlow(world), 1);
+  t.true(world.store.agents.items.has(String(lone.address)));
+  t.is(lone.node.state, 1, 'unknown, as a target that starts');
+  world.startTarget(lone);
+  world.runFor(1_000);
+  t.is(lone.node.state, 2);
+});
+
 test('an agent that stops beside a target which has not been heard keeps its entry', (t) => {
   const { world, lone } = startWithoutTarget(true);
   world.runFor(100);
