--- a/test/restart.test.ts
+++ b/test/restart.test.ts
@@ -403,7 +403,13 @@
   t.is(countResetsOfDeadFlow(world), 0);
 });
 
-test('a look that is answered after the agent has ended changes nothing', (t) => {
+/** What judges a target that is never heard; the test answers its looks. */
+function createPresence(): {
+  readonly answers: ((isVacant: boolean) => void)[];
+  readonly clock: VirtualClock;
+  readonly count: { missed: number };
+  readonly presence: TargetPresence;
+} {
   const clock = new VirtualClock();
   const environment = new SimulatedProcess(
     'agent',
@@ -414,48 +420,36 @@
     () => undefined,
   );
   const answers: ((isVacant: boolean) => void)[] = [];
-  let missed = 0;
+  const count = { missed: 0 };
   const presence = new TargetPresence({
     environment,
     probe: { isVacant: (answer) => answers.push(answer) },
     heartbeatInterval: 100,
     isTargetHeard: () => false,
-    missed: () => missed++,
+    missed: () => count.missed++,
   });
+  return { answers, clock, count, presence };
+}
+
+test('a look that is answered after the agent has ended changes nothing', (t) => {
+  const { answers, clock, count, presence } = createPresence();
   presence.start();
   clock.runUntil(200);
   presence.stop();
   answers.forEach((answer) => answer(true));
   t.is(answers.length, 1);
-  t.is(missed, 0);
+  t.is(count.missed, 0);
 });
 
 test('two looks at once find out once that there is no target', (t) => {
-  const clock = new VirtualClock();
-  const environment = new SimulatedProcess(
-    'agent',
-    OWN_ZONE,
-    'agent',
-    clock,
-    new SeededRandom(1),
-    () => undefined,
-  );
-  const answers: ((isVacant: boolean) => void)[] = [];
-  let missed = 0;
+  const { answers, clock, count, presence } = createPresence();
   let done = 0;
-  const presence = new TargetPresence({
-    environment,
-    probe: { isVacant: (answer) => answers.push(answer) },
-    heartbeatInterval: 100,
-    isTargetHeard: () => false,
-    missed: () => missed++,
-  });
   presence.start();
   clock.runUntil(200);
   presence.lookNow(() => done++);
   answers.forEach((answer) => answer(true));
   t.is(answers.length, 2);
-  t.is(missed, 1);
+  t.is(count.missed, 1);
   t.is(done, 1);
 });
 
