--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -99,4 +99,8 @@
   routeTermsMissing: event(2735, 'route-terms-missing', 'warn'),
   requestsGivenUp: event(2736, 'requests-given-up', 'info'),
   searchStalled: event(2737, 'search-stalled', 'warn'),
+  relayingChanged: event(2738, 'relaying-changed', 'info'),
+  packetReturned: event(2739, 'packet-returned', 'info'),
+  searchRepeated: event(2740, 'search-repeated', 'info'),
+  detourLost: event(2741, 'detour-lost', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/client-intake.ts
+++ b/src/packets/client-intake.ts
@@ -141,6 +141,7 @@
     const { searchId, balancer, search } = delivery;
     if (search) {
       counters.packetsRefused++;
+      this.reportReturned(packet, search);
       this.passOn({ ...search, payload: packet.bytes });
     } else {
       this.refuse(packet, searchId, balancer, RefusalReason.returnedByTarget);
@@ -248,6 +249,19 @@
     }
   }
 
+  private reportReturned(packet: FlowPacket, search: SearchMessage): void {
+    const { environment, target } = this.dependencies;
+    environment.report(Events.packetReturned, {
+      client: formatEndpoint(packet.client),
+      destination: formatEndpoint(packet.destination),
+      balancer: formatEndpoint(search.balancer),
+      phase: search.phase,
+      position: search.position,
+      agents: search.agents.length,
+      knowsAllFlows: target.isKnownFromStart,
+    });
+  }
+
   private refuse(
     packet: FlowPacket,
     searchId: number,
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -5,6 +5,7 @@
  * Only the target holds a flow. Everything here is a short cut to it and can be lost:
  * a packet of an unknown flow is searched for at every agent of its route.
  */
+import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
 import type { ChoiceSettings } from './choice/choice-settings';
@@ -99,11 +100,15 @@
     }
     this.outlet.noteDetoured(packet);
     const route = this.routes?.get(packet.destination);
-    if (route && !packet.opens && this.dependencies.directory.find(agent)) {
+    const isKnown = this.dependencies.directory.find(agent) !== undefined;
+    if (route && !packet.opens && isKnown) {
       this.outlet.deliver(packet, servicesOf(route), agent, 0);
-    } else {
-      this.routePacket(packet);
+      return;
+    }
+    if (!isKnown) {
+      this.outlet.report(Events.detourLost, packet, { agent: formatEndpoint(agent) });
     }
+    this.routePacket(packet);
   }
 
   private receive(bytes: Buffer): FlowPacket | undefined {
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -30,6 +30,9 @@
 /** Agents of one round of groups: a balancer sends and hears 20 messages for each stage of it. */
 const MAXIMUM_ROUND_LENGTH = 20 * GROUP_LENGTH;
 
+/** Times that a packet is sent through agents where none is lost: the likely ones, then the rest. */
+const REPEATS_EXPECTED = 2;
+
 /** What the search works with. */
 export interface HolderSearchDependencies {
   readonly environment: Environment;
@@ -170,9 +173,19 @@
   ): void {
     const sure = agents.filter((agent) => this.isSure(agent));
     const isFirst = search.attempts === 0;
+    if (search.attempts >= REPEATS_EXPECTED) {
+      this.reportRepeat(packet, search, agents.length);
+    }
     this.send(packet, search, isFirst || sure.length === 0 ? agents : sure);
   }
 
+  private reportRepeat(packet: FlowPacket, search: FlowSearch, heard: number): void {
+    const { refusedBy, attempts, services } = search;
+    const known = this.dependencies.directory.ofServices(services).length;
+    const fields = { attempts, heard, known, refusals: refusedBy.size };
+    this.dependencies.outlet.report(Events.searchRepeated, packet, fields);
+  }
+
   private isSure({ address, report }: AgentEntry): boolean {
     return (
       report?.flowKnowledge === FlowKnowledge.whole &&
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -65,6 +65,7 @@
   private readonly table: TableInForce;
   private stopping = false;
   private wasReady = false;
+  private wasRelaying = false;
   private readonly gate: StartupGate;
   private readonly startupRelay: StartupRelay;
   private readonly settling = new ViewSettling();
@@ -512,11 +513,22 @@
   /** A balancer that relays needs no reports. */
   private subscribe(): void {
     const now = this.dependencies.environment.now();
-    if (!this.relay.isPossible(now)) {
+    const isRelaying = this.relay.isPossible(now);
+    this.reportRelaying(isRelaying);
+    if (!isRelaying) {
       this.subscriptions.run(now, this.reading.isRecent);
     }
   }
 
+  private reportRelaying(isRelaying: boolean): void {
+    if (isRelaying !== this.wasRelaying) {
+      this.wasRelaying = isRelaying;
+      const { agentsKnown, agentsHeard } = this.figures;
+      const fields = { relays: isRelaying, agentsKnown, agentsHeard };
+      this.dependencies.environment.report(Events.relayingChanged, fields);
+    }
+  }
+
   private maintain(): void {
     this.gate.run();
     this.router.expire(this.dependencies.environment.now());
