--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -81,6 +81,8 @@
   private readonly zones = new ZoneReach();
   /** Time at which every registered agent was known first. */
   private completeSince = Infinity;
+  /** Time since which agents are asked for reports; `Infinity` while they are not. */
+  private listeningSince = -Infinity;
 
   /** Whether every registered agent is known. */
   get isComplete(): boolean {
@@ -112,6 +114,30 @@
     return now - entry.heardAt <= silenceLimit(this.size) && !this.isZoneSilent(entry.zone, now);
   }
 
+  /** Agents are asked for reports from now on, unless they were before. */
+  beginListening(now: number): void {
+    if (this.listeningSince === Infinity) {
+      this.listeningSince = now;
+    }
+  }
+
+  /** Agents are no longer asked for reports: their silence says nothing. */
+  stopListening(): void {
+    this.listeningSince = Infinity;
+  }
+
+  /** Milliseconds for which an agent has said nothing although it was asked for reports. */
+  silenceOf({ heardAt, knownSince }: AgentEntry, now: number): number {
+    return Math.max(0, now - Math.max(heardAt ?? knownSince, this.listeningSince));
+  }
+
+  /** Whether an agent is not heard, and has not been asked for reports long enough to be silent. */
+  isAwaited(entry: AgentEntry, now: number): boolean {
+    const isAway = entry.report?.state === TargetState.agentRestarting;
+    const isSilent = this.silenceOf(entry, now) > silenceLimit(this.size);
+    return !isAway && !isSilent && !this.isHeard(entry, now);
+  }
+
   /** Whether all agents of a zone have fallen silent while others are heard. */
   isZoneSilent(zone: string, now: number): boolean {
     return this.zones.isSilent(zone, this.size, now);
--- a/src/packets/delayed-deliveries.ts
+++ b/src/packets/delayed-deliveries.ts
@@ -4,14 +4,17 @@
  * and age; what is dropped here the client repeats anyway.
  */
 import type { Endpoint } from '../environment';
-import type { DeliverMessage } from './packet-messages';
+import type { DeliverMessage, SearchMessage } from './packet-messages';
+
+/** A message that brings an agent a client's packet. */
+export type PacketCarrier = DeliverMessage | SearchMessage;
 
 const MAXIMUM_PER_AGENT = 256;
 /** Milliseconds: clients repeat at the latest after so long. */
 const LONGEST_WAIT = 1_600;
 
 interface DelayedDelivery {
-  readonly message: DeliverMessage;
+  readonly message: PacketCarrier;
   readonly since: number;
 }
 
@@ -20,7 +23,7 @@
   private readonly waiting = new Map<Endpoint, DelayedDelivery[]>();
 
   /** Keeps a packet; the oldest one of the agent is dropped when there are too many. */
-  add(agent: Endpoint, message: DeliverMessage, now: number): void {
+  add(agent: Endpoint, message: PacketCarrier, now: number): void {
     const list = this.waiting.get(agent) ?? [];
     this.waiting.set(agent, list);
     list.push({ message, since: now });
@@ -30,7 +33,7 @@
   }
 
   /** Takes out what waits for an agent and is not too old. */
-  take(agent: Endpoint, now: number): DeliverMessage[] {
+  take(agent: Endpoint, now: number): PacketCarrier[] {
     const list = this.waiting.get(agent) ?? [];
     this.waiting.delete(agent);
     return list.filter(({ since }) => now - since <= LONGEST_WAIT).map(({ message }) => message);
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -13,9 +13,11 @@
 /** Searches noted at once; the least recently used is dropped beyond that. */
 const MAXIMUM_SEARCHES = 8_192;
 
-/** A search through groups of agents at the same time: all are asked, then all are offered it. */
+/** A search through groups of agents at the same time: all are asked, then all may be offered it. */
 export interface SearchRound {
   readonly agents: readonly Endpoint[];
+  /** Once none of the agents knows the flow, all offer the packet to their targets. */
+  readonly isOfferedNext: boolean;
   /** Agents whose groups have not told yet that none knows the flow. */
   readonly unasked: Set<Endpoint>;
 }
@@ -28,6 +30,8 @@
   /** The service that may take the packet when it opens a flow; else all of the route's. */
   readonly services: readonly string[];
   readonly refusedBy: Set<Endpoint>;
+  /** Agents that do not know the flow; their targets, which may hold it, were not asked. */
+  readonly unknownTo: Set<Endpoint>;
   /** Agents that a packet was offered to, longest ago first; some have not answered. */
   readonly offeredTo: Set<Endpoint>;
   /** Times that a packet was sent through the agents. */
@@ -139,6 +143,7 @@
       route,
       services,
       refusedBy: new Set(),
+      unknownTo: new Set(),
       offeredTo: new Set(),
       attempts: 0,
       sureAttempts: 0,
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -12,7 +12,7 @@
 import type { FlowCache } from './flow-cache';
 import { FlowLocator, type WaitingPacket } from './flow-locator';
 import type { FlowKey, FlowPacket } from './flow-packet';
-import { nextToAsk, noteOffer, type FlowSearch, type FlowSearches } from './flow-search';
+import { noteOffer, type FlowSearch, type FlowSearches } from './flow-search';
 import type { Locality } from './locality/locality';
 import type { PacketLink } from './packet-link';
 import {
@@ -20,11 +20,13 @@
   MAXIMUM_SEARCH_LENGTH,
   PacketMessageType,
   SearchPhase,
+  type SearchMessage,
   type SearchPhaseValue,
 } from './packet-messages';
 import type { PacketOutlet } from './packet-outlet';
 import { ResetNotes } from './reset-notes';
 import { servicesOf, type Route } from './routing-table';
+import { planSearch, type SearchView } from './search-plan';
 import { GROUP_LENGTH, orderSearch, splitIntoGroups } from './search-order';
 
 /** Agents of one round of groups: a balancer sends and hears 20 messages for each stage of it. */
@@ -90,13 +92,20 @@
    * to their targets; an agent out of reach thus keeps every other target from being touched.
    */
   noneKnows(packet: FlowPacket, search: FlowSearch, agents: readonly Endpoint[]): void {
-    const { round } = search;
+    const { round, unknownTo } = search;
+    agents.forEach((agent) => unknownTo.add(agent));
     if (!round || round.unasked.size === 0) {
       return;
     }
     agents.forEach((agent) => round.unasked.delete(agent));
-    if (round.unasked.size === 0) {
+    if (round.unasked.size > 0) {
+      return;
+    }
+    if (round.isOfferedNext) {
       this.sendToGroups(packet, search, round.agents, SearchPhase.offer);
+    } else {
+      search.round = undefined;
+      this.offerNext(packet, search);
     }
   }
 
@@ -105,13 +114,9 @@
     if (this.awaitsGroups(search)) {
       return;
     }
-    const { cache, directory, environment } = this.dependencies;
-    const now = environment.now();
-    const untried = directory
-      .ofServices(search.services)
-      .filter((entry) => !search.refusedBy.has(entry.address))
-      .filter((entry) => !directory.hasNoTarget(entry, now));
-    const offered = cache.use(packet.flow, now)?.offered;
+    const { cache, environment } = this.dependencies;
+    const untried = this.findUntried(search);
+    const offered = cache.use(packet.flow, environment.now())?.offered;
     const likely = untried.find(
       ({ address }) => offered?.has(address) && !search.offeredTo.has(address),
     );
@@ -119,23 +124,82 @@
       this.offerTo(likely, packet, search);
       return;
     }
-    const heard = untried.filter((entry) => directory.isHeard(entry, now));
-    const searching = heard.filter(({ address }) => this.dependencies.link.speaksCompact(address));
-    if (searching.length > 0) {
-      this.searchThrough(searching, packet, search);
-      return;
-    }
-    const [next] = nextToAsk(search, heard.length > 0 ? heard : untried);
-    if (next && heard.length === 0) {
-      this.reportStall(packet, search, untried.length);
-    }
-    if (next) {
-      this.offerTo(next, packet, search);
-    } else {
-      this.conclude(packet, search);
+    const plan = planSearch(untried, search, this.createView());
+    switch (plan.kind) {
+      case 'ask':
+        this.askOnly(plan.heard, plan.awaited, packet, search);
+        return;
+      case 'wait':
+        this.waitForAgents(packet, search);
+        return;
+      case 'search':
+        this.searchThrough(plan.agents, packet, search);
+        return;
+      case 'offer':
+        this.offerTo(plan.agent, packet, search);
+        return;
+      case 'offerSilent':
+        this.reportStall(packet, search, untried.length);
+        this.offerToSilent(plan.agent, packet, search);
+        return;
+      case 'conclude':
+        this.conclude(packet, search);
     }
   }
 
+  /** Agents of a search's services that may hold its flow, as far as is known. */
+  private findUntried({ refusedBy, services }: FlowSearch): AgentEntry[] {
+    const { directory, environment } = this.dependencies;
+    const now = environment.now();
+    return directory
+      .ofServices(services)
+      .filter((entry) => !refusedBy.has(entry.address))
+      .filter((entry) => !directory.hasNoTarget(entry, now));
+  }
+
+  private createView(): SearchView {
+    const { directory, environment, link } = this.dependencies;
+    const now = environment.now();
+    return {
+      isHeard: (entry) => directory.isHeard(entry, now),
+      isAwaited: (entry) => directory.isAwaited(entry, now),
+      speaksCompact: (agent) => link.speaksCompact(agent),
+      searchesInGroups: (agent) => link.searchesInGroups(agent),
+    };
+  }
+
+  /**
+   * Asks agents whether they know a packet's flow. Those that are heard will answer; those that are
+   * not stand in groups of their own, since one that is down ends the way of its group.
+   */
+  private askOnly(
+    heard: readonly AgentEntry[],
+    awaited: readonly AgentEntry[],
+    packet: FlowPacket,
+    search: FlowSearch,
+  ): void {
+    const parts = [heard, awaited].map((agents) => this.orderForAsking(agents, search));
+    search.attempts++;
+    const agents = parts.flat();
+    search.round = { agents, unasked: new Set(agents), isOfferedNext: false };
+    this.waitForAgents(packet, search);
+    parts.forEach((part) => this.sendToGroups(packet, search, part, SearchPhase.askOnly));
+  }
+
+  private orderForAsking(
+    agents: readonly AgentEntry[],
+    { flow, attempts }: FlowSearch,
+  ): Endpoint[] {
+    const ordered = this.dependencies.locality.orderForSearch(flow, agents);
+    return orderSearch(ordered.agents, attempts, MAXIMUM_ROUND_LENGTH, agents.length);
+  }
+
+  /** A packet waits until more agents are heard, or have been silent for long enough. */
+  private waitForAgents(packet: FlowPacket, { route }: FlowSearch): void {
+    this.waitForOutcome(packet, GROUP_LENGTH);
+    this.locator.wait({ packet, route });
+  }
+
   /** Only agents are left that say nothing: the flow is told dead once they are heard, or removed. */
   private reportStall(packet: FlowPacket, search: FlowSearch, silent: number): void {
     if (!search.hasStalled) {
@@ -198,6 +262,21 @@
     this.dependencies.outlet.deliver(packet, search.services, agent.address, search.id);
   }
 
+  /**
+   * Offers a packet to an agent that is silent to this balancer, and yet may be there. Without need its
+   * target is not touched: an agent that knows all flows of its target goes by that.
+   */
+  private offerToSilent(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
+    const { address } = agent;
+    if (!this.dependencies.link.searchesForSure(address)) {
+      this.offerTo(agent, packet, search);
+      return;
+    }
+    noteOffer(search, address);
+    const message = this.createSearch(packet, search, [address], SearchPhase.sure);
+    this.dependencies.outlet.sendToSilent(packet, message, address);
+  }
+
   /** Sends a packet through agents; further packets of its flow wait for the outcome. */
   private send(packet: FlowPacket, search: FlowSearch, agents: readonly AgentEntry[]): void {
     const { link, locality } = this.dependencies;
@@ -209,7 +288,9 @@
     const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
     const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
     search.attempts++;
-    search.round = isInGroups ? { agents: order, unasked: new Set(order) } : undefined;
+    search.round = isInGroups
+      ? { agents: order, unasked: new Set(order), isOfferedNext: true }
+      : undefined;
     const visited = new Set(order);
     const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
     search.sureAttempts += isSure ? 1 : 0;
@@ -245,17 +326,19 @@
     agents: readonly Endpoint[],
     phase: SearchPhaseValue,
   ): void {
-    const { address: balancer, link } = this.dependencies;
-    link.send(agents[0]!, {
-      type: PacketMessageType.search,
-      searchId: search.id,
-      balancer,
-      phase,
-      position: 0,
-      agents,
-      services: search.services,
-      payload: packet.bytes,
-    });
+    const message = this.createSearch(packet, search, agents, phase);
+    this.dependencies.link.send(agents[0]!, message);
+  }
+
+  private createSearch(
+    { bytes: payload }: FlowPacket,
+    { id: searchId, services }: FlowSearch,
+    agents: readonly Endpoint[],
+    phase: SearchPhaseValue,
+  ): SearchMessage {
+    const { address: balancer } = this.dependencies;
+    const type = PacketMessageType.search;
+    return { type, searchId, balancer, phase, position: 0, agents, services, payload };
   }
 
   /** Whether groups of the present round are still under way and not overdue. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -515,9 +515,12 @@
     const now = this.dependencies.environment.now();
     const isRelaying = this.relay.isPossible(now);
     this.reportRelaying(isRelaying);
-    if (!isRelaying) {
-      this.subscriptions.run(now, this.reading.isRecent);
+    if (isRelaying) {
+      this.directory.stopListening();
+      return;
     }
+    this.directory.beginListening(now);
+    this.subscriptions.run(now, this.reading.isRecent);
   }
 
   private reportRelaying(isRelaying: boolean): void {
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -4,7 +4,7 @@
 import type { EventFields, EventKind } from '../logging/events';
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
-import { DelayedDeliveries } from './delayed-deliveries';
+import { DelayedDeliveries, type PacketCarrier } from './delayed-deliveries';
 import type { FlowPacket, PacketFormat } from './flow-packet';
 import type { SpillCounters } from './locality/locality';
 import type { PacketLink } from './packet-link';
@@ -87,19 +87,26 @@
     agent: Endpoint,
     searchId: number,
   ): void {
-    const { directory, environment, hops, link } = this.dependencies;
+    const { directory, environment, hops } = this.dependencies;
     const message: DeliverMessage = {
       type: PacketMessageType.deliver,
       searchId,
       services,
       payload: packet.bytes,
     };
-    const now = environment.now();
     const entry = directory.find(agent);
-    if (entry && directory.isHeard(entry, now)) {
+    if (entry && directory.isHeard(entry, environment.now())) {
       hops.send(agent, message, packet);
-      return;
+    } else {
+      this.sendToSilent(packet, message, agent);
     }
+  }
+
+  /** Sends an agent that is not heard a packet, or a search with it; keeps it for a while. */
+  sendToSilent(packet: FlowPacket, message: PacketCarrier, agent: Endpoint): void {
+    const { directory, environment, link } = this.dependencies;
+    const now = environment.now();
+    const entry = directory.find(agent);
     if (entry && !packet.opens) {
       if (this.sendByDetour(packet, entry, now)) {
         return;
