--- a/src/packets/registry-upkeep.ts
+++ b/src/packets/registry-upkeep.ts
@@ -53,7 +53,7 @@
   }
 
   private inspect(entry: AgentEntry, mayCall: boolean, now: number): void {
-    const silence = now - (entry.heardAt ?? entry.knownSince);
+    const silence = this.directory.silenceOf(entry, now);
     const listed = entry.registryRevision !== undefined;
     if (!listed && silence > this.forgetTime(entry)) {
       this.directory.forget(entry.address);
