--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -140,7 +140,7 @@
 
   /** Whether all agents of a zone have fallen silent while others are heard. */
   isZoneSilent(zone: string, now: number): boolean {
-    return this.zones.isSilent(zone, this.size, now);
+    return this.zones.isSilent(zone, this.size, now, this.listeningSince);
   }
 
   /**
--- a/src/packets/zone-reach.ts
+++ b/src/packets/zone-reach.ts
@@ -55,19 +55,16 @@
   /**
    * Whether all agents of a zone have fallen silent while others are heard.
    * @param agents number of all agents, on which the time between their reports depends
+   * @param listeningSince time since which agents are asked for reports; `Infinity` while they are not
    */
-  isSilent(zone: string, agents: number, now: number): boolean {
+  isSilent(zone: string, agents: number, now: number, listeningSince = -Infinity): boolean {
     const contact = this.zones.get(zone);
-    if (!contact || now - contact.heardAt <= SHORTEST_SILENCE) {
-      return false;
-    }
-    if (contact.agents < AGENTS_NEEDED || contact.heardAt === -Infinity) {
+    if (!contact || contact.agents < AGENTS_NEEDED || contact.heardAt === -Infinity) {
       return false;
     }
+    const silentSince = Math.max(contact.heardAt, listeningSince);
     const limit = Math.max(SHORTEST_SILENCE, reportInterval(agents) * SILENT_SHARE);
-    return (
-      now - contact.heardAt > limit && this.hearsOther(zone, contact.heardAt + limit * OTHERS_SHARE)
-    );
+    return now - silentSince > limit && this.hearsOther(zone, silentSince + limit * OTHERS_SHARE);
   }
 
   private hearsOther(zone: string, since: number): boolean {
--- /dev/null
+++ b/test/zone-silence.test.ts
@@ -0,0 +1,30 @@
+/** What the silence of a zone's agents says, and what it does not. */
+import test from 'ava';
+import { AgentDirectory } from '../src/packets/agent-directory';
+import { createReport } from './support/reports';
+
+const NORTH = 'north';
+const SOUTH = 'south';
+
+/** Ten agents a zone, all heard at a time. */
+function createDirectory(at: number): AgentDirectory {
+  const directory = new AgentDirectory();
+  for (let index = 0; index < 20; index++) {
+    const zone = index % 2 === 0 ? NORTH : SOUTH;
+    directory.hear(index + 1, createReport({ zone }), at);
+  }
+  return directory;
+}
+
+// Guards against detours for flows of zones that a balancer has not listened to while it relayed.
+test('a zone is silent only once it was listened to', (t) => {
+  const directory = createDirectory(0);
+  directory.stopListening();
+  directory.hear(1, createReport({ sequence: 2 }), 20_000);
+  t.false(directory.isZoneSilent(SOUTH, 20_010));
+  directory.beginListening(20_100);
+  directory.hear(1, createReport({ sequence: 3 }), 20_250);
+  t.false(directory.isZoneSilent(SOUTH, 20_300));
+  directory.hear(1, createReport({ sequence: 4 }), 20_400);
+  t.true(directory.isZoneSilent(SOUTH, 20_500));
+});
