--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -13,12 +13,12 @@
 /** Searches noted at once; the least recently used is dropped beyond that. */
 const MAXIMUM_SEARCHES = 8_192;
 
-/** A search through groups of agents at the same time: all are asked, then all may be offered it. */
+/** A search through agents, or through groups of them at the same time. */
 export interface SearchRound {
   readonly agents: readonly Endpoint[];
   /** Once none of the agents knows the flow, all offer the packet to their targets. */
   readonly isOfferedNext: boolean;
-  /** Agents whose groups have not told yet that none knows the flow. */
+  /** Agents whose groups have not told yet that none knows the flow; none where it is not in groups. */
   readonly unasked: Set<Endpoint>;
 }
 
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -111,7 +111,7 @@
 
   /** Offers a packet to the agents that have not refused it yet. */
   offerNext(packet: FlowPacket, search: FlowSearch): void {
-    if (this.awaitsGroups(search)) {
+    if (this.awaitsOutcome(search)) {
       return;
     }
     const { cache, environment } = this.dependencies;
@@ -288,9 +288,8 @@
     const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
     const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
     search.attempts++;
-    search.round = isInGroups
-      ? { agents: order, unasked: new Set(order), isOfferedNext: true }
-      : undefined;
+    const unasked = new Set(isInGroups ? order : []);
+    search.round = { agents: order, unasked, isOfferedNext: isInGroups };
     const visited = new Set(order);
     const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
     search.sureAttempts += isSure ? 1 : 0;
@@ -341,8 +340,8 @@
     return { type, searchId, balancer, phase, position: 0, agents, services, payload };
   }
 
-  /** Whether groups of the present round are still under way and not overdue. */
-  private awaitsGroups({ flow, refusedBy, round }: FlowSearch): boolean {
+  /** Whether a search, or groups of its present round, are still under way and not overdue. */
+  private awaitsOutcome({ flow, refusedBy, round }: FlowSearch): boolean {
     const isOpen = round?.agents.some((agent) => !refusedBy.has(agent)) ?? false;
     return isOpen && this.locator.isAsked(flow);
   }
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -312,3 +312,26 @@
   t.true(sum('searchesStarted') <= 130, `${sum('searchesStarted')} searches`);
   t.true(sum('resetsSent') <= 130, `${sum('resetsSent')} resets`);
 });
+
+// Guards against a storm of searches for one flow, each of which offers the packet to targets again.
+test('a refusal begins no search beside the one that is under way', (t) => {
+  const harness = new RouterHarness(new Array(30).fill(3));
+  harness.router.route(harness.createData(CLIENT));
+  const { agents, payload, searchId } = asSearch(harness.sent[0]!);
+  const outsider = harness.agents.find((agent) => !agents.includes(agent))!;
+  const reason = RefusalReason.returnedByTarget;
+  const refusal = { type: PacketMessageType.notHeld, searchId, reason, payload } as const;
+  harness.router.refused(outsider, refusal);
+  harness.router.refused(agents[3]!, refusal);
+  t.is(harness.sent.length, 1);
+  answerSearch(harness, asSearch(harness.sent[0]!));
+  t.is(harness.sent.length, 2);
+});
+
+test('a search that has no outcome in time is followed by the next one', (t) => {
+  const harness = new RouterHarness(new Array(30).fill(3));
+  harness.router.route(harness.createData(CLIENT));
+  harness.pass(1_000);
+  harness.router.route(harness.createData(CLIENT));
+  t.true(harness.sent.length > 1);
+});
