--- a/src/packets/delayed-deliveries.ts
+++ b/src/packets/delayed-deliveries.ts
@@ -4,6 +4,7 @@
  * and age; what is dropped here the client repeats anyway.
  */
 import type { Endpoint } from '../environment';
+import type { FlowKey } from './flow-packet';
 import type { DeliverMessage, SearchMessage } from './packet-messages';
 
 /** A message that brings an agent a client's packet. */
@@ -14,6 +15,7 @@
 const LONGEST_WAIT = 1_600;
 
 interface DelayedDelivery {
+  readonly flow: FlowKey;
   readonly message: PacketCarrier;
   readonly since: number;
 }
@@ -23,15 +25,26 @@
   private readonly waiting = new Map<Endpoint, DelayedDelivery[]>();
 
   /** Keeps a packet; the oldest one of the agent is dropped when there are too many. */
-  add(agent: Endpoint, message: PacketCarrier, now: number): void {
+  add(agent: Endpoint, flow: FlowKey, message: PacketCarrier, now: number): void {
     const list = this.waiting.get(agent) ?? [];
     this.waiting.set(agent, list);
-    list.push({ message, since: now });
+    list.push({ flow, message, since: now });
     if (list.length > MAXIMUM_PER_AGENT) {
       list.shift();
     }
   }
 
+  /** Drops what waits of a flow that an agent does not hold. */
+  forget(agent: Endpoint, flow: FlowKey): void {
+    const list = this.waiting.get(agent);
+    if (list) {
+      this.waiting.set(
+        agent,
+        list.filter((one) => one.flow !== flow),
+      );
+    }
+  }
+
   /** Takes out what waits for an agent and is not too old. */
   take(agent: Endpoint, now: number): PacketCarrier[] {
     const list = this.waiting.get(agent) ?? [];
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -142,6 +142,7 @@
       return;
     }
     cache.deny(packet.flow, agent);
+    this.outlet.noteRefusal(agent, packet.flow);
     const search = this.searchOf(packet, route, message.searchId);
     search.refusedBy.add(agent);
     if (message.reason === RefusalReason.coldLimit) {
@@ -160,7 +161,10 @@
     if (!packet || packet.opens) {
       return;
     }
-    message.agents.forEach((agent) => this.dependencies.cache.deny(packet.flow, agent));
+    for (const agent of message.agents) {
+      this.dependencies.cache.deny(packet.flow, agent);
+      this.outlet.noteRefusal(agent, packet.flow);
+    }
     const search = this.openSearchOf(packet, message.searchId);
     if (search) {
       message.agents.forEach((agent) => search.refusedBy.add(agent));
--- a/src/packets/packet-outlet.ts
+++ b/src/packets/packet-outlet.ts
@@ -5,7 +5,7 @@
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import { DelayedDeliveries, type PacketCarrier } from './delayed-deliveries';
-import type { FlowPacket, PacketFormat } from './flow-packet';
+import type { FlowKey, FlowPacket, PacketFormat } from './flow-packet';
 import type { SpillCounters } from './locality/locality';
 import type { PacketLink } from './packet-link';
 import { PacketMessageType, type DeliverMessage } from './packet-messages';
@@ -111,7 +111,7 @@
       if (this.sendByDetour(packet, entry, now)) {
         return;
       }
-      this.delayed.add(agent, message, now);
+      this.delayed.add(agent, packet.flow, message, now);
     }
     link.send(agent, message);
   }
@@ -144,6 +144,11 @@
     messages.forEach((message) => link.send(agent, message));
   }
 
+  /** An agent does not hold a flow: what is kept of it for that agent is void. */
+  noteRefusal(agent: Endpoint, flow: FlowKey): void {
+    this.delayed.forget(agent, flow);
+  }
+
   /** Drops delayed packets that are too old. */
   expire(now: number): void {
     this.delayed.expire(now);
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -4,6 +4,7 @@
   PacketMessageType,
   RefusalReason,
   SearchPhase,
+  type DeliverMessage,
   type PacketMessage,
   type SearchMessage,
 } from '../src/packets/packet-messages';
@@ -335,3 +336,19 @@
   harness.router.route(harness.createData(CLIENT));
   t.true(harness.sent.length > 1);
 });
+
+// Guards against a packet that reaches a target a second time after its agent has refused it.
+test('a packet kept for a silent agent is dropped once that agent refuses it', (t) => {
+  const harness = new RouterHarness([0]);
+  const [agent] = harness.agents;
+  harness.pass(10_000);
+  harness.router.route(harness.createData(CLIENT));
+  const [sent] = harness.sent;
+  t.is(sent!.message.type, PacketMessageType.deliver);
+  const { payload, searchId } = sent!.message as DeliverMessage;
+  const reason = RefusalReason.returnedByTarget;
+  harness.router.refused(agent!, { type: PacketMessageType.notHeld, searchId, reason, payload });
+  harness.sent.length = 0;
+  harness.router.agentReturned(agent!);
+  t.deepEqual(harness.sent, []);
+});
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -152,10 +152,10 @@
     payload: Buffer.alloc(1),
   });
   for (let index = 0; index < 300; index++) {
-    delayed.add(1, message(index), index);
+    delayed.add(1, 'flow', message(index), index);
   }
   t.is(delayed.take(1, 300).length, 256);
-  delayed.add(1, message(1), 0);
+  delayed.add(1, 'flow', message(1), 0);
   t.is(delayed.take(1, 2_000).length, 0);
 });
 
