--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -180,10 +180,8 @@
   ): void {
     const parts = [heard, awaited].map((agents) => this.orderForAsking(agents, search));
     search.attempts++;
-    const agents = parts.flat();
-    search.round = { agents, unasked: new Set(agents), isOfferedNext: false };
     this.waitForAgents(packet, search);
-    parts.forEach((part) => this.sendToGroups(packet, search, part, SearchPhase.askOnly));
+    this.askAgents(packet, search, parts);
   }
 
   private orderForAsking(
@@ -281,27 +279,54 @@
   private send(packet: FlowPacket, search: FlowSearch, agents: readonly AgentEntry[]): void {
     const { link, locality } = this.dependencies;
     const ordered = locality.orderForSearch(packet.flow, agents);
-    const isInGroups =
-      search.attempts > 0 &&
-      agents.length > GROUP_LENGTH &&
-      agents.every(({ address }) => link.searchesInGroups(address));
+    const knowGroups = agents.every(({ address }) => link.searchesInGroups(address));
+    const isInGroups = search.attempts > 0 && agents.length > GROUP_LENGTH && knowGroups;
     const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
     const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
     search.attempts++;
-    const unasked = new Set(isInGroups ? order : []);
-    search.round = { agents: order, unasked, isOfferedNext: isInGroups };
     const visited = new Set(order);
     const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
     search.sureAttempts += isSure ? 1 : 0;
     if (isInGroups) {
-      const phase = isSure ? SearchPhase.sure : SearchPhase.askOnly;
-      this.sendToGroups(packet, search, order, phase);
+      this.searchGroups(packet, search, order, isSure);
+    } else if (!isSure && knowGroups && order.length < agents.length) {
+      this.askAgents(packet, search, [order]);
     } else {
+      search.round = { agents: order, unasked: new Set(), isOfferedNext: false };
       this.waitForOutcome(packet, order.length);
       this.sendThrough(packet, search, order, isSure ? SearchPhase.sure : SearchPhase.ask);
     }
   }
 
+  /** Searches groups of agents at the same time; those that do not know the flow are not asked again. */
+  private searchGroups(
+    packet: FlowPacket,
+    search: FlowSearch,
+    agents: readonly Endpoint[],
+    isSure: boolean,
+  ): void {
+    const unasked = agents.filter((agent) => !search.unknownTo.has(agent));
+    search.round = { agents, unasked: new Set(unasked), isOfferedNext: true };
+    if (isSure) {
+      this.sendToGroups(packet, search, agents, SearchPhase.sure);
+    } else if (unasked.length > 0) {
+      this.sendToGroups(packet, search, unasked, SearchPhase.askOnly);
+    } else {
+      this.sendToGroups(packet, search, agents, SearchPhase.offer);
+    }
+  }
+
+  /** Asks agents whether they know a packet's flow; each part goes its own way. */
+  private askAgents(
+    packet: FlowPacket,
+    search: FlowSearch,
+    parts: readonly (readonly Endpoint[])[],
+  ): void {
+    const agents = parts.flat();
+    search.round = { agents, unasked: new Set(agents), isOfferedNext: false };
+    parts.forEach((part) => this.sendToGroups(packet, search, part, SearchPhase.askOnly));
+  }
+
   private sendToGroups(
     packet: FlowPacket,
     search: FlowSearch,
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -151,6 +151,19 @@
   t.is(harness.sent.length, 9);
 });
 
+// Guards against packets at the targets of a flow's likely agents while its holder's agent was not asked.
+test('the likely agents are only asked, and offered a packet once all others were asked too', (t) => {
+  const { harness, groups } = beginGroups(100);
+  const first = asSearch(harness.sent[0]!);
+  t.is(first.phase, SearchPhase.askOnly);
+  const asked = new Set([first, ...groups].flatMap(({ agents }) => agents));
+  t.is(asked.size, 100);
+  groups.forEach((group) => answerSearch(harness, group));
+  const offers = harness.sent.slice(1 + groups.length).map((sent) => asSearch(sent));
+  t.true(offers.every(({ phase }) => phase === SearchPhase.offer));
+  t.is(new Set(offers.flatMap(({ agents }) => agents)).size, 100);
+});
+
 test('what a dead flow costs its balancer grows by two messages for 25 agents', (t) => {
   const sent = [10, 100, 500].map((agents) => {
     const { harness, groups } = beginGroups(agents);
