--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -15,22 +15,12 @@
 import { noteOffer, type FlowSearch, type FlowSearches } from './flow-search';
 import type { Locality } from './locality/locality';
 import type { PacketLink } from './packet-link';
-import {
-  FlowKnowledge,
-  MAXIMUM_SEARCH_LENGTH,
-  PacketMessageType,
-  SearchPhase,
-  type SearchMessage,
-  type SearchPhaseValue,
-} from './packet-messages';
 import type { PacketOutlet } from './packet-outlet';
 import { ResetNotes } from './reset-notes';
 import { servicesOf, type Route } from './routing-table';
 import { planSearch, type SearchView } from './search-plan';
-import { GROUP_LENGTH, orderSearch, splitIntoGroups } from './search-order';
-
-/** Agents of one round of groups: a balancer sends and hears 20 messages for each stage of it. */
-const MAXIMUM_ROUND_LENGTH = 20 * GROUP_LENGTH;
+import { SearchDispatch } from './search-dispatch';
+import { GROUP_LENGTH } from './search-order';
 
 /** Times that a packet is sent through agents where none is lost: the likely ones, then the rest. */
 const REPEATS_EXPECTED = 2;
@@ -55,11 +45,16 @@
 /** The searches for holders of one balancer. */
 export class HolderSearch {
   private readonly locator: FlowLocator;
+  private readonly dispatch: SearchDispatch;
   private readonly resetNotes = new ResetNotes();
   private timer: TimerHandle | undefined;
 
   constructor(private readonly dependencies: HolderSearchDependencies) {
     this.locator = new FlowLocator(dependencies.locateTimeout);
+    this.dispatch = new SearchDispatch({
+      ...dependencies,
+      sent: (packet, agents) => this.waitForOutcome(packet, agents),
+    });
   }
 
   /** Ends the timer. */
@@ -102,7 +97,7 @@
       return;
     }
     if (round.isOfferedNext) {
-      this.sendToGroups(packet, search, round.agents, SearchPhase.offer);
+      this.dispatch.offerToAll(packet, search, round.agents);
     } else {
       search.round = undefined;
       this.offerNext(packet, search);
@@ -127,20 +122,22 @@
     const plan = planSearch(untried, search, this.createView());
     switch (plan.kind) {
       case 'ask':
-        this.askOnly(plan.heard, plan.awaited, packet, search);
+        this.waitForAgents(packet, search);
+        this.dispatch.askInParts(plan.heard, plan.awaited, packet, search);
         return;
       case 'wait':
         this.waitForAgents(packet, search);
         return;
       case 'search':
-        this.searchThrough(plan.agents, packet, search);
+        this.reportRepeat(packet, search, plan.agents.length);
+        this.dispatch.sendThrough(plan.agents, packet, search);
         return;
       case 'offer':
         this.offerTo(plan.agent, packet, search);
         return;
       case 'offerSilent':
         this.reportStall(packet, search, untried.length);
-        this.offerToSilent(plan.agent, packet, search);
+        this.dispatch.offerToSilent(plan.agent, packet, search);
         return;
       case 'conclude':
         this.conclude(packet, search);
@@ -168,30 +165,6 @@
     };
   }
 
-  /**
-   * Asks agents whether they know a packet's flow. Those that are heard will answer; those that are
-   * not stand in groups of their own, since one that is down ends the way of its group.
-   */
-  private askOnly(
-    heard: readonly AgentEntry[],
-    awaited: readonly AgentEntry[],
-    packet: FlowPacket,
-    search: FlowSearch,
-  ): void {
-    const parts = [heard, awaited].map((agents) => this.orderForAsking(agents, search));
-    search.attempts++;
-    this.waitForAgents(packet, search);
-    this.askAgents(packet, search, parts);
-  }
-
-  private orderForAsking(
-    agents: readonly AgentEntry[],
-    { flow, attempts }: FlowSearch,
-  ): Endpoint[] {
-    const ordered = this.dependencies.locality.orderForSearch(flow, agents);
-    return orderSearch(ordered.agents, attempts, MAXIMUM_ROUND_LENGTH, agents.length);
-  }
-
   /** A packet waits until more agents are heard, or have been silent for long enough. */
   private waitForAgents(packet: FlowPacket, { route }: FlowSearch): void {
     this.waitForOutcome(packet, GROUP_LENGTH);
@@ -224,147 +197,26 @@
     this.resetNotes.expire(now);
   }
 
-  /**
-   * Sends a packet through agents: first through the few where its flow was placed in all
-   * likelihood, then through those that know all flows of their targets, then through the rest.
-   */
-  private searchThrough(
-    agents: readonly AgentEntry[],
-    packet: FlowPacket,
-    search: FlowSearch,
-  ): void {
-    const sure = agents.filter((agent) => this.isSure(agent));
-    const isFirst = search.attempts === 0;
-    if (search.attempts >= REPEATS_EXPECTED) {
-      this.reportRepeat(packet, search, agents.length);
-    }
-    this.send(packet, search, isFirst || sure.length === 0 ? agents : sure);
-  }
-
   private reportRepeat(packet: FlowPacket, search: FlowSearch, heard: number): void {
     const { refusedBy, attempts, services } = search;
+    if (attempts < REPEATS_EXPECTED) {
+      return;
+    }
     const known = this.dependencies.directory.ofServices(services).length;
     const fields = { attempts, heard, known, refusals: refusedBy.size };
     this.dependencies.outlet.report(Events.searchRepeated, packet, fields);
   }
 
-  private isSure({ address, report }: AgentEntry): boolean {
-    return (
-      report?.flowKnowledge === FlowKnowledge.whole &&
-      this.dependencies.link.searchesForSure(address)
-    );
-  }
-
   private offerTo(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
     noteOffer(search, agent.address);
     this.dependencies.outlet.deliver(packet, search.services, agent.address, search.id);
   }
 
-  /**
-   * Offers a packet to an agent that is silent to this balancer, and yet may be there. Without need its
-   * target is not touched: an agent that knows all flows of its target goes by that.
-   */
-  private offerToSilent(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
-    const { address } = agent;
-    if (!this.dependencies.link.searchesForSure(address)) {
-      this.offerTo(agent, packet, search);
-      return;
-    }
-    noteOffer(search, address);
-    const message = this.createSearch(packet, search, [address], SearchPhase.sure);
-    this.dependencies.outlet.sendToSilent(packet, message, address);
-  }
-
-  /** Sends a packet through agents; further packets of its flow wait for the outcome. */
-  private send(packet: FlowPacket, search: FlowSearch, agents: readonly AgentEntry[]): void {
-    const { link, locality } = this.dependencies;
-    const ordered = locality.orderForSearch(packet.flow, agents);
-    const knowGroups = agents.every(({ address }) => link.searchesInGroups(address));
-    const isInGroups = search.attempts > 0 && agents.length > GROUP_LENGTH && knowGroups;
-    const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
-    const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
-    search.attempts++;
-    const visited = new Set(order);
-    const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
-    search.sureAttempts += isSure ? 1 : 0;
-    if (isInGroups) {
-      this.searchGroups(packet, search, order, isSure);
-    } else if (!isSure && knowGroups && order.length < agents.length) {
-      this.askAgents(packet, search, [order]);
-    } else {
-      search.round = { agents: order, unasked: new Set(), isOfferedNext: false };
-      this.waitForOutcome(packet, order.length);
-      this.sendThrough(packet, search, order, isSure ? SearchPhase.sure : SearchPhase.ask);
-    }
-  }
-
-  /** Searches groups of agents at the same time; those that do not know the flow are not asked again. */
-  private searchGroups(
-    packet: FlowPacket,
-    search: FlowSearch,
-    agents: readonly Endpoint[],
-    isSure: boolean,
-  ): void {
-    const unasked = agents.filter((agent) => !search.unknownTo.has(agent));
-    search.round = { agents, unasked: new Set(unasked), isOfferedNext: true };
-    if (isSure) {
-      this.sendToGroups(packet, search, agents, SearchPhase.sure);
-    } else if (unasked.length > 0) {
-      this.sendToGroups(packet, search, unasked, SearchPhase.askOnly);
-    } else {
-      this.sendToGroups(packet, search, agents, SearchPhase.offer);
-    }
-  }
-
-  /** Asks agents whether they know a packet's flow; each part goes its own way. */
-  private askAgents(
-    packet: FlowPacket,
-    search: FlowSearch,
-    parts: readonly (readonly Endpoint[])[],
-  ): void {
-    const agents = parts.flat();
-    search.round = { agents, unasked: new Set(agents), isOfferedNext: false };
-    parts.forEach((part) => this.sendToGroups(packet, search, part, SearchPhase.askOnly));
-  }
-
-  private sendToGroups(
-    packet: FlowPacket,
-    search: FlowSearch,
-    agents: readonly Endpoint[],
-    phase: SearchPhaseValue,
-  ): void {
-    this.waitForOutcome(packet, GROUP_LENGTH);
-    for (const group of splitIntoGroups(agents)) {
-      this.sendThrough(packet, search, group, phase);
-    }
-  }
-
   private waitForOutcome(packet: FlowPacket, agents: number): void {
     this.locator.ask(packet.flow, agents, this.dependencies.environment.now());
     this.startTimer();
   }
 
-  private sendThrough(
-    packet: FlowPacket,
-    search: FlowSearch,
-    agents: readonly Endpoint[],
-    phase: SearchPhaseValue,
-  ): void {
-    const message = this.createSearch(packet, search, agents, phase);
-    this.dependencies.link.send(agents[0]!, message);
-  }
-
-  private createSearch(
-    { bytes: payload }: FlowPacket,
-    { id: searchId, services }: FlowSearch,
-    agents: readonly Endpoint[],
-    phase: SearchPhaseValue,
-  ): SearchMessage {
-    const { address: balancer } = this.dependencies;
-    const type = PacketMessageType.search;
-    return { type, searchId, balancer, phase, position: 0, agents, services, payload };
-  }
-
   /** Whether a search, or groups of its present round, are still under way and not overdue. */
   private awaitsOutcome({ flow, refusedBy, round }: FlowSearch): boolean {
     const isOpen = round?.agents.some((agent) => !refusedBy.has(agent)) ?? false;
--- /dev/null
+++ b/src/packets/search-dispatch.ts
@@ -0,0 +1,185 @@
+/**
+ * Sends a packet of a flow whose holder is not known through agents: in a chain, in groups at the same
+ * time, or to one that is silent.
+ */
+import type { Endpoint } from '../environment';
+import type { AgentEntry } from './agent-directory';
+import type { FlowPacket } from './flow-packet';
+import { noteOffer, type FlowSearch } from './flow-search';
+import type { Locality } from './locality/locality';
+import type { PacketLink } from './packet-link';
+import {
+  FlowKnowledge,
+  MAXIMUM_SEARCH_LENGTH,
+  PacketMessageType,
+  SearchPhase,
+  type SearchMessage,
+  type SearchPhaseValue,
+} from './packet-messages';
+import type { PacketOutlet } from './packet-outlet';
+import { GROUP_LENGTH, orderSearch, splitIntoGroups } from './search-order';
+
+/** Agents of one round of groups: a balancer sends and hears 20 messages for each stage of it. */
+const MAXIMUM_ROUND_LENGTH = 20 * GROUP_LENGTH;
+
+/** What the dispatch works with. */
+export interface SearchDispatchDependencies {
+  /** Where agents send the outcome. */
+  readonly address: Endpoint;
+  readonly locality: Locality;
+  readonly link: PacketLink;
+  readonly outlet: PacketOutlet;
+  /** A packet goes out in chains of so many agents at most; their outcome is awaited from now on. */
+  sent(packet: FlowPacket, agents: number): void;
+}
+
+/** The dispatch of one balancer. */
+export class SearchDispatch {
+  constructor(private readonly dependencies: SearchDispatchDependencies) {}
+
+  /**
+   * Asks agents whether they know a packet's flow. Those that are heard will answer; those that are
+   * not stand in groups of their own, since one that is down ends the way of its group.
+   */
+  askInParts(
+    heard: readonly AgentEntry[],
+    awaited: readonly AgentEntry[],
+    packet: FlowPacket,
+    search: FlowSearch,
+  ): void {
+    const parts = [heard, awaited].map((agents) => this.orderForAsking(agents, search));
+    search.attempts++;
+    this.askAgents(packet, search, parts);
+  }
+
+  /**
+   * Sends a packet through agents: first through the few where its flow was placed in all
+   * likelihood, then through those that know all flows of their targets, then through the rest.
+   */
+  sendThrough(agents: readonly AgentEntry[], packet: FlowPacket, search: FlowSearch): void {
+    const sure = agents.filter((agent) => this.isSure(agent));
+    const isFirst = search.attempts === 0;
+    this.send(packet, search, isFirst || sure.length === 0 ? agents : sure);
+  }
+
+  /** None of some agents knows a packet's flow: all of them offer it to their targets. */
+  offerToAll(packet: FlowPacket, search: FlowSearch, agents: readonly Endpoint[]): void {
+    this.sendToGroups(packet, search, agents, SearchPhase.offer);
+  }
+
+  /**
+   * Offers a packet to an agent that is silent to this balancer, and yet may be there. Without need its
+   * target is not touched: an agent that knows all flows of its target goes by that.
+   */
+  offerToSilent(agent: AgentEntry, packet: FlowPacket, search: FlowSearch): void {
+    const { address } = agent;
+    const { link, outlet } = this.dependencies;
+    noteOffer(search, address);
+    if (!link.searchesForSure(address)) {
+      outlet.deliver(packet, search.services, address, search.id);
+      return;
+    }
+    const message = this.createSearch(packet, search, [address], SearchPhase.sure);
+    outlet.sendToSilent(packet, message, address);
+  }
+
+  /** Sends a packet through agents; further packets of its flow wait for the outcome. */
+  private send(packet: FlowPacket, search: FlowSearch, agents: readonly AgentEntry[]): void {
+    const { link, locality } = this.dependencies;
+    const ordered = locality.orderForSearch(packet.flow, agents);
+    const knowGroups = agents.every(({ address }) => link.searchesInGroups(address));
+    const isInGroups = search.attempts > 0 && agents.length > GROUP_LENGTH && knowGroups;
+    const maximum = isInGroups ? MAXIMUM_ROUND_LENGTH : MAXIMUM_SEARCH_LENGTH;
+    const order = orderSearch(ordered.agents, search.attempts, maximum, ordered.likely);
+    search.attempts++;
+    const visited = new Set(order);
+    const isSure = agents.every((agent) => !visited.has(agent.address) || this.isSure(agent));
+    search.sureAttempts += isSure ? 1 : 0;
+    if (isInGroups) {
+      this.searchGroups(packet, search, order, isSure);
+    } else if (!isSure && knowGroups && order.length < agents.length) {
+      this.askAgents(packet, search, [order]);
+    } else {
+      search.round = { agents: order, unasked: new Set(), isOfferedNext: false };
+      this.dependencies.sent(packet, order.length);
+      this.sendChain(packet, search, order, isSure ? SearchPhase.sure : SearchPhase.ask);
+    }
+  }
+
+  /** Searches groups of agents at the same time; those that do not know the flow are not asked again. */
+  private searchGroups(
+    packet: FlowPacket,
+    search: FlowSearch,
+    agents: readonly Endpoint[],
+    isSure: boolean,
+  ): void {
+    const unasked = agents.filter((agent) => !search.unknownTo.has(agent));
+    search.round = { agents, unasked: new Set(unasked), isOfferedNext: true };
+    if (isSure) {
+      this.sendToGroups(packet, search, agents, SearchPhase.sure);
+    } else if (unasked.length > 0) {
+      this.sendToGroups(packet, search, unasked, SearchPhase.askOnly);
+    } else {
+      this.sendToGroups(packet, search, agents, SearchPhase.offer);
+    }
+  }
+
+  /** Asks agents whether they know a packet's flow; each part goes its own way. */
+  private askAgents(
+    packet: FlowPacket,
+    search: FlowSearch,
+    parts: readonly (readonly Endpoint[])[],
+  ): void {
+    const agents = parts.flat();
+    search.round = { agents, unasked: new Set(agents), isOfferedNext: false };
+    parts.forEach((part) => this.sendToGroups(packet, search, part, SearchPhase.askOnly));
+  }
+
+  private sendToGroups(
+    packet: FlowPacket,
+    search: FlowSearch,
+    agents: readonly Endpoint[],
+    phase: SearchPhaseValue,
+  ): void {
+    this.dependencies.sent(packet, GROUP_LENGTH);
+    for (const group of splitIntoGroups(agents)) {
+      this.sendChain(packet, search, group, phase);
+    }
+  }
+
+  private orderForAsking(
+    agents: readonly AgentEntry[],
+    { flow, attempts }: FlowSearch,
+  ): Endpoint[] {
+    const ordered = this.dependencies.locality.orderForSearch(flow, agents);
+    return orderSearch(ordered.agents, attempts, MAXIMUM_ROUND_LENGTH, agents.length);
+  }
+
+  private sendChain(
+    packet: FlowPacket,
+    search: FlowSearch,
+    agents: readonly Endpoint[],
+    phase: SearchPhaseValue,
+  ): void {
+    const message = this.createSearch(packet, search, agents, phase);
+    this.dependencies.link.send(agents[0]!, message);
+  }
+
+  private createSearch(
+    { bytes: payload }: FlowPacket,
+    { id: searchId, services }: FlowSearch,
+    agents: readonly Endpoint[],
+    phase: SearchPhaseValue,
+  ): SearchMessage {
+    const { address: balancer } = this.dependencies;
+    const type = PacketMessageType.search;
+    return { type, searchId, balancer, phase, position: 0, agents, services, payload };
+  }
+
+  private isSure({ address, report }: AgentEntry): boolean {
+    return (
+      report?.flowKnowledge === FlowKnowledge.whole &&
+      this.dependencies.link.searchesForSure(address)
+    );
+  }
+}
