--- a/src/packets/flow-locator.ts
+++ b/src/packets/flow-locator.ts
@@ -33,6 +33,8 @@
 
 interface Question {
   dueAt: number;
+  /** A packet that begins another search by itself, as it has not been offered to anybody. */
+  retry: WaitingPacket | undefined;
   readonly waiting: WaitingPacket[];
 }
 
@@ -56,14 +58,26 @@
    * A search for the holder of a flow begins, or goes on through other agents; further packets
    * are to wait, up to a bound.
    * @param agents number of agents that it goes through
+   * @param unanswered searches before it that have had no outcome: each doubles the time that it has
    */
-  ask(flow: FlowKey, agents: number, now: number): void {
-    const dueAt = now + Math.max(this.timeout, agents * AGENT_TIME);
+  ask(flow: FlowKey, agents: number, now: number, unanswered = 0): void {
+    const shortest = Math.max(this.timeout, agents * AGENT_TIME);
+    const doubled = Math.min(LONGEST_TIMEOUT, shortest * 2 ** unanswered);
+    const dueAt = now + Math.max(shortest, doubled);
     const known = this.questions.get(flow);
     if (known) {
       known.dueAt = dueAt;
+      known.retry = undefined;
     } else if (this.questions.size < MAXIMUM_FLOWS) {
-      this.questions.set(flow, { dueAt, waiting: [] });
+      this.questions.set(flow, { dueAt, retry: undefined, waiting: [] });
+    }
+  }
+
+  /** Keeps the packet that a flow is searched for with, until the next search for it begins. */
+  keepForRetry(packet: WaitingPacket): void {
+    const question = this.questions.get(packet.packet.flow);
+    if (question) {
+      question.retry = packet;
     }
   }
 
@@ -85,10 +99,10 @@
   /** Takes out what has waited too long for the outcome. */
   takeOverdue(now: number): WaitingPacket[] {
     const overdue: WaitingPacket[] = [];
-    for (const [flow, { dueAt, waiting }] of this.questions) {
+    for (const [flow, { dueAt, retry, waiting }] of this.questions) {
       if (now >= dueAt) {
         this.questions.delete(flow);
-        overdue.push(...waiting);
+        overdue.push(...(retry ? [retry] : []), ...waiting);
       }
     }
     return overdue;
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -167,8 +167,7 @@
     }
     const search = this.openSearchOf(packet, message.searchId);
     if (search) {
-      message.agents.forEach((agent) => search.refusedBy.add(agent));
-      this.holders.offerNext(packet, search);
+      this.holders.noneHolds(packet, search, message.agents);
     }
   }
 
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -36,6 +36,8 @@
   readonly offeredTo: Set<Endpoint>;
   /** Times that a packet was sent through the agents. */
   attempts: number;
+  /** Those times since the last outcome of any. */
+  unanswered: number;
   /** Those times at which all agents went by what they know, and no target was touched. */
   sureAttempts: number;
   /** The latest round of groups; undefined before the first. */
@@ -146,6 +148,7 @@
       unknownTo: new Set(),
       offeredTo: new Set(),
       attempts: 0,
+      unanswered: 0,
       sureAttempts: 0,
       round: undefined,
       hasStalled: false,
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -53,7 +53,7 @@
     this.locator = new FlowLocator(dependencies.locateTimeout);
     this.dispatch = new SearchDispatch({
       ...dependencies,
-      sent: (packet, agents) => this.waitForOutcome(packet, agents),
+      sent: (packet, search, agents) => this.waitForOutcome(packet, search, agents),
     });
   }
 
@@ -89,6 +89,7 @@
   noneKnows(packet: FlowPacket, search: FlowSearch, agents: readonly Endpoint[]): void {
     const { round, unknownTo } = search;
     agents.forEach((agent) => unknownTo.add(agent));
+    search.unanswered = 0;
     if (!round || round.unasked.size === 0) {
       return;
     }
@@ -104,6 +105,13 @@
     }
   }
 
+  /** The targets of some agents do not hold a packet's flow: goes on with the others. */
+  noneHolds(packet: FlowPacket, search: FlowSearch, agents: readonly Endpoint[]): void {
+    agents.forEach((agent) => search.refusedBy.add(agent));
+    search.unanswered = 0;
+    this.offerNext(packet, search);
+  }
+
   /** Offers a packet to the agents that have not refused it yet. */
   offerNext(packet: FlowPacket, search: FlowSearch): void {
     if (this.awaitsOutcome(search)) {
@@ -122,8 +130,8 @@
     const plan = planSearch(untried, search, this.createView());
     switch (plan.kind) {
       case 'ask':
-        this.waitForAgents(packet, search);
         this.dispatch.askInParts(plan.heard, plan.awaited, packet, search);
+        this.waitForAgents(packet, search);
         return;
       case 'wait':
         this.waitForAgents(packet, search);
@@ -166,9 +174,10 @@
   }
 
   /** A packet waits until more agents are heard, or have been silent for long enough. */
-  private waitForAgents(packet: FlowPacket, { route }: FlowSearch): void {
-    this.waitForOutcome(packet, GROUP_LENGTH);
-    this.locator.wait({ packet, route });
+  private waitForAgents(packet: FlowPacket, search: FlowSearch): void {
+    search.unanswered = 0;
+    this.waitForOutcome(packet, search, GROUP_LENGTH);
+    this.locator.keepForRetry({ packet, route: search.route });
   }
 
   /** Only agents are left that say nothing: the flow is told dead once they are heard, or removed. */
@@ -212,8 +221,9 @@
     this.dependencies.outlet.deliver(packet, search.services, agent.address, search.id);
   }
 
-  private waitForOutcome(packet: FlowPacket, agents: number): void {
-    this.locator.ask(packet.flow, agents, this.dependencies.environment.now());
+  private waitForOutcome(packet: FlowPacket, search: FlowSearch, agents: number): void {
+    const now = this.dependencies.environment.now();
+    this.locator.ask(packet.flow, agents, now, search.unanswered);
     this.startTimer();
   }
 
--- a/src/packets/search-dispatch.ts
+++ b/src/packets/search-dispatch.ts
@@ -30,7 +30,7 @@
   readonly link: PacketLink;
   readonly outlet: PacketOutlet;
   /** A packet goes out in chains of so many agents at most; their outcome is awaited from now on. */
-  sent(packet: FlowPacket, agents: number): void;
+  sent(packet: FlowPacket, search: FlowSearch, agents: number): void;
 }
 
 /** The dispatch of one balancer. */
@@ -101,9 +101,10 @@
       this.askAgents(packet, search, [order]);
     } else {
       search.round = { agents: order, unasked: new Set(), isOfferedNext: false };
-      this.dependencies.sent(packet, order.length);
+      this.dependencies.sent(packet, search, order.length);
       this.sendChain(packet, search, order, isSure ? SearchPhase.sure : SearchPhase.ask);
     }
+    search.unanswered++;
   }
 
   /** Searches groups of agents at the same time; those that do not know the flow are not asked again. */
@@ -141,7 +142,7 @@
     agents: readonly Endpoint[],
     phase: SearchPhaseValue,
   ): void {
-    this.dependencies.sent(packet, GROUP_LENGTH);
+    this.dependencies.sent(packet, search, GROUP_LENGTH);
     for (const group of splitIntoGroups(agents)) {
       this.sendChain(packet, search, group, phase);
     }
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -15,6 +15,7 @@
 import { modelPacketFormat } from '../src/simulation/packets/model-packet-format';
 import { openModelFlows, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { PacketWorld } from '../src/simulation/packets/packet-world';
+import { createReport } from './support/reports';
 import {
   FIRST_AGENT,
   NEXT_MACHINE,
@@ -365,3 +366,49 @@
   harness.router.agentReturned(agent!);
   t.deepEqual(harness.sent, []);
 });
+
+// Guards against offers that are repeated while the outcome of those before is on its way.
+test('a packet that has waited for agents goes out once, and again only with a copy of the client', (t) => {
+  const harness = new RouterHarness(new Array(30).fill(3));
+  const late = FIRST_AGENT + 40 * NEXT_MACHINE;
+  harness.directory.learn({ address: late, service: 'map', zone: 'north' }, 1, harness.now);
+  harness.router.route(harness.createData(CLIENT));
+  const asked = harness.sent.map((sent) => asSearch(sent));
+  t.true(asked.every(({ phase }) => phase === SearchPhase.askOnly));
+  asked.forEach((group) => answerSearch(harness, group));
+  t.is(harness.sent.length, asked.length);
+  harness.agents.forEach((agent) => {
+    harness.directory.hear(
+      agent,
+      createReport({ sequence: 2, frameVersion: 3 }),
+      harness.now + 1_500,
+    );
+  });
+  harness.pass(1_600);
+  const offers = harness.sent.slice(asked.length).map((sent) => asSearch(sent));
+  t.true(offers.length > 0 && offers.every(({ phase }) => phase === SearchPhase.offer));
+  const before = harness.sent.length;
+  for (let round = 0; round < 5; round++) {
+    harness.pass(200);
+  }
+  t.is(harness.sent.length, before);
+});
+
+// Guards against searches that are repeated faster than loaded agents can pass them on.
+test('each search without an outcome in time has twice as long as the one before', (t) => {
+  const harness = new RouterHarness(new Array(30).fill(3));
+  const delays: number[] = [];
+  harness.router.route(harness.createData(CLIENT));
+  for (let attempt = 0; attempt < 4; attempt++) {
+    const sent = harness.sent.length;
+    const since = harness.now;
+    harness.router.route(harness.createData(CLIENT));
+    while (harness.sent.length === sent) {
+      harness.pass(10);
+    }
+    delays.push(harness.now - since);
+  }
+  const [first, second, third, fourth] = delays as [number, number, number, number];
+  t.true(second >= 1.5 * first && third >= 1.5 * second, delays.join(', '));
+  t.true(fourth <= 500, delays.join(', '));
+});
