--- a/src/packets/flow-locator.ts
+++ b/src/packets/flow-locator.ts
@@ -29,6 +29,8 @@
 export interface WaitingPacket {
   readonly packet: FlowPacket;
   readonly route: Route;
+  /** A search for which it has waited had no outcome: it begins no other one. */
+  readonly hasWaited?: boolean;
 }
 
 interface Question {
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -233,18 +233,31 @@
     return isOpen && this.locator.isAsked(flow);
   }
 
-  /** Begins another search for packets whose search has had no outcome. */
+  /** Begins another search for each flow whose search has had no outcome, with the packet that came last. */
   private endOverdue(): void {
     const { environment } = this.dependencies;
     this.timer = undefined;
-    for (const { packet, route } of this.locator.takeOverdue(environment.now())) {
-      this.find(packet, route);
+    const overdue = this.locator.takeOverdue(environment.now());
+    for (const waiting of groupByFlow(overdue).values()) {
+      this.repeatWith(waiting);
     }
     if (this.locator.size > 0) {
       this.startTimer();
     }
   }
 
+  /** Packets that have waited for two searches are dropped: their client repeats them. */
+  private repeatWith(waiting: readonly WaitingPacket[]): void {
+    const latest = waiting.filter(({ hasWaited }) => !hasWaited).at(-1);
+    if (!latest) {
+      return;
+    }
+    this.find(latest.packet, latest.route);
+    waiting
+      .filter((one) => one !== latest)
+      .forEach((one) => this.locator.wait({ ...one, hasWaited: true }));
+  }
+
   private startTimer(): void {
     const { environment, locateTimeout } = this.dependencies;
     this.timer ??= environment.startTimer(locateTimeout, () => this.endOverdue());
@@ -279,3 +292,13 @@
     }
   }
 }
+
+function groupByFlow(waiting: readonly WaitingPacket[]): Map<FlowKey, WaitingPacket[]> {
+  const groups = new Map<FlowKey, WaitingPacket[]>();
+  for (const one of waiting) {
+    const group = groups.get(one.packet.flow) ?? [];
+    groups.set(one.packet.flow, group);
+    group.push(one);
+  }
+  return groups;
+}
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -412,3 +412,29 @@
   t.true(second >= 1.5 * first && third >= 1.5 * second, delays.join(', '));
   t.true(fourth <= 500, delays.join(', '));
 });
+
+// Guards against a search that goes on for seconds with packets that have waited for one without an outcome.
+test('packets that wait for a search without outcome begin one more search, not one each', (t) => {
+  const harness = new RouterHarness(new Array(10).fill(3));
+  for (let copy = 0; copy < 8; copy++) {
+    harness.router.route(harness.createData(CLIENT));
+  }
+  t.is(harness.sent.length, 1);
+  for (let round = 0; round < 20; round++) {
+    harness.pass(100);
+  }
+  t.is(harness.sent.length, 2);
+});
+
+test('packets that have waited for one search are delivered once the next one has found the holder', (t) => {
+  const harness = new RouterHarness(new Array(10).fill(3));
+  for (let copy = 0; copy < 3; copy++) {
+    harness.router.route(harness.createData(CLIENT));
+  }
+  harness.pass(60);
+  t.is(harness.sent.length, 2);
+  const { flow } = modelPacketFormat.decodeFromClient(harness.createData(CLIENT))!;
+  harness.router.confirmed(flow, harness.agents[0]!);
+  t.is(harness.sent.length, 3);
+  t.is(harness.sent[2]!.to, harness.agents[0]);
+});
