--- a/src/packets/client-intake.ts
+++ b/src/packets/client-intake.ts
@@ -101,6 +101,8 @@
       const flow = Buffer.from(packet.flow, 'latin1');
       link.send(balancer, { type: PacketMessageType.held, flow });
       this.admit(packet, balancer, searchId);
+    } else if (this.isLastOfEnded(packet)) {
+      this.admit(packet, balancer, searchId);
     } else if (this.mustOffer(message.phase, packet)) {
       this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
     } else {
@@ -170,6 +172,14 @@
     return isHeld || (knowsHandshakes && tracker.isOpenedBy(packet, balancer));
   }
 
+  /**
+   * Whether a packet may be the last of a flow that the target has ended. One with data may belong to a
+   * later flow of the same ends, which has opened elsewhere, and the target would reset it.
+   */
+  private isLastOfEnded(packet: FlowPacket): boolean {
+    return packet.payloadLength === 0 && this.dependencies.tracker.hasEnded(packet.flow);
+  }
+
   /** Whether only the target itself can tell if it holds a searched packet's flow. */
   private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
     const { target, tracker } = this.dependencies;
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -20,6 +20,8 @@
   told: Endpoint | undefined;
   /** The target has sent something that only the holder of an open flow sends. */
   held: boolean;
+  /** The target has held the flow at some time. */
+  wasHeld: boolean;
   /** The target has ended the flow; its last packets may still pass. */
   ended: boolean;
   /** A request has been delivered and its answer has not begun. */
@@ -69,7 +71,10 @@
   delivered(packet: FlowPacket, balancer: Endpoint, now: number): void {
     const flow = this.flowOf(packet.flow, now);
     flow.balancer = balancer;
-    flow.ended = flow.ended && !packet.opens;
+    if (packet.opens && flow.ended) {
+      flow.ended = false;
+      flow.wasHeld = false;
+    }
     if (packet.resets) {
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
@@ -125,8 +130,7 @@
     }
     flow.openingSequence = packet.opens ? packet.sequence : flow.openingSequence;
     if (packet.resets || packet.ends) {
-      this.setHeld(flow, false);
-      flow.ended = true;
+      this.noteEnd(flow, packet);
       return undefined;
     }
     if (!packet.opens && !flow.ended) {
@@ -166,6 +170,12 @@
     return true;
   }
 
+  /** Whether the target has held a flow and has ended it: its client's last packets are for it alone. */
+  hasEnded(key: FlowKey): boolean {
+    const flow = this.flows.get(key);
+    return flow !== undefined && flow.ended && flow.wasHeld;
+  }
+
   /** Whether any packet of a flow has been delivered that the target did not return. */
   hasSeen(flow: FlowKey): boolean {
     return this.flows.has(flow);
@@ -237,6 +247,12 @@
     return flow;
   }
 
+  private noteEnd(flow: TrackedFlow, { payloadLength }: FlowPacket): void {
+    flow.wasHeld ||= payloadLength > 0;
+    flow.ended = true;
+    this.setHeld(flow, false);
+  }
+
   private setBusy(flow: TrackedFlow, busy: boolean): void {
     if (flow.busy !== busy) {
       flow.busy = busy;
@@ -262,6 +278,7 @@
   private setHeld(flow: TrackedFlow, held: boolean): void {
     if (flow.held !== held) {
       flow.held = held;
+      flow.wasHeld ||= held;
       this.held += held ? 1 : -1;
     }
   }
@@ -282,6 +299,7 @@
     balancer: undefined,
     told: undefined,
     held: false,
+    wasHeld: false,
     ended: false,
     busy: false,
     working: false,
--- /dev/null
+++ b/test/ended-flows.test.ts
@@ -0,0 +1,128 @@
+/** The last packets of a flow that its target has ended, when they come through another balancer. */
+import test from 'ava';
+import { packetFormat } from '../platform/packet-head';
+import { packEndpoint } from '../src/core/endpoint';
+import { PacketAgent } from '../src/packets/packet-agent';
+import { PacketFrameCodec } from '../src/packets/packet-frames';
+import { PacketMessageType, SearchPhase, type PacketMessage } from '../src/packets/packet-messages';
+import { VirtualClock } from '../src/simulation/virtual-clock';
+import { encodePacket, Flag } from './support/packet-cluster';
+
+const CODEC = new PacketFrameCodec([{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }]);
+const AGENT = packEndpoint('10.0.0.1', 7_000);
+const NEXT_AGENT = packEndpoint('10.0.0.3', 7_000);
+const BALANCER = packEndpoint('10.0.0.2', 7_000);
+const CLIENT = ['10.9.0.1', 1] as const;
+const ROUTE = ['198.18.0.1', 443] as const;
+const OPENING = 100;
+
+/** An agent whose target and balancer are played by the test. */
+class AgentScene {
+  readonly toTarget: Buffer[] = [];
+  readonly sent: PacketMessage[] = [];
+  private readonly clock = new VirtualClock();
+  private readonly agent = new PacketAgent(
+    {
+      zone: 'north',
+      address: AGENT,
+      service: 'map',
+      seeds: [],
+      heartbeatInterval: 1_000,
+      coldLimit: undefined,
+      flowLifetime: 60_000,
+      repairAnswers: false,
+      repairHops: false,
+      earlyStart: true,
+      priorityQueue: false,
+      lowerPriorityShare: 10,
+    },
+    {
+      environment: {
+        now: () => this.clock.now,
+        startTimer: () => ({ cancel: () => undefined }),
+        random: () => 0.5,
+        report: () => undefined,
+      },
+      startedAt: 0,
+      codec: CODEC,
+      transport: { send: (_to, frame) => this.sent.push(CODEC.decode(frame).unwrap()) },
+      format: packetFormat,
+      registry: { add: () => undefined, remove: () => undefined } as never,
+      targetProbe: { isVacant: () => undefined },
+      sendToClient: () => undefined,
+      sendToTarget: (bytes) => this.toTarget.push(Buffer.from(bytes)),
+    },
+  );
+
+  /** The flow opens, carries a request, and is ended by the target after its answer. */
+  runFlow(): void {
+    this.deliver(Flag.syn, 0);
+    this.answer(Flag.syn | Flag.ack, OPENING);
+    this.deliver(Flag.ack, OPENING + 1, 'GET');
+    this.answer(Flag.ack | Flag.fin, OPENING + 1, 'answer');
+  }
+
+  /** An opening packet is answered, and the target gives the flow up before it has opened. */
+  abortOpening(): void {
+    this.deliver(Flag.syn, 0);
+    this.answer(Flag.syn | Flag.ack, OPENING);
+    this.answer(Flag.rst, OPENING + 1);
+  }
+
+  /** Another balancer asks this agent and the next one for the flow of a client's packet. */
+  ask(flags: number, data = ''): void {
+    const payload = encodePacket(CLIENT, ROUTE, flags, 8, OPENING + 8, data);
+    const message = {
+      type: PacketMessageType.search,
+      searchId: 1,
+      balancer: BALANCER,
+      phase: SearchPhase.askOnly,
+      position: 0,
+      agents: [AGENT, NEXT_AGENT],
+      services: ['map'],
+      payload,
+    } as const;
+    this.toTarget.length = 0;
+    this.sent.length = 0;
+    this.agent.frame(CODEC.encodeCompact(message), BALANCER);
+  }
+
+  private deliver(flags: number, acknowledgement: number, data = ''): void {
+    const payload = encodePacket(CLIENT, ROUTE, flags, 7, acknowledgement, data);
+    const message = { type: PacketMessageType.deliver, searchId: 1, services: ['map'], payload };
+    this.agent.frame(CODEC.encode(message as PacketMessage), BALANCER);
+  }
+
+  private answer(flags: number, sequence: number, data = ''): void {
+    this.agent.targetDatagram(encodePacket(ROUTE, CLIENT, flags, sequence, 7, data));
+  }
+}
+
+// Guards against searches through all targets for the last packets of flows that have ended.
+test('the last packet of an ended flow goes to the target that has ended it', (t) => {
+  const scene = new AgentScene();
+  scene.runFlow();
+  scene.ask(Flag.ack | Flag.fin);
+  t.is(scene.toTarget.length, 1);
+  t.deepEqual(
+    scene.sent,
+    [],
+    'nobody else is asked, and no balancer is told that the flow is open',
+  );
+});
+
+test('data of an ended flow is searched for: a flow of the same ends may have opened elsewhere', (t) => {
+  const scene = new AgentScene();
+  scene.runFlow();
+  scene.ask(Flag.ack, 'GET');
+  t.is(scene.toTarget.length, 0);
+  t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+});
+
+test('a target that has given up an opening gets no packet of that flow', (t) => {
+  const scene = new AgentScene();
+  scene.abortOpening();
+  scene.ask(Flag.ack | Flag.fin);
+  t.is(scene.toTarget.length, 0);
+  t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+});
