--- a/src/packets/client-intake.ts
+++ b/src/packets/client-intake.ts
@@ -86,7 +86,7 @@
 
   /** Takes the packet of a search if this agent's target holds its flow, or passes it on. */
   search(message: SearchMessage): void {
-    const { answers, link } = this.dependencies;
+    const { answers, link, tracker } = this.dependencies;
     const { balancer, searchId } = message;
     const packet = this.decodeFromClient(message.payload);
     if (!packet) {
@@ -101,7 +101,7 @@
       const flow = Buffer.from(packet.flow, 'latin1');
       link.send(balancer, { type: PacketMessageType.held, flow });
       this.admit(packet, balancer, searchId);
-    } else if (this.isLastOfEnded(packet)) {
+    } else if (tracker.isOfEnded(packet)) {
       this.admit(packet, balancer, searchId);
     } else if (this.mustOffer(message.phase, packet)) {
       this.handToTarget(packet, balancer, this.pending.add(balancer, searchId, message));
@@ -172,14 +172,6 @@
     return isHeld || (knowsHandshakes && tracker.isOpenedBy(packet, balancer));
   }
 
-  /**
-   * Whether a packet may be the last of a flow that the target has ended. One with data may belong to a
-   * later flow of the same ends, which has opened elsewhere, and the target would reset it.
-   */
-  private isLastOfEnded(packet: FlowPacket): boolean {
-    return packet.payloadLength === 0 && this.dependencies.tracker.hasEnded(packet.flow);
-  }
-
   /** Whether only the target itself can tell if it holds a searched packet's flow. */
   private mustOffer(phase: SearchPhaseValue, { flow }: FlowPacket): boolean {
     const { target, tracker } = this.dependencies;
--- a/src/packets/flow-tracker.ts
+++ b/src/packets/flow-tracker.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from '../environment';
 import { WorkClock } from './choice/work-clock';
 import type { FlowKey, FlowPacket } from './flow-packet';
-import { measureDistance } from './repair/sequence-numbers';
+import { endOf, measureDistance } from './repair/sequence-numbers';
 
 /** Flows tracked at once; the least recently used one is dropped beyond that. */
 const MAXIMUM_FLOWS = 20_000;
@@ -20,8 +20,6 @@
   told: Endpoint | undefined;
   /** The target has sent something that only the holder of an open flow sends. */
   held: boolean;
-  /** The target has held the flow at some time. */
-  wasHeld: boolean;
   /** The target has ended the flow; its last packets may still pass. */
   ended: boolean;
   /** A request has been delivered and its answer has not begun. */
@@ -32,6 +30,8 @@
   busySince: number;
   /** Sequence number of the target's answer to an opening packet; undefined before it. */
   openingSequence: number | undefined;
+  /** Sequence number behind all that the target has sent; undefined before any. */
+  sentUntil: number | undefined;
   /** Highest sequence number of data delivered, to tell repeats; undefined before any. */
   lastSequence: number | undefined;
   usedAt: number;
@@ -71,10 +71,7 @@
   delivered(packet: FlowPacket, balancer: Endpoint, now: number): void {
     const flow = this.flowOf(packet.flow, now);
     flow.balancer = balancer;
-    if (packet.opens && flow.ended) {
-      flow.ended = false;
-      flow.wasHeld = false;
-    }
+    flow.ended = flow.ended && !packet.opens;
     if (packet.resets) {
       this.remove(packet.flow);
     } else if (packet.payloadLength > 0 && isNewer(packet.sequence, flow.lastSequence)) {
@@ -129,8 +126,10 @@
       this.setBusy(flow, false);
     }
     flow.openingSequence = packet.opens ? packet.sequence : flow.openingSequence;
+    flow.sentUntil = findEndOfSent(packet, flow.sentUntil);
     if (packet.resets || packet.ends) {
-      this.noteEnd(flow, packet);
+      this.setHeld(flow, false);
+      flow.ended = true;
       return undefined;
     }
     if (!packet.opens && !flow.ended) {
@@ -170,10 +169,13 @@
     return true;
   }
 
-  /** Whether the target has held a flow and has ended it: its client's last packets are for it alone. */
-  hasEnded(key: FlowKey): boolean {
-    const flow = this.flows.get(key);
-    return flow !== undefined && flow.ended && flow.wasHeld;
+  /**
+   * Whether a client's packet belongs to a flow that the target has ended. Only one that acknowledges
+   * what the target has sent does: a later flow of the same ends may have opened elsewhere.
+   */
+  isOfEnded(packet: FlowPacket): boolean {
+    const flow = this.flows.get(packet.flow);
+    return flow !== undefined && flow.ended && acknowledgesSent(packet, flow);
   }
 
   /** Whether any packet of a flow has been delivered that the target did not return. */
@@ -247,12 +249,6 @@
     return flow;
   }
 
-  private noteEnd(flow: TrackedFlow, { payloadLength }: FlowPacket): void {
-    flow.wasHeld ||= payloadLength > 0;
-    flow.ended = true;
-    this.setHeld(flow, false);
-  }
-
   private setBusy(flow: TrackedFlow, busy: boolean): void {
     if (flow.busy !== busy) {
       flow.busy = busy;
@@ -278,7 +274,6 @@
   private setHeld(flow: TrackedFlow, held: boolean): void {
     if (flow.held !== held) {
       flow.held = held;
-      flow.wasHeld ||= held;
       this.held += held ? 1 : -1;
     }
   }
@@ -299,12 +294,12 @@
     balancer: undefined,
     told: undefined,
     held: false,
-    wasHeld: false,
     ended: false,
     busy: false,
     working: false,
     busySince: 0,
     openingSequence: undefined,
+    sentUntil: undefined,
     lastSequence: undefined,
     usedAt,
   };
@@ -323,3 +318,21 @@
   const distance = (packet.acknowledgement - sequence) >>> 0;
   return distance <= 1;
 }
+
+/** The sequence number behind all that a target has sent, with a packet of its own that it sends now. */
+function findEndOfSent(packet: FlowPacket, sentUntil: number | undefined): number {
+  const end = endOf(packet);
+  return packet.opens || sentUntil === undefined || isNewer(end, sentUntil) ? end : sentUntil;
+}
+
+/** Whether a client's packet acknowledges what the target has sent on a flow, its opening or more. */
+function acknowledgesSent(
+  { acknowledgement }: FlowPacket,
+  { openingSequence, sentUntil }: TrackedFlow,
+): boolean {
+  if (openingSequence === undefined || sentUntil === undefined) {
+    return false;
+  }
+  const acknowledged = measureDistance(openingSequence, acknowledgement);
+  return acknowledged > 0 && acknowledged <= measureDistance(openingSequence, sentUntil);
+}
--- a/test/ended-flows.test.ts
+++ b/test/ended-flows.test.ts
@@ -15,6 +15,9 @@
 const CLIENT = ['10.9.0.1', 1] as const;
 const ROUTE = ['198.18.0.1', 443] as const;
 const OPENING = 100;
+const ANSWER = 'answer';
+/** Acknowledges the opening, the answer and the end of the flow. */
+const ALL_SENT = OPENING + 1 + ANSWER.length + 1;
 
 /** An agent whose target and balancer are played by the test. */
 class AgentScene {
@@ -59,7 +62,7 @@
     this.deliver(Flag.syn, 0);
     this.answer(Flag.syn | Flag.ack, OPENING);
     this.deliver(Flag.ack, OPENING + 1, 'GET');
-    this.answer(Flag.ack | Flag.fin, OPENING + 1, 'answer');
+    this.answer(Flag.ack | Flag.fin, OPENING + 1, ANSWER);
   }
 
   /** An opening packet is answered, and the target gives the flow up before it has opened. */
@@ -70,8 +73,8 @@
   }
 
   /** Another balancer asks this agent and the next one for the flow of a client's packet. */
-  ask(flags: number, data = ''): void {
-    const payload = encodePacket(CLIENT, ROUTE, flags, 8, OPENING + 8, data);
+  ask(flags: number, acknowledgement: number, data = ''): void {
+    const payload = encodePacket(CLIENT, ROUTE, flags, 8, acknowledgement, data);
     const message = {
       type: PacketMessageType.search,
       searchId: 1,
@@ -102,7 +105,7 @@
 test('the last packet of an ended flow goes to the target that has ended it', (t) => {
   const scene = new AgentScene();
   scene.runFlow();
-  scene.ask(Flag.ack | Flag.fin);
+  scene.ask(Flag.ack | Flag.fin, ALL_SENT);
   t.is(scene.toTarget.length, 1);
   t.deepEqual(
     scene.sent,
@@ -111,18 +114,27 @@
   );
 });
 
-test('data of an ended flow is searched for: a flow of the same ends may have opened elsewhere', (t) => {
+test('data that was sent before the end came goes to the target that has ended the flow', (t) => {
   const scene = new AgentScene();
   scene.runFlow();
-  scene.ask(Flag.ack, 'GET');
-  t.is(scene.toTarget.length, 0);
-  t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+  scene.ask(Flag.ack, OPENING + 1, 'GET');
+  t.is(scene.toTarget.length, 1);
+});
+
+test('packets of a later flow of the same ends, which opened elsewhere, are searched for', (t) => {
+  const scene = new AgentScene();
+  for (const acknowledgement of [OPENING, ALL_SENT + 1, OPENING + 2 ** 31 + 7]) {
+    scene.runFlow();
+    scene.ask(Flag.ack, acknowledgement, 'GET');
+    t.is(scene.toTarget.length, 0);
+    t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+  }
 });
 
-test('a target that has given up an opening gets no packet of that flow', (t) => {
+test('a target that has given up an opening gets no packet of the flow that opened elsewhere', (t) => {
   const scene = new AgentScene();
   scene.abortOpening();
-  scene.ask(Flag.ack | Flag.fin);
+  scene.ask(Flag.ack | Flag.fin, OPENING + 5_000);
   t.is(scene.toTarget.length, 0);
   t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
 });
