--- a/test/answer-repair.test.ts
+++ b/test/answer-repair.test.ts
@@ -1,11 +1,8 @@
 /** Answers that are lost between an agent and a client, or seem to be. */
 import test from 'ava';
 import { packetFormat } from '../platform/packet-head';
-import { packEndpoint } from '../src/core/endpoint';
-import type { Endpoint, Environment } from '../src/environment';
+import type { Environment } from '../src/environment';
 import { Events, type EventFields, type EventKind } from '../src/logging/events';
-import { PacketAgent } from '../src/packets/packet-agent';
-import { PacketFrameCodec } from '../src/packets/packet-frames';
 import { PacketMessageType } from '../src/packets/packet-messages';
 import { checkPacketSettings } from '../src/packets/packet-settings';
 import { AnswerFlow } from '../src/packets/repair/answer-flow';
@@ -14,6 +11,7 @@
 import { PacketWorld } from '../src/simulation/packets/packet-world';
 import { AnswerTiming } from '../src/packets/repair/answer-timing';
 import { VirtualClock } from '../src/simulation/virtual-clock';
+import { AgentScene, type Arrival } from './support/agent-scene';
 import { encodePacket, Flag } from './support/packet-cluster';
 
 const ROUTE = ['198.18.0.1', 443] as const;
@@ -48,12 +46,6 @@
   };
 }
 
-/** One packet that reached a client. */
-interface Arrival {
-  readonly at: number;
-  readonly bytes: Buffer;
-}
-
 /** Answer repair with the target and the clients played by the test. */
 class RepairScene {
   readonly clock = new VirtualClock();
@@ -654,46 +646,10 @@
   t.deepEqual(wrong.err && wrong.val.details, ['repairAnswers: must be 1 or 0']);
 });
 
-const BALANCER = packEndpoint('10.0.0.2', 7_000);
-const AGENT = packEndpoint('10.0.0.1', 7_000);
-const CODEC = new PacketFrameCodec([{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }]);
-
-/** A whole agent whose target, clients and balancer are played by the test. */
-class AgentScene {
-  readonly clock = new VirtualClock();
-  readonly toClient: Arrival[] = [];
-  readonly toTarget: Buffer[] = [];
-  readonly agent: PacketAgent;
-
+/** An agent of a ready target, and one flow. */
+class RepairingAgentScene extends AgentScene {
   constructor(repairAnswers: boolean) {
-    this.agent = new PacketAgent(
-      {
-        zone: 'north',
-        address: AGENT,
-        service: 'map',
-        seeds: [],
-        heartbeatInterval: 1_000,
-        coldLimit: undefined,
-        flowLifetime: FLOW_LIFETIME,
-        repairAnswers,
-        repairHops: true,
-        earlyStart: false,
-        priorityQueue: true,
-        lowerPriorityShare: 10,
-      },
-      {
-        environment: createEnvironment(this.clock, []),
-        startedAt: 0,
-        codec: CODEC,
-        transport: { send: () => undefined },
-        format: packetFormat,
-        registry: { add: () => undefined, remove: () => undefined } as never,
-        targetProbe: { isVacant: () => undefined },
-        sendToClient: (_client: Endpoint, bytes) =>
-          this.toClient.push({ at: this.clock.now, bytes: Buffer.from(bytes) }),
-        sendToTarget: (bytes) => this.toTarget.push(Buffer.from(bytes)),
-      },
-    );
+    super({ repairAnswers, repairHops: true, priorityQueue: true });
     this.beat('i-1');
   }
 
@@ -708,7 +664,7 @@
     const payload = encodePacket(client, ROUTE, flags, 7, acknowledgement, data);
     const services = ['map'];
     const message = { type: PacketMessageType.deliver, searchId: 1, services, payload } as const;
-    this.agent.frame(CODEC.encode(message), BALANCER);
+    this.take(message);
   }
 
   send(sequence: number, data: string, flags: number = Flag.ack): Buffer {
@@ -725,14 +681,10 @@
     this.pass(ROUND_TRIP);
     this.deliver(Flag.ack, OPENING + 1, 'GET');
   }
-
-  pass(milliseconds: number): void {
-    this.clock.runUntil(this.clock.now + milliseconds);
-  }
 }
 
 test('an agent repeats what a client misses by the acknowledgements that pass through it', (t) => {
-  const scene = new AgentScene(true);
+  const scene = new RepairingAgentScene(true);
   scene.open();
   const packets = [0, 1, 2, 3].map((index) => scene.send(endOf(index), DATA));
   scene.pass(ROUND_TRIP);
@@ -749,7 +701,7 @@
 });
 
 test('an agent drops the answers of a target that is replaced at its address', (t) => {
-  const scene = new AgentScene(true);
+  const scene = new RepairingAgentScene(true);
   scene.open();
   scene.send(endOf(0), DATA);
   scene.beat('i-2');
@@ -758,7 +710,7 @@
 });
 
 test('an agent with answer repair switched off repeats nothing', (t) => {
-  const scene = new AgentScene(false);
+  const scene = new RepairingAgentScene(false);
   scene.open();
   scene.send(endOf(0), DATA);
   scene.pass(1_000);
@@ -766,7 +718,7 @@
 });
 
 test('a packet that its target returns ends the repeats of its flow', (t) => {
-  const scene = new AgentScene(true);
+  const scene = new RepairingAgentScene(true);
   scene.open();
   scene.send(endOf(0), DATA);
   const returned = Buffer.from(scene.toTarget.at(-1)!);
--- a/test/ended-flows.test.ts
+++ b/test/ended-flows.test.ts
@@ -1,17 +1,11 @@
 /** The last packets of a flow that its target has ended, when they come through another balancer. */
 import test from 'ava';
-import { packetFormat } from '../platform/packet-head';
 import { packEndpoint } from '../src/core/endpoint';
-import { PacketAgent } from '../src/packets/packet-agent';
-import { PacketFrameCodec } from '../src/packets/packet-frames';
-import { PacketMessageType, SearchPhase, type PacketMessage } from '../src/packets/packet-messages';
-import { VirtualClock } from '../src/simulation/virtual-clock';
+import { PacketMessageType, SearchPhase } from '../src/packets/packet-messages';
+import { AGENT, AgentScene, BALANCER } from './support/agent-scene';
 import { encodePacket, Flag } from './support/packet-cluster';
 
-const CODEC = new PacketFrameCodec([{ id: 1, secret: Buffer.from('a-test-key-of-the-cluster') }]);
-const AGENT = packEndpoint('10.0.0.1', 7_000);
 const NEXT_AGENT = packEndpoint('10.0.0.3', 7_000);
-const BALANCER = packEndpoint('10.0.0.2', 7_000);
 const CLIENT = ['10.9.0.1', 1] as const;
 const ROUTE = ['198.18.0.1', 443] as const;
 const OPENING = 100;
@@ -19,43 +13,11 @@
 /** Acknowledges the opening, the answer and the end of the flow. */
 const ALL_SENT = OPENING + 1 + ANSWER.length + 1;
 
-/** An agent whose target and balancer are played by the test. */
-class AgentScene {
-  readonly toTarget: Buffer[] = [];
-  readonly sent: PacketMessage[] = [];
-  private readonly clock = new VirtualClock();
-  private readonly agent = new PacketAgent(
-    {
-      zone: 'north',
-      address: AGENT,
-      service: 'map',
-      seeds: [],
-      heartbeatInterval: 1_000,
-      coldLimit: undefined,
-      flowLifetime: 60_000,
-      repairAnswers: false,
-      repairHops: false,
-      earlyStart: true,
-      priorityQueue: false,
-      lowerPriorityShare: 10,
-    },
-    {
-      environment: {
-        now: () => this.clock.now,
-        startTimer: () => ({ cancel: () => undefined }),
-        random: () => 0.5,
-        report: () => undefined,
-      },
-      startedAt: 0,
-      codec: CODEC,
-      transport: { send: (_to, frame) => this.sent.push(CODEC.decode(frame).unwrap()) },
-      format: packetFormat,
-      registry: { add: () => undefined, remove: () => undefined } as never,
-      targetProbe: { isVacant: () => undefined },
-      sendToClient: () => undefined,
-      sendToTarget: (bytes) => this.toTarget.push(Buffer.from(bytes)),
-    },
-  );
+/** An agent and one flow of its target, which ends. */
+class EndingScene extends AgentScene {
+  constructor() {
+    super({ earlyStart: true });
+  }
 
   /** The flow opens, carries a request, and is ended by the target after its answer. */
   runFlow(): void {
@@ -86,14 +48,14 @@
       payload,
     } as const;
     this.toTarget.length = 0;
-    this.sent.length = 0;
-    this.agent.frame(CODEC.encodeCompact(message), BALANCER);
+    this.toNodes.length = 0;
+    this.take(message);
   }
 
   private deliver(flags: number, acknowledgement: number, data = ''): void {
     const payload = encodePacket(CLIENT, ROUTE, flags, 7, acknowledgement, data);
-    const message = { type: PacketMessageType.deliver, searchId: 1, services: ['map'], payload };
-    this.agent.frame(CODEC.encode(message as PacketMessage), BALANCER);
+    const type = PacketMessageType.deliver;
+    this.take({ type, searchId: 1, services: ['map'], payload });
   }
 
   private answer(flags: number, sequence: number, data = ''): void {
@@ -103,38 +65,38 @@
 
 // Guards against searches through all targets for the last packets of flows that have ended.
 test('the last packet of an ended flow goes to the target that has ended it', (t) => {
-  const scene = new AgentScene();
+  const scene = new EndingScene();
   scene.runFlow();
   scene.ask(Flag.ack | Flag.fin, ALL_SENT);
   t.is(scene.toTarget.length, 1);
   t.deepEqual(
-    scene.sent,
+    scene.toNodes,
     [],
     'nobody else is asked, and no balancer is told that the flow is open',
   );
 });
 
 test('data that was sent before the end came goes to the target that has ended the flow', (t) => {
-  const scene = new AgentScene();
+  const scene = new EndingScene();
   scene.runFlow();
   scene.ask(Flag.ack, OPENING + 1, 'GET');
   t.is(scene.toTarget.length, 1);
 });
 
 test('packets of a later flow of the same ends, which opened elsewhere, are searched for', (t) => {
-  const scene = new AgentScene();
+  const scene = new EndingScene();
   for (const acknowledgement of [OPENING, ALL_SENT + 1, OPENING + 2 ** 31 + 7]) {
     scene.runFlow();
     scene.ask(Flag.ack, acknowledgement, 'GET');
     t.is(scene.toTarget.length, 0);
-    t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+    t.like(scene.toNodes[0], { type: PacketMessageType.search, position: 1 });
   }
 });
 
 test('a target that has given up an opening gets no packet of the flow that opened elsewhere', (t) => {
-  const scene = new AgentScene();
+  const scene = new EndingScene();
   scene.abortOpening();
   scene.ask(Flag.ack | Flag.fin, OPENING + 5_000);
   t.is(scene.toTarget.length, 0);
-  t.like(scene.sent[0], { type: PacketMessageType.search, position: 1 });
+  t.like(scene.toNodes[0], { type: PacketMessageType.search, position: 1 });
 });
