--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -38,4 +38,9 @@
     cause:
       'the same, while Node itself booted: an agent got a signal to reload half a second after its start',
   },
+  {
+    seed: 807_159_193,
+    cause:
+      'the same, half a second after all processes were killed: an agent got a signal to reload while it booted, beside a hunt and two more soaks',
+  },
 ];
