--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -138,6 +138,8 @@
 }
 
 export class Deployment {
+  /** Address of the store that all fronts use; the sides use another one. */
+  frontDoor;
   #folder = mkdtempSync(join(tmpdir(), 'hallhold-review-'));
   #subnet = `127.${64 + (process.pid % 128)}.${(process.pid >> 7) % 250}`;
   #programs = [];
@@ -152,9 +154,10 @@
 
   async start({ fronts, config }) {
     const names = ['control', 'ready', 'packet', 'outbound', 'app', 'frame', 'store'];
-    this.ports = await findPorts(names);
+    this.ports = await findPorts([...names, 'frontStore']);
     this.store = new Store(this.record);
     await this.store.listen(this.#address(1), this.ports.store);
+    this.frontDoor = await this.store.listen(this.#address(1), this.ports.frontStore);
     this.putConfig(config);
     this.router = new Router(this.record, this.ports.packet);
     this.seeds = fronts.slice(0, 3).map((_zone, index) => this.#control(10 + index));
@@ -297,7 +300,9 @@
       },
       limits: { 'cpu-share': 0.675, cores: 1, 'link-mbps': 1000.0 },
       bounds: this.bounds,
-      platform: { addr: `${this.#address(1)}:${this.ports.store}` },
+      platform: {
+        addr: `${this.#address(1)}:${this.ports[machineClass === 'front' ? 'frontStore' : 'store']}`,
+      },
     };
   }
 }
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -1,39 +1,80 @@
 /** The platform's metadata store, as PROTOCOL.md and the news pages describe it. */
 import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
+import { performance } from 'node:perf_hooks';
 import { clearTimeout, setTimeout } from 'node:timers';
 import { URL } from 'node:url';
 
 const PREFIX = '/hallhold/objects/';
 const ANSWER_MS = 4;
+/** `history-s` of a small deployment. */
+const HISTORY_MS = 20_000;
+
+/** One address of the store; machines that use it can be turned away while others are served. */
+class Door {
+  #server;
+  #isShut = false;
+
+  constructor(handle) {
+    this.#server = createServer((call, response) => {
+      const chunks = [];
+      call.on('data', (chunk) => chunks.push(chunk));
+      call.on('end', () =>
+        setTimeout(() => {
+          if (this.#isShut) {
+            response.writeHead(503, { 'Content-Type': 'application/json', 'Store-Era': '1' });
+            response.end('{}');
+          } else {
+            handle(call, Buffer.concat(chunks), response);
+          }
+        }, ANSWER_MS),
+      );
+    });
+    this.#server.keepAliveTimeout = 0;
+  }
+
+  listen(address, port) {
+    return new Promise((done) => this.#server.listen(port, address, done));
+  }
+
+  /** Turns every call away with 503 and cuts the watches that wait, or serves again. */
+  setShut(isShut) {
+    this.#isShut = isShut;
+    if (isShut) {
+      this.#server.closeAllConnections();
+    }
+  }
+
+  close() {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+}
 
 export class Store {
   #kinds = new Map();
   #events = [];
   #watches = new Set();
   #revision = 1;
-  #server;
+  /** Revision up to which the history is forgotten. */
+  #forgotten = 0;
+  #doors = [];
 
   /** @param record where the calls that change something are written */
   constructor(record) {
     this.record = record;
   }
 
+  /** Serves at an address; several machines may share it. */
   async listen(address, port) {
-    this.#server = createServer((call, response) => {
-      const chunks = [];
-      call.on('data', (chunk) => chunks.push(chunk));
-      call.on('end', () =>
-        setTimeout(() => this.#handle(call, Buffer.concat(chunks), response), ANSWER_MS),
-      );
-    });
-    this.#server.keepAliveTimeout = 0;
-    await new Promise((done) => this.#server.listen(port, address, done));
+    const door = new Door((call, body, response) => this.#handle(call, body, response));
+    await door.listen(address, port);
+    this.#doors.push(door);
+    return door;
   }
 
   close() {
-    this.#server?.closeAllConnections();
-    this.#server?.close();
+    this.#doors.forEach((door) => door.close());
   }
 
   /** Writes an object as the operator does; returning is the acknowledgement. */
@@ -76,7 +117,7 @@
   }
 
   #publish(kind, object, gone) {
-    this.#events.push({ kind, rev: this.#revision, object, gone });
+    this.#events.push({ kind, rev: this.#revision, object, gone, at: performance.now() });
     [...this.#watches].forEach((check) => check());
   }
 
@@ -117,6 +158,11 @@
 
   #watch(kind, query, response, send) {
     const after = Number(query.get('watch'));
+    this.#forgetHistory();
+    if (after < this.#forgotten) {
+      send(410, {});
+      return;
+    }
     const find = () => this.#events.filter((event) => event.kind === kind && event.rev > after);
     const answer = () => {
       clearTimeout(timer);
@@ -134,6 +180,13 @@
     check();
   }
 
+  #forgetHistory() {
+    const oldest = performance.now() - HISTORY_MS;
+    while (this.#events.length > 0 && this.#events[0].at < oldest) {
+      this.#forgotten = this.#events.shift().rev;
+    }
+  }
+
   #write(method, { kind, name, part, url, document }, send) {
     const objects = this.#kind(kind);
     const answer = (status, object) => {
