--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -103,4 +103,6 @@
   packetReturned: event(2739, 'packet-returned', 'info'),
   searchRepeated: event(2740, 'search-repeated', 'info'),
   detourLost: event(2741, 'detour-lost', 'info'),
+  agentForgotten: event(2742, 'agent-forgotten', 'info'),
+  agentUnregistered: event(2743, 'agent-unregistered', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -75,6 +75,18 @@
   recentFlows: number[];
 }
 
+/** Why an agent was removed from the directory. */
+export type AgentRemovalReason =
+  /** The registry no longer lists it, and it does not report or its target has left. */
+  | 'unregistered'
+  /** Its target has left, and the registry does not list it. */
+  | 'target-left'
+  /** The registry does not list it, and it has not reported for long. */
+  | 'unresponsive';
+
+/** Called with each agent that is removed from the directory. */
+export type AgentRemovalObserver = (entry: AgentEntry, reason: AgentRemovalReason) => void;
+
 /** Agents by address. */
 export class AgentDirectory {
   private readonly entries = new Map<Endpoint, AgentEntry>();
@@ -84,6 +96,8 @@
   /** Time since which agents are asked for reports; `Infinity` while they are not. */
   private listeningSince = -Infinity;
 
+  constructor(private readonly onRemoved: AgentRemovalObserver = () => undefined) {}
+
   /** Whether every registered agent is known. */
   get isComplete(): boolean {
     return this.completeSince < Infinity;
@@ -271,7 +285,7 @@
     entry.registryRevision = undefined;
     const isGone = entry.report?.state === TargetState.gone;
     if (isGone || !this.isHeard(entry, now)) {
-      this.deleteEntry(address);
+      this.remove(address, 'unregistered');
     }
   }
 
@@ -287,9 +301,13 @@
     }
   }
 
-  /** Removes an agent that is neither registered nor reporting. */
-  forget(address: Endpoint): void {
-    this.deleteEntry(address);
+  /** Removes an agent: searches no longer include it. */
+  remove(address: Endpoint, reason: AgentRemovalReason): void {
+    const entry = this.entries.get(address);
+    if (entry) {
+      this.deleteEntry(address);
+      this.onRemoved(entry, reason);
+    }
   }
 
   markComplete(now: number): void {
--- a/src/packets/agent-report-handler.ts
+++ b/src/packets/agent-report-handler.ts
@@ -42,7 +42,7 @@
       this.logStateChange(entry, report, wasHeard);
     }
     if (report.state === TargetState.gone && entry.registryRevision === undefined) {
-      directory.forget(from);
+      directory.remove(from, 'target-left');
     }
     if (wasZoneSilent) {
       this.handleZoneReturned(report.zone, now);
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -189,6 +189,7 @@
 
   private endStop(done: () => void): void {
     if (this.state === TargetState.gone) {
+      this.logUnregistration(this.presence.isMissing ? 'no-target' : 'target-left');
       this.dependencies.registry.remove(this.record, undefined, done);
     } else {
       done();
@@ -450,6 +451,7 @@
       heartbeatInterval: this.settings.heartbeatInterval,
       isTargetHeard: () => this.isTargetHeard,
       onMissing: () => {
+        this.logUnregistration('no-target');
         this.registration.withdraw();
         this.announceState();
       },
@@ -520,6 +522,11 @@
     );
   }
 
+  private logUnregistration(reason: 'target-left' | 'no-target'): void {
+    const { openFlows } = this.tracker;
+    this.dependencies.environment.report(Events.agentUnregistered, { reason, openFlows });
+  }
+
   private logTargetState(): void {
     this.dependencies.environment.report(Events.targetStateChanged, {
       incarnation: this.target.incarnation,
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -5,7 +5,7 @@
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint } from '../environment';
 import { Events } from '../logging/events';
-import { AgentDirectory } from './agent-directory';
+import { AgentDirectory, type AgentEntry, type AgentRemovalReason } from './agent-directory';
 import { AgentReportHandler } from './agent-report-handler';
 import {
   AgentSubscriptions,
@@ -50,7 +50,7 @@
 
 /** One packet balancer. */
 export class PacketBalancer {
-  readonly directory = new AgentDirectory();
+  readonly directory: AgentDirectory;
   readonly router: FlowRouter;
   private readonly relay: TrafficRelay;
   private readonly detours: ZoneDetour;
@@ -84,6 +84,7 @@
   ) {
     const { environment, codec, transport, registry } = dependencies;
     this.timers = new NodeTimers(environment);
+    this.directory = new AgentDirectory((entry, reason) => this.logRemovedAgent(entry, reason));
     this.detours = new ZoneDetour(settings.zone);
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
@@ -343,6 +344,18 @@
     }
   }
 
+  private logRemovedAgent(entry: AgentEntry, reason: AgentRemovalReason): void {
+    const { environment } = this.dependencies;
+    environment.report(Events.agentForgotten, {
+      agent: formatEndpoint(entry.address),
+      service: entry.service,
+      reason,
+      state: entry.report?.state,
+      openFlows: entry.report?.openFlows,
+      silence: Math.round(this.directory.getSilence(entry, environment.now())),
+    });
+  }
+
   private reportUnexpectedMessage({ type }: MessageToAgent): void {
     this.dependencies.environment.report(Events.frameUnexpected, { type });
   }
--- a/src/packets/registry-reconciler.ts
+++ b/src/packets/registry-reconciler.ts
@@ -56,7 +56,7 @@
     const silence = this.directory.getSilence(entry, now);
     const isListed = entry.registryRevision !== undefined;
     if (!isListed && silence > this.getForgetSilence(entry)) {
-      this.directory.forget(entry.address);
+      this.directory.remove(entry.address, 'unresponsive');
     } else if (
       !mayCall ||
       this.pendingCalls.has(entry.address) ||
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -503,7 +503,7 @@
       const failurePercent = isHome && harness === failing ? 100 : 0;
       const next = { ...report!, sequence: 2, failurePercent };
       if (isHome && harness === settling) {
-        harness.directory.forget(agent);
+        harness.directory.remove(agent, 'unresponsive');
       }
       if (!isHome || harness !== silent) {
         harness.directory.recordReport(agent, next, harness.now);
--- a/test/packet-search.test.ts
+++ b/test/packet-search.test.ts
@@ -254,7 +254,7 @@
   const harness = new RouterHarness([2, 2, 2]);
   const [late] = harness.agents;
   const entry = harness.directory.find(late!)!;
-  harness.directory.forget(late!);
+  harness.directory.remove(late!, 'unresponsive');
   harness.router.route(harness.createData(CLIENT));
   const first = asSearch(harness.sent[0]!);
   t.is(first.agents.length, 2);
