--- a/src/standins/fault-proxy.ts
+++ b/src/standins/fault-proxy.ts
@@ -18,6 +18,7 @@
 export class UdpFaultProxy {
   /** Whether all datagrams are dropped. */
   isCut = false;
+  private isStopped = false;
   private readonly random: SeededRandom;
   private readonly sockets = new Map<Endpoint, Promise<UdpSocket>>();
   private listener: UdpSocket | undefined;
@@ -40,7 +41,9 @@
     this.listener = bound.unwrap();
   }
 
+  /** Closes all sockets; datagrams that are still delayed are dropped. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     this.listener?.close();
     (await Promise.all(this.sockets.values())).forEach((socket) => socket.close());
   }
@@ -57,6 +60,12 @@
     return created;
   }
 
+  private deliverIfRunning(deliver: () => void): void {
+    if (!this.isStopped) {
+      deliver();
+    }
+  }
+
   private applyFaults(deliver: () => void): void {
     if (this.isCut || this.random.next() < this.faults.loss) {
       return;
@@ -64,9 +73,10 @@
     const copies = this.random.next() < this.faults.duplication ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
       if (this.random.next() < this.faults.reordering) {
-        setTimeout(deliver, this.random.next() * this.faults.reorderDelay);
+        const delay = this.random.next() * this.faults.reorderDelay;
+        setTimeout(() => this.deliverIfRunning(deliver), delay);
       } else {
-        deliver();
+        this.deliverIfRunning(deliver);
       }
     }
   }
