--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -10,6 +10,7 @@
 import { ZoneReachability } from './zone-reachability';
 import {
   FlowKnowledge,
+  TARGET_END_VERSION,
   TargetState,
   type AgentRecord,
   type ReportMessage,
@@ -77,10 +78,10 @@
 
 /** Why an agent was removed from the directory. */
 export type AgentRemovalReason =
-  /** The registry no longer lists it, and it does not report or its target has left. */
+  /** The registry no longer lists it, and it does not report or its target has ended. */
   | 'unregistered'
-  /** Its target has left, and the registry does not list it. */
-  | 'target-left'
+  /** Its target has ended, and the registry does not list it. */
+  | 'target-ended'
   /** The registry does not list it, and it has not reported for long. */
   | 'unresponsive';
 
@@ -276,15 +277,14 @@
     return entry;
   }
 
-  /** Records that the registry no longer lists an agent: it is kept only while it reports. */
+  /** Records that the registry no longer lists an agent: it is kept only while it reports a target. */
   markUnregistered(address: Endpoint, now: number): void {
     const entry = this.entries.get(address);
     if (!entry) {
       return;
     }
     entry.registryRevision = undefined;
-    const isGone = entry.report?.state === TargetState.gone;
-    if (isGone || !this.isHeard(entry, now)) {
+    if (hasTargetEnded(entry.report) || !this.isHeard(entry, now)) {
       this.remove(address, 'unregistered');
     }
   }
@@ -323,6 +323,18 @@
   }
 }
 
+/**
+ * Whether an agent reports that its target has left for good and holds no flows. Earlier versions do
+ * not tell that from a target that has only announced its shutdown.
+ */
+export function hasTargetEnded(report: ReportMessage | undefined): boolean {
+  if (report?.state !== TargetState.gone) {
+    return false;
+  }
+  const reportsEnd = report.frameVersion >= TARGET_END_VERSION;
+  return !reportsEnd || report.flowKnowledge === FlowKnowledge.noTarget;
+}
+
 /** Appends a time to a bounded list, dropping the earliest. */
 function appendBounded(times: number[], now: number): void {
   times.push(now);
--- a/src/packets/agent-registration.ts
+++ b/src/packets/agent-registration.ts
@@ -2,13 +2,13 @@
  * Keeps an agent in the registry: registers it unless a balancer reports that it is listed, and
  * again whenever a balancer reports that it is missing.
  *
- * An agent whose target has sent nothing is not registered. The machine of a target that was removed
+ * An agent whose target has sent nothing, or has ended, is not registered. The machine of a target that was removed
  * may briefly come up again with an agent and no target; a registry entry of that agent would keep
  * balancers for 12 s from resetting flows that no target holds.
  */
 import type { Environment, TimerHandle } from '../environment';
 import { Events } from '../logging/events';
-import type { AgentRegistryPort } from './collection-port';
+import type { AgentRegistryPort, ResultCallback } from './collection-port';
 import type { NodeTimers } from './node-timers';
 import { ListingState, type AgentRecord, type ListingStateValue } from './packet-messages';
 
@@ -33,6 +33,8 @@
   private isWithdrawn = false;
   /** A removal is in flight; the store could apply it after a registration. */
   private isRemoving = false;
+  /** The store has confirmed a removal, and no registration has been attempted since. */
+  private isRemoved = false;
   /** Whether the registry lists this agent, by balancers' reports; undefined if unknown. */
   private isListed: boolean | undefined;
   private registeredAt = -Infinity;
@@ -44,8 +46,8 @@
     private readonly timers: NodeTimers,
     /** Record to register; read again for each attempt. */
     private readonly record: () => AgentRecord,
-    /** Whether the target has sent anything in this incarnation of the agent. */
-    private readonly isTargetHeard: () => boolean,
+    /** Whether the target has sent anything in this incarnation of the agent, and has not ended. */
+    private readonly isTargetPresent: () => boolean,
   ) {}
 
   /** Number of calls made to the registry. */
@@ -79,6 +81,18 @@
     }
   }
 
+  /**
+   * Removes the entry of an agent without a target, unless that is done already.
+   * @param done called when the store has answered
+   */
+  removeBeforeStop(done: () => void): void {
+    if (this.isRemoved) {
+      done();
+      return;
+    }
+    this.callRemove(done);
+  }
+
   /** Cancels the timer. */
   stop(): void {
     this.waitTimer?.cancel();
@@ -115,7 +129,7 @@
   }
 
   private registerIfReady(): void {
-    this.isDue = this.isRemoving || !this.isTargetHeard();
+    this.isDue = this.isRemoving || !this.isTargetPresent();
     if (!this.isDue) {
       this.register(INITIAL_RETRY_DELAY_MS);
     }
@@ -125,6 +139,7 @@
     this.waitTimer?.cancel();
     this.isCalling = true;
     this.isWithdrawn = false;
+    this.isRemoved = false;
     this.registryCalls++;
     const record = this.record();
     this.registry.register(record, (result) => {
@@ -141,14 +156,13 @@
   }
 
   private remove(delay: number): void {
-    if (this.isTargetHeard()) {
+    if (this.isTargetPresent()) {
       return;
     }
-    this.registryCalls++;
     this.isRemoving = true;
-    this.registry.remove(this.record(), undefined, (result) => {
+    this.callRemove((result) => {
       this.isRemoving = false;
-      if (this.isTargetHeard()) {
+      if (this.isTargetPresent()) {
         this.registerIfReady();
       } else if (result.err) {
         const next = Math.min(delay * 2, MAXIMUM_RETRY_DELAY_MS);
@@ -157,4 +171,13 @@
       }
     });
   }
+  private callRemove(answer: ResultCallback<void>): void {
+    const record = this.record();
+    this.registryCalls++;
+    this.environment.report(Events.agentUnregistered, { service: record.service });
+    this.registry.remove(record, undefined, (result) => {
+      this.isRemoved = result.ok;
+      answer(result);
+    });
+  }
 }
--- a/src/packets/agent-report-handler.ts
+++ b/src/packets/agent-report-handler.ts
@@ -2,9 +2,9 @@
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint, Environment } from '../environment';
 import { Events } from '../logging/events';
-import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { hasTargetEnded, type AgentDirectory, type AgentEntry } from './agent-directory';
 import type { PacketLink } from './packet-link';
-import { TargetState, type ReportMessage } from './packet-messages';
+import type { ReportMessage } from './packet-messages';
 
 /** Dependencies of the handler. */
 export interface AgentReportHandlerDependencies {
@@ -41,8 +41,8 @@
     if (before !== undefined && (before !== report.state || !wasHeard)) {
       this.logStateChange(entry, report, wasHeard);
     }
-    if (report.state === TargetState.gone && entry.registryRevision === undefined) {
-      directory.remove(from, 'target-left');
+    if (hasTargetEnded(report) && entry.registryRevision === undefined) {
+      directory.remove(from, 'target-ended');
     }
     if (wasZoneSilent) {
       this.handleZoneReturned(report.zone, now);
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -4,7 +4,7 @@
 import type { PacketLink } from './packet-link';
 import {
   PacketMessageType,
-  ROUTE_TERMS_VERSION,
+  TARGET_END_VERSION,
   type FlowKnowledgeValue,
   type ReportMessage,
   type TargetStateValue,
@@ -126,7 +126,7 @@
       targetChanges: health.targetChanges,
       coldLeft: target.coldLeft(now),
       flowBytes: this.dependencies.getFlowBytes(),
-      frameVersion: ROUTE_TERMS_VERSION,
+      frameVersion: TARGET_END_VERSION,
       flowKnowledge: this.dependencies.getFlowKnowledge(),
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, MAXIMUM_REPORTED_BALANCERS),
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -96,7 +96,7 @@
       registry,
       this.timers,
       () => this.record,
-      () => this.isTargetHeard,
+      () => this.isTargetHeard && !this.hasTargetEnded,
     );
     this.presence = this.createPresence();
     this.link = new PacketLink(codec, transport, environment);
@@ -173,32 +173,50 @@
 
   /**
    * Prepares a planned shutdown: notifies balancers at once, and removes the registry entry if the
-   * target has ended or there is none.
+   * target has ended or there is none. A target that has only deregistered keeps its entry, since
+   * searches for the holders of its flows need it.
    * @param done called when the process may exit
    */
   beginStop(done: () => void): void {
     this.isRestarting = true;
     this.admission.releaseAll();
     this.announceState();
-    if (this.settings.earlyStart) {
-      this.presence.probeBeforeStop(() => this.endStop(done));
+    this.probeBeforeStop(() => this.endStop(done));
+  }
+
+  private probeBeforeStop(done: () => void): void {
+    if (this.hasTargetDeregistered) {
+      this.liveness.probe(done);
+    } else if (this.settings.earlyStart) {
+      this.presence.probeBeforeStop(done);
     } else {
-      this.endStop(done);
+      done();
     }
   }
 
   private endStop(done: () => void): void {
-    if (this.state === TargetState.gone) {
-      this.logUnregistration(this.presence.isMissing ? 'no-target' : 'target-left');
-      this.dependencies.registry.remove(this.record, undefined, done);
+    if (this.hasTargetEnded) {
+      this.registration.removeBeforeStop(done);
     } else {
       done();
     }
   }
 
   get state(): TargetStateValue {
-    const state = this.presence.isMissing ? TargetState.gone : this.target.state;
-    return this.isRestarting && state !== TargetState.gone ? TargetState.agentRestarting : state;
+    if (this.hasTargetEnded) {
+      return TargetState.gone;
+    }
+    return this.isRestarting ? TargetState.agentRestarting : this.target.state;
+  }
+
+  /** Whether the target has announced its shutdown; it may still serve its open flows. */
+  private get hasTargetDeregistered(): boolean {
+    return this.target.state === TargetState.gone;
+  }
+
+  /** Whether nothing listens at the target's address and no target is expected there. */
+  private get hasTargetEnded(): boolean {
+    return this.presence.isMissing || (this.hasTargetDeregistered && this.liveness.isDead);
   }
 
   get figures(): PacketAgentFigures {
@@ -337,9 +355,9 @@
     }
   }
 
-  /** The registry entry of a target that is gone is not renewed. */
+  /** The registry entry of a target that has ended is not renewed. */
   private applyListingState(listing: ListingStateValue): void {
-    if (this.target.state !== TargetState.gone) {
+    if (!this.hasTargetEnded) {
       this.registration.applyListingState(listing);
     }
   }
@@ -382,7 +400,7 @@
   }
 
   private get flowKnowledge(): FlowKnowledgeValue {
-    if (this.presence.isMissing) {
+    if (this.hasTargetEnded) {
       return FlowKnowledge.noTarget;
     }
     return this.target.isKnownFromStart ? FlowKnowledge.complete : FlowKnowledge.partial;
@@ -450,11 +468,7 @@
       probe: targetProbe,
       heartbeatInterval: this.settings.heartbeatInterval,
       isTargetHeard: () => this.isTargetHeard,
-      onMissing: () => {
-        this.logUnregistration('no-target');
-        this.registration.withdraw();
-        this.announceState();
-      },
+      onMissing: () => this.handleTargetEnd(),
     });
   }
 
@@ -486,7 +500,7 @@
     if (isDown && !wasDown) {
       this.logTargetState();
     }
-    this.liveness.probeIfUnresponsive(isDown, now);
+    this.liveness.probeIfUnresponsive(isDown || this.hasTargetDeregistered, now);
     this.dropAbandonedRequests(now);
     this.admission.releaseWaiting(now);
     this.reporter.reportIfWorse();
@@ -512,6 +526,17 @@
   private handleTargetDeath(): void {
     this.logTargetState();
     this.packetHandler.refuseQueued();
+    if (this.hasTargetDeregistered) {
+      this.handleTargetEnd();
+    }
+  }
+
+  /** Withdraws from the registry, and reports that there are no flows. */
+  private handleTargetEnd(): void {
+    if (!this.isRestarting) {
+      this.registration.withdraw();
+    }
+    this.announceState();
   }
 
   /** Reports a state change to all balancers at once, and again shortly after. */
@@ -522,11 +547,6 @@
     );
   }
 
-  private logUnregistration(reason: 'target-left' | 'no-target'): void {
-    const { openFlows } = this.tracker;
-    this.dependencies.environment.report(Events.agentUnregistered, { reason, openFlows });
-  }
-
   private logTargetState(): void {
     this.dependencies.environment.report(Events.targetStateChanged, {
       incarnation: this.target.incarnation,
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -39,6 +39,8 @@
 export const HOP_REPAIR_VERSION = 5;
 /** As version 5, from an agent that also understands the message 118. */
 export const ROUTE_TERMS_VERSION = 6;
+/** As version 6, from an agent that also reports the end of a deregistered target. */
+export const TARGET_END_VERSION = 7;
 /** Limit of agents in one search message. */
 export const MAXIMUM_SEARCH_AGENTS = 64;
 /** Limit of sequence numbers in one acknowledgement. */
@@ -51,7 +53,10 @@
   ready: 2,
   /** Accepts no new flows; keeps its open flows. */
   draining: 3,
-  /** Has announced its shutdown. */
+  /**
+   * Has announced its shutdown; accepts no new flows. It keeps its open flows until it ends, which
+   * {@link FlowKnowledge.noTarget} reports.
+   */
   gone: 4,
   /** The agent itself is restarting; its target keeps running. */
   agentRestarting: 5,
--- a/src/packets/registry-reconciler.ts
+++ b/src/packets/registry-reconciler.ts
@@ -5,9 +5,8 @@
 import type { Endpoint, Environment } from '../environment';
 import { formatEndpoint } from '../core/endpoint';
 import { Events } from '../logging/events';
-import type { AgentDirectory, AgentEntry } from './agent-directory';
+import { hasTargetEnded, type AgentDirectory, type AgentEntry } from './agent-directory';
 import type { AgentRegistryPort, ResultCallback } from './collection-port';
-import { TargetState } from './packet-messages';
 
 /** Limits concurrent calls, as entries that were lost together are registered together. */
 const MAXIMUM_CONCURRENT_CALLS = 16;
@@ -79,9 +78,10 @@
 
   private needsRegistration(entry: AgentEntry, now: number): boolean {
     const isPresent = this.directory.isHeard(entry, now) && this.directory.mayHoldFlows(entry);
-    const isLeaving = entry.report?.state === TargetState.gone;
     const missingSince = entry.lapsedAt ?? entry.knownSince;
-    return isPresent && !isLeaving && now - missingSince > SELF_REGISTRATION_TIME_MS;
+    return (
+      isPresent && !hasTargetEnded(entry.report) && now - missingSince > SELF_REGISTRATION_TIME_MS
+    );
   }
 
   private register(entry: AgentEntry): void {
--- a/src/packets/target-liveness.ts
+++ b/src/packets/target-liveness.ts
@@ -20,7 +20,7 @@
 
   /** @param onDead called when the target is found to be dead */
   constructor(
-    private readonly probe: TargetProbePort,
+    private readonly probePort: TargetProbePort,
     private readonly onDead: () => void,
   ) {}
 
@@ -47,13 +47,19 @@
     }
     this.isProbing = true;
     this.probedAt = now;
+    this.probe(() => (this.isProbing = false));
+  }
+
+  /** Probes the target at once; `done` is called after its result has been recorded. */
+  probe(done: () => void): void {
     const { activityCount } = this;
-    this.probe.checkVacant((isPortClosed) => {
-      this.isProbing = false;
-      if (isPortClosed && activityCount === this.activityCount) {
+    this.probePort.checkVacant((isPortClosed) => {
+      const isDead = isPortClosed && activityCount === this.activityCount;
+      if (isDead && !this.isConfirmedDead) {
         this.isConfirmedDead = true;
         this.onDead();
       }
+      done();
     });
   }
 }
--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -57,6 +57,8 @@
   /** End of the cold-start period. */
   coldUntil = 0;
   draining = false;
+  /** Has announced its shutdown; sends no heartbeats, and serves until it ends. */
+  hasDeregistered = false;
   /** Answers every request with a failure immediately. */
   isFailing = false;
   /** Datagrams received while stalled, handled when the stall ends; undefined if not stalled. */
--- a/src/simulation/packets/packet-simulation.ts
+++ b/src/simulation/packets/packet-simulation.ts
@@ -327,6 +327,32 @@
     }
   }
 
+  /**
+   * The target announces its shutdown without having drained, and serves on; a running agent
+   * acknowledges.
+   */
+  deregister(agent: PacketSimulationAgent): void {
+    const { target } = agent;
+    target.hasDeregistered = true;
+    this.sendDeregistration(agent, target);
+    if (agent.process.isRunning) {
+      this.checker.recordDrainAcknowledged(target);
+    }
+  }
+
+  /** Delivers the shutdown announcement of a target, which may be an earlier one, to an agent. */
+  sendDeregistration(agent: PacketSimulationAgent, { identity }: ModelTarget): void {
+    const { id, startTime } = identity;
+    agent.process.run(() => agent.node.handleTargetLeaving(id, startTime));
+  }
+
+  /** Stops an agent as planned, and starts it again after a time in milliseconds. */
+  restartAgent(agent: PacketSimulationAgent, pause: number): void {
+    const { node, process } = agent;
+    node.beginStop(() => process.kill());
+    this.clock.schedule(pause, () => this.startAgent(agent));
+  }
+
   /** Violations found in this run. */
   get violations(): InvariantViolations {
     return this.checker.violations;
@@ -381,7 +407,7 @@
   }
 
   private runHeartbeats(agent: PacketSimulationAgent, target: ModelTarget, sequence: number): void {
-    if (!target.alive || agent.target !== target) {
+    if (!target.alive || target.hasDeregistered || agent.target !== target) {
       return;
     }
     if (agent.heartbeats) {
