--- a/src/bench/packets-child.ts
+++ b/src/bench/packets-child.ts
@@ -36,6 +36,7 @@
   list: (answer) => answer(new Ok({ items: [], skipped: 0, era: 1, revision: 1 })),
   awaitChanges: () => undefined,
   register: () => undefined,
+  replace: () => undefined,
   remove: () => undefined,
 };
 
--- a/src/packets/agent-directory.ts
+++ b/src/packets/agent-directory.ts
@@ -7,10 +7,11 @@
  */
 import type { Endpoint } from '../environment';
 import { computeSilenceTimeout } from './report-interval';
+import { isSameDeregistration, type TargetIncarnation } from './target-incarnation';
 import { ZoneReachability } from './zone-reachability';
 import {
   FlowKnowledge,
-  TARGET_END_VERSION,
+  DEREGISTRATION_VERSION,
   TargetState,
   type AgentRecord,
   type ReportMessage,
@@ -55,12 +56,17 @@
 
 /** Directory entry of one agent. */
 export interface AgentEntry extends AgentRecord {
+  /** Deregistered target by the latest registry entry; kept when the entry is lost. */
+  deregistered: TargetIncarnation | undefined;
   /** Revision of its registration; undefined while it is not in the registry. */
   registryRevision: number | undefined;
   /** Time at which its entry was found missing after a restore of the store from a backup. */
   lapsedAt: number | undefined;
   report: ReportMessage | undefined;
-  /** Last state that the target reported, possibly to an earlier incarnation of the agent. */
+  /**
+   * Last state that the target reported, possibly to an earlier incarnation of the agent, or that
+   * the registry implies.
+   */
   lastTargetState: TargetStateValue | undefined;
   /** Previous incarnation of the agent, whose late reports are ignored. */
   previousRun: number | undefined;
@@ -227,18 +233,23 @@
     if (known && isSameRecord(known, record)) {
       known.registryRevision = revision ?? known.registryRevision;
       known.lapsedAt = known.registryRevision === undefined ? known.lapsedAt : undefined;
+      if (revision !== undefined) {
+        applyDeregistration(known, record.deregistered);
+      }
       return known;
     }
     return known && this.isHeard(known, now) ? known : this.add(record, revision, now);
   }
 
   private add(record: AgentRecord, revision: number | undefined, now: number): AgentEntry {
+    const { deregistered } = record;
     const entry: AgentEntry = {
       ...record,
+      deregistered,
       registryRevision: revision,
       lapsedAt: undefined,
       report: undefined,
-      lastTargetState: undefined,
+      lastTargetState: deregistered && TargetState.gone,
       previousRun: undefined,
       heardAt: undefined,
       knownSince: now,
@@ -331,7 +342,7 @@
   if (report?.state !== TargetState.gone) {
     return false;
   }
-  const reportsEnd = report.frameVersion >= TARGET_END_VERSION;
+  const reportsEnd = report.frameVersion >= DEREGISTRATION_VERSION;
   return !reportsEnd || report.flowKnowledge === FlowKnowledge.noTarget;
 }
 
@@ -359,6 +370,24 @@
   return reported === TargetState.unknown && wasLeaving ? known : reported;
 }
 
+/**
+ * Applies the deregistered target of a registry entry. A target state that the agent itself reports
+ * takes precedence: another target may have started meanwhile.
+ */
+function applyDeregistration(entry: AgentEntry, deregistered: TargetIncarnation | undefined): void {
+  if (isSameDeregistration(entry.deregistered, deregistered)) {
+    return;
+  }
+  entry.deregistered = deregistered;
+  if (deregistered !== undefined) {
+    entry.lastTargetState = TargetState.gone;
+    entry.report = entry.report && {
+      ...entry.report,
+      state: resolveState(entry.lastTargetState, entry.report.state),
+    };
+  }
+}
+
 /** Whether a state describes the target rather than its agent. */
 function isTargetState(state: TargetStateValue): boolean {
   return state !== TargetState.unknown && state !== TargetState.agentRestarting;
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -9,11 +9,12 @@
 import {
   ListingState,
   PacketMessageType,
-  HOP_REPAIR_VERSION,
+  DEREGISTRATION_VERSION,
   type ListingStateValue,
   type SubscribeMessage,
 } from './packet-messages';
 import { computeReportInterval } from './report-interval';
+import { isSameDeregistration, type TargetIncarnation } from './target-incarnation';
 
 /** Interval between subscriptions at an agent that reports. */
 const SUBSCRIPTION_INTERVAL_MS = 2_000;
@@ -34,6 +35,7 @@
 /** Content of a subscription; agents with the same content get the same datagram. */
 interface SubscriptionContent {
   readonly listing: ListingStateValue;
+  readonly deregistered: TargetIncarnation | undefined;
   readonly includesState: boolean;
 }
 
@@ -68,7 +70,7 @@
           entry.report?.run,
           deploymentState,
         );
-        due.add({ listing, includesState }, entry.address);
+        due.add({ listing, deregistered: entry.deregistered, includesState }, entry.address);
       }
     }
     due.forEach((content, agents) =>
@@ -101,7 +103,7 @@
   }
 
   private createMessage(
-    { listing, includesState }: SubscriptionContent,
+    { listing, deregistered, includesState }: SubscriptionContent,
     deploymentState: DeploymentState,
   ): SubscribeMessage {
     return {
@@ -109,7 +111,8 @@
       zone: this.zone,
       interval: computeReportInterval(this.directory.size),
       listing,
-      frameVersion: HOP_REPAIR_VERSION,
+      deregistered,
+      frameVersion: DEREGISTRATION_VERSION,
       ...this.getEras(),
       ...(includesState ? deploymentState : UNKNOWN_DEPLOYMENT_STATE),
     };
@@ -136,6 +139,14 @@
   return entry.registryRevision === undefined ? ListingState.missing : ListingState.listed;
 }
 
+function isSameContent(one: SubscriptionContent, other: SubscriptionContent): boolean {
+  return (
+    one.listing === other.listing &&
+    one.includesState === other.includesState &&
+    isSameDeregistration(one.deregistered, other.deregistered)
+  );
+}
+
 /** Agents due for a subscription, grouped by its content. */
 class DueSubscriptions {
   private readonly groups: {
@@ -144,11 +155,7 @@
   }[] = [];
 
   add(content: SubscriptionContent, agent: Endpoint): void {
-    const { listing, includesState } = content;
-    const group = this.groups.find(
-      (candidate) =>
-        candidate.content.listing === listing && candidate.content.includesState === includesState,
-    );
+    const group = this.groups.find((candidate) => isSameContent(candidate.content, content));
     if (group) {
       group.agents.push(agent);
     } else {
--- a/src/packets/choice/selection.ts
+++ b/src/packets/choice/selection.ts
@@ -62,7 +62,7 @@
 
 /** Whether an agent accepts new flows. */
 export function acceptsNewFlows(entry: AgentEntry): boolean {
-  const state = entry.report?.state ?? TargetState.unknown;
+  const state = entry.report?.state ?? entry.lastTargetState ?? TargetState.unknown;
   return state === TargetState.ready || state === TargetState.unknown;
 }
 
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -63,8 +63,13 @@
 
 /** The registry of agents. */
 export interface AgentRegistryPort extends CollectionPort<AgentRecord> {
-  /** Creates or replaces the entry of an agent; answers when it is stored. */
-  register(agent: AgentRecord, answer: ResultCallback<void>): void;
+  /**
+   * Creates the entry of an agent, or replaces one of another service or zone. Answers with the entry
+   * as it is stored: an existing one may name another deregistered target.
+   */
+  register(agent: AgentRecord, answer: ResultCallback<AgentRecord>): void;
+  /** Writes the entry of an agent, whether or not there is one. */
+  replace(agent: AgentRecord, answer: ResultCallback<void>): void;
   /** Removes an agent if its entry is still that of a store position, or any when undefined. */
   remove(
     agent: AgentRecord,
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -4,7 +4,7 @@
 import type { PacketLink } from './packet-link';
 import {
   PacketMessageType,
-  TARGET_END_VERSION,
+  DEREGISTRATION_VERSION,
   type FlowKnowledgeValue,
   type ReportMessage,
   type TargetStateValue,
@@ -126,7 +126,7 @@
       targetChanges: health.targetChanges,
       coldLeft: target.coldLeft(now),
       flowBytes: this.dependencies.getFlowBytes(),
-      frameVersion: TARGET_END_VERSION,
+      frameVersion: DEREGISTRATION_VERSION,
       flowKnowledge: this.dependencies.getFlowKnowledge(),
       balancerCount: this.subscribers.count,
       balancers: balancers.slice(0, MAXIMUM_REPORTED_BALANCERS),
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -20,18 +20,19 @@
   PacketAgentSettings,
 } from './packet-agent-contracts';
 import {
+  DEREGISTRATION_VERSION,
   FlowKnowledge,
   PacketMessageType,
   TargetState,
   type FlowKnowledgeValue,
   type AgentRecord,
-  type ListingStateValue,
   type MessageToBalancer,
   type RouteTermsMessage,
   type SubscribeMessage,
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
+import { PendingAcknowledgements } from './pending-acknowledgements';
 import { AnswerRepair } from './repair/answer-repair';
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
@@ -41,12 +42,15 @@
 import { TargetLiveness } from './target-liveness';
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
+import type { TargetIncarnation } from './target-incarnation';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 import { RouteTermsCache } from './terms/route-terms-cache';
 
 /** Delays after a state change at which the report is repeated, in case it was lost. */
 const REPORT_REPEAT_DELAYS_MS = [15, 60] as const;
 const EXPIRY_INTERVAL_MS = 1_000;
+/** Time in which a target that has drained ends after its deregistration. */
+const DRAINED_TARGET_END_MS = 1_000;
 
 /** Packet agent of one target. */
 export class PacketAgent {
@@ -77,6 +81,9 @@
   private readonly presence: TargetPresence;
   private readonly terms = new RouteTermsCache();
   private readonly liveness: TargetLiveness;
+  private readonly acknowledgements: PendingAcknowledgements;
+  /** Whether the registry entry names a deregistered target; one that has drained usually ends at once. */
+  private namesDeregistration = true;
   private isRestarting = false;
   /** Whether the target has sent a packet in this incarnation of the agent, other than rejections. */
   private hasTargetSent = false;
@@ -91,13 +98,16 @@
     const { environment, codec, transport, registry } = dependencies;
     this.seeds = settings.seeds;
     this.timers = new NodeTimers(environment);
-    this.registration = new AgentRegistration(
+    this.acknowledgements = new PendingAcknowledgements(this.timers);
+    this.registration = new AgentRegistration({
       environment,
       registry,
-      this.timers,
-      () => this.record,
-      () => this.isTargetHeard && !this.hasTargetEnded,
-    );
+      timers: this.timers,
+      getRecord: () => this.record,
+      isTargetPresent: () => this.isTargetHeard && !this.hasTargetEnded,
+      onDeregistrationFound: (incarnation) => this.applyDeregistration(incarnation),
+      onDeregistrationStored: () => this.acknowledgements.deliver(),
+    });
     this.presence = this.createPresence();
     this.link = new PacketLink(codec, transport, environment);
     this.hops = new HopRepair({
@@ -270,6 +280,7 @@
       this.health.recordStateChange();
       this.logTargetState();
       this.announceState();
+      this.registration.updateDeregistration();
     }
     if (wasMissing && !this.presence.isMissing) {
       // Balancers drop agents without a target, and the store may be unreachable.
@@ -281,9 +292,32 @@
   /**
    * Handles the target's announcement that it shuts down.
    * @param born as in its heartbeats
+   * @param acknowledge called once the registry has recorded it, or after a limited time
    */
-  handleTargetLeaving(incarnation: string, born: number | undefined): void {
-    if (this.target.applyLeave({ incarnation, born }) !== 'none') {
+  handleTargetLeaving(
+    incarnation: string,
+    born: number | undefined,
+    acknowledge: () => void,
+  ): void {
+    const hasDrained = this.target.state === TargetState.draining;
+    this.namesDeregistration = !hasDrained;
+    this.applyDeregistration({ incarnation, born });
+    if (hasDrained) {
+      acknowledge();
+      this.timers.scheduleOnce(DRAINED_TARGET_END_MS, () => this.nameDeregistration());
+      return;
+    }
+    this.acknowledgements.add(acknowledge);
+    this.registration.updateDeregistration();
+  }
+
+  private nameDeregistration(): void {
+    this.namesDeregistration = true;
+    this.registration.updateDeregistration();
+  }
+
+  private applyDeregistration(incarnation: TargetIncarnation): void {
+    if (this.target.applyDeregistration(incarnation) !== 'none') {
       this.logTargetState();
       this.announceState();
     }
@@ -314,7 +348,7 @@
         this.learnDeploymentState(message, from);
         this.sendFirstStoreEra(message, from);
         this.reporter.subscribe(from, message.interval);
-        this.applyListingState(message.listing);
+        this.applyListing(message);
         return;
       case PacketMessageType.distanceProbe:
         this.link.send(from, { ...message, type: PacketMessageType.distanceReply });
@@ -356,9 +390,10 @@
   }
 
   /** The registry entry of a target that has ended is not renewed. */
-  private applyListingState(listing: ListingStateValue): void {
+  private applyListing({ listing, deregistered, frameVersion }: SubscribeMessage): void {
     if (!this.hasTargetEnded) {
-      this.registration.applyListingState(listing);
+      const reportsDeregistration = frameVersion >= DEREGISTRATION_VERSION;
+      this.registration.applyListing({ listing, deregistered, reportsDeregistration });
     }
   }
 
@@ -412,7 +447,10 @@
 
   private get record(): AgentRecord {
     const { address, zone } = this.settings;
-    return { address, zone, service: this.target.service };
+    const record = { address, zone, service: this.target.service };
+    const { deregistered } = this.target;
+    const isNamed = deregistered !== undefined && this.namesDeregistration;
+    return isNamed ? { ...record, deregistered } : record;
   }
 
   /** Whether there is no target to forward to; probes for one that has sent nothing yet. */
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -246,12 +246,15 @@
   }
 
   private get listedAgents(): ListedAgent[] {
-    return [...this.directory.getAll()].map(({ address, service, zone, registryRevision }) => ({
-      address,
-      service,
-      zone,
-      revision: registryRevision ?? 0,
-    }));
+    return [...this.directory.getAll()].map(
+      ({ address, service, zone, deregistered, registryRevision }) => ({
+        address,
+        service,
+        zone,
+        deregistered,
+        revision: registryRevision ?? 0,
+      }),
+    );
   }
 
   private get eras(): SubscriptionEras {
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -15,6 +15,7 @@
   type FieldCodec,
 } from '../wire/field-codecs';
 import {
+  type AgentDeregistration,
   type AgentRecord,
   FIRST_FRAME_VERSION,
   FlowKnowledge,
@@ -29,6 +30,7 @@
 } from './packet-messages';
 import { UNKNOWN_PROFILES, type ServiceProfile, type ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
+import type { TargetIncarnation } from './target-incarnation';
 import { UNKNOWN_EVACUATIONS, type AnnouncedEvacuations } from './zone-evacuations';
 
 function field(
@@ -173,6 +175,38 @@
   return createEnumUnpacker(...Object.values(ListingState))(value) as ListingStateValue;
 }
 
+function packIncarnation(target: TargetIncarnation | undefined): unknown {
+  return target ? [target.incarnation, target.born ?? null] : null;
+}
+
+function unpackIncarnation(value: unknown): TargetIncarnation {
+  const [incarnation, born] = unpackTuple(value, 2);
+  const name = unpackText(incarnation);
+  return born === null
+    ? { incarnation: name }
+    : { incarnation: name, born: unpackNonNegativeNumber(born) };
+}
+
+/** Earlier versions do not send it. */
+function unpackOptionalIncarnation(value: unknown): TargetIncarnation | undefined {
+  return value === undefined || value === null ? undefined : unpackIncarnation(value);
+}
+
+/** Packs deregistrations for sending, as [agent, incarnation]. */
+export function packDeregistrations(deregistrations: readonly AgentDeregistration[]): unknown[] {
+  return deregistrations.map(({ agent, deregistered }) => [agent, packIncarnation(deregistered)]);
+}
+
+/** Checks received deregistrations; earlier versions send none. */
+export function unpackDeregistrations(value: unknown): readonly AgentDeregistration[] {
+  return value === undefined ? [] : createListUnpacker(unpackDeregistration)(value);
+}
+
+function unpackDeregistration(value: unknown): AgentDeregistration {
+  const [agent, deregistered] = unpackTuple(value, 2);
+  return { agent: unpackInteger(agent), deregistered: unpackIncarnation(deregistered) };
+}
+
 const searchId = field('searchId', 'i', unpackInteger);
 const payload = field('payload', 'p', unpackBinary);
 const evacuations = field('evacuations', 'e', unpackEvacuations, packEvacuations);
@@ -209,6 +243,7 @@
       field('zone', 'z', unpackText),
       field('interval', 'i', unpackNonNegativeNumber),
       field('listing', 'l', unpackListing),
+      field('deregistered', 'g', unpackOptionalIncarnation, packIncarnation),
       evacuations,
       field('profiles', 'c', unpackVersionedProfiles, packVersionedProfiles),
       field('storeEra', 'h', unpackOptionalInteger),
@@ -255,6 +290,7 @@
       field('storeEra', 'h', unpackOptionalInteger),
       field('readers', 'd', unpackReaders, packReaders),
       field('delta', 'x', unpackDelta, packDelta),
+      field('deregistrations', 'b', unpackDeregistrations, packDeregistrations),
       evacuations,
     ],
   ],
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from '../environment';
 import type { ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
+import type { TargetIncarnation } from './target-incarnation';
 import type { AnnouncedTerms } from './terms/route-terms';
 import type { AnnouncedEvacuations } from './zone-evacuations';
 
@@ -39,8 +40,8 @@
 export const HOP_REPAIR_VERSION = 5;
 /** As version 5, from an agent that also understands the message 118. */
 export const ROUTE_TERMS_VERSION = 6;
-/** As version 6, from an agent that also reports the end of a deregistered target. */
-export const TARGET_END_VERSION = 7;
+/** As version 6, from a node that also tells deregistered targets from ended ones. */
+export const DEREGISTRATION_VERSION = 7;
 /** Limit of agents in one search message. */
 export const MAXIMUM_SEARCH_AGENTS = 64;
 /** Limit of sequence numbers in one acknowledgement. */
@@ -257,6 +258,8 @@
   readonly interval: number;
   /** Whether the registry lists the agent. */
   readonly listing: ListingStateValue;
+  /** Incarnation of its target that has deregistered, by the registry's entry. */
+  readonly deregistered: TargetIncarnation | undefined;
   /** Zones out of service, as known to the balancer. */
   readonly evacuations: AnnouncedEvacuations;
   /** Cold-start behaviour of targets, from the balancer's routing table. */
@@ -313,6 +316,14 @@
   readonly address: Endpoint;
   readonly service: string;
   readonly zone: string;
+  /** Incarnation of its target that has announced its shutdown; it gets no new flows. */
+  readonly deregistered?: TargetIncarnation | undefined;
+}
+
+/** Agents whose entries name a deregistered target, beside a list of agents. */
+export interface AgentDeregistration {
+  readonly agent: Endpoint;
+  readonly deregistered: TargetIncarnation;
 }
 
 /** An agent's entry with the revision of its registration; 0 while the registry does not list it. */
@@ -361,6 +372,8 @@
   readonly readers: readonly StoreReader[];
   /** Latest registry changes, from a sender that has just read them. */
   readonly delta: RegistryDelta | undefined;
+  /** Deregistered targets of the agents in the delta. */
+  readonly deregistrations: readonly AgentDeregistration[];
   /** Zones out of service, as known to the sender. */
   readonly evacuations: AnnouncedEvacuations;
 }
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -6,6 +6,7 @@
  */
 import { formatEndpoint } from '../core/endpoint';
 import type { Endpoint, Environment, TimerHandle } from '../environment';
+import { attachToDelta, listDeregistrations } from './agent-deregistrations';
 import type { AgentDirectory } from './agent-directory';
 import type { ResultCallback } from './collection-port';
 import type { PacketLink } from './packet-link';
@@ -131,7 +132,7 @@
     const evacuations = { ...status.evacuations, era: status.storeEra };
     this.dependencies.evacuations.apply(evacuations, formatEndpoint(peer));
     if (status.delta) {
-      onDelta(status.delta, status.storeEra);
+      onDelta(attachToDelta(status.delta, status.deregistrations), status.storeEra);
     }
     if (this.isBehind(status) && !this.isFetchingSnapshot) {
       this.fetchSnapshot(peer);
@@ -284,6 +285,7 @@
       storeEra: era,
       readers: getReaders(),
       delta,
+      deregistrations: listDeregistrations(delta?.changes.map(({ agent }) => agent) ?? []),
       evacuations: evacuations.getCurrentIn(era),
     };
   }
--- a/src/packets/peer-snapshot.ts
+++ b/src/packets/peer-snapshot.ts
@@ -19,9 +19,12 @@
   unpackText,
   unpackTuple,
 } from '../wire/field-codecs';
+import { attachDeregistrations, listDeregistrations } from './agent-deregistrations';
 import {
+  packDeregistrations,
   packServiceProfiles,
   packListedAgents,
+  unpackDeregistrations,
   unpackServiceProfiles,
   unpackListedAgent,
 } from './packet-message-schema';
@@ -70,6 +73,8 @@
     repeatable: listRepeatablePositions(routingTable?.routes ?? []),
     terms: packTerms(routingTable?.routes ?? []),
     agents: packListedAgents(agents),
+    // Not part of an agent, because earlier versions check an agent's exact form.
+    deregistrations: packDeregistrations(listDeregistrations(agents)),
     registryRevision,
     storeEra,
   };
@@ -87,7 +92,7 @@
 
 function unpackSnapshot(document: Record<string, unknown>): PeerSnapshot {
   const { table, complete, profiles, repeatable, terms } = document;
-  const { agents, registryRevision, storeEra } = document;
+  const { agents, deregistrations, registryRevision, storeEra } = document;
   const repeatablePositions = createListUnpacker(unpackInteger)(repeatable ?? []);
   const getTerms = unpackTerms(terms);
   return {
@@ -96,7 +101,10 @@
         ? undefined
         : unpackTable(table, profiles ?? [], repeatablePositions, getTerms),
     viewComplete: createEnumUnpacker(0, 1)(complete) === 1,
-    agents: createListUnpacker(unpackListedAgent)(agents),
+    agents: attachDeregistrations(
+      createListUnpacker(unpackListedAgent)(agents),
+      unpackDeregistrations(deregistrations),
+    ),
     registryRevision: unpackInteger(registryRevision ?? 0),
     storeEra: unpackInteger(storeEra ?? 0),
   };
--- a/src/packets/registry-reconciler.ts
+++ b/src/packets/registry-reconciler.ts
@@ -85,7 +85,9 @@
   }
 
   private register(entry: AgentEntry): void {
-    this.registry.register(entry, this.beginCall('registration', entry.address));
+    const { address, service, zone, deregistered } = entry;
+    const answer = this.beginCall('registration', address);
+    this.registry.register({ address, service, zone, deregistered }, answer);
   }
 
   /** Removes nothing when no agent reports: then this balancer itself is probably cut off. */
@@ -101,7 +103,7 @@
   }
 
   /** Counts a call and returns its callback; a failed call is repeated in the next round. */
-  private beginCall(call: 'registration' | 'removal', agent: Endpoint): ResultCallback<void> {
+  private beginCall(call: 'registration' | 'removal', agent: Endpoint): ResultCallback<unknown> {
     this.pendingCalls.add(agent);
     this.callsMade++;
     return (result) => {
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -10,6 +10,12 @@
  * unresponsive. So is one with an earlier start time, since the system clock may have been set back.
  */
 import { TargetState, type TargetStateValue } from './packet-messages';
+import {
+  createIncarnationKey,
+  hasStartedBefore,
+  isSameIncarnation,
+  type TargetIncarnation,
+} from './target-incarnation';
 
 /** Replaced and ended incarnations remembered, each; an ended one never returns. */
 const MAXIMUM_REMEMBERED_INCARNATIONS = 64;
@@ -36,14 +42,6 @@
  */
 const MAXIMUM_STARTUP_HEARTBEATS = 10;
 
-/** Identifies an incarnation of a target, from its start to its end. */
-export interface TargetIncarnation {
-  /** Name that the target gives itself; it may keep it across restarts. */
-  readonly incarnation: string;
-  /** Unix time of its start in milliseconds; undefined if the target does not send it. */
-  readonly born?: number | undefined;
-}
-
 /** One heartbeat of a target. */
 export interface TargetHeartbeat extends TargetIncarnation {
   readonly service: string;
@@ -79,7 +77,8 @@
   /** Start of the current incarnation, by its first heartbeat here. */
   private startedAt = -Infinity;
   private candidate: CandidateIncarnation | undefined;
-  private hasLeft = false;
+  /** The latest incarnation that has announced its shutdown, until a later one has started. */
+  private deregisteredIncarnation: TargetIncarnation | undefined;
   private coldUntil = 0;
   /** The target may be cold until its next heartbeat reports its age. */
   private isAgeUnknown = true;
@@ -119,8 +118,13 @@
     return this.current?.slots ?? 0;
   }
 
+  /** The incarnation that has announced its shutdown and may still serve; undefined if none has. */
+  get deregistered(): TargetIncarnation | undefined {
+    return this.deregisteredIncarnation;
+  }
+
   get state(): TargetStateValue {
-    if (this.hasLeft) {
+    if (this.deregisteredIncarnation) {
       return TargetState.gone;
     }
     if (!this.current) {
@@ -199,7 +203,8 @@
   }
 
   /** Applies the announcement of an incarnation that it shuts down for good. */
-  applyLeave(incarnation: TargetIncarnation): LifecycleChange {
+  applyDeregistration({ incarnation: name, born }: TargetIncarnation): LifecycleChange {
+    const incarnation = { incarnation: name, born };
     const { current } = this;
     const isCurrent = current !== undefined && isSameIncarnation(current, incarnation);
     const key = createIncarnationKey(isCurrent ? current : incarnation);
@@ -211,7 +216,9 @@
       return 'none';
     }
     const before = this.state;
-    this.hasLeft = true;
+    this.deregisteredIncarnation = isCurrent
+      ? { incarnation: current.incarnation, born: current.born }
+      : incarnation;
     return before === TargetState.gone ? 'none' : 'state';
   }
 
@@ -235,7 +242,7 @@
       addBounded(this.replacedIncarnations, createIncarnationKey(before));
     }
     this.replacedIncarnations.delete(createIncarnationKey(heartbeat));
-    this.hasLeft = false;
+    this.deregisteredIncarnation = undefined;
     this.startedAt = now - this.computeMinimumRunningTime(heartbeat);
     this.setCurrent(heartbeat, now);
     return before ? 'incarnation' : 'state';
@@ -256,7 +263,7 @@
    */
   private isSuccessor(heartbeat: TargetHeartbeat, now: number): boolean {
     if (this.current === undefined) {
-      return heartbeat.service === this.configuredService || this.hasLeft;
+      return heartbeat.service === this.configuredService || this.deregistered !== undefined;
     }
     if (
       this.replacedIncarnations.has(createIncarnationKey(heartbeat)) ||
@@ -294,22 +301,6 @@
   }
 }
 
-/** Key that is unique for each incarnation of a target. */
-function createIncarnationKey({ incarnation, born }: TargetIncarnation): string {
-  return born === undefined ? incarnation : `${incarnation} ${born}`;
-}
-
-/** Whether two are the same incarnation; without start times the names decide. */
-function isSameIncarnation(one: TargetIncarnation, other: TargetIncarnation): boolean {
-  const areStartsKnown = one.born !== undefined && other.born !== undefined;
-  return one.incarnation === other.incarnation && (!areStartsKnown || one.born === other.born);
-}
-
-/** Whether the first has the earlier start time; false if either is unknown. */
-function hasStartedBefore(one: TargetIncarnation, other: TargetIncarnation): boolean {
-  return one.born !== undefined && other.born !== undefined && one.born < other.born;
-}
-
 /** Adds a key to a bounded set; beyond the bound the oldest one is evicted. */
 function addBounded(keys: Set<string>, key: string): void {
   keys.delete(key);
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -141,9 +141,15 @@
       register: (agent, answer) =>
         this.call(process, answer, () => {
           const known = this.agents.items.get(String(agent.address));
-          if (known?.item.service !== agent.service || known.item.zone !== agent.zone) {
-            this.applyChange(this.agents, String(agent.address), agent, false);
+          if (known?.item.service === agent.service && known.item.zone === agent.zone) {
+            return new Ok(known.item);
           }
+          this.applyChange(this.agents, String(agent.address), agent, false);
+          return new Ok(agent);
+        }),
+      replace: (agent, answer) =>
+        this.call(process, answer, () => {
+          this.applyChange(this.agents, String(agent.address), agent, false);
           return new Ok(undefined);
         }),
       remove: (agent, entered, answer) =>
--- a/src/simulation/packets/model-target.ts
+++ b/src/simulation/packets/model-target.ts
@@ -59,6 +59,8 @@
   draining = false;
   /** Has announced its shutdown; sends no heartbeats, and serves until it ends. */
   hasDeregistered = false;
+  /** Time at which its shutdown announcement was acknowledged. */
+  acknowledgedAt: number | undefined;
   /** Answers every request with a failure immediately. */
   isFailing = false;
   /** Datagrams received while stalled, handled when the stall ends; undefined if not stalled. */
--- a/src/simulation/packets/packet-simulation.ts
+++ b/src/simulation/packets/packet-simulation.ts
@@ -328,22 +328,29 @@
   }
 
   /**
-   * The target announces its shutdown without having drained, and serves on; a running agent
-   * acknowledges.
+   * The target announces its shutdown and serves on; a running agent acknowledges once the registry
+   * has recorded it, or soon after.
    */
   deregister(agent: PacketSimulationAgent): void {
     const { target } = agent;
     target.hasDeregistered = true;
     this.sendDeregistration(agent, target);
-    if (agent.process.isRunning) {
-      this.checker.recordDrainAcknowledged(target);
-    }
   }
 
   /** Delivers the shutdown announcement of a target, which may be an earlier one, to an agent. */
-  sendDeregistration(agent: PacketSimulationAgent, { identity }: ModelTarget): void {
-    const { id, startTime } = identity;
-    agent.process.run(() => agent.node.handleTargetLeaving(id, startTime));
+  sendDeregistration(agent: PacketSimulationAgent, target: ModelTarget): void {
+    const { id, startTime } = target.identity;
+    agent.process.run(() =>
+      agent.node.handleTargetLeaving(id, startTime, () => {
+        target.acknowledgedAt ??= this.clock.now;
+        this.checker.recordDrainAcknowledged(target);
+      }),
+    );
+  }
+
+  /** Delivers a heartbeat that a target sent before it deregistered. */
+  sendLateHeartbeat(agent: PacketSimulationAgent): void {
+    this.sendHeartbeat(agent, agent.target, 2);
   }
 
   /** Stops an agent as planned, and starts it again after a time in milliseconds. */
--- a/test/late-heartbeats.test.ts
+++ b/test/late-heartbeats.test.ts
@@ -71,7 +71,7 @@
         );
         break;
       case 'leave':
-        this.agent.applyLeave({ incarnation: 'old' });
+        this.agent.applyDeregistration({ incarnation: 'old' });
         break;
       case 'restart':
         // Settings are rewritten at each start and name the service of the running target.
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -145,6 +145,7 @@
       zone: 'north',
       interval: 500,
       listing: 1,
+      deregistered: { incarnation: 'i-7', born: 1_764_800_000_123 },
       storeEra: 2,
       asksEra: 1,
       frameVersion: 5,
@@ -179,6 +180,10 @@
           },
         ],
       },
+      deregistrations: [
+        { agent: 0x0a00_0003_0000, deregistered: { incarnation: 'i-7', born: 1_764_800_000_123 } },
+        { agent: 0x0a00_0004_0000, deregistered: { incarnation: 'i-8' } },
+      ],
       evacuations: { revision: 14, zones: ['south'] },
     },
   ];
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -47,16 +47,16 @@
   t.is(target.applyHeartbeat(createHeartbeat('b', 1), 4), 'incarnation');
   t.is(target.state, TargetState.ready);
   t.is(target.applyHeartbeat(createHeartbeat('a', 9, true), 5), 'none');
-  t.is(target.applyLeave({ incarnation: 'a' }), 'none');
+  t.is(target.applyDeregistration({ incarnation: 'a' }), 'none');
   t.is(target.state, TargetState.ready);
-  t.is(target.applyLeave({ incarnation: 'b' }), 'state');
+  t.is(target.applyDeregistration({ incarnation: 'b' }), 'state');
   t.is(target.applyHeartbeat(createHeartbeat('b', 2), 6), 'none');
   t.is(target.state, TargetState.gone);
 });
 
 test('a target that shuts down before its agent knows it stays gone despite late heartbeats', (t) => {
   const target = new TargetLifecycle('map', 770, 0);
-  t.is(target.applyLeave({ incarnation: 'a' }), 'state');
+  t.is(target.applyDeregistration({ incarnation: 'a' }), 'state');
   t.is(target.applyHeartbeat(createHeartbeat('a', 3), 1), 'none');
   t.is(target.state, TargetState.gone);
 });
--- a/test/packet-world.test.ts
+++ b/test/packet-world.test.ts
@@ -293,7 +293,7 @@
   const world = startWorld(14);
   const leaving = world.agents[0]!;
   world.drain(leaving);
-  leaving.node.handleTargetLeaving(leaving.target.identity.id, leaving.target.identity.startTime);
+  world.deregister(leaving);
   leaving.target.alive = false;
   leaving.node.beginStop(() => leaving.process.kill());
   world.runFor(500);
--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -16,6 +16,7 @@
 import type { HallholdError } from '../src/errors/hallhold-error';
 import { ResultCodes } from '../src/errors/result-codes';
 import type { ResultCallback, Changes, Listing } from '../src/packets/collection-port';
+import type { AgentRecord } from '../src/packets/packet-messages';
 import type { RoutingTable } from '../src/packets/routing-table';
 import type { EvacuatedZone } from '../src/packets/zone-evacuations';
 import type { TargetHeartbeat } from '../src/packets/target-lifecycle';
@@ -194,10 +195,10 @@
   const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
   const registry = new AgentObjects(api);
   t.teardown(() => (api.close(), standin.stop()));
-  t.true((await awaitAnswer<void>((answer) => registry.register(AGENT, answer))).ok);
-  t.true((await awaitAnswer<void>((answer) => registry.register(AGENT, answer))).ok);
+  t.true((await awaitAnswer<AgentRecord>((answer) => registry.register(AGENT, answer))).ok);
+  t.true((await awaitAnswer<AgentRecord>((answer) => registry.register(AGENT, answer))).ok);
   const other = { ...AGENT, service: 'tiles' };
-  t.true((await awaitAnswer<void>((answer) => registry.register(other, answer))).ok);
+  t.true((await awaitAnswer<AgentRecord>((answer) => registry.register(other, answer))).ok);
   const listed = (
     await awaitAnswer((answer: ResultCallback<never>) => registry.list(answer as never))
   ).unwrap();
@@ -262,7 +263,10 @@
     {
       handleHeartbeat: (heartbeat) => heartbeats.push(heartbeat) > 0,
       recordRefusedHeartbeat: () => undefined,
-      handleTargetLeaving: (id) => leaving.push(id),
+      handleTargetLeaving: (id, _born, acknowledge) => {
+        leaving.push(id);
+        acknowledge();
+      },
     },
     (error) => t.fail(error.message),
   );
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -33,6 +33,7 @@
   storeEra: 2,
   readers: [{ reader: 0x0a00_0002_0000, age: 40 }],
   delta: { from: 9, to: 12, changes: [{ agent: { ...AGENT, revision: 12 }, removed: false }] },
+  deregistrations: [{ agent: AGENT.address, deregistered: { incarnation: 'i-7', born: 7 } }],
   evacuations: { revision: 12, zones: ['south'] },
 };
 const SUBSCRIPTION: SubscribeMessage = {
@@ -40,6 +41,7 @@
   zone: 'north',
   interval: 250,
   listing: ListingState.missing,
+  deregistered: { incarnation: 'i-7', born: 7 },
   storeEra: 2,
   asksEra: 1,
   frameVersion: 5,
@@ -63,7 +65,14 @@
 
 test('fields that earlier versions do not send in a status or subscription get defaults', (t) => {
   const codec = new FieldReplacingCodec([KEY]);
-  const omitted = { g: undefined, h: undefined, d: undefined, x: undefined, e: undefined };
+  const omitted = {
+    g: undefined,
+    h: undefined,
+    d: undefined,
+    x: undefined,
+    e: undefined,
+    b: undefined,
+  };
   const status = codec
     .decode(codec.encodeWithFields(PEER_STATUS, omitted))
     .unwrap() as PeerStatusMessage;
@@ -72,6 +81,7 @@
     [0, 0, [], undefined, 3],
   );
   t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
+  t.deepEqual(status.deregistrations, []);
   const earlierFrame = codec.encodeWithFields(SUBSCRIPTION, {
     l: undefined,
     h: undefined,
@@ -79,6 +89,7 @@
     e: undefined,
     c: undefined,
     v: undefined,
+    g: undefined,
   });
   const subscription = codec.decode(earlierFrame).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
@@ -86,6 +97,7 @@
   t.is(subscription.frameVersion, FIRST_FRAME_VERSION);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
   t.deepEqual(subscription.profiles, UNKNOWN_PROFILES);
+  t.is(subscription.deregistered, undefined);
 });
 
 test('malformed readers, deltas, listings and evacuations are rejected', (t) => {
@@ -102,11 +114,20 @@
     { x: [9, 12, [[AGENT.address, 'map']], [0]] },
     { x: [9, 'twelve', [packed], [0]] },
     { x: 7 },
+    { b: 7 },
+    { b: [[AGENT.address]] },
+    { b: [[AGENT.address, ['i-7']]] },
+    { b: [[AGENT.address, [7, 7]]] },
+    { b: [[AGENT.address, ['i-7', -1]]] },
   ];
   for (const fields of invalidFields) {
     const decoded = codec.decode(codec.encodeWithFields(PEER_STATUS, fields));
     t.is(decoded.err && decoded.val.resultCode, ResultCodes.frameMalformed);
   }
+  for (const deregistered of [7, 'i-7', ['i-7'], [7, null], ['i-7', 'early']]) {
+    const decoded = codec.decode(codec.encodeWithFields(SUBSCRIPTION, { g: deregistered }));
+    t.is(decoded.err && decoded.val.resultCode, ResultCodes.frameMalformed);
+  }
   const listing = codec.decode(codec.encodeWithFields(SUBSCRIPTION, { l: 3 }));
   t.is(listing.err && listing.val.resultCode, ResultCodes.frameMalformed);
   for (const evacuations of [7, [7], [-1, []], [1, 'south'], [1, [2]]]) {
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -135,7 +135,7 @@
   const api = new ObjectApi(parseEndpoint(await standin.start()).unwrap());
   t.teardown(() => (api.close(), standin.stop()));
   const registry = new AgentObjects(api);
-  (await awaitAnswer<void>((answer) => registry.register(AGENT, answer))).unwrap();
+  (await awaitAnswer<AgentRecord>((answer) => registry.register(AGENT, answer))).unwrap();
   const { items, era } = (await awaitAnswer(registry.list.bind(registry))).unwrap();
   standin.raiseEra();
   await awaitAnswer(registry.list.bind(registry));
--- a/test/support/packet-cluster.ts
+++ b/test/support/packet-cluster.ts
@@ -1,6 +1,7 @@
 /** Real processes of the packet interface on loopback, with stand-ins for their surroundings. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createSocket, type Socket } from 'node:dgram';
+import { createServer, type Server } from 'node:net';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
@@ -69,11 +70,15 @@
 export class PacketTarget {
   readonly flows = new Set<string>();
   readonly requests: string[] = [];
+  /** Number of opening packets received. */
+  openings = 0;
   private sequence = 0;
   private state = 'ready';
 
   private constructor(
     private readonly socket: Socket,
+    /** Only accepts connections, as the health check of a target does. */
+    private readonly listener: Server,
     private readonly machine: string,
     private readonly ports: ClusterPorts,
     private readonly service: string,
@@ -83,11 +88,19 @@
 
   static async start(machine: string, ports: ClusterPorts, service: string): Promise<PacketTarget> {
     const socket = await bindSocket(machine, ports.application);
-    return new PacketTarget(socket, machine, ports, service);
+    const listener = createServer((connection) => connection.on('error', () => undefined).end());
+    await new Promise<void>((done) => listener.listen(ports.application, machine, done));
+    return new PacketTarget(socket, listener, machine, ports, service);
   }
 
   stop(): void {
     this.socket.close();
+    this.listener.close();
+  }
+
+  /** Announces the target's shutdown; it serves on. Resolves to the HTTP status. */
+  deregister(): Promise<number> {
+    return fetchStatus(this.machine, this.ports.control, 'DELETE', '/hallhold/instances/i-1', '{}');
   }
 
   drain(): Promise<number> {
@@ -115,6 +128,7 @@
     const client = [bytes.subarray(2, 6).join('.'), bytes.readUInt16BE(0)] as const;
     const route = [bytes.subarray(8, 12).join('.'), bytes.readUInt16BE(6)] as const;
     if (packet.opens) {
+      this.openings++;
       this.flows.add(packet.flow);
       this.send(encodePacket(route, client, Flag.syn | Flag.ack, 100, packet.sequence));
     } else if (!this.flows.has(packet.flow)) {
--- a/test/target-incarnations.test.ts
+++ b/test/target-incarnations.test.ts
@@ -75,19 +75,19 @@
 
 test('a shutdown is announced for one incarnation', (t) => {
   const agent = startDraining();
-  t.is(agent.applyLeave({ incarnation: 'i-1', born: EARLIER }), 'state');
+  t.is(agent.applyDeregistration({ incarnation: 'i-1', born: EARLIER }), 'state');
   t.is(agent.state, TargetState.gone);
   t.is(agent.applyHeartbeat(createHeartbeat({ born: EARLIER, sequence: 7 }), 12_000), 'none');
   t.is(agent.applyHeartbeat(createHeartbeat({ born: LATER, sequence: 1 }), 12_100), 'incarnation');
   t.is(agent.state, TargetState.ready);
   t.is(
-    agent.applyLeave({ incarnation: 'i-1', born: EARLIER }),
+    agent.applyDeregistration({ incarnation: 'i-1', born: EARLIER }),
     'none',
     'announced late, for the earlier one',
   );
   t.is(agent.state, TargetState.ready);
   t.is(
-    agent.applyLeave({ incarnation: 'i-1' }),
+    agent.applyDeregistration({ incarnation: 'i-1' }),
     'state',
     'without a start time it applies to the current one',
   );
@@ -133,7 +133,10 @@
     {
       handleHeartbeat: () => true,
       recordRefusedHeartbeat: () => undefined,
-      handleTargetLeaving: (incarnation, born) => left.push([incarnation, born]),
+      handleTargetLeaving: (incarnation, born, acknowledge) => {
+        left.push([incarnation, born]);
+        acknowledge();
+      },
     },
     (error) => t.fail(error.message),
   );
