--- a/src/packets/flow-placement.ts
+++ b/src/packets/flow-placement.ts
@@ -97,7 +97,7 @@
       forwarder.deliver(packet, getServiceNames(route), cached.agent, 0);
       return;
     }
-    const service = cached?.service ?? this.serviceSelector.selectNext(route);
+    const service = this.findOpenedService(packet, route) ?? this.serviceSelector.selectNext(route);
     const search = searches.beginOpening(packet.flow, route, [service], now);
     cached?.offeredTo.forEach((agent) => search.refusedBy.add(agent));
     this.offer(packet, search);
@@ -105,12 +105,16 @@
 
   /** Creates a search for a refused opening packet whose own search has expired. */
   resumeSearch(packet: FlowPacket, route: Route): FlowSearch {
-    const { cache, environment, searches } = this.dependencies;
-    const now = environment.now();
-    const services = getServiceNames(route);
-    const opened = cache.get(packet.flow, now)?.service;
-    const service = opened !== undefined && services.includes(opened) ? opened : services[0]!;
-    return searches.beginOpening(packet.flow, route, [service], now);
+    const { environment, searches } = this.dependencies;
+    const service = this.findOpenedService(packet, route) ?? getServiceNames(route)[0]!;
+    return searches.beginOpening(packet.flow, route, [service], environment.now());
+  }
+
+  /** Finds the service that an earlier copy of an opening packet went to, if the route still has it. */
+  private findOpenedService({ flow }: FlowPacket, route: Route): string | undefined {
+    const { cache, environment } = this.dependencies;
+    const service = cache.get(flow, environment.now())?.service;
+    return service !== undefined && getServiceNames(route).includes(service) ? service : undefined;
   }
 
   /** Sends an opening packet to the best agent that has not refused it. */
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -26,7 +26,8 @@
   type PacketForwarderDependencies,
   type RoutingCounters,
 } from './packet-forwarder';
-import { getServiceNames, type Route, type RoutingTable } from './routing-table';
+import type { FormerServices } from './former-services';
+import type { Route, RoutingTable } from './routing-table';
 
 /** How long after its last use a search keeps the agents that have refused its flow. */
 const SEARCH_LIFETIME_MS = 10_000;
@@ -40,6 +41,8 @@
   /** Minimum time limit of a search for the holder of a flow, in milliseconds. */
   readonly searchTimeout: number;
   readonly cache: FlowCache;
+  /** Services that routes no longer name, but whose targets may hold flows of theirs. */
+  readonly formerServices: FormerServices;
   /** Settings for the choice of agents; `DEFAULT_CHOICE` when undefined. */
   readonly choice?: ChoiceSettings;
   /** Whether a zone is evacuated: its targets get no new flows. */
@@ -61,7 +64,10 @@
     this.forwarder = new PacketForwarder(dependencies);
     const shared = { ...dependencies, searches: this.searches, forwarder: this.forwarder };
     this.placement = new FlowPlacement(shared);
-    this.holderSearch = new HolderSearch(shared);
+    this.holderSearch = new HolderSearch({
+      ...shared,
+      listHolderServices: (route) => this.listHolderServices(route),
+    });
   }
 
   get counters(): RoutingCounters {
@@ -75,6 +81,9 @@
 
   /** Activates a routing table. */
   apply(table: RoutingTable): void {
+    const { environment, formerServices } = this.dependencies;
+    const before = this.routes ? [...this.routes.values()] : [];
+    formerServices.recordChange(before, table, environment.now());
     this.routes = new Map(table.routes.map((route) => [route.destination, route]));
     this.routingVersion = table.version;
     this.placement.apply(table);
@@ -106,7 +115,7 @@
     const route = this.routes?.get(packet.destination);
     const isKnown = this.dependencies.directory.find(agent) !== undefined;
     if (route && !packet.opens && isKnown) {
-      this.forwarder.deliver(packet, getServiceNames(route), agent, 0);
+      this.forwarder.deliver(packet, this.listHolderServices(route), agent, 0);
       return;
     }
     if (!isKnown) {
@@ -190,7 +199,7 @@
     this.searches.endHolderSearch(flow);
     this.dependencies.cache.confirm(flow, agent, this.dependencies.environment.now());
     for (const { packet, route } of this.holderSearch.takeWaiting(flow)) {
-      this.forwarder.deliver(packet, getServiceNames(route), agent, 0);
+      this.forwarder.deliver(packet, this.listHolderServices(route), agent, 0);
     }
   }
 
@@ -213,6 +222,12 @@
     this.dependencies.cache.expire(now);
   }
 
+  /** Names of the services whose targets may hold open flows of a route. */
+  private listHolderServices(route: Route): readonly string[] {
+    const { environment, formerServices } = this.dependencies;
+    return formerServices.listHolders(route, environment.now());
+  }
+
   private refuseWithoutRoute(packet: FlowPacket): void {
     this.counters.packetsWithoutRoute++;
     if (this.routes && !this.dependencies.isViewConverged()) {
@@ -231,7 +246,7 @@
       this.placement.recordPacket(packet, cached.usage);
     }
     if (cached && directory.find(cached.agent)) {
-      this.forwarder.deliver(packet, getServiceNames(route), cached.agent, 0);
+      this.forwarder.deliver(packet, this.listHolderServices(route), cached.agent, 0);
     } else {
       this.holderSearch.find(packet, route);
     }
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -17,7 +17,7 @@
 import type { PacketLink } from './packet-link';
 import type { PacketForwarder } from './packet-forwarder';
 import { RecentResets } from './recent-resets';
-import { getServiceNames, type Route } from './routing-table';
+import type { Route } from './routing-table';
 import { planSearch, type SearchView } from './search-plan';
 import { SearchDispatch } from './search-dispatch';
 import { GROUP_SIZE } from './search-order';
@@ -38,6 +38,8 @@
   readonly searches: FlowSearches;
   readonly link: PacketLink;
   readonly forwarder: PacketForwarder;
+  /** Names of the services whose targets may hold open flows of a route. */
+  listHolderServices(route: Route): readonly string[];
   /** Whether the view has all entries that a store restored from a backup may lack. */
   isViewConverged(): boolean;
 }
@@ -78,8 +80,9 @@
 
   /** Returns the recorded search for the holder of a packet's flow, or a new one. */
   findOrBeginSearch(packet: FlowPacket, route: Route): FlowSearch {
-    const { environment, searches } = this.dependencies;
-    return searches.findOrBegin(packet.flow, route, getServiceNames(route), environment.now());
+    const { environment, listHolderServices, searches } = this.dependencies;
+    const services = listHolderServices(route);
+    return searches.findOrBegin(packet.flow, route, services, environment.now());
   }
 
   /**
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -13,6 +13,7 @@
   type SubscriptionEras,
 } from './agent-subscriptions';
 import { FlowCache } from './flow-cache';
+import { FormerServices } from './former-services';
 import { computeSearchTimeout } from './pending-searches';
 import { FlowRouter } from './flow-router';
 import { INITIAL_PROBE_INTERVAL_MS } from './locality/distance-probes';
@@ -55,6 +56,7 @@
   private readonly relay: TrafficRelay;
   private readonly detours: ZoneDetour;
   private readonly cache: FlowCache;
+  private readonly formerServices: FormerServices;
   private readonly link: PacketLink;
   private readonly hops: HopRepair;
   private readonly peers: PeerExchange;
@@ -89,6 +91,7 @@
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(FLOW_CACHE_CAPACITY, settings.flowLifetime);
+    this.formerServices = new FormerServices(settings.flowLifetime);
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
     this.table = new ActiveRoutingTable(environment, (table, hasOtherProfiles) =>
@@ -375,6 +378,7 @@
       format,
       directory,
       cache,
+      formerServices: this.formerServices,
       choice: settings.choice,
       link,
       hops,
@@ -440,6 +444,7 @@
       detours: this.detours,
       lacksView: () => !this.hasView,
       evacuations: this.evacuations,
+      formerServices: this.formerServices,
       getRoutingVersion: () => this.table.version,
       getOwnStatus: () => this.ownStatus,
       onSnapshot: (peer, snapshot) => this.applySnapshot(peer, snapshot),
@@ -558,6 +563,7 @@
   private maintain(): void {
     this.startupGate.processBacklog();
     this.router.expire(this.dependencies.environment.now());
+    this.formerServices.expire(this.dependencies.environment.now());
     this.hops.expire(this.dependencies.environment.now());
     this.reconciler.reconcile(this.storeReading.isReading);
     this.subscriptions.expire();
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -28,6 +28,7 @@
   type RegistryDelta,
   TargetState,
 } from './packet-messages';
+import type { AnnouncedFormerService } from './former-services';
 import { UNKNOWN_PROFILES, type ServiceProfile, type ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
 import type { TargetIncarnation } from './target-incarnation';
@@ -207,6 +208,24 @@
   return { agent: unpackInteger(agent), deregistered: unpackIncarnation(deregistered) };
 }
 
+function packFormerServices(former: readonly AnnouncedFormerService[]): unknown[] {
+  return former.map(({ destination, service, remaining }) => [destination, service, remaining]);
+}
+
+/** Earlier versions send none. */
+function unpackFormerServices(value: unknown): readonly AnnouncedFormerService[] {
+  return value === undefined ? [] : createListUnpacker(unpackFormerService)(value);
+}
+
+function unpackFormerService(value: unknown): AnnouncedFormerService {
+  const [destination, service, remaining] = unpackTuple(value, 3);
+  return {
+    destination: unpackInteger(destination),
+    service: unpackText(service),
+    remaining: unpackNonNegativeNumber(remaining),
+  };
+}
+
 const searchId = field('searchId', 'i', unpackInteger);
 const payload = field('payload', 'p', unpackBinary);
 const evacuations = field('evacuations', 'e', unpackEvacuations, packEvacuations);
@@ -292,6 +311,7 @@
       field('delta', 'x', unpackDelta, packDelta),
       field('deregistrations', 'b', unpackDeregistrations, packDeregistrations),
       evacuations,
+      field('formerServices', 'f', unpackFormerServices, packFormerServices),
     ],
   ],
 ]);
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -1,5 +1,6 @@
 /** The messages between balancers and agents of the packet interface (docs/PACKETS.md). */
 import type { Endpoint } from '../environment';
+import type { AnnouncedFormerService } from './former-services';
 import type { ServiceProfiles } from './routing-table';
 import type { StoreReader } from './store-readers';
 import type { TargetIncarnation } from './target-incarnation';
@@ -376,6 +377,8 @@
   readonly deregistrations: readonly AgentDeregistration[];
   /** Zones out of service, as known to the sender. */
   readonly evacuations: AnnouncedEvacuations;
+  /** Services that routes no longer name, but whose targets may hold flows of theirs. */
+  readonly formerServices: readonly AnnouncedFormerService[];
 }
 
 /** Any message of the packet interface. */
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -8,6 +8,7 @@
 import type { Endpoint, Environment, TimerHandle } from '../environment';
 import { attachToDelta, listDeregistrations } from './agent-deregistrations';
 import type { AgentDirectory } from './agent-directory';
+import type { FormerServices } from './former-services';
 import type { ResultCallback } from './collection-port';
 import type { PacketLink } from './packet-link';
 import {
@@ -55,6 +56,7 @@
   readonly relay: TrafficRelay;
   readonly detours: ZoneDetour;
   readonly evacuations: ZoneEvacuationView;
+  readonly formerServices: FormerServices;
   /** Whether this balancer lacks a routing table or the agents, and so cannot serve. */
   lacksView(): boolean;
   getRoutingVersion(): number;
@@ -131,6 +133,8 @@
     onReaders(status.readers);
     const evacuations = { ...status.evacuations, era: status.storeEra };
     this.dependencies.evacuations.apply(evacuations, formatEndpoint(peer));
+    const { environment, formerServices } = this.dependencies;
+    formerServices.merge(status.formerServices, environment.now());
     if (status.delta) {
       onDelta(attachToDelta(status.delta, status.deregistrations), status.storeEra);
     }
@@ -262,7 +266,9 @@
   private createStatus(isReplyWanted: boolean, delta?: RegistryDelta): PeerStatusMessage {
     const {
       directory,
+      environment,
       evacuations,
+      formerServices,
       getOwnStatus,
       getReaders,
       getRegistryPosition,
@@ -287,6 +293,7 @@
       delta,
       deregistrations: listDeregistrations(delta?.changes.map(({ agent }) => agent) ?? []),
       evacuations: evacuations.getCurrentIn(era),
+      formerServices: formerServices.listAnnounced(environment.now()),
     };
   }
 
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -185,6 +185,7 @@
         { agent: 0x0a00_0004_0000, deregistered: { incarnation: 'i-8' } },
       ],
       evacuations: { revision: 14, zones: ['south'] },
+      formerServices: [{ destination: 0x0a00_0001_0050, service: 'map', remaining: 41_000 }],
     },
   ];
   t.is(messages.length, PACKET_MESSAGE_FIELDS.size);
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -35,6 +35,7 @@
   delta: { from: 9, to: 12, changes: [{ agent: { ...AGENT, revision: 12 }, removed: false }] },
   deregistrations: [{ agent: AGENT.address, deregistered: { incarnation: 'i-7', born: 7 } }],
   evacuations: { revision: 12, zones: ['south'] },
+  formerServices: [{ destination: 0x0a00_0001_0050, service: 'map', remaining: 41_000 }],
 };
 const SUBSCRIPTION: SubscribeMessage = {
   type: PacketMessageType.subscribe,
@@ -72,6 +73,7 @@
     x: undefined,
     e: undefined,
     b: undefined,
+    f: undefined,
   };
   const status = codec
     .decode(codec.encodeWithFields(PEER_STATUS, omitted))
@@ -82,6 +84,7 @@
   );
   t.deepEqual(status.evacuations, UNKNOWN_EVACUATIONS);
   t.deepEqual(status.deregistrations, []);
+  t.deepEqual(status.formerServices, []);
   const earlierFrame = codec.encodeWithFields(SUBSCRIPTION, {
     l: undefined,
     h: undefined,
@@ -114,6 +117,11 @@
     { x: [9, 12, [[AGENT.address, 'map']], [0]] },
     { x: [9, 'twelve', [packed], [0]] },
     { x: 7 },
+    { f: 'map' },
+    { f: [[7, 'map']] },
+    { f: [['seven', 'map', 1]] },
+    { f: [[7, 7, 1]] },
+    { f: [[7, 'map', -1]] },
     { b: 7 },
     { b: [[AGENT.address]] },
     { b: [[AGENT.address, ['i-7']]] },
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -3,6 +3,7 @@
 import type { EventFields, EventKind } from '../../src/logging/events';
 import { AgentDirectory } from '../../src/packets/agent-directory';
 import { FlowCache } from '../../src/packets/flow-cache';
+import { FormerServices } from '../../src/packets/former-services';
 import { FlowRouter } from '../../src/packets/flow-router';
 import { Locality } from '../../src/packets/locality/locality';
 import { PacketFrameCodec } from '../../src/packets/packet-frames';
@@ -47,6 +48,7 @@
 export class RouterHarness {
   readonly codec = new PacketFrameCodec([KEY]);
   readonly directory = new AgentDirectory();
+  readonly formerServices = new FormerServices(60_000);
   readonly sent: SentMessage[] = [];
   readonly resets: Endpoint[] = [];
   readonly events: { readonly kind: EventKind; readonly fields: EventFields }[] = [];
@@ -97,6 +99,7 @@
       zone,
       locality: this.locality,
       address: BALANCER,
+      formerServices: this.formerServices,
       searchTimeout: SEARCH_TIMEOUT_MS,
       format: modelPacketFormat,
       directory: this.directory,
