--- a/src/core/endpoint.ts
+++ b/src/core/endpoint.ts
@@ -54,3 +54,12 @@
 export function formatEndpoint(endpoint: Endpoint): string {
   return `${getEndpointAddress(endpoint)}:${getEndpointPort(endpoint)}`;
 }
+
+/** First octet from which IPv4 addresses are multicast, reserved or broadcast. */
+const FIRST_MULTICAST_OCTET = 224;
+
+/** Whether a datagram can be sent to an endpoint of one host: neither port 0 nor such an address. */
+export function isUnicastEndpoint(endpoint: Endpoint): boolean {
+  const firstOctet = Math.floor(endpoint / (PORT_RANGE * OCTET_RANGE ** 3));
+  return getEndpointPort(endpoint) > 0 && firstOctet > 0 && firstOctet < FIRST_MULTICAST_OCTET;
+}
--- a/src/packets/collection-watcher.ts
+++ b/src/packets/collection-watcher.ts
@@ -51,6 +51,8 @@
   private generation = 0;
   private running = false;
   private failures = 0;
+  /** Successive exceptions of the observer. */
+  private faults = 0;
   private timer: TimerHandle | undefined;
   /** Store position of the latest answer. */
   private position = UNKNOWN_POSITION;
@@ -109,11 +111,34 @@
       const listed = { collection: this.name, era, revision, items: items.length };
       this.environment.report(Events.storeListed, listed);
       this.reportSkipped(skipped);
-      this.observer.listed(result.val);
-      this.scheduleWatch(result.val, this.pacing().firstPause, generation);
+      if (this.notify(() => this.observer.listed(result.val))) {
+        this.scheduleWatch(result.val, this.pacing().firstPause, generation);
+      }
     });
   }
 
+  /**
+   * Calls the observer. If it throws, it may have applied its input in part: everything is listed
+   * again after a delay, and the watcher goes on.
+   * @returns whether the observer returned
+   */
+  private notify(callObserver: () => void): boolean {
+    const { generation } = this;
+    try {
+      callObserver();
+      this.faults = 0;
+      return true;
+    } catch (error) {
+      const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      this.environment.report(Events.processFault, { collection: this.name, reason });
+      if (generation === this.generation) {
+        this.faults++;
+        this.timer = this.environment.startTimer(this.drawDelay(this.faults), () => this.list());
+      }
+      return false;
+    }
+  }
+
   /** Does nothing if the observer has stopped this watcher in its callback. */
   private scheduleWatch(after: StorePosition, pause: number, generation: number): void {
     if (generation !== this.generation) {
@@ -139,12 +164,13 @@
         this.isListingForEra = false;
         this.recordPosition(result.val);
         this.reportSkipped(result.val.skipped);
-        this.observer.changed(result.val);
-        this.scheduleWatch(
-          result.val,
-          result.val.changes.length > 0 ? this.pacing().pause : 0,
-          generation,
-        );
+        if (this.notify(() => this.observer.changed(result.val))) {
+          this.scheduleWatch(
+            result.val,
+            result.val.changes.length > 0 ? this.pacing().pause : 0,
+            generation,
+          );
+        }
         return;
       }
       this.handleWatchFailure(result.val, after);
@@ -198,15 +224,16 @@
         reason: `${name}: ${error.message}`,
       });
     }
-    const ceiling = Math.min(
-      MAXIMUM_RETRY_DELAY_MS,
-      INITIAL_RETRY_DELAY_MS * 2 ** (this.failures - 1),
-    );
-    const delay = ceiling * (0.5 + this.environment.random() / 2);
-    this.timer = this.environment.startTimer(delay, action);
+    this.timer = this.environment.startTimer(this.drawDelay(this.failures), action);
     this.observer.failed?.();
   }
 
+  /** Milliseconds to wait after a number of successive failures. */
+  private drawDelay(failures: number): number {
+    const ceiling = Math.min(MAXIMUM_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** (failures - 1));
+    return ceiling * (0.5 + this.environment.random() / 2);
+  }
+
   private recordSuccess(): void {
     if (this.failures > 0) {
       const { failures } = this;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -407,6 +407,7 @@
     return new RegistryView({
       environment: this.dependencies.environment,
       directory: this.directory,
+      self: this.settings.address,
       onChanged: () => {
         this.announceEra();
         this.subscribe();
--- a/src/packets/peer-exchange.ts
+++ b/src/packets/peer-exchange.ts
@@ -238,19 +238,19 @@
 
   private sendStatusRound(): void {
     const { environment, link } = this.dependencies;
-    link.sendToAll(this.choosePeers(), this.createStatus(false));
     this.timer = environment.startTimer(STATUS_INTERVAL_MS, () => this.sendStatusRound());
+    link.sendToAll(this.choosePeers(), this.createStatus(false));
   }
 
   /** Requests the status of the relays, and of some other peers. */
   private queryRelays(): void {
     const { environment, link, relay } = this.dependencies;
+    this.relayTimer = environment.startTimer(RELAY_STATUS_INTERVAL_MS, () => this.queryRelays());
     const recipients = new Set([
       ...relay.listBalancersToPoll(environment.now()),
       ...this.choosePeers(),
     ]);
     link.sendToAll([...recipients], this.createStatus(true));
-    this.relayTimer = environment.startTimer(RELAY_STATUS_INTERVAL_MS, () => this.queryRelays());
   }
 
   private choosePeers(): Endpoint[] {
--- a/src/packets/registry-view.ts
+++ b/src/packets/registry-view.ts
@@ -1,5 +1,6 @@
 /** Applies agents listed by the registry and by other balancers to a balancer's directory. */
-import type { Environment } from '../environment';
+import { isUnicastEndpoint } from '../core/endpoint';
+import type { Endpoint, Environment } from '../environment';
 import { Events } from '../logging/events';
 import type { AgentDirectory } from './agent-directory';
 import type { Change, Changes, Listing } from './collection-port';
@@ -10,6 +11,8 @@
 export interface RegistryViewDependencies {
   readonly environment: Environment;
   readonly directory: AgentDirectory;
+  /** Address of this balancer, which is no agent's. */
+  readonly self: Endpoint;
   /** Called when the directory's agents or its completeness may have changed. */
   onChanged(): void;
 }
@@ -17,6 +20,8 @@
 /** The registry as known to one balancer. */
 export class RegistryView {
   private currentPosition = UNKNOWN_POSITION;
+  /** Unusable entries in the latest message or listing that had any. */
+  private skipped = 0;
 
   constructor(private readonly dependencies: RegistryViewDependencies) {}
 
@@ -94,7 +99,7 @@
   mergeAgents(agents: readonly AgentRecord[]): void {
     const { directory, environment } = this.dependencies;
     const now = environment.now();
-    agents.forEach((agent) => directory.upsert(agent, undefined, now));
+    this.selectUsable(agents).forEach((agent) => directory.upsert(agent, undefined, now));
     this.dependencies.onChanged();
   }
 
@@ -121,7 +126,7 @@
         hasChanged = true;
       }
     }
-    for (const { revision, ...agent } of agents) {
+    for (const { revision, ...agent } of this.selectUsable(agents)) {
       hasChanged ||= directory.find(agent.address)?.registryRevision !== revision;
       directory.upsert(agent, revision, now);
     }
@@ -131,7 +136,9 @@
   private updateDirectory(changes: readonly RegistryChange[], revision: number): void {
     const { directory, environment } = this.dependencies;
     const now = environment.now();
-    for (const { agent, removed } of changes) {
+    const usable = changes.filter(({ agent, removed }) => removed || this.isUsable(agent));
+    this.reportSkipped(changes.length - usable.length);
+    for (const { agent, removed } of usable) {
       const { revision: changedAt, ...record } = agent;
       const known = directory.find(record.address)?.registryRevision ?? 0;
       if (changedAt < known) {
@@ -147,6 +154,28 @@
     this.dependencies.onChanged();
   }
 
+  private selectUsable<T extends AgentRecord>(agents: readonly T[]): readonly T[] {
+    const usable = agents.filter((agent) => this.isUsable(agent));
+    this.reportSkipped(agents.length - usable.length);
+    return usable;
+  }
+
+  /** Whether an entry can be an agent's; balancers of an earlier version also announce others. */
+  private isUsable({ address }: AgentRecord): boolean {
+    return isUnicastEndpoint(address) && address !== this.dependencies.self;
+  }
+
+  /** Logs the number of skipped entries, unless it is 0 or was logged before. */
+  private reportSkipped(skipped: number): void {
+    if (skipped > 0 && skipped !== this.skipped) {
+      this.dependencies.environment.report(Events.entriesSkipped, {
+        collection: 'agents',
+        skipped,
+      });
+    }
+    this.skipped = skipped > 0 ? skipped : this.skipped;
+  }
+
   private markComplete(origin: string): void {
     const { directory, environment } = this.dependencies;
     if (!directory.isComplete) {
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -11,6 +11,7 @@
 import type { ClusterKey } from '../wire/frame-codec';
 import { HallholdError, getErrorMessage } from '../errors/hallhold-error';
 import { ResultCodes } from '../errors/result-codes';
+import { Events } from '../logging/events';
 import type { MetricValues } from './metrics';
 import { RealEnvironment, type EventReporter } from './real-environment';
 import { HttpSnapshots, serveSnapshots } from './snapshot-exchange';
@@ -51,11 +52,16 @@
   packetObserver: PacketObserver | undefined;
 }
 
-async function bindSocket(endpoint: Endpoint, handler: DatagramHandler): Promise<UdpSocket> {
+async function bindSocket(
+  endpoint: Endpoint,
+  log: EventReporter,
+  handler: DatagramHandler,
+): Promise<UdpSocket> {
   const bound = await UdpSocket.bindEndpoint(endpoint, handler);
   if (bound.err) {
     throw bound.val;
   }
+  bound.val.onSendError = (reason) => log.report(Events.sendFailed, { reason });
   return bound.val;
 }
 
@@ -89,10 +95,10 @@
     const environment = new RealEnvironment(log);
     const started: { process?: PacketBalancerProcess } = {};
     const packetAddress = requireSetting(settings.packetAddress, 'packetAddress');
-    const clientSocket = await bindSocket(packetAddress, (bytes) =>
+    const clientSocket = await bindSocket(packetAddress, log, (bytes) =>
       started.process?.handleClientDatagram(bytes),
     );
-    const frameSocket = await bindSocket(settings.listenAddress, (bytes, from) =>
+    const frameSocket = await bindSocket(settings.listenAddress, log, (bytes, from) =>
       started.process?.node.handleFrame(bytes, from),
     );
     const node = new PacketBalancer(
@@ -173,10 +179,10 @@
     const target = requireSetting(settings.targetAddress, 'targetAddress');
     const outbound = requireSetting(settings.targetOutbound, 'targetOutbound');
     const service = requireSetting(settings.service, 'service');
-    const targetSocket = await bindSocket(outbound, (bytes) =>
+    const targetSocket = await bindSocket(outbound, log, (bytes) =>
       started.process?.handleTargetDatagram(bytes),
     );
-    const frameSocket = await bindSocket(settings.listenAddress, (bytes, from) =>
+    const frameSocket = await bindSocket(settings.listenAddress, log, (bytes, from) =>
       started.process?.node.handleFrame(bytes, from),
     );
     const node = new PacketAgent(
--- a/src/runtime/udp-socket.ts
+++ b/src/runtime/udp-socket.ts
@@ -22,6 +22,8 @@
   /** Cache of formatted destination addresses, since formatting costs as much as sending. */
   private readonly addressCache = new Map<Endpoint, string>();
   private sendErrors = 0;
+  /** Called with the reason when a datagram is not sent. */
+  onSendError: (reason: string) => void = () => undefined;
 
   private constructor(
     private readonly socket: Socket,
@@ -71,9 +73,16 @@
     return UdpSocket.bind(getEndpointAddress(endpoint), getEndpointPort(endpoint), handler, shared);
   }
 
-  /** Sends without a callback, which would cost an event loop tick per datagram. */
+  /**
+   * Sends without a callback, which would cost an event loop tick per datagram. Node throws where the
+   * port is 0 or the socket is closed.
+   */
   send(to: Endpoint, payload: Buffer): void {
-    this.socket.send(payload, getEndpointPort(to), this.getAddress(to));
+    try {
+      this.socket.send(payload, getEndpointPort(to), this.getAddress(to));
+    } catch (error) {
+      this.recordSendError(`${formatEndpoint(to)}: ${getErrorMessage(error)}`);
+    }
   }
 
   close(): void {
@@ -87,7 +96,7 @@
   private static wrapSocket(socket: Socket, handler: DatagramHandler): UdpSocket {
     const { address, port } = socket.address();
     const wrapped = new UdpSocket(socket, packEndpoint(address, port));
-    socket.on('error', () => wrapped.sendErrors++);
+    socket.on('error', (error) => wrapped.recordSendError(getErrorMessage(error)));
     socket.on('message', (payload, remote) => {
       handler(payload, packEndpoint(remote.address, remote.port));
     });
@@ -96,6 +105,11 @@
     return wrapped;
   }
 
+  private recordSendError(reason: string): void {
+    this.sendErrors++;
+    this.onSendError(reason);
+  }
+
   private getAddress(to: Endpoint): string {
     const cached = this.addressCache.get(to);
     if (cached !== undefined) {
--- a/src/simulation/packets/model-store.ts
+++ b/src/simulation/packets/model-store.ts
@@ -84,6 +84,11 @@
     this.applyChange(this.evacuations, zone, { zone }, true);
   }
 
+  /** Writes an agent's entry, as another program may do. */
+  writeAgentEntry(name: string, agent: AgentRecord): void {
+    this.applyChange(this.agents, name, agent, false);
+  }
+
   /** Removes an agent's entry while the agent still runs. */
   removeAgentEntry(name: string): void {
     const known = this.agents.items.get(name);
--- a/src/simulation/packets/packet-simulation.ts
+++ b/src/simulation/packets/packet-simulation.ts
@@ -46,7 +46,8 @@
 const COLD_LIMIT = { overshoot: 1, slack: 2 };
 const COLD_TIME_MS = 2_000;
 const SEQUENCE_RANGE = 2 ** 31;
-const KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
+/** Key of the frames between simulated nodes. */
+export const SIMULATION_KEY = { id: 1, secret: Buffer.from('simulation-cluster-key') };
 
 /** A balancer of the simulation. */
 export interface PacketSimulationBalancer {
@@ -97,7 +98,7 @@
   repairHops = true;
   /** Whether agents started from now on retransmit lost answers. */
   repairAnswers = true;
-  private readonly codec = new PacketFrameCodec([KEY]);
+  private readonly codec = new PacketFrameCodec([SIMULATION_KEY]);
   private nextAddress = 1;
   private nextClient = 1;
   private nextIncarnation = 1;
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -7,7 +7,7 @@
 import { AgentObjects } from '../platform/agent-objects';
 import { ObjectApi } from '../platform/object-api';
 import { createRoutingTableCollection } from '../platform/routing-document';
-import { parseEndpoint } from '../src/core/endpoint';
+import { packEndpoint, parseEndpoint } from '../src/core/endpoint';
 import { ResultCodes } from '../src/errors/result-codes';
 import { Events, type EventFields, type EventKind } from '../src/logging/events';
 import { AgentDirectory } from '../src/packets/agent-directory';
@@ -157,6 +157,10 @@
   });
 });
 
+function createAddress(machine: number): number {
+  return packEndpoint(`10.0.0.${machine}`, 7_000);
+}
+
 interface ViewHarness {
   readonly directory: AgentDirectory;
   readonly view: RegistryView;
@@ -165,11 +169,16 @@
 function createViewHarness(): ViewHarness {
   const directory = new AgentDirectory();
   const { environment } = new RouterHarness([]);
-  const view = new RegistryView({ environment, directory, onChanged: () => undefined });
-  const createItem = (address: number): RevisionedItem<AgentRecord> => ({
-    name: String(address),
+  const view = new RegistryView({
+    environment,
+    directory,
+    self: createAddress(9),
+    onChanged: () => undefined,
+  });
+  const createItem = (machine: number): RevisionedItem<AgentRecord> => ({
+    name: String(machine),
     revision: 90,
-    item: { ...AGENT, address },
+    item: { ...AGENT, address: createAddress(machine) },
   });
   view.applyListing({ skipped: 0, era: 1, revision: 100, items: [createItem(1), createItem(2)] });
   return { directory, view };
@@ -180,21 +189,21 @@
   view.applyListing({ skipped: 0, era: 2, revision: 80, items: [] });
   t.deepEqual(view.position, { era: 2, revision: 80 });
   t.is(directory.size, 2);
-  t.is(directory.find(1)!.registryRevision, undefined);
+  t.is(directory.find(createAddress(1))!.registryRevision, undefined);
   t.true(
-    directory.mayHoldFlows(directory.find(1)!),
+    directory.mayHoldFlows(directory.find(createAddress(1))!),
     'its flows must not be reset while it does not report',
   );
-  const agent = { ...AGENT, address: 1, revision: 81 };
+  const agent = { ...AGENT, address: createAddress(1), revision: 81 };
   view.applyDelta({ from: 80, to: 81, changes: [{ agent, removed: false }] }, 2);
-  t.is(directory.find(1)!.registryRevision, 81);
-  t.is(directory.find(1)!.lapsedAt, undefined);
+  t.is(directory.find(createAddress(1))!.registryRevision, 81);
+  t.is(directory.find(createAddress(1))!.lapsedAt, undefined);
 });
 
 test('updates of an earlier era register nothing, whatever their revisions', (t) => {
   const { directory, view } = createViewHarness();
   view.applyListing({ skipped: 0, era: 2, revision: 80, items: [] });
-  const agent = { ...AGENT, address: 3, revision: 105 };
+  const agent = { ...AGENT, address: createAddress(3), revision: 105 };
   view.applyDelta({ from: 80, to: 105, changes: [{ agent, removed: false }] }, 1);
   view.applyChanges({
     skipped: 0,
@@ -202,9 +211,9 @@
     revision: 105,
     changes: [{ name: '3', revision: 105, item: agent, removed: false }],
   });
-  t.is(directory.find(3), undefined);
+  t.is(directory.find(createAddress(3)), undefined);
   view.applySnapshot([agent], { era: 1, revision: 105 }, 'peer');
-  t.is(directory.find(3)!.registryRevision, undefined, 'known, but not registered');
+  t.is(directory.find(createAddress(3))!.registryRevision, undefined, 'known, but not registered');
   t.deepEqual(view.position, { era: 2, revision: 80 });
 });
 
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -1,5 +1,6 @@
 /** A few balancers read the store for all: number of calls, and behaviour when readers fail. */
 import test from 'ava';
+import { packEndpoint } from '../src/core/endpoint';
 import { PacketSimulation } from '../src/simulation/packets/packet-simulation';
 import { MODEL_ROUTES, startModelDeployment } from '../src/simulation/packets/random-faults';
 import { READER_COUNT, StoreReaders } from '../src/packets/store-readers';
@@ -219,9 +220,14 @@
     random: () => 0.5,
     report: () => undefined,
   };
-  const view = new RegistryView({ environment, directory, onChanged: () => undefined });
-  const agent = (address: number, revision: number): ListedAgent => ({
-    address,
+  const view = new RegistryView({
+    environment,
+    directory,
+    self: packEndpoint('10.0.0.9', 7_000),
+    onChanged: () => undefined,
+  });
+  const agent = (machine: number, revision: number): ListedAgent => ({
+    address: packEndpoint(`10.0.0.${machine}`, 7_000),
     service: 's',
     zone: 'z',
     revision,
