--- a/src/errors/result-codes.ts
+++ b/src/errors/result-codes.ts
@@ -41,6 +41,7 @@
   storeWatchExpired: code(1203, 'store-watch-expired', 'safe'),
   storeAnswerInvalid: code(1204, 'store-answer-invalid', 'unknown'),
   storeEraChanged: code(1205, 'store-era-changed', 'safe'),
+  storeAnswerTooLarge: code(1206, 'store-answer-too-large', 'never'),
   frameTooShort: code(1301, 'frame-too-short', 'never'),
   frameNotAuthentic: code(1302, 'frame-not-authentic', 'never'),
   frameMalformed: code(1303, 'frame-malformed', 'never'),
--- a/src/packets/collection-port.ts
+++ b/src/packets/collection-port.ts
@@ -39,7 +39,7 @@
 
 /**
  * A collection of the store. Errors: 1201 no answer, 1203 history expired, 1204 invalid answer, 1205
- * store restored from a backup.
+ * store restored from a backup, 1206 answer too large.
  */
 export interface CollectionPort<T> {
   /** Returns a complete, linearizable listing. */
--- a/src/packets/collection-watcher.ts
+++ b/src/packets/collection-watcher.ts
@@ -6,7 +6,7 @@
  */
 import type { Environment, TimerHandle } from '../environment';
 import type { HallholdError } from '../errors/hallhold-error';
-import { ResultCodes } from '../errors/result-codes';
+import { ResultCodes, type ResultCode } from '../errors/result-codes';
 import { Events } from '../logging/events';
 import type { Changes, CollectionPort, Listing } from './collection-port';
 import { UNKNOWN_POSITION, type StorePosition } from './store-position';
@@ -20,6 +20,12 @@
 /** A recovered store is noticed well within the 2 s for which entries may be missing. */
 const MAXIMUM_RETRY_DELAY_MS = 1_000;
 
+/** Errors of a watch after which everything is listed at once. */
+const IMMEDIATE_LISTING_ERRORS: ReadonlySet<ResultCode> = new Set([
+  ResultCodes.storeEraChanged,
+  ResultCodes.storeAnswerTooLarge,
+]);
+
 /** Receives listings and changes of a collection. */
 export interface CollectionObserver<T> {
   listed(listing: Listing<T>): void;
@@ -58,8 +64,8 @@
   private position = UNKNOWN_POSITION;
   /** Entries skipped in the latest answer that skipped any. */
   private skipped = 0;
-  /** The latest listing followed a change of the era, and no watch call has succeeded since. */
-  private isListingForEra = false;
+  /** The latest listing followed a failed watch at once, and no watch call has succeeded since. */
+  private hasListedAtOnce = false;
 
   constructor(
     /** Names the collection in logs. */
@@ -161,7 +167,7 @@
       }
       if (result.ok) {
         this.recordSuccess();
-        this.isListingForEra = false;
+        this.hasListedAtOnce = false;
         this.recordPosition(result.val);
         this.reportSkipped(result.val.skipped);
         if (this.notify(() => this.observer.changed(result.val))) {
@@ -178,17 +184,22 @@
   }
 
   /**
-   * After the store is restored from a backup everything is listed at once, since a table change may
-   * already be pending; a second time in a row only after a delay.
+   * After the store is restored from a backup, or where the changes are too large for one answer,
+   * everything is listed at once, since a table change may already be pending; a second time in a row
+   * only after a delay.
    */
   private handleWatchFailure(error: HallholdError, after: StorePosition): void {
-    const hasEraChanged = error.resultCode === ResultCodes.storeEraChanged;
-    if (hasEraChanged && !this.isListingForEra) {
-      this.isListingForEra = true;
+    const { resultCode } = error;
+    const mayListAtOnce = IMMEDIATE_LISTING_ERRORS.has(resultCode);
+    if (mayListAtOnce && !this.hasListedAtOnce) {
+      this.hasListedAtOnce = true;
+      if (resultCode !== ResultCodes.storeEraChanged) {
+        this.reportFailure(error);
+      }
       this.list();
       return;
     }
-    const mustList = hasEraChanged || error.resultCode === ResultCodes.storeWatchExpired;
+    const mustList = mayListAtOnce || resultCode === ResultCodes.storeWatchExpired;
     this.retry(error, mustList ? () => this.list() : () => this.watch(after));
   }
 
@@ -217,17 +228,21 @@
   private retry(error: HallholdError, action: () => void): void {
     this.failures++;
     if (this.failures === 1) {
-      const { number, name } = error.resultCode;
-      this.environment.report(Events.storeUnavailable, {
-        collection: this.name,
-        code: number,
-        reason: `${name}: ${error.message}`,
-      });
+      this.reportFailure(error);
     }
     this.timer = this.environment.startTimer(this.drawDelay(this.failures), action);
     this.observer.failed?.();
   }
 
+  private reportFailure({ resultCode, message }: HallholdError): void {
+    const { number, name } = resultCode;
+    this.environment.report(Events.storeUnavailable, {
+      collection: this.name,
+      code: number,
+      reason: `${name}: ${message}`,
+    });
+  }
+
   /** Milliseconds to wait after a number of successive failures. */
   private drawDelay(failures: number): number {
     const ceiling = Math.min(MAXIMUM_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** (failures - 1));
--- a/test/packet-units.test.ts
+++ b/test/packet-units.test.ts
@@ -322,6 +322,29 @@
   ]);
 });
 
+test('changes that are too large for one answer are listed at once, the second time in a row after a delay', (t) => {
+  const environment = new ManualEnvironment();
+  const calls: string[] = [];
+  const port: CollectionPort<string> = {
+    list: (answer) => {
+      calls.push('list');
+      answer(new Ok({ items: [], skipped: 0, era: 1, revision: 7 }));
+    },
+    awaitChanges: (_after, _waitTime, answer) => {
+      calls.push('watch');
+      if (calls.length < 5) {
+        answer(new Err(new HallholdError(ResultCodes.storeAnswerTooLarge, 'x')));
+      }
+    },
+  };
+  const observer = { listed: () => undefined, changed: () => undefined };
+  const pace = { waitTime: 10_000, pause: 0, firstPause: 0 };
+  new CollectionWatcher('c', port, environment, observer, () => pace).start();
+  t.deepEqual(calls, ['list', 'watch', 'list', 'watch'], 'without a delay');
+  environment.due.shift()!();
+  t.deepEqual(calls.slice(4), ['list', 'watch']);
+});
+
 test('log lines are limited per event and second, and count the suppressed ones', (t) => {
   const lines: string[] = [];
   let now = 0;
