--- a/src/packets/agent-registration.ts
+++ b/src/packets/agent-registration.ts
@@ -184,7 +184,8 @@
     return this.isEntryKnown && isSameDeregistration(this.storedDeregistration, deregistered);
   }
 
-  private registerAgain(): void {
+  /** Registers an agent whose entry is missing or was probably removed. */
+  registerAgain(): void {
     if (!this.isCalling && !this.isRecent(this.registeredAt)) {
       this.registerIfReady();
     }
--- a/src/packets/load-reporter.ts
+++ b/src/packets/load-reporter.ts
@@ -101,6 +101,16 @@
     this.reportTo(this.subscribers.takeDue(this.dependencies.environment.now()));
   }
 
+  /** Whether any balancer has subscribed or sent a packet recently. */
+  get hasSubscribers(): boolean {
+    return this.subscribers.listActive(this.dependencies.environment.now()).length > 0;
+  }
+
+  /** Reports to the latest balancers whose subscriptions have expired. */
+  reportToFormerSubscribers(): void {
+    this.reportTo(this.subscribers.former);
+  }
+
   /** Reports to the given balancers, subscribed or not. */
   reportTo(balancers: readonly Endpoint[]): void {
     if (balancers.length > 0) {
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -37,6 +37,7 @@
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
 import { MINIMUM_REPORT_INTERVAL_MS } from './report-interval';
+import { SubscriberSearch } from './subscriber-search';
 import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
 import { TargetLiveness } from './target-liveness';
@@ -160,6 +161,7 @@
       this.hops.expire(environment.now());
     });
     this.registration.start(this.settings.seeds.length > 0);
+    this.createSubscriberSearch().start();
     if (this.settings.earlyStart) {
       this.presence.start();
     }
@@ -498,6 +500,19 @@
     });
   }
 
+  private createSubscriberSearch(): SubscriberSearch {
+    return new SubscriberSearch({
+      timers: this.timers,
+      now: () => this.dependencies.environment.now(),
+      hasSubscribers: () => this.reporter.hasSubscribers,
+      report: () => {
+        this.reporter.reportTo(this.seeds);
+        this.reporter.reportToFormerSubscribers();
+      },
+      register: () => this.registration.registerAgain(),
+    });
+  }
+
   /** An agent without a target withdraws from the registry until a target sends something. */
   private createPresence(): TargetPresence {
     const { environment, targetProbe } = this.dependencies;
--- a/src/packets/subscribers.ts
+++ b/src/packets/subscribers.ts
@@ -4,6 +4,8 @@
 
 const SUBSCRIPTION_LIFETIME_MS = 5_000;
 const MAXIMUM_SUBSCRIBERS = 2_000;
+/** One that still runs is enough: balancers tell each other of agents. */
+const MAXIMUM_FORMER_SUBSCRIBERS = 8;
 /** Timers fire a little early or late. */
 const TIMER_TOLERANCE_MS = 20;
 
@@ -17,6 +19,7 @@
 /** Subscribers of one agent. */
 export class Subscribers {
   private readonly subscribers = new Map<Endpoint, Subscriber>();
+  private formerSubscribers: readonly Endpoint[] = [];
 
   /**
    * @param interval milliseconds between reports; unchanged, or the minimum, when undefined
@@ -39,6 +42,11 @@
     return this.subscribers.size;
   }
 
+  /** The balancers whose subscriptions expired last, latest first. */
+  get former(): readonly Endpoint[] {
+    return this.formerSubscribers;
+  }
+
   /** Longest interval of any subscriber in milliseconds; 0 without subscribers. */
   get longestInterval(): number {
     let longest = 0;
@@ -53,6 +61,8 @@
     for (const [balancer, { seenAt }] of this.subscribers) {
       if (now - seenAt > SUBSCRIPTION_LIFETIME_MS) {
         this.subscribers.delete(balancer);
+        const others = this.formerSubscribers.filter((one) => one !== balancer);
+        this.formerSubscribers = [balancer, ...others].slice(0, MAXIMUM_FORMER_SUBSCRIBERS);
       }
     }
     return [...this.subscribers.keys()];
