--- a/src/packets/packet-agent-contracts.ts
+++ b/src/packets/packet-agent-contracts.ts
@@ -42,6 +42,8 @@
   readonly environment: Environment;
   /** Start time of this process by the environment's clock, before its program was loaded. */
   readonly startedAt: number;
+  /** The same in Unix milliseconds, on the clock of the machine that the target runs on. */
+  readonly born: number;
   readonly codec: PacketFrameCodec;
   readonly transport: FrameTransport;
   readonly format: PacketFormat;
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -122,6 +122,7 @@
       settings.service,
       settings.heartbeatInterval,
       dependencies.startedAt,
+      dependencies.born,
     );
     const { coldLimit, zone } = settings;
     const { health, target } = this;
--- a/src/packets/target-lifecycle.ts
+++ b/src/packets/target-lifecycle.ts
@@ -95,11 +95,13 @@
    * @param configuredService service in the agent's settings
    * @param heartbeatInterval milliseconds between two heartbeats of a target
    * @param agentStartedAt start time of this incarnation of the agent
+   * @param agentBorn the same in Unix milliseconds; start times are not compared when undefined
    */
   constructor(
     private readonly configuredService: string,
     private readonly heartbeatInterval: number,
     private readonly agentStartedAt: number,
+    private readonly agentBorn?: number,
   ) {}
 
   get service(): string {
@@ -148,20 +150,30 @@
 
   /**
    * Whether this agent process covers the whole lifetime of the target, so that it has seen all of
-   * its flows open. The target's age, derived from its remaining cold time, must show that no other
-   * agent ran between the target's start and this agent's. The arrival of a first heartbeat does not
-   * show it, since an earlier agent may have forwarded flows before any heartbeat.
+   * its flows open. Both the target's age, derived from its remaining cold time, and its start time
+   * must show that no other agent ran between the target's start and this agent's. The arrival of a
+   * first heartbeat does not show it, since an earlier agent may have forwarded flows before any
+   * heartbeat; nor does the age alone, which is that of the heartbeat's sending, as it may be late.
    */
   get isKnownFromStart(): boolean {
     const { coldTime, firstHeartbeat } = this;
     if (this.wasPresentAtStart || coldTime === undefined || firstHeartbeat === undefined) {
       return this.wasPresentAtStart;
     }
-    const { at, coldLeft, sequence } = firstHeartbeat;
+    const { at, born, coldLeft, sequence } = firstHeartbeat;
     const age = coldTime - coldLeft;
     const isYoung = age < this.heartbeatInterval * FIRST_HEARTBEAT_SHARE;
     const isFirstAgent = age - (at - this.agentStartedAt) <= MAXIMUM_START_GAP_MS;
-    return isYoung && isFirstAgent && sequence <= MAXIMUM_STARTUP_HEARTBEATS;
+    const isStartup = isFirstAgent && this.hasStartedWith(born);
+    return isYoung && isStartup && sequence <= MAXIMUM_STARTUP_HEARTBEATS;
+  }
+
+  /** Whether this agent has started with a target or before it, by the machine's clock. */
+  private hasStartedWith(born: number | undefined): boolean {
+    if (this.agentBorn === undefined) {
+      return true;
+    }
+    return born !== undefined && this.agentBorn - born <= MAXIMUM_START_GAP_MS;
   }
 
   /** Sets the milliseconds for which targets of this service are slow after a start; 0 if unknown. */
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -190,6 +190,7 @@
       {
         environment,
         startedAt: environment.startedAt,
+        born: performance.timeOrigin,
         codec: new PacketFrameCodec(keys),
         transport: frameSocket,
         format: ports.format,
--- a/src/simulation/packets/packet-simulation.ts
+++ b/src/simulation/packets/packet-simulation.ts
@@ -259,6 +259,7 @@
         format: modelPacketFormat,
         registry: this.store.createRegistryPort(process),
         startedAt,
+        born: startedAt,
         targetProbe: { checkVacant: (answer) => answer(!(agent.target?.alive ?? false)) },
         sendToClient: (client, packet) => this.network.send(process, outbound, client, packet),
         sendToTarget: (packet) => this.deliverToTarget(agent, Buffer.from(packet)),
--- a/test/conclusive-search.test.ts
+++ b/test/conclusive-search.test.ts
@@ -161,3 +161,25 @@
     t.is(target.isKnownFromStart, isKnown, `${gap} ms`);
   }
 });
+
+test('a target that started well before its agent is not known from its start, however young it says it is', (t) => {
+  const AGENT_BORN = 1_764_800_000_000;
+  const isKnown = (born: number | undefined): boolean => {
+    const target = new TargetLifecycle('map', HEARTBEAT_INTERVAL_MS, 0, AGENT_BORN);
+    target.setColdTime(2_000);
+    const heartbeat = {
+      incarnation: 'i',
+      service: 'map',
+      slots: 1,
+      draining: false,
+      coldLeft: 1_980,
+      sequence: 1,
+    };
+    target.applyHeartbeat(born === undefined ? heartbeat : { ...heartbeat, born }, 900);
+    return target.isKnownFromStart;
+  };
+  t.true(isKnown(AGENT_BORN + 400));
+  t.true(isKnown(AGENT_BORN - 300));
+  t.false(isKnown(AGENT_BORN - 301), 'another agent may have run before');
+  t.false(isKnown(undefined), 'nothing shows that the heartbeat is not late');
+});
--- a/test/support/agent-harness.ts
+++ b/test/support/agent-harness.ts
@@ -52,6 +52,7 @@
           report: () => undefined,
         },
         startedAt: 0,
+        born: 0,
         codec: CODEC,
         transport: { send: (_to, frame) => this.toNodes.push(CODEC.decode(frame).unwrap()) },
         format: packetFormat,
--- a/test/target-start-unseen.test.ts
+++ b/test/target-start-unseen.test.ts
@@ -89,3 +89,23 @@
   world.runFor(300);
   checkFlowsAreFound(t, simulation);
 });
+
+test('a late first heartbeat beside an agent that has restarted does not hide earlier flows', (t) => {
+  for (let seed = 520; seed < 526; seed++) {
+    const simulated = startSimulation(seed);
+    const { world, agent } = simulated;
+    agent.heartbeats = false;
+    world.startTarget(agent);
+    world.runFor(100);
+    openFlows(simulated, 7_000);
+    world.runFor(1_000);
+    world.startAgent(agent);
+    world.runFor(900);
+    // Sent 20 ms after the target's start, received 2 s after it.
+    sendHeartbeat(simulated, 20, 1);
+    world.runFor(4_000);
+    checkFlowsAreFound(t, simulated);
+    world.runFor(8_000);
+    t.deepEqual(world.violations.flowsReset, []);
+  }
+});
