--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -32,7 +32,6 @@
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
-import { PendingAcknowledgements } from './pending-acknowledgements';
 import { AnswerRepair } from './repair/answer-repair';
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
@@ -40,19 +39,16 @@
 import { SubscriberSearch } from './subscriber-search';
 import { TargetPresence } from './startup/target-presence';
 import { TargetAdmission } from './target-admission';
+import { TargetDeregistration } from './target-deregistration';
 import { TargetLiveness } from './target-liveness';
 import { TargetGuard } from './target-guard';
 import { TargetHealth } from './target-health';
-import type { TargetIncarnation } from './target-incarnation';
 import { TargetLifecycle, type TargetHeartbeat } from './target-lifecycle';
 import { RouteTermsCache } from './terms/route-terms-cache';
 
 /** Delays after a state change at which the report is repeated, in case it was lost. */
 const REPORT_REPEAT_DELAYS_MS = [15, 60] as const;
 const EXPIRY_INTERVAL_MS = 1_000;
-/** Time in which a target that has drained ends after its deregistration. */
-const DRAINED_TARGET_END_MS = 1_000;
-
 /** Packet agent of one target. */
 export class PacketAgent {
   readonly counters: PacketAgentCounters = {
@@ -82,9 +78,7 @@
   private readonly presence: TargetPresence;
   private readonly terms = new RouteTermsCache();
   private readonly liveness: TargetLiveness;
-  private readonly acknowledgements: PendingAcknowledgements;
-  /** Whether the registry entry names a deregistered target; one that has drained usually ends at once. */
-  private namesDeregistration = true;
+  private readonly deregistration: TargetDeregistration;
   private isRestarting = false;
   /** Whether the target has sent a packet in this incarnation of the agent, other than rejections. */
   private hasTargetSent = false;
@@ -96,19 +90,10 @@
     private readonly settings: PacketAgentSettings,
     private readonly dependencies: PacketAgentDependencies,
   ) {
-    const { environment, codec, transport, registry } = dependencies;
+    const { environment, codec, transport } = dependencies;
     this.seeds = settings.seeds;
     this.timers = new NodeTimers(environment);
-    this.acknowledgements = new PendingAcknowledgements(this.timers);
-    this.registration = new AgentRegistration({
-      environment,
-      registry,
-      timers: this.timers,
-      getRecord: () => this.record,
-      isTargetPresent: () => this.isTargetHeard && !this.hasTargetEnded,
-      onDeregistrationFound: (incarnation) => this.applyDeregistration(incarnation),
-      onDeregistrationStored: () => this.acknowledgements.deliver(),
-    });
+    this.registration = this.createRegistration();
     this.presence = this.createPresence();
     this.link = new PacketLink(codec, transport, environment);
     this.hops = new HopRepair({
@@ -124,6 +109,7 @@
       dependencies.startedAt,
       dependencies.born,
     );
+    this.deregistration = this.createDeregistration();
     const { coldLimit, zone } = settings;
     const { health, target } = this;
     this.liveness = new TargetLiveness(dependencies.targetProbe, () => this.handleTargetDeath());
@@ -302,28 +288,7 @@
     born: number | undefined,
     acknowledge: () => void,
   ): void {
-    const hasDrained = this.target.state === TargetState.draining;
-    this.namesDeregistration = !hasDrained;
-    this.applyDeregistration({ incarnation, born });
-    if (hasDrained) {
-      acknowledge();
-      this.timers.scheduleOnce(DRAINED_TARGET_END_MS, () => this.nameDeregistration());
-      return;
-    }
-    this.acknowledgements.add(acknowledge);
-    this.registration.updateDeregistration();
-  }
-
-  private nameDeregistration(): void {
-    this.namesDeregistration = true;
-    this.registration.updateDeregistration();
-  }
-
-  private applyDeregistration(incarnation: TargetIncarnation): void {
-    if (this.target.applyDeregistration(incarnation) !== 'none') {
-      this.logTargetState();
-      this.announceState();
-    }
+    this.deregistration.handleAnnouncement({ incarnation, born }, acknowledge);
   }
 
   /** Handles a frame from another node. */
@@ -451,9 +416,8 @@
   private get record(): AgentRecord {
     const { address, zone } = this.settings;
     const record = { address, zone, service: this.target.service };
-    const { deregistered } = this.target;
-    const isNamed = deregistered !== undefined && this.namesDeregistration;
-    return isNamed ? { ...record, deregistered } : record;
+    const deregistered = this.deregistration.recorded;
+    return deregistered === undefined ? record : { ...record, deregistered };
   }
 
   /** Whether there is no target to forward to; probes for one that has sent nothing yet. */
@@ -501,6 +465,31 @@
     });
   }
 
+  private createRegistration(): AgentRegistration {
+    const { environment, registry } = this.dependencies;
+    return new AgentRegistration({
+      environment,
+      registry,
+      timers: this.timers,
+      getRecord: () => this.record,
+      isTargetPresent: () => this.isTargetHeard && !this.hasTargetEnded,
+      onDeregistrationFound: (incarnation) => this.deregistration.apply(incarnation),
+      onDeregistrationStored: () => this.deregistration.handleRecorded(),
+    });
+  }
+
+  private createDeregistration(): TargetDeregistration {
+    return new TargetDeregistration({
+      target: this.target,
+      timers: this.timers,
+      onChanged: () => {
+        this.logTargetState();
+        this.announceState();
+      },
+      updateEntry: () => this.registration.updateDeregistration(),
+    });
+  }
+
   private createSubscriberSearch(): SubscriberSearch {
     return new SubscriberSearch({
       timers: this.timers,
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -1,4 +1,5 @@
 /** Faults of the soak, drawn from its seed and injected from outside the processes. */
+import { formatEndpoint } from '../../src/core/endpoint';
 import { DEFAULT_LINK, type LinkQuality } from './frame-switch';
 import type { TargetBehaviour } from './soak-target';
 import type { SoakAgentMachine, SoakMachine, SoakDeployment } from './soak-world';
@@ -15,6 +16,15 @@
 const REVISIONS_SKIPPED = 40;
 const UNAVAILABLE_MODES = ['unavailable', 'reset', 'silent'] as const;
 const SERIES_STEP_MS = 120;
+/** Time for which a deregistered target serves on. */
+const DEREGISTERED_MS = 5_000;
+const DEREGISTRATION_LEAD_MS = 300;
+/** Longer than the silence after which balancers remove an agent. */
+const LONG_CUT_MS = 14_000;
+const FIRST_HEARTBEAT_DELAY_MS = 2_000;
+const ROUTE_MOVE_INTERVAL_MS = 1_500;
+/** Well-formed entries that name no machine, or one that is no agent. */
+const HOSTILE_ADDRESSES = ['0.0.0.0:0', '255.255.255.255:7000', '224.0.0.1:7000'] as const;
 const FOREIGN_OBJECTS: readonly unknown[] = [
   {},
   null,
@@ -92,6 +102,60 @@
   );
 }
 
+function writeHostileEntries({ deployment, balancer }: FaultContext): void {
+  const own = formatEndpoint(balancer.advertised);
+  [...HOSTILE_ADDRESSES, own].forEach((address) => {
+    const name = address.split(':')[0]!.replaceAll('.', '-');
+    deployment.store.put('agents', name, { address, service: 'map', zone: 'north' });
+  });
+  deployment.configure(true);
+}
+
+/** The target deregisters, `disrupt` follows, and the target ends later and is replaced. */
+function deregister({ agent }: FaultContext, disrupt: () => void): void {
+  const { target } = agent;
+  if (!target.alive) {
+    return;
+  }
+  const { incarnation } = target;
+  target.deregister();
+  schedule(DEREGISTRATION_LEAD_MS, disrupt);
+  schedule(DEREGISTERED_MS, () => {
+    if (target.alive && target.incarnation === incarnation) {
+      target.crash();
+      void target.start();
+    }
+  });
+}
+
+/** The first heartbeat of a new target is late, and its agent is killed before it arrives. */
+function delayFirstHeartbeat({ agent, length }: FaultContext): void {
+  const { process, target } = agent;
+  if (target.alive) {
+    target.crash();
+    void target.start(false, FIRST_HEARTBEAT_DELAY_MS);
+    schedule(Math.min(length, FIRST_HEARTBEAT_DELAY_MS) / 2, () => process.kill());
+  }
+}
+
+/** Cuts an agent off from all balancers for so long that they remove it. */
+function cutOffAgent({ deployment, agent }: FaultContext): void {
+  const context = { deployment, agent, balancer: agent, machine: agent, length: LONG_CUT_MS };
+  disturbAllLinks(context, CUT_LINK);
+  const recordFault = (): void => deployment.checker.recordFault(agent.name);
+  for (let elapsed = 0; elapsed <= LONG_CUT_MS; elapsed += MAXIMUM_FAULT_MS) {
+    schedule(elapsed, recordFault);
+  }
+  schedule(LONG_CUT_MS, recordFault);
+}
+
+/** Moves the optional route to another service and back. */
+function moveRoute({ deployment }: FaultContext): void {
+  deployment.configure(true, 'map');
+  schedule(ROUTE_MOVE_INTERVAL_MS, () => deployment.configure(true, 'tiles'));
+  schedule(2 * ROUTE_MOVE_INTERVAL_MS, () => deployment.configure(true, 'map'));
+}
+
 /** Overlaps signals, restarts and changes of the configuration. */
 function injectSeries({ deployment, machine, balancer }: FaultContext): void {
   machine.process.signal('SIGHUP');
@@ -238,6 +302,29 @@
       });
     }
   }),
+  definePlanned('target deregisters and serves on, its agent restarts', (context) => {
+    context.deployment.checker.recordRestart(context.agent.name);
+    deregister(context, () => context.agent.process.terminate());
+  }),
+  defineUnplanned('target deregisters and serves on, its agent is killed', (context) =>
+    deregister(context, () => context.agent.process.kill()),
+  ),
+  defineUnplanned('target deregisters and serves on, all processes are killed', (context) =>
+    deregister(context, () => {
+      const { agents, balancers } = context.deployment;
+      [...balancers, ...agents].forEach(({ process }) => process.kill());
+    }),
+  ),
+  definePlanned('target deregisters and serves on, balancers restart', (context) =>
+    deregister(context, () => {
+      context.deployment.checker.recordRestart(context.balancer.name);
+      context.balancer.process.terminate();
+    }),
+  ),
+  defineUnplanned('late first heartbeat, its agent is killed', delayFirstHeartbeat),
+  defineUnplanned('agent is cut off for long', cutOffAgent),
+  definePlanned('hostile entries', writeHostileEntries),
+  definePlanned('route moves to another service and back', moveRoute),
   definePlanned('configure', ({ deployment }) =>
     deployment.configure(deployment.faultRandom.next() < 0.5),
   ),
--- a/test/soak/soak-target.ts
+++ b/test/soak/soak-target.ts
@@ -80,8 +80,11 @@
     private readonly observer: SoakTargetObserver,
   ) {}
 
-  /** Starts a new incarnation without flows, under its earlier name or a new one. */
-  async start(keepsName = false): Promise<void> {
+  /**
+   * Starts a new incarnation without flows, under its earlier name or a new one.
+   * @param firstHeartbeatDelay milliseconds by which its first heartbeat arrives late
+   */
+  async start(keepsName = false, firstHeartbeatDelay = 0): Promise<void> {
     this.incarnation = `${this.machine}-${++this.starts}`;
     this.id = keepsName ? this.id : this.incarnation;
     this.startTime = Date.now();
@@ -96,6 +99,18 @@
     this.listener = createServer((stream) => stream.destroy());
     this.listener.listen(this.ports.application, this.machine);
     this.alive = true;
+    if (firstHeartbeatDelay === 0) {
+      this.startHeartbeats();
+      return;
+    }
+    const late = this.createHeartbeat();
+    this.timer = setTimeout(() => {
+      this.sendHeartbeat(late);
+      this.startHeartbeats();
+    }, firstHeartbeatDelay);
+  }
+
+  private startHeartbeats(): void {
     this.timer = setInterval(() => this.sendHeartbeat(), HEARTBEAT_INTERVAL_MS);
     this.sendHeartbeat();
   }
@@ -114,6 +129,17 @@
     this.sendHeartbeat();
   }
 
+  /** Announces that it leaves, without having drained, and serves on until it crashes. */
+  deregister(): void {
+    clearInterval(this.timer);
+    const { observed } = this;
+    this.sendControlRequest('DELETE', JSON.stringify({ born: this.startTime }), (status) => {
+      if (status === 200) {
+        this.observer.onDrainAcknowledged(observed);
+      }
+    });
+  }
+
   /** Stops as planned: announces to the agent that it leaves. */
   leave(): void {
     this.sendControlRequest('DELETE', JSON.stringify({ born: this.startTime }), () => undefined);
@@ -134,19 +160,22 @@
     this.sendControlRequest('PUT', JSON.stringify({ ...body, ...fields }), () => undefined);
   }
 
-  private sendHeartbeat(): void {
-    const { observed, draining } = this;
-    const body = JSON.stringify({
+  private createHeartbeat(): string {
+    return JSON.stringify({
       service: this.service,
       addr: `${this.machine}:${this.ports.application}`,
       zone: 'z',
       version: 'v1',
       slots: SLOTS,
-      state: draining ? 'draining' : 'ready',
+      state: this.draining ? 'draining' : 'ready',
       'cold-left-ms': Math.max(0, COLD_TIME_MS - (Date.now() - this.startTime)),
       seq: ++this.heartbeatCount,
       born: this.startTime,
     });
+  }
+
+  private sendHeartbeat(body = this.createHeartbeat()): void {
+    const { observed, draining } = this;
     this.sendControlRequest('PUT', body, (status) => {
       if (
         status === 200 &&
--- a/test/soak/soak-world.ts
+++ b/test/soak/soak-world.ts
@@ -159,14 +159,17 @@
     this.store.stop();
   }
 
-  /** Writes the next version of the configuration, with or without the optional route. */
-  configure(withOptionalRoute: boolean): void {
+  /**
+   * Writes the next version of the configuration, with or without the optional route.
+   * @param optionalService the service of that route
+   */
+  configure(withOptionalRoute: boolean, optionalService: 'map' | 'tiles' = 'map'): void {
     const services = new Map([
       [MAP_ROUTE, 'map'],
       [TILES_ROUTE, 'tiles'],
     ]);
     if (withOptionalRoute) {
-      services.set(OPTIONAL_ROUTE, 'map');
+      services.set(OPTIONAL_ROUTE, optionalService);
     }
     this.version += 3;
     this.latestTable = {
