--- a/src/packets/former-services.ts
+++ b/src/packets/former-services.ts
@@ -10,6 +10,11 @@
 
 /** Former services in one announcement: far more than an operator changes within a flow's lifetime. */
 const MAXIMUM_ANNOUNCED = 64;
+/**
+ * Time taken off an announced remainder: a status may wait at its receiver, and balancers that announce
+ * to each other must not prolong an entry.
+ */
+const TRANSFER_MARGIN_MS = 1_000;
 /** Former services kept; beyond that those that expire first are evicted. */
 const MAXIMUM_KEPT = 4_096;
 
@@ -67,14 +72,14 @@
   /** The former services to announce, those that are kept longest first. */
   listAnnounced(now: number): AnnouncedFormerService[] {
     return this.entries
-      .filter(({ until }) => until > now)
-      .slice(-MAXIMUM_ANNOUNCED)
-      .reverse()
       .map(({ destination, service, until }) => ({
         destination,
         service,
-        remaining: Math.ceil(until - now),
-      }));
+        remaining: Math.floor(until - now - TRANSFER_MARGIN_MS),
+      }))
+      .filter(({ remaining }) => remaining > 0)
+      .slice(-MAXIMUM_ANNOUNCED)
+      .reverse();
   }
 
   /** Names of the services whose targets may hold flows of a route; its present ones first. */
