--- a/src/packets/former-services.ts
+++ b/src/packets/former-services.ts
@@ -39,8 +39,8 @@
   private entries: readonly FormerService[] = [];
   private byDestination: ReadonlyMap<Endpoint, readonly FormerService[]> = new Map();
 
-  /** @param flowLifetime milliseconds after which no flow of a former service is open */
-  constructor(private readonly flowLifetime: number) {}
+  /** @param lifetime milliseconds after which no flow of a former service is open */
+  constructor(private readonly lifetime: number) {}
 
   /** Records the services that a table takes away from routes; those of a dropped route are forgotten. */
   recordChange(before: readonly Route[], after: RoutingTable, now: number): void {
@@ -48,7 +48,7 @@
     const taken = before.flatMap((route) =>
       listTakenServices(route, routes.get(route.destination)),
     );
-    const until = now + this.flowLifetime;
+    const until = now + this.lifetime;
     const kept = this.entries.filter(({ destination, service }) => {
       const route = routes.get(destination);
       return route !== undefined && !getServiceNames(route).includes(service);
@@ -64,7 +64,7 @@
     const received = announced.map(({ destination, service, remaining }) => ({
       destination,
       service,
-      until: now + Math.min(remaining, this.flowLifetime),
+      until: now + Math.min(remaining, this.lifetime),
     }));
     this.replaceEntries([...this.entries, ...received], now);
   }
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -91,7 +91,8 @@
     this.relay = new TrafficRelay(settings.address, settings.zone, settings.capacity);
     this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(FLOW_CACHE_CAPACITY, settings.flowLifetime);
-    this.formerServices = new FormerServices(settings.flowLifetime);
+    // Other balancers may place flows by the table before for as long as a new one may take to apply.
+    this.formerServices = new FormerServices(settings.flowLifetime + settings.applyTime);
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
     this.table = new ActiveRoutingTable(environment, (table, hasOtherProfiles) =>
--- a/test/route-service-change.test.ts
+++ b/test/route-service-change.test.ts
@@ -12,6 +12,7 @@
 import {
   PacketSimulation,
   type PacketSimulationAgent,
+  type PacketSimulationBalancer,
 } from '../src/simulation/packets/packet-simulation';
 import {
   MAP_DESTINATION,
@@ -24,6 +25,10 @@
 const REQUESTS = 40;
 const REQUEST_PAUSE_MS = 200;
 const RESTART_MS = 600;
+const FLOW_LIFETIME_MS = 60_000;
+/** Shorter than the time in which a table must be active. */
+const LATE_TABLE_MS = 2_500;
+const LONG_FLOW_REQUESTS = 400;
 
 type Routes = ReadonlyMap<Endpoint, readonly string[]>;
 
@@ -182,6 +187,37 @@
   t.is(world.clients.filter(({ state }) => state === 'reset').length, held);
 });
 
+test('flows that a balancer placed by the earlier table, before it had the new one, live to their end', (t) => {
+  const world = new PacketSimulation(407);
+  world.coldTime = 0;
+  startModelDeployment(world);
+  const [late, ...others] = world.balancers as [
+    PacketSimulationBalancer,
+    ...PacketSimulationBalancer[],
+  ];
+  const cuts = others.flatMap(({ name }) => [
+    { from: name, to: late.name },
+    { from: late.name, to: name },
+  ]);
+  world.store.refusedProcesses.add(late.name);
+  cuts.forEach((cut) => world.network.cut(cut));
+  world.configure(3, MOVED);
+  world.runFor(LATE_TABLE_MS);
+  const clients = Array.from({ length: FLOWS }, () =>
+    world.openFlow(MAP_DESTINATION, LONG_FLOW_REQUESTS, REQUEST_PAUSE_MS),
+  );
+  world.runFor(300);
+  world.store.refusedProcesses.delete(late.name);
+  cuts.forEach((cut) => world.network.heal(cut));
+  const moved = clients.filter((client) => world.findHolder(client)?.service === 'map');
+  t.true(moved.length > 0);
+  world.runFor(FLOW_LIFETIME_MS - 1_000);
+  late.process.kill();
+  world.runFor(1_500);
+  t.deepEqual(world.violations, NO_VIOLATIONS);
+  t.deepEqual([...new Set(moved.map(({ state }) => state))], ['open']);
+});
+
 const LIFETIME_MS = 60_000;
 const ROUTE: Route = {
   name: 'r',
