--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -105,4 +105,5 @@
   detourLost: event(2741, 'detour-lost', 'info'),
   agentForgotten: event(2742, 'agent-forgotten', 'info'),
   agentUnregistered: event(2743, 'agent-unregistered', 'info'),
+  searchWidened: event(2744, 'search-widened', 'info'),
 } as const satisfies Record<string, EventKind>;
--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -32,11 +32,20 @@
 /** The fields of a {@link SubscribeMessage} about the store's eras. */
 export type SubscriptionEras = Pick<SubscribeMessage, 'storeEra' | 'asksEra'>;
 
+/** What subscriptions tell agents, beside the listing of each. */
+export interface SubscriptionSource {
+  getDeploymentState(): DeploymentState;
+  getEras(): SubscriptionEras;
+  /** Whether an agent must be asked for the destinations of its flows. */
+  asksDestinations(agent: Endpoint, now: number): boolean;
+}
+
 /** Content of a subscription; agents with the same content get the same datagram. */
 interface SubscriptionContent {
   readonly listing: ListingStateValue;
   readonly deregistered: TargetIncarnation | undefined;
   readonly includesState: boolean;
+  readonly asksDestinations: boolean;
 }
 
 /** Subscriptions of one balancer. */
@@ -48,9 +57,7 @@
     private readonly zone: string,
     private readonly directory: AgentDirectory,
     private readonly send: SubscriptionSender,
-    private readonly getDeploymentState: () => DeploymentState,
-    /** Returns what the balancer knows about the store's eras. */
-    private readonly getEras: () => SubscriptionEras,
+    private readonly source: SubscriptionSource,
   ) {}
 
   /**
@@ -58,7 +65,7 @@
    * @param isRecent whether the view of the registry is recent
    */
   sendDue(now: number, isRecent: boolean): void {
-    const deploymentState = this.getDeploymentState();
+    const deploymentState = this.source.getDeploymentState();
     const isRegistryKnown = isRecent && this.directory.isComplete;
     const due = new DueSubscriptions();
     for (const entry of this.directory.getAll()) {
@@ -70,7 +77,9 @@
           entry.report?.run,
           deploymentState,
         );
-        due.add({ listing, deregistered: entry.deregistered, includesState }, entry.address);
+        const asksDestinations = this.source.asksDestinations(entry.address, now);
+        const { deregistered } = entry;
+        due.add({ listing, deregistered, includesState, asksDestinations }, entry.address);
       }
     }
     due.forEach((content, agents) =>
@@ -103,7 +112,7 @@
   }
 
   private createMessage(
-    { listing, deregistered, includesState }: SubscriptionContent,
+    { listing, deregistered, includesState, asksDestinations }: SubscriptionContent,
     deploymentState: DeploymentState,
   ): SubscribeMessage {
     return {
@@ -113,7 +122,8 @@
       listing,
       deregistered,
       frameVersion: DEREGISTRATION_VERSION,
-      ...this.getEras(),
+      asksDestinations: asksDestinations ? 1 : 0,
+      ...this.source.getEras(),
       ...(includesState ? deploymentState : UNKNOWN_DEPLOYMENT_STATE),
     };
   }
@@ -143,6 +153,7 @@
   return (
     one.listing === other.listing &&
     one.includesState === other.includesState &&
+    one.asksDestinations === other.asksDestinations &&
     isSameDeregistration(one.deregistered, other.deregistered)
   );
 }
--- a/src/packets/flow-router.ts
+++ b/src/packets/flow-router.ts
@@ -10,6 +10,7 @@
 import { Events } from '../logging/events';
 import type { ChoiceSettings } from './choice/choice-settings';
 import type { FlowCache } from './flow-cache';
+import type { FlowDestinations } from './flow-destinations';
 import type { FlowKey, FlowPacket } from './flow-packet';
 import { FlowPlacement } from './flow-placement';
 import { FlowSearches, type FlowSearch } from './flow-search';
@@ -17,6 +18,7 @@
 import type { Locality } from './locality/locality';
 import {
   RefusalReason,
+  type FlowDestinationsMessage,
   type NoneHoldsMessage,
   type NoneKnowsMessage,
   type NotHeldMessage,
@@ -43,6 +45,8 @@
   readonly cache: FlowCache;
   /** Services that routes no longer name, but whose targets may hold flows of theirs. */
   readonly formerServices: FormerServices;
+  /** Destinations of the flows at agents, which show what routes lost before this balancer started. */
+  readonly flowDestinations: FlowDestinations;
   /** Settings for the choice of agents; `DEFAULT_CHOICE` when undefined. */
   readonly choice?: ChoiceSettings;
   /** Whether a zone is evacuated: its targets get no new flows. */
@@ -81,7 +85,8 @@
 
   /** Activates a routing table. */
   apply(table: RoutingTable): void {
-    const { environment, formerServices } = this.dependencies;
+    const { environment, flowDestinations, formerServices } = this.dependencies;
+    flowDestinations.recordTable(environment.now());
     const before = this.routes ? [...this.routes.values()] : [];
     formerServices.recordChange(before, table, environment.now());
     this.routes = new Map(table.routes.map((route) => [route.destination, route]));
@@ -193,10 +198,21 @@
     }
   }
 
+  /** Records the destinations of the flows that an agent's target may hold. */
+  handleFlowDestinations(agent: Endpoint, message: FlowDestinationsMessage): void {
+    this.dependencies.flowDestinations.record(agent, message);
+    for (const destination of message.destinations) {
+      this.recordHolderService(destination, agent);
+    }
+  }
+
   /** Records that an agent's target holds a flow, and delivers the packets that wait for it. */
   confirmHolder(flow: FlowKey, agent: Endpoint): void {
     this.counters.flowsFound++;
-    this.searches.endHolderSearch(flow);
+    const search = this.searches.endHolderSearch(flow);
+    if (search) {
+      this.recordHolderService(search.route.destination, agent);
+    }
     this.dependencies.cache.confirm(flow, agent, this.dependencies.environment.now());
     for (const { packet, route } of this.holderSearch.takeWaiting(flow)) {
       this.forwarder.deliver(packet, this.listHolderServices(route), agent, 0);
@@ -228,6 +244,16 @@
     return formerServices.listHolders(route, environment.now());
   }
 
+  /** Records the service of an agent that holds flows of a destination, where its route lacks it. */
+  private recordHolderService(destination: Endpoint, agent: Endpoint): void {
+    const { directory, environment, formerServices } = this.dependencies;
+    const route = this.routes?.get(destination);
+    const entry = directory.find(agent);
+    if (route && entry) {
+      formerServices.recordHolder(route, entry.service, environment.now());
+    }
+  }
+
   private refuseWithoutRoute(packet: FlowPacket): void {
     this.counters.packetsWithoutRoute++;
     if (this.routes && !this.dependencies.isViewConverged()) {
--- a/src/packets/flow-search.ts
+++ b/src/packets/flow-search.ts
@@ -27,8 +27,11 @@
   readonly id: number;
   readonly flow: FlowKey;
   readonly route: Route;
-  /** For an opening packet the one service chosen for the flow; else all services of the route. */
-  readonly services: readonly string[];
+  /**
+   * For an opening packet the one service chosen for the flow; else all services of the route, and
+   * those that the search was widened to.
+   */
+  services: readonly string[];
   readonly refusedBy: Set<Endpoint>;
   /** Agents that do not know the flow; their targets may hold it, as they were not offered it. */
   readonly unknownTo: Set<Endpoint>;
@@ -120,12 +123,13 @@
     }
   }
 
-  /** Ends the search for a flow whose holder is known, or which is a new flow. */
-  endHolderSearch(flow: FlowKey): void {
+  /** Ends the search for a flow whose holder is known, or which is a new flow; returns it if there is one. */
+  endHolderSearch(flow: FlowKey): FlowSearch | undefined {
     const search = this.holderSearches.get(flow);
     if (search) {
       this.end(search);
     }
+    return search;
   }
 
   expire(now: number): void {
--- a/src/packets/former-services.ts
+++ b/src/packets/former-services.ts
@@ -56,6 +56,18 @@
     this.replaceEntries([...kept, ...taken.map((one) => ({ ...one, until }))], now);
   }
 
+  /**
+   * Records a service whose target holds flows of a route that does not name it: the route lost it
+   * before this balancer had a routing table.
+   */
+  recordHolder(route: Route, service: string, now: number): void {
+    if (!this.listHolders(route, now).includes(service)) {
+      const { destination } = route;
+      const until = now + this.lifetime;
+      this.replaceEntries([...this.entries, { destination, service, until }], now);
+    }
+  }
+
   /** Merges what another balancer announces. */
   merge(announced: readonly AnnouncedFormerService[], now: number): void {
     if (announced.length === 0) {
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -10,6 +10,7 @@
 import { Events } from '../logging/events';
 import type { AgentDirectory, AgentEntry } from './agent-directory';
 import type { FlowCache } from './flow-cache';
+import type { FlowDestinations } from './flow-destinations';
 import { PendingSearches, type WaitingPacket } from './pending-searches';
 import type { FlowKey, FlowPacket } from './flow-packet';
 import { recordOffer, type FlowSearch, type FlowSearches } from './flow-search';
@@ -24,6 +25,13 @@
 
 /** Attempts without message loss: one through the likely agents, one through the rest. */
 const EXPECTED_ATTEMPTS = 2;
+/** Services that a search is widened to at once; their names travel in each of its messages. */
+const MAXIMUM_WIDENED_SERVICES = 16;
+/**
+ * Silence after which an agent of another service does not hold up a search: longer than its planned
+ * restart. Each agent of the route's own services does, whatever its silence.
+ */
+const MAXIMUM_WIDENED_SILENCE_MS = 4_000;
 
 /** Dependencies of the holder search. */
 export interface HolderSearchDependencies {
@@ -35,6 +43,7 @@
   readonly searchTimeout: number;
   readonly directory: AgentDirectory;
   readonly cache: FlowCache;
+  readonly flowDestinations: FlowDestinations;
   readonly searches: FlowSearches;
   readonly link: PacketLink;
   readonly forwarder: PacketForwarder;
@@ -151,18 +160,60 @@
         this.dispatch.offerToUnresponsive(plan.agent, packet, search);
         return;
       case 'conclude':
-        this.conclude(packet, search);
+        if (this.widen(packet, search)) {
+          this.offerNext(packet, search);
+        } else {
+          this.conclude(packet, search);
+        }
     }
   }
 
   /** Finds the agents of a search's services that may hold its flow. */
-  private findUntried({ refusedBy, services }: FlowSearch): AgentEntry[] {
-    const { directory, environment } = this.dependencies;
+  private findUntried(search: FlowSearch): AgentEntry[] {
+    return this.findPossibleHolders(
+      this.dependencies.directory.findByServices(search.services),
+      search,
+    );
+  }
+
+  /** Finds those of some agents that have not refused a search's flow and whose targets may hold it. */
+  private findPossibleHolders(
+    agents: Iterable<AgentEntry>,
+    { refusedBy, route }: FlowSearch,
+  ): AgentEntry[] {
+    const { directory, environment, flowDestinations, listHolderServices } = this.dependencies;
     const now = environment.now();
-    return directory
-      .findByServices(services)
-      .filter((entry) => !refusedBy.has(entry.address))
-      .filter((entry) => !directory.hasNoTarget(entry, now));
+    const holderServices = listHolderServices(route);
+    const mayHoldFormerFlow = (entry: AgentEntry): boolean =>
+      flowDestinations.mayHold(entry.address, route.destination, now) &&
+      directory.getSilence(entry, now) <= MAXIMUM_WIDENED_SILENCE_MS;
+    return [...agents]
+      .filter(({ address }) => !refusedBy.has(address))
+      .filter((entry) => !directory.hasNoTarget(entry, now))
+      .filter((entry) => holderServices.includes(entry.service) || mayHoldFormerFlow(entry));
+  }
+
+  /**
+   * Widens a search to further services whose agents may hold flows of its route from before this
+   * balancer started.
+   * @returns false if there is none
+   */
+  private widen(packet: FlowPacket, search: FlowSearch): boolean {
+    const { directory, environment, flowDestinations, forwarder, listHolderServices } =
+      this.dependencies;
+    if (!flowDestinations.isNeeded(environment.now())) {
+      return false;
+    }
+    const untried = this.findPossibleHolders(directory.getAll(), search);
+    const services = [...new Set(untried.map(({ service }) => service))];
+    const added = services.slice(0, MAXIMUM_WIDENED_SERVICES);
+    if (added.length === 0) {
+      return false;
+    }
+    search.services = [...new Set([...listHolderServices(search.route), ...added])];
+    const fields = { services: added.join(' '), agents: untried.length };
+    forwarder.reportEvent(Events.searchWidened, packet, fields);
+    return true;
   }
 
   private createView(): SearchView {
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -32,6 +32,7 @@
   type TargetStateValue,
 } from './packet-messages';
 import { PacketLink } from './packet-link';
+import { RecentDestinations } from './recent-destinations';
 import { AnswerRepair } from './repair/answer-repair';
 import type { PlainMessage } from './repair/hop-messages';
 import { HopRepair } from './repair/hop-repair';
@@ -68,6 +69,7 @@
   private readonly tracker = new FlowTracker(() => this.target.slots);
   private readonly health = new TargetHealth();
   private readonly flowBytes = new MeanFlowBytes();
+  private readonly destinations: RecentDestinations;
   private readonly admission: TargetAdmission;
   private readonly packetHandler: ClientPacketHandler;
   private readonly reporter: LoadReporter;
@@ -92,6 +94,7 @@
   ) {
     const { environment, codec, transport } = dependencies;
     this.seeds = settings.seeds;
+    this.destinations = new RecentDestinations(settings.flowLifetime);
     this.timers = new NodeTimers(environment);
     this.registration = this.createRegistration();
     this.presence = this.createPresence();
@@ -315,6 +318,7 @@
         this.link.recordHopRepair(from, message.frameVersion);
         this.learnDeploymentState(message, from);
         this.sendFirstStoreEra(message, from);
+        this.sendDestinations(message, from);
         this.reporter.subscribe(from, message.interval);
         this.applyListing(message);
         return;
@@ -357,6 +361,26 @@
     }
   }
 
+  /** Tells a starting balancer the destinations of flows that their routes may not lead here any more. */
+  private sendDestinations({ asksDestinations }: SubscribeMessage, balancer: Endpoint): void {
+    if (asksDestinations !== 1) {
+      return;
+    }
+    const { destinations, isTruncated } = this.destinations.list(
+      this.dependencies.environment.now(),
+    );
+    const complete = this.knowsDestinations && !isTruncated ? 1 : 0;
+    const type = PacketMessageType.flowDestinations;
+    this.link.send(balancer, { type, complete, destinations });
+  }
+
+  /** Whether any open flow of the target must have sent a packet through this agent process. */
+  private get knowsDestinations(): boolean {
+    const { environment, startedAt } = this.dependencies;
+    const runTime = environment.now() - startedAt;
+    return runTime >= this.settings.flowLifetime || this.flowKnowledge !== FlowKnowledge.partial;
+  }
+
   /** The registry entry of a target that has ended is not renewed. */
   private applyListing({ listing, deregistered, frameVersion }: SubscribeMessage): void {
     if (!this.hasTargetEnded) {
@@ -382,6 +406,7 @@
     }
     this.counters.packetsSent++;
     this.flowBytes.addTargetPacket(packet);
+    this.destinations.record(packet.destination, environment.now());
     sendToClient(packet.client, bytes);
     this.answers.recordSent(packet);
     this.recordTargetPacket();
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -13,6 +13,7 @@
   type SubscriptionEras,
 } from './agent-subscriptions';
 import { FlowCache } from './flow-cache';
+import { FlowDestinations } from './flow-destinations';
 import { FormerServices } from './former-services';
 import { computeSearchTimeout } from './pending-searches';
 import { FlowRouter } from './flow-router';
@@ -57,6 +58,7 @@
   private readonly detours: ZoneDetour;
   private readonly cache: FlowCache;
   private readonly formerServices: FormerServices;
+  private readonly flowDestinations: FlowDestinations;
   private readonly link: PacketLink;
   private readonly hops: HopRepair;
   private readonly peers: PeerExchange;
@@ -92,7 +94,9 @@
     this.startupRelay = new StartupRelay(settings.zone, settings.capacity);
     this.cache = new FlowCache(FLOW_CACHE_CAPACITY, settings.flowLifetime);
     // Other balancers may place flows by the table before for as long as a new one may take to apply.
-    this.formerServices = new FormerServices(settings.flowLifetime + settings.applyTime);
+    const lifetime = settings.flowLifetime + settings.applyTime;
+    this.formerServices = new FormerServices(lifetime);
+    this.flowDestinations = new FlowDestinations(lifetime, settings.applyTime);
     this.link = new PacketLink(codec, transport, environment);
     this.hops = this.createHopRepair();
     this.table = new ActiveRoutingTable(environment, (table, hasOtherProfiles) =>
@@ -346,6 +350,9 @@
       case PacketMessageType.eraSeen:
         this.viewConvergence.recordObservedEra(message.era);
         return;
+      case PacketMessageType.flowDestinations:
+        this.router.handleFlowDestinations(from, message);
+        return;
       default:
         this.reportUnexpectedMessage(message);
     }
@@ -380,6 +387,7 @@
       directory,
       cache,
       formerServices: this.formerServices,
+      flowDestinations: this.flowDestinations,
       choice: settings.choice,
       link,
       hops,
@@ -396,11 +404,14 @@
       this.settings.zone,
       this.directory,
       (agents, message) => this.link.sendToAll(agents, message),
-      () => ({
-        evacuations: this.evacuations.getCurrentIn(this.view.position.era),
-        profiles: this.table.profiles,
-      }),
-      () => this.eras,
+      {
+        getDeploymentState: () => ({
+          evacuations: this.evacuations.getCurrentIn(this.view.position.era),
+          profiles: this.table.profiles,
+        }),
+        getEras: () => this.eras,
+        asksDestinations: (agent, now) => this.flowDestinations.shouldAsk(agent, now),
+      },
     );
   }
 
@@ -566,6 +577,7 @@
     this.startupGate.processBacklog();
     this.router.expire(this.dependencies.environment.now());
     this.formerServices.expire(this.dependencies.environment.now());
+    this.flowDestinations.expire(this.dependencies.environment.now());
     this.hops.expire(this.dependencies.environment.now());
     this.reconciler.reconcile(this.storeReading.isReading);
     this.subscriptions.expire();
--- a/src/packets/packet-frames.ts
+++ b/src/packets/packet-frames.ts
@@ -98,6 +98,7 @@
   [PacketMessageType.distanceProbe]: false,
   [PacketMessageType.distanceReply]: false,
   [PacketMessageType.eraSeen]: false,
+  [PacketMessageType.flowDestinations]: false,
   [PacketMessageType.routeTerms]: false,
   [PacketMessageType.subscribe]: false,
   [PacketMessageType.report]: false,
--- a/src/packets/packet-message-schema.ts
+++ b/src/packets/packet-message-schema.ts
@@ -246,6 +246,13 @@
   [PacketMessageType.distanceProbe, [field('sentAt', 'a', unpackNonNegativeNumber)]],
   [PacketMessageType.distanceReply, [field('sentAt', 'a', unpackNonNegativeNumber)]],
   [PacketMessageType.eraSeen, [field('era', 'h', unpackInteger)]],
+  [
+    PacketMessageType.flowDestinations,
+    [
+      field('complete', 'c', createEnumUnpacker(0, 1)),
+      field('destinations', 'd', createListUnpacker(unpackInteger)),
+    ],
+  ],
   [
     PacketMessageType.routeTerms,
     [
@@ -267,6 +274,7 @@
       field('profiles', 'c', unpackVersionedProfiles, packVersionedProfiles),
       field('storeEra', 'h', unpackOptionalInteger),
       field('asksEra', 'n', unpackOptionalInteger),
+      field('asksDestinations', 'd', unpackOptionalInteger),
       field('frameVersion', 'v', unpackFrameVersion),
     ],
   ],
--- a/src/packets/packet-messages.ts
+++ b/src/packets/packet-messages.ts
@@ -27,6 +27,7 @@
   distanceReply: 116,
   eraSeen: 117,
   routeTerms: 118,
+  flowDestinations: 119,
 } as const;
 
 /** Frames whose body is a bson document. */
@@ -237,6 +238,17 @@
   readonly era: number;
 }
 
+/**
+ * Agent to balancer, when asked by a subscription: the destinations of the flows that the agent's
+ * target may hold.
+ */
+export interface FlowDestinationsMessage {
+  readonly type: typeof PacketMessageType.flowDestinations;
+  /** 1 when the target can hold no flow of another destination. */
+  readonly complete: number;
+  readonly destinations: readonly Endpoint[];
+}
+
 /** Balancer to agent: what callers of a route expect; sent before the route's first flows. */
 export interface RouteTermsMessage extends AnnouncedTerms {
   readonly type: typeof PacketMessageType.routeTerms;
@@ -269,6 +281,8 @@
   readonly storeEra: number;
   /** 1 when the balancer has just started and asks for the earliest era known to the agent. */
   readonly asksEra: number;
+  /** 1 when the balancer asks for the destinations of the flows at the agent's target. */
+  readonly asksDestinations: number;
   /** Latest frame version that the balancer supports; 1 if it sends none. */
   readonly frameVersion: number;
 }
@@ -397,6 +411,7 @@
   | DistanceProbeMessage
   | DistanceReplyMessage
   | EraSeenMessage
+  | FlowDestinationsMessage
   | RouteTermsMessage
   | SubscribeMessage
   | ReportMessage
@@ -421,4 +436,5 @@
   | ReportMessage
   | PeerStatusMessage
   | DistanceReplyMessage
-  | EraSeenMessage;
+  | EraSeenMessage
+  | FlowDestinationsMessage;
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -31,8 +31,11 @@
     'north',
     this.directory,
     (_agents, message) => this.sent.push(message),
-    () => this.deploymentState,
-    () => NO_ERAS,
+    {
+      getDeploymentState: () => this.deploymentState,
+      getEras: () => NO_ERAS,
+      asksDestinations: () => false,
+    },
   );
 
   /** Records a report of the agent from one of its processes. */
@@ -92,8 +95,11 @@
     'north',
     subscriptions.directory,
     (_agents, message) => subscriptions.sent.push(message),
-    () => subscriptions.deploymentState,
-    () => NO_ERAS,
+    {
+      getDeploymentState: () => subscriptions.deploymentState,
+      getEras: () => NO_ERAS,
+      asksDestinations: () => false,
+    },
   );
   [0, 100, 200, 300].forEach((now) => unreported.sendDue(now, true));
   t.deepEqual(subscriptions.includesState, [true, true, true, true]);
--- a/test/packet-decisions.test.ts
+++ b/test/packet-decisions.test.ts
@@ -132,6 +132,7 @@
     { type: PacketMessageType.distanceProbe, sentAt: 12.625 },
     { type: PacketMessageType.distanceReply, sentAt: 12.625 },
     { type: PacketMessageType.eraSeen, era: 3 },
+    { type: PacketMessageType.flowDestinations, complete: 1, destinations: [0x0a00_0001_0050] },
     {
       type: PacketMessageType.routeTerms,
       destination: 0x0a00_0001_0050,
@@ -148,6 +149,7 @@
       deregistered: { incarnation: 'i-7', born: 1_764_800_000_123 },
       storeEra: 2,
       asksEra: 1,
+      asksDestinations: 1,
       frameVersion: 5,
       evacuations: { revision: 14, zones: ['south'] },
       profiles: {
--- a/test/reader-messages.test.ts
+++ b/test/reader-messages.test.ts
@@ -45,6 +45,7 @@
   deregistered: { incarnation: 'i-7', born: 7 },
   storeEra: 2,
   asksEra: 1,
+  asksDestinations: 1,
   frameVersion: 5,
   profiles: { version: 3, services: [] },
   evacuations: { revision: 12, zones: ['south'] },
@@ -89,6 +90,7 @@
     l: undefined,
     h: undefined,
     n: undefined,
+    d: undefined,
     e: undefined,
     c: undefined,
     v: undefined,
@@ -97,6 +99,7 @@
   const subscription = codec.decode(earlierFrame).unwrap() as SubscribeMessage;
   t.is(subscription.listing, ListingState.unknown);
   t.deepEqual([subscription.storeEra, subscription.asksEra], [0, 0]);
+  t.is(subscription.asksDestinations, 0);
   t.is(subscription.frameVersion, FIRST_FRAME_VERSION);
   t.deepEqual(subscription.evacuations, UNKNOWN_EVACUATIONS);
   t.deepEqual(subscription.profiles, UNKNOWN_PROFILES);
--- a/test/support/router-harness.ts
+++ b/test/support/router-harness.ts
@@ -3,6 +3,7 @@
 import type { EventFields, EventKind } from '../../src/logging/events';
 import { AgentDirectory } from '../../src/packets/agent-directory';
 import { FlowCache } from '../../src/packets/flow-cache';
+import { FlowDestinations } from '../../src/packets/flow-destinations';
 import { FormerServices } from '../../src/packets/former-services';
 import { FlowRouter } from '../../src/packets/flow-router';
 import { Locality } from '../../src/packets/locality/locality';
@@ -49,6 +50,7 @@
   readonly codec = new PacketFrameCodec([KEY]);
   readonly directory = new AgentDirectory();
   readonly formerServices = new FormerServices(60_000);
+  readonly flowDestinations = new FlowDestinations(60_000, 3_000);
   readonly sent: SentMessage[] = [];
   readonly resets: Endpoint[] = [];
   readonly events: { readonly kind: EventKind; readonly fields: EventFields }[] = [];
@@ -100,6 +102,7 @@
       locality: this.locality,
       address: BALANCER,
       formerServices: this.formerServices,
+      flowDestinations: this.flowDestinations,
       searchTimeout: SEARCH_TIMEOUT_MS,
       format: modelPacketFormat,
       directory: this.directory,
