--- a/test/platform-adapter.test.ts
+++ b/test/platform-adapter.test.ts
@@ -332,6 +332,42 @@
   t.is((readLocalSettings(path).val as HallholdError).resultCode.number, 1001);
 });
 
+const TEMPLATE_PATH = resolve(__dirname, '../../deploy/settings.json.template');
+
+/** Fills the gaps of the deployed template that have a value; all others stay empty. */
+function fillTemplate(values: Readonly<Record<string, string>>): string {
+  return readFileSync(TEMPLATE_PATH, 'utf8')
+    .replace(/\{\{#[^}]+\}\}.*\{\{\/[^}]+\}\}/g, '')
+    .replace(/\{\{([^}|]+)\|json\}\}/g, (_gap, name: string) => JSON.stringify(values[name] ?? ''))
+    .replace(/\{\{([^}]+)\}\}/g, (_gap, name: string) => values[name] ?? '');
+}
+
+// Guards against former services that are forgotten while flows of them may be open.
+for (const [bound, flowLifetime] of [
+  ['90', 90_000],
+  ['2.5', 2_500],
+  ['', 60_000],
+] as const) {
+  test(`the template passes on how long a flow may live: "${bound}" seconds`, (t) => {
+    const path = join(mkdtempSync(join(tmpdir(), 'hallhold-settings-')), 'settings.json');
+    const text = fillTemplate({
+      node: 'front-1',
+      zone: 'north',
+      ip: '10.0.0.1',
+      'port-range.0': '7720',
+      'listen.packet-addr': '10.0.0.1:8172',
+      'platform.addr': '10.0.0.9:8169',
+      'bounds.apply-ms': '3000',
+      'bounds.grace-s': '6',
+      'bounds.flow-ttl-s': bound,
+      'heartbeat-ms': '1100',
+      'limits.link-mbps': '1000',
+    });
+    writeFileSync(path, text);
+    t.is(readLocalSettings(path).unwrap().flowLifetime, flowLifetime);
+  });
+}
+
 test('no source outside the adapter refers to the platform', (t) => {
   const root = resolve(__dirname, '../..');
   const names = /hallhold\/(objects|instances|ready)|packet-addr|path-prefix|beat-addr|cold-left/;
