--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -33,6 +33,11 @@
     seed: 663_315_610,
     cause: 'the same, twice: a series of signals reached a balancer that had just been restarted',
   },
+  {
+    seed: 505_486_546,
+    cause:
+      'the same, while Node was booting: a balancer received SIGHUP 0.6 s after all processes were killed',
+  },
   {
     seed: 271_348_541,
     cause: 'the same, while Node was booting: an agent received SIGHUP 0.5 s after its start',
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -2,7 +2,12 @@
 import { formatEndpoint } from '../../src/core/endpoint';
 import { DEFAULT_LINK, type LinkQuality } from './frame-switch';
 import type { TargetBehaviour } from './soak-target';
-import type { SoakAgentMachine, SoakMachine, SoakDeployment } from './soak-world';
+import {
+  OPTIONAL_ROUTE,
+  type SoakAgentMachine,
+  type SoakDeployment,
+  type SoakMachine,
+} from './soak-world';
 import { GateModes } from './store-gate';
 
 const MINIMUM_FAULT_MS = 300;
@@ -23,6 +28,12 @@
 const LONG_CUT_MS = 14_000;
 const FIRST_HEARTBEAT_DELAY_MS = 2_000;
 const ROUTE_MOVE_INTERVAL_MS = 1_500;
+/** Time for a configuration to be active before flows are opened by it. */
+const CONFIGURATION_MS = 600;
+const MOVED_FLOWS = 8;
+/** Longer than the time for which a kill excuses a reset. */
+const MOVED_FLOW_PAUSE_MS = 6_000;
+const RESTART_AFTER_MOVE_MS = 400;
 /** Well-formed entries that name no machine, or one that is no agent. */
 const HOSTILE_ADDRESSES = ['0.0.0.0:0', '255.255.255.255:7000', '224.0.0.1:7000'] as const;
 const FOREIGN_OBJECTS: readonly unknown[] = [
@@ -156,6 +167,32 @@
   schedule(2 * ROUTE_MOVE_INTERVAL_MS, () => deployment.configure(true, 'map'));
 }
 
+/** Moves the optional route away from the service that holds open flows of it; `restart` follows. */
+function moveRouteAndRestart({ deployment }: FaultContext, restart: () => void): void {
+  deployment.configure(true, 'map');
+  schedule(CONFIGURATION_MS, () => {
+    for (let flow = 0; flow < MOVED_FLOWS; flow++) {
+      deployment.openFlow(OPTIONAL_ROUTE, 2, MOVED_FLOW_PAUSE_MS);
+    }
+  });
+  schedule(2 * CONFIGURATION_MS, () => deployment.configure(true, 'tiles'));
+  schedule(2 * CONFIGURATION_MS + RESTART_AFTER_MOVE_MS, restart);
+}
+
+function killMachines(deployment: SoakDeployment, machines: readonly SoakMachine[]): void {
+  for (const { name, process } of machines) {
+    deployment.checker.recordFault(name);
+    process.kill();
+  }
+}
+
+function stopBalancers({ balancers, checker }: SoakDeployment): void {
+  for (const { name, process } of balancers) {
+    checker.recordRestart(name);
+    process.terminate();
+  }
+}
+
 /** Overlaps signals, restarts and changes of the configuration. */
 function injectSeries({ deployment, machine, balancer }: FaultContext): void {
   machine.process.signal('SIGHUP');
@@ -325,6 +362,20 @@
   defineUnplanned('agent is cut off for long', cutOffAgent),
   definePlanned('hostile entries', writeHostileEntries),
   definePlanned('route moves to another service and back', moveRoute),
+  defineUnplanned('route moves, balancers are killed together', (context) =>
+    moveRouteAndRestart(context, () =>
+      killMachines(context.deployment, context.deployment.balancers),
+    ),
+  ),
+  defineUnplanned('route moves, processes are killed together', (context) =>
+    moveRouteAndRestart(context, () => {
+      const { agents, balancers } = context.deployment;
+      killMachines(context.deployment, [...balancers, ...agents]);
+    }),
+  ),
+  definePlanned('route moves, balancers restart together', (context) =>
+    moveRouteAndRestart(context, () => stopBalancers(context.deployment)),
+  ),
   definePlanned('configure', ({ deployment }) =>
     deployment.configure(deployment.faultRandom.next() < 0.5),
   ),
