--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -222,6 +222,11 @@
     };
   }
 
+  /** Whether opening packets are still held until this balancer can serve flows. */
+  get isStarting(): boolean {
+    return !this.startupGate.isOver;
+  }
+
   /** Routes a datagram of a client, or holds it until this balancer can serve flows. */
   handleClientDatagram(bytes: Buffer): void {
     if (!this.startupGate.handlePacket(bytes)) {
--- a/src/packets/startup/startup-gate.ts
+++ b/src/packets/startup/startup-gate.ts
@@ -65,6 +65,11 @@
     this.startedAt = dependencies.environment.now();
   }
 
+  /** Whether packets are no longer buffered. */
+  get isOver(): boolean {
+    return this.hasEnded;
+  }
+
   /** Number of packets buffered. */
   get kept(): number {
     return this.bufferedPackets;
--- a/src/runtime/packet-processes.ts
+++ b/src/runtime/packet-processes.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from '../environment';
 import type { AgentRegistryPort, CollectionPort, StoreProbePort } from '../packets/collection-port';
 import type { PacketFormat } from '../packets/flow-packet';
+import { IngressScheduler } from '../packets/ingress-scheduler';
 import { PacketAgent } from '../packets/packet-agent';
 import { PacketBalancer } from '../packets/packet-balancer';
 import { PacketFrameCodec } from '../packets/packet-frames';
@@ -78,12 +79,22 @@
 export class PacketBalancerProcess implements PacketProcess {
   packetObserver: PacketObserver | undefined;
   private lastPacketAt = 0;
+  private readonly ingress: IngressScheduler;
 
   private constructor(
     readonly node: PacketBalancer,
     private readonly environment: RealEnvironment,
     private readonly settings: PacketSettings,
-  ) {}
+    format: PacketFormat,
+  ) {
+    this.ingress = new IngressScheduler({
+      now: () => environment.now(),
+      decode: (bytes) => format.decodeFromClient(bytes),
+      handle: (bytes) => this.handleClientDatagram(bytes),
+      isStarting: () => node.isStarting,
+      runAfterReads: (action) => void setImmediate(action),
+    });
+  }
 
   /** Binds all sockets and starts; throws a {@link HallholdError} when an address is in use. */
   static async start(
@@ -96,7 +107,7 @@
     const started: { process?: PacketBalancerProcess } = {};
     const packetAddress = requireSetting(settings.packetAddress, 'packetAddress');
     const clientSocket = await bindSocket(packetAddress, log, (bytes) =>
-      started.process?.handleClientDatagram(bytes),
+      started.process?.ingress.receive(bytes),
     );
     const frameSocket = await bindSocket(settings.listenAddress, log, (bytes, from) =>
       started.process?.node.handleFrame(bytes, from),
@@ -118,7 +129,7 @@
         relay: (to, packet) => clientSocket.send(to, packet),
       },
     );
-    const running = new PacketBalancerProcess(node, environment, settings);
+    const running = new PacketBalancerProcess(node, environment, settings, ports.format);
     started.process = running;
     serveSnapshots(settings.listenAddress, () => node.snapshot, throwListenError);
     node.start();
@@ -148,7 +159,12 @@
   }
 
   get figures(): MetricValues {
-    return { ...this.node.figures, ...this.node.router.counters };
+    return {
+      ...this.node.figures,
+      ...this.node.router.counters,
+      packetsQueuedAtIngress: this.ingress.waiting,
+      packetsDroppedAtIngress: this.ingress.dropped,
+    };
   }
 
   private handleClientDatagram(bytes: Buffer): void {
