--- a/src/packets/agent-subscriptions.ts
+++ b/src/packets/agent-subscriptions.ts
@@ -37,7 +37,7 @@
   getDeploymentState(): DeploymentState;
   getEras(): SubscriptionEras;
   /** Whether an agent must be asked for the destinations of its flows. */
-  asksDestinations(agent: Endpoint, now: number): boolean;
+  shouldAskDestinations(agent: Endpoint, now: number): boolean;
 }
 
 /** Content of a subscription; agents with the same content get the same datagram. */
@@ -77,7 +77,7 @@
           entry.report?.run,
           deploymentState,
         );
-        const asksDestinations = this.source.asksDestinations(entry.address, now);
+        const asksDestinations = this.source.shouldAskDestinations(entry.address, now);
         const { deregistered } = entry;
         due.add({ listing, deregistered, includesState, asksDestinations }, entry.address);
       }
--- a/src/packets/collection-watcher.ts
+++ b/src/packets/collection-watcher.ts
@@ -9,6 +9,7 @@
 import { ResultCodes, type ResultCode } from '../errors/result-codes';
 import { Events } from '../logging/events';
 import type { Changes, CollectionPort, Listing } from './collection-port';
+import { SkippedEntries } from './skipped-entries';
 import { UNKNOWN_POSITION, type StorePosition } from './store-position';
 
 const INITIAL_RETRY_DELAY_MS = 150;
@@ -62,8 +63,7 @@
   private timer: TimerHandle | undefined;
   /** Store position of the latest answer. */
   private position = UNKNOWN_POSITION;
-  /** Entries skipped in the latest answer that skipped any. */
-  private skipped = 0;
+  private readonly skippedEntries: SkippedEntries;
   /** The latest listing followed a failed watch at once, and no watch call has succeeded since. */
   private hasListedAtOnce = false;
 
@@ -74,7 +74,9 @@
     private readonly environment: Environment,
     private readonly observer: CollectionObserver<T>,
     private readonly pacing: () => WatchPacing,
-  ) {}
+  ) {
+    this.skippedEntries = new SkippedEntries(environment, name);
+  }
 
   get isRunning(): boolean {
     return this.running;
@@ -116,7 +118,7 @@
       const { era, items, revision, skipped } = result.val;
       const listed = { collection: this.name, era, revision, items: items.length };
       this.environment.report(Events.storeListed, listed);
-      this.reportSkipped(skipped);
+      this.skippedEntries.record(skipped);
       if (this.notify(() => this.observer.listed(result.val))) {
         this.scheduleWatch(result.val, this.pacing().firstPause, generation);
       }
@@ -169,7 +171,7 @@
         this.recordSuccess();
         this.hasListedAtOnce = false;
         this.recordPosition(result.val);
-        this.reportSkipped(result.val.skipped);
+        this.skippedEntries.record(result.val.skipped);
         if (this.notify(() => this.observer.changed(result.val))) {
           this.scheduleWatch(
             result.val,
@@ -217,14 +219,6 @@
     }
   }
 
-  /** Logs the number of skipped entries, unless it is 0 or was logged before. */
-  private reportSkipped(skipped: number): void {
-    if (skipped > 0 && skipped !== this.skipped) {
-      this.environment.report(Events.entriesSkipped, { collection: this.name, skipped });
-    }
-    this.skipped = skipped > 0 ? skipped : this.skipped;
-  }
-
   private retry(error: HallholdError, action: () => void): void {
     this.failures++;
     if (this.failures === 1) {
--- a/src/packets/holder-search.ts
+++ b/src/packets/holder-search.ts
@@ -160,7 +160,7 @@
         this.dispatch.offerToUnresponsive(plan.agent, packet, search);
         return;
       case 'conclude':
-        if (this.widen(packet, search)) {
+        if (this.addServices(packet, search)) {
           this.offerNext(packet, search);
         } else {
           this.conclude(packet, search);
@@ -194,11 +194,11 @@
   }
 
   /**
-   * Widens a search to further services whose agents may hold flows of its route from before this
+   * Adds further services to a search whose agents may hold flows of its route from before this
    * balancer started.
    * @returns false if there is none
    */
-  private widen(packet: FlowPacket, search: FlowSearch): boolean {
+  private addServices(packet: FlowPacket, search: FlowSearch): boolean {
     const { directory, environment, flowDestinations, forwarder, listHolderServices } =
       this.dependencies;
     if (!flowDestinations.isNeeded(environment.now())) {
--- a/src/packets/packet-agent.ts
+++ b/src/packets/packet-agent.ts
@@ -369,13 +369,13 @@
     const { destinations, isTruncated } = this.destinations.list(
       this.dependencies.environment.now(),
     );
-    const complete = this.knowsDestinations && !isTruncated ? 1 : 0;
+    const complete = this.hasSeenAllDestinations && !isTruncated ? 1 : 0;
     const type = PacketMessageType.flowDestinations;
     this.link.send(balancer, { type, complete, destinations });
   }
 
   /** Whether any open flow of the target must have sent a packet through this agent process. */
-  private get knowsDestinations(): boolean {
+  private get hasSeenAllDestinations(): boolean {
     const { environment, startedAt } = this.dependencies;
     const runTime = environment.now() - startedAt;
     return runTime >= this.settings.flowLifetime || this.flowKnowledge !== FlowKnowledge.partial;
--- a/src/packets/packet-balancer.ts
+++ b/src/packets/packet-balancer.ts
@@ -415,7 +415,7 @@
           profiles: this.table.profiles,
         }),
         getEras: () => this.eras,
-        asksDestinations: (agent, now) => this.flowDestinations.shouldAsk(agent, now),
+        shouldAskDestinations: (agent, now) => this.flowDestinations.shouldAsk(agent, now),
       },
     );
   }
--- a/src/packets/registry-view.ts
+++ b/src/packets/registry-view.ts
@@ -5,6 +5,7 @@
 import type { AgentDirectory } from './agent-directory';
 import type { Change, Changes, Listing } from './collection-port';
 import type { AgentRecord, ListedAgent, RegistryChange, RegistryDelta } from './packet-messages';
+import { SkippedEntries } from './skipped-entries';
 import { isLater, resolveEra, UNKNOWN_POSITION, type StorePosition } from './store-position';
 
 /** Dependencies of the registry view. */
@@ -20,10 +21,11 @@
 /** The registry as known to one balancer. */
 export class RegistryView {
   private currentPosition = UNKNOWN_POSITION;
-  /** Unusable entries in the latest message or listing that had any. */
-  private skipped = 0;
+  private readonly skippedEntries: SkippedEntries;
 
-  constructor(private readonly dependencies: RegistryViewDependencies) {}
+  constructor(private readonly dependencies: RegistryViewDependencies) {
+    this.skippedEntries = new SkippedEntries(dependencies.environment, 'agents');
+  }
 
   /**
    * Store revision up to which registry changes are applied; 0 before any listing.
@@ -137,7 +139,7 @@
     const { directory, environment } = this.dependencies;
     const now = environment.now();
     const usable = changes.filter(({ agent, removed }) => removed || this.isUsable(agent));
-    this.reportSkipped(changes.length - usable.length);
+    this.skippedEntries.record(changes.length - usable.length);
     for (const { agent, removed } of usable) {
       const { revision: changedAt, ...record } = agent;
       const known = directory.find(record.address)?.registryRevision ?? 0;
@@ -156,7 +158,7 @@
 
   private selectUsable<T extends AgentRecord>(agents: readonly T[]): readonly T[] {
     const usable = agents.filter((agent) => this.isUsable(agent));
-    this.reportSkipped(agents.length - usable.length);
+    this.skippedEntries.record(agents.length - usable.length);
     return usable;
   }
 
@@ -165,17 +167,6 @@
     return isUnicastEndpoint(address) && address !== this.dependencies.self;
   }
 
-  /** Logs the number of skipped entries, unless it is 0 or was logged before. */
-  private reportSkipped(skipped: number): void {
-    if (skipped > 0 && skipped !== this.skipped) {
-      this.dependencies.environment.report(Events.entriesSkipped, {
-        collection: 'agents',
-        skipped,
-      });
-    }
-    this.skipped = skipped > 0 ? skipped : this.skipped;
-  }
-
   private markComplete(origin: string): void {
     const { directory, environment } = this.dependencies;
     if (!directory.isComplete) {
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -34,7 +34,7 @@
     {
       getDeploymentState: () => this.deploymentState,
       getEras: () => NO_ERAS,
-      asksDestinations: () => false,
+      shouldAskDestinations: () => false,
     },
   );
 
@@ -98,7 +98,7 @@
     {
       getDeploymentState: () => subscriptions.deploymentState,
       getEras: () => NO_ERAS,
-      asksDestinations: () => false,
+      shouldAskDestinations: () => false,
     },
   );
   [0, 100, 200, 300].forEach((now) => unreported.sendDue(now, true));
