--- a/test/balancers-lost-together.test.ts
+++ b/test/balancers-lost-together.test.ts
@@ -3,7 +3,6 @@
  * the version before is gone: only the agents, or only the targets, know of these flows then.
  */
 import test from 'ava';
-import type { Endpoint } from '../src/environment';
 import {
   PacketSimulation,
   type PacketSimulationBalancer,
@@ -13,6 +12,7 @@
   startModelDeployment,
   TILE_DESTINATION,
 } from '../src/simulation/packets/random-faults';
+import { countDone, countMapOpenings, MOVED, ORIGINAL } from './support/moved-route';
 import { NO_VIOLATIONS } from './support/violations';
 
 const FLOWS = 24;
@@ -22,17 +22,6 @@
 const FLOW_LIFETIME_MS = 60_000;
 const DEAD_FLOW_RESET_MS = 300;
 
-type Routes = ReadonlyMap<Endpoint, readonly string[]>;
-
-const ORIGINAL: Routes = new Map([
-  [MAP_DESTINATION, ['map']],
-  [TILE_DESTINATION, ['tiles']],
-]);
-const MOVED: Routes = new Map([
-  [MAP_DESTINATION, ['tiles']],
-  [TILE_DESTINATION, ['tiles']],
-]);
-
 /**
  * Starts a deployment with open flows of the map route.
  * @param coldTime 0 for services that do not say how long a target is cold, so that an agent cannot know
@@ -112,15 +101,6 @@
   }
 }
 
-function countDone({ clients }: PacketSimulation): number {
-  return clients.filter(({ state }) => state === 'done').length;
-}
-
-function countMapOpenings({ agents }: PacketSimulation): number {
-  const maps = agents.filter(({ service }) => service === 'map');
-  return maps.reduce((sum, { openings }) => sum + openings.length, 0);
-}
-
 for (const share of [0.5, 0.95]) {
   test(`open flows of a moved route go on; all balancers are killed at ${share} of their lifetime`, (t) => {
     const world = startWorld(502, 0, 220);
--- a/test/route-service-change.test.ts
+++ b/test/route-service-change.test.ts
@@ -6,7 +6,6 @@
  * its own flows, and searches asked only the agents of the route's present services.
  */
 import test from 'ava';
-import type { Endpoint } from '../src/environment';
 import { FormerServices } from '../src/packets/former-services';
 import type { Route, RoutingTable } from '../src/packets/routing-table';
 import {
@@ -19,6 +18,7 @@
   startModelDeployment,
   TILE_DESTINATION,
 } from '../src/simulation/packets/random-faults';
+import { countDone, countMapOpenings, MOVED, ORIGINAL, type Routes } from './support/moved-route';
 import { NO_VIOLATIONS } from './support/violations';
 
 const FLOWS = 24;
@@ -30,21 +30,10 @@
 const LATE_TABLE_MS = 2_500;
 const LONG_FLOW_REQUESTS = 400;
 
-type Routes = ReadonlyMap<Endpoint, readonly string[]>;
-
 const BOTH_SERVICES: Routes = new Map([
   [MAP_DESTINATION, ['map', 'tiles']],
   [TILE_DESTINATION, ['tiles']],
 ]);
-const MOVED: Routes = new Map([
-  [MAP_DESTINATION, ['tiles']],
-  [TILE_DESTINATION, ['tiles']],
-]);
-const ORIGINAL: Routes = new Map([
-  [MAP_DESTINATION, ['map']],
-  [TILE_DESTINATION, ['tiles']],
-]);
-
 /** Starts a deployment with open flows of the map route. */
 function startWorld(seed: number, routes = ORIGINAL): PacketSimulation {
   const world = new PacketSimulation(seed);
@@ -58,15 +47,6 @@
   return world;
 }
 
-function countDone({ clients }: PacketSimulation): number {
-  return clients.filter(({ state }) => state === 'done').length;
-}
-
-function countMapOpenings({ agents }: PacketSimulation): number {
-  const maps = agents.filter(({ service }) => service === 'map');
-  return maps.reduce((sum, { openings }) => sum + openings.length, 0);
-}
-
 function restartBalancersInTurn(world: PacketSimulation): void {
   for (const balancer of world.balancers) {
     world.startBalancer(balancer);
