--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -33,6 +33,11 @@
     seed: 663_315_610,
     cause: 'the same, twice: a series of signals reached a balancer that had just been restarted',
   },
+  {
+    seed: 1_120_540_029,
+    cause:
+      'the same, while Node was booting: a series of signals reached a balancer some 70 ms after its restart',
+  },
   {
     seed: 505_486_546,
     cause:
