--- a/test/soak/kept-seeds.ts
+++ b/test/soak/kept-seeds.ts
@@ -38,6 +38,16 @@
     cause:
       'the same, while Node was booting: a series of signals reached a balancer some 70 ms after its restart',
   },
+  {
+    seed: 1_587_974_324,
+    cause:
+      'the same, twice: two series of signals 0.7 s apart reached a balancer that the first had restarted',
+  },
+  {
+    seed: 1_429_352_832,
+    cause:
+      'the same, twice: a series of signals reached an agent 0.2 s after its restart and again after the next',
+  },
   {
     seed: 505_486_546,
     cause:
