--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -1,4 +1,4 @@
-/* global performance, setTimeout, clearTimeout, process */
+/* global performance, setTimeout, clearTimeout */
 /** A small deployment on loopback: the project's own programs as processes, with stand-ins around them. */
 import { spawn } from 'node:child_process';
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
@@ -247,7 +247,11 @@
           attempts: 1,
         };
       }),
-      services: services.map((name) => ({ name, 'health-path': '/health' })),
+      services: services.map((name) => ({
+        name,
+        'health-path': '/health',
+        'cold-start-s': this.options.coldSeconds,
+      })),
       limits: { 'idle-timeout-ms': 60_000 },
     };
     this.store.put('config', 'main', spec);
