--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -3,9 +3,10 @@
 import { Bounds, now, runCase, sleep } from '../kit-2/deployment.mjs';
 import { Target } from '../kit-2/target.mjs';
 
-const MAP = ['198.18.0.1', 8443];
-const TILES = ['198.18.0.2', 8443];
+const MAP = ['127.198.0.1', 8443];
+const TILES = ['127.198.0.2', 8443];
 const KEPT_FLOWS = 12;
+const MINIMUM_HELD = 2;
 const ROUND_MS = 200;
 const ROUNDS = 30;
 
@@ -52,11 +53,9 @@
     await Promise.all(flows.map((flow) => flow.opened));
     const firsts = await Promise.all(flows.map((flow) => flow.ask()));
     const holders = new Map(flows.map((flow, index) => [flow, firsts[index].stamp]));
-    if (
-      !firsts.every(({ outcome }) => outcome === 'answered') ||
-      !firsts.some(({ stamp }) => stamp === 'i-1')
-    ) {
-      throw new Error('the kept flows did not open, or none at the first target');
+    const held = firsts.filter(({ stamp }) => stamp === 'i-1').length;
+    if (held < MINIMUM_HELD) {
+      throw new Error(`only ${held} of the kept flows have opened at the first target`);
     }
     await sleep(Bounds.contact + 500);
 
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -3,9 +3,9 @@
 import { Bounds, now, runCase, sleep } from '../kit-2/deployment.mjs';
 import { Target } from '../kit-2/target.mjs';
 
-const MAP = ['198.18.0.1', 8443];
-const TILES = ['198.18.0.2', 8443];
-const MOVED = ['198.18.0.3', 8443];
+const MAP = ['127.198.0.1', 8443];
+const TILES = ['127.198.0.2', 8443];
+const MOVED = ['127.198.0.3', 8443];
 /** Connections that carry nothing for so long lose their way, as at a firewall that forgets them. */
 const QUIET_MS = 1_500;
 const OLDEST_WATCH_MS = 3_000;
--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -86,10 +86,16 @@
     this.child.kill('SIGKILL');
   }
 
+  /** As in a planned restart. */
   terminate() {
     this.child.kill('SIGTERM');
   }
 
+  /** Resolves when the process that runs now has ended; it is started again after a delay. */
+  waitForExit() {
+    return new Promise((done) => this.child.once('exit', done));
+  }
+
   async close() {
     this.isClosed = true;
     if (this.child && this.child.exitCode === null && this.child.signalCode === null) {
@@ -132,7 +138,7 @@
 
   async start() {
     const net = `127.${60 + (process.pid % 120)}`;
-    let base = 20_000 + ((process.pid * 16) % 20_000);
+    let base = 20_000 + ((process.pid * 16) % 12_000);
     while (!(await isFree(`${net}.0.1`, base))) {
       base += 16;
     }
