--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -2,6 +2,7 @@
 /** A small deployment on loopback: the project's own programs as processes, with stand-ins around them. */
 import { spawn } from 'node:child_process';
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { request } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
@@ -107,6 +108,21 @@
   }
 }
 
+function probe(host, port) {
+  return new Promise((done) => {
+    const call = request(
+      { host, port, path: '/hallhold/ready', agent: false, timeout: 400 },
+      (answer) => {
+        answer.resume();
+        done(answer.statusCode === 200);
+      },
+    );
+    call.on('timeout', () => call.destroy());
+    call.on('error', () => done(false));
+    call.end();
+  });
+}
+
 function isFree(host, port) {
   return new Promise((done) => {
     const server = createServer();
@@ -276,6 +292,19 @@
     }
   }
 
+  /** Waits until the processes of all sides answer the platform's probe. */
+  async waitSidesReady() {
+    const deadline = now() + 15_000;
+    for (const { ip } of this.sides) {
+      while (!(await probe(ip, this.ports.ready))) {
+        if (now() > deadline) {
+          throw new Error('the sides are not ready');
+        }
+        await sleep(20);
+      }
+    }
+  }
+
   /** Ends everything that was started. */
   async stop() {
     this.routers?.stop();
